Lay out the workspace and the contracts between its layers

Cause: nothing existed; every later part needs one set of types for events, commands and messages between processes before it can be built in parallel. Ruled out: protobuf types inside the decision classes, which would tie the decisions to the wire; the messages are plain records and the protocol module maps them. Conclusion: the build stands; no request is served yet.

--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/message/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between the system's own processes. */
+package org.shallothook.coordination.message;
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of a router: events in, commands out, no threads and no input or output. */
+package org.shallothook.coordination.router;
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothook/sidecar/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.shallothook.sidecar;
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/cache/BlockKey.java
@@ -0,0 +1,36 @@
+package org.shallothook.state.cache;
+
+import java.util.HexFormat;
+
+/**
+ * Key of one cached prompt block: 128 bits of a digest over the block and everything before it.
+ *
+ * <p>Invariant: equal keys stand for equal identity and equal prompt up to and including the block.
+ * Immutable and thread-safe.
+ *
+ * @param high upper 64 bits
+ * @param low lower 64 bits
+ */
+public record BlockKey(long high, long low) {
+  /** Number of hexadecimal digits in {@link #toHex()}. */
+  public static final int HEX_DIGITS = 32;
+
+  /** Returns the key as 32 lower-case hexadecimal digits. */
+  public String toHex() {
+    HexFormat format = HexFormat.of();
+    return format.toHexDigits(high) + format.toHexDigits(low);
+  }
+
+  /**
+   * Parses the form made by {@link #toHex()}.
+   *
+   * @throws IllegalArgumentException if the text is not 32 hexadecimal digits
+   */
+  public static BlockKey fromHex(String text) {
+    if (text.length() != HEX_DIGITS) {
+      throw new IllegalArgumentException("A block key has 32 hexadecimal digits, found: " + text);
+    }
+    return new BlockKey(
+        HexFormat.fromHexDigitsToLong(text, 0, 16), HexFormat.fromHexDigitsToLong(text, 16, 32));
+  }
+}
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/configuration/TeamLimits.java
@@ -0,0 +1,22 @@
+package org.shallothook.state.configuration;
+
+/**
+ * Limits on the requests of one team.
+ *
+ * <p>Invariant: every limit is positive. Immutable and thread-safe.
+ *
+ * @param maximumPromptBytes greatest size of a rendered prompt
+ * @param maximumOutputTokens greatest number of tokens in an answer
+ * @param maximumConcurrentRequests greatest number of open requests of the team at one router
+ */
+public record TeamLimits(
+    int maximumPromptBytes, int maximumOutputTokens, int maximumConcurrentRequests) {
+  /** Limits of a team whose template names none. */
+  public static final TeamLimits DEFAULT = new TeamLimits(1_000_000, 4_096, 1_024);
+
+  public TeamLimits {
+    if (maximumPromptBytes <= 0 || maximumOutputTokens <= 0 || maximumConcurrentRequests <= 0) {
+      throw new IllegalArgumentException("Every limit of a team must be positive.");
+    }
+  }
+}
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/configuration/TeamTemplate.java
@@ -0,0 +1,57 @@
+package org.shallothook.state.configuration;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.cache.ModelVersion;
+
+/**
+ * Configuration of one team, as published by operators.
+ *
+ * <p>Invariant: no component is null; limits are positive. Immutable and thread-safe.
+ *
+ * @param name name of the team
+ * @param keyDigest SHA-256 of the team's key, in lower-case hexadecimal
+ * @param modelVersion model, weights version and adapter that the team uses
+ * @param rulebook shared text that opens every prompt of the team
+ * @param tenants text that follows the rulebook, by name of the tenant
+ * @param priority class of service
+ * @param limits limits on the team's requests
+ * @param services services that the team may call, by name
+ */
+public record TeamTemplate(
+    String name,
+    String keyDigest,
+    ModelVersion modelVersion,
+    String rulebook,
+    Map<String, String> tenants,
+    PriorityClass priority,
+    TeamLimits limits,
+    Map<String, ServiceTemplate> services) {
+  public TeamTemplate {
+    Objects.requireNonNull(name, "name");
+    Objects.requireNonNull(keyDigest, "keyDigest");
+    Objects.requireNonNull(modelVersion, "modelVersion");
+    Objects.requireNonNull(rulebook, "rulebook");
+    Objects.requireNonNull(priority, "priority");
+    Objects.requireNonNull(limits, "limits");
+    tenants = Map.copyOf(tenants);
+    services = Map.copyOf(services);
+  }
+
+  /** Returns the scope within which the team's cached blocks may be reused. */
+  public CacheIdentity cacheIdentity() {
+    return new CacheIdentity(name, modelVersion);
+  }
+
+  /** Returns the text of a tenant, if the template has it. */
+  public Optional<String> tenantText(String tenant) {
+    return Optional.ofNullable(tenants.get(tenant));
+  }
+
+  /** Returns the service of that name, if the team may call it. */
+  public Optional<ServiceTemplate> service(String service) {
+    return Optional.ofNullable(services.get(service));
+  }
+}
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/membership/InstanceRole.java
@@ -0,0 +1,14 @@
+package org.shallothook.state.membership;
+
+/** Role of an instance in the fleet. Immutable and thread-safe. */
+public enum InstanceRole {
+  ROUTER,
+  MODEL_ENGINE,
+  CACHE_STORE,
+  SERVICE;
+
+  /** Returns whether requests of callers may be dispatched to instances of this role. */
+  public boolean isUpstream() {
+    return this == MODEL_ENGINE || this == SERVICE;
+  }
+}
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Instances known to the fleet, their roles and their states. */
+package org.shallothook.state.membership;
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/request/Outcome.java
@@ -0,0 +1,23 @@
+package org.shallothook.state.request;
+
+import java.util.Locale;
+
+/**
+ * What is known of the effect of a request over all its attempts.
+ *
+ * <p>Invariant: {@link #NOT_RUN} is claimed only when no attempt can have reached an upstream.
+ * Immutable and thread-safe.
+ */
+public enum Outcome {
+  /** No upstream has run any part of the request; sending it again is safe. */
+  NOT_RUN,
+  /** An upstream may have run the request. */
+  UNKNOWN,
+  /** An upstream has run the request and its whole answer is known. */
+  DONE;
+
+  /** Returns the form used in the {@code shallothook-outcome} header. */
+  public String headerValue() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
