Add codecs for peers, callers and the platform

Cause: every part of the path needs typed messages at its edges. Ruled out: lenient Gson parsing, which takes unquoted and trailing text.

--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
@@ -0,0 +1,28 @@
+package org.shallothook.coordination.port;
+
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Counts what decisions do, by name.
+ *
+ * <p>Names are dotted, with lower-case words joined by hyphens, such as {@code retry.queue-full}.
+ * Implementations are thread-safe and never throw.
+ */
+@FunctionalInterface
+public interface Counters {
+  /** Counts nothing. */
+  Counters NONE = name -> {};
+
+  /** Adds one to a counter. */
+  void increment(String name);
+
+  /** Counts a refusal by its reason. */
+  default void refused(RefusalReason reason) {
+    increment("refusal." + reason.code());
+  }
+
+  /** Counts a retry by the reason of the attempt that failed. */
+  default void retried(RefusalReason reason) {
+    increment("retry." + reason.code());
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/shallothook/protocol/caller/ModelListForm.java
@@ -0,0 +1,32 @@
+package org.shallothook.protocol.caller;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.util.List;
+
+/**
+ * Writes the answer to {@code GET /v1/models}.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class ModelListForm {
+  private static final Gson GSON = new Gson();
+
+  private ModelListForm() {}
+
+  /** Returns the list of models in the OpenAI form. */
+  public static String body(List<String> models) {
+    JsonArray data = new JsonArray();
+    for (String model : models) {
+      JsonObject entry = new JsonObject();
+      entry.addProperty("id", model);
+      entry.addProperty("object", "model");
+      data.add(entry);
+    }
+    JsonObject root = new JsonObject();
+    root.addProperty("object", "list");
+    root.add("data", data);
+    return GSON.toJson(root);
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -0,0 +1,170 @@
+package org.shallothook.protocol.peer;
+
+import java.util.Optional;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.protocol.generated.CallAnswerFrame;
+import org.shallothook.protocol.generated.CallFrame;
+import org.shallothook.protocol.generated.EndedFrame;
+import org.shallothook.protocol.generated.EnvelopeFrame;
+import org.shallothook.protocol.generated.FailedFrame;
+import org.shallothook.protocol.generated.HelloFrame;
+import org.shallothook.protocol.generated.OfferFrame;
+import org.shallothook.protocol.generated.OfferReplyFrame;
+import org.shallothook.protocol.generated.SidecarStatusFrame;
+import org.shallothook.protocol.generated.SubmitFrame;
+import org.shallothook.protocol.generated.TokensFrame;
+import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.membership.InstanceRole;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Reads typed messages from frames.
+ *
+ * <p>Throws {@link InvalidFieldException} for values that this version does not know. Stateless and
+ * thread-safe.
+ */
+final class MessageDecoder {
+  private MessageDecoder() {}
+
+  /** Returns the message of a frame, or empty where the frame has none. */
+  static Optional<PeerMessage> decode(EnvelopeFrame frame) {
+    return switch (frame.getMessageCase()) {
+      case HELLO -> Optional.of(hello(frame.getHello()));
+      case OFFER -> Optional.of(offer(frame.getOffer()));
+      case OFFER_REPLY -> Optional.of(offerReply(frame.getOfferReply()));
+      case SUBMIT -> Optional.of(submit(frame.getSubmit()));
+      case TOKENS -> Optional.of(tokens(frame.getTokens()));
+      case ENDED -> Optional.of(ended(frame.getEnded()));
+      case FAILED -> Optional.of(failed(frame.getFailed()));
+      case CANCEL ->
+          Optional.of(
+              new PeerMessage.Cancel(FieldMapping.toAttempt(frame.getCancel().getAttempt())));
+      case CONSUMED ->
+          Optional.of(
+              new PeerMessage.Consumed(
+                  FieldMapping.toAttempt(frame.getConsumed().getAttempt()),
+                  FieldMapping.notNegative(
+                      "consumed.position", frame.getConsumed().getPosition())));
+      case CALL -> Optional.of(call(frame.getCall()));
+      case CALL_ANSWER -> Optional.of(callAnswer(frame.getCallAnswer()));
+      case SIDECAR_STATUS -> Optional.of(sidecarStatus(frame.getSidecarStatus()));
+      case CONFIGURATION_RECORDS ->
+          Optional.of(
+              new PeerMessage.ConfigurationRecords(
+                  frame.getConfigurationRecords().getRecordsList().stream()
+                      .map(FieldMapping::toLogRecord)
+                      .toList()));
+      case CONFIGURATION_REQUEST ->
+          Optional.of(
+              new PeerMessage.ConfigurationRequest(
+                  FieldMapping.notNegative(
+                      "configuration_request.from_offset",
+                      frame.getConfigurationRequest().getFromOffset())));
+      case QUARANTINE ->
+          Optional.of(
+              new PeerMessage.Quarantine(
+                  frame.getQuarantine().getFingerprint(),
+                  FieldMapping.notNegative(
+                      "quarantine.until_micros", frame.getQuarantine().getUntilMicros())));
+      case MESSAGE_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private static PeerMessage hello(HelloFrame frame) {
+    return new PeerMessage.Hello(
+        FieldMapping.toConstant(InstanceRole.class, "hello.role", frame.getRole()),
+        frame.getFailureDomain());
+  }
+
+  private static PeerMessage offer(OfferFrame frame) {
+    return new PeerMessage.Offer(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        new CacheIdentity(frame.getTeam(), FieldMapping.toModelVersion(frame.getModelVersion())),
+        FieldMapping.toConstant(PriorityClass.class, "offer.priority", frame.getPriority()),
+        FieldMapping.toKeys(frame.getKeys()),
+        FieldMapping.notNegative("offer.prompt_bytes", frame.getPromptBytes()),
+        FieldMapping.notNegative("offer.maximum_output_tokens", frame.getMaximumOutputTokens()),
+        FieldMapping.notNegative("offer.deadline_micros", frame.getDeadlineMicros()),
+        FieldMapping.notNegative("offer.resume_position", frame.getResumePosition()),
+        frame.getFingerprint(),
+        frame.getIsSuspect(),
+        FieldMapping.notNegative("offer.rank", frame.getRank()));
+  }
+
+  private static PeerMessage offerReply(OfferReplyFrame frame) {
+    Optional<RefusalReason> refusal =
+        frame.getRefusal().isEmpty()
+            ? Optional.empty()
+            : Optional.of(
+                FieldMapping.toConstant(
+                    RefusalReason.class, "offer_reply.refusal", frame.getRefusal()));
+    return new PeerMessage.OfferReply(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        refusal,
+        FieldMapping.toHint(frame.getHint()),
+        FieldMapping.notNegative("offer_reply.valid_until_micros", frame.getValidUntilMicros()));
+  }
+
+  private static PeerMessage submit(SubmitFrame frame) {
+    return new PeerMessage.Submit(
+        FieldMapping.toAttempt(frame.getAttempt()), frame.getPrompt(), frame.getDeliveredText());
+  }
+
+  private static PeerMessage tokens(TokensFrame frame) {
+    return new PeerMessage.Tokens(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        FieldMapping.notNegative("tokens.position", frame.getPosition()),
+        FieldMapping.notNegative("tokens.count", frame.getCount()),
+        frame.getText());
+  }
+
+  private static PeerMessage ended(EndedFrame frame) {
+    return new PeerMessage.Ended(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        FieldMapping.notNegative("ended.position", frame.getPosition()),
+        frame.getFinishReason(),
+        FieldMapping.notNegative("ended.cached_blocks", frame.getCachedBlocks()));
+  }
+
+  private static PeerMessage failed(FailedFrame frame) {
+    return new PeerMessage.Failed(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        FieldMapping.toConstant(RefusalReason.class, "failed.reason", frame.getReason()),
+        FieldMapping.toConstant(Outcome.class, "failed.outcome", frame.getOutcome()),
+        frame.getDetail(),
+        FieldMapping.notNegative("failed.retry_at_micros", frame.getRetryAtMicros()));
+  }
+
+  private static PeerMessage call(CallFrame frame) {
+    return new PeerMessage.Call(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        frame.getTeam(),
+        frame.getService(),
+        frame.getPath(),
+        frame.hasIdempotencyKey() ? Optional.of(frame.getIdempotencyKey()) : Optional.empty(),
+        frame.getContentType(),
+        frame.getBody(),
+        frame.getIsRepeatable(),
+        frame.getChecksFencing(),
+        FieldMapping.notNegative("call.deadline_micros", frame.getDeadlineMicros()));
+  }
+
+  private static PeerMessage callAnswer(CallAnswerFrame frame) {
+    return new PeerMessage.CallAnswer(
+        FieldMapping.toAttempt(frame.getAttempt()),
+        FieldMapping.notNegative("call_answer.status", frame.getStatus()),
+        frame.getContentType(),
+        frame.getBody());
+  }
+
+  private static PeerMessage sidecarStatus(SidecarStatusFrame frame) {
+    return new PeerMessage.SidecarStatus(
+        frame.getUpstream(),
+        frame.getEngineIncarnation(),
+        frame.getReadyList().stream().map(FieldMapping::toModelVersion).toList(),
+        frame.getIsLeaving(),
+        FieldMapping.notNegative("sidecar_status.queue_delay_micros", frame.getQueueDelayMicros()));
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Mapping between typed peer messages and the protobuf frames that carry them. */
+package org.shallothook.protocol.peer;
--- /dev/null
+++ b/protocol/src/main/java/org/shallothook/protocol/platform/EngineForm.java
@@ -0,0 +1,162 @@
+package org.shallothook.protocol.platform;
+
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.vavr.control.Either;
+import java.util.List;
+import org.shallothook.coordination.sidecar.CacheChange;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.protocol.json.JsonDocument;
+import org.shallothook.protocol.json.JsonError;
+import org.shallothook.protocol.json.JsonFields;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.request.AttemptId;
+
+/**
+ * Writes requests to a model engine and reads its answers.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class EngineForm {
+  private static final Gson GSON = new GsonBuilder().disableHtmlEscaping().create();
+  private static final int URGENT = 0;
+  private static final int ORDINARY = 1;
+  private static final long IGNORES_FENCING = -1;
+
+  private EngineForm() {}
+
+  /**
+   * Returns the name of an attempt on the engine. It differs between attempts of one request, so
+   * that a late cancellation of one cannot reach another.
+   */
+  public static String requestId(AttemptId attempt) {
+    return attempt.request().value() + "." + attempt.number();
+  }
+
+  /**
+   * Returns the body that starts an answer.
+   *
+   * @param start what to run
+   * @param blockBytes bytes in a cached block
+   */
+  public static String start(SidecarCommand.StartAnswer start, int blockBytes) {
+    JsonObject root = new JsonObject();
+    root.addProperty("request_id", requestId(start.attempt()));
+    addIdentity(root, start.identity());
+    root.addProperty("prompt", start.prompt());
+    root.addProperty("delivered_text", start.deliveredText());
+    root.addProperty("resume_position", start.resumePosition());
+    root.addProperty("max_tokens", start.maximumOutputTokens());
+    root.addProperty("priority", start.priority() == PriorityClass.PRIORITY ? URGENT : ORDINARY);
+    root.add("block_keys", keys(start.keys()));
+    root.addProperty("block_bytes", blockBytes);
+    return GSON.toJson(root);
+  }
+
+  /** Returns the body of an order. */
+  public static String order(SidecarCommand.OrderEngine order) {
+    JsonObject root = new JsonObject();
+    root.addProperty("fencing", order.fencing());
+    root.addProperty("order", order.isLoad() ? "load" : "unload");
+    addModelVersion(root, order.modelVersion());
+    return GSON.toJson(root);
+  }
+
+  /**
+   * Returns the body of an export or import of blocks.
+   *
+   * @param transfer what to transfer
+   * @param store address of the cache store, {@code IP:port}
+   */
+  public static String transfer(SidecarCommand.TransferBlocks transfer, String store) {
+    JsonObject root = new JsonObject();
+    root.addProperty("store", store);
+    addIdentity(root, transfer.identity());
+    root.add("keys", keys(transfer.keys()));
+    return GSON.toJson(root);
+  }
+
+  /** Reads the keys that a transfer moved. */
+  public static Either<JsonError, List<BlockKey>> transferred(String body) {
+    return JsonDocument.read(body, fields -> Values.blockKeys(fields, "keys"));
+  }
+
+  /** Reads the state of an engine or cache store. */
+  public static Either<JsonError, SidecarEvent.EngineStatus> status(String body) {
+    return JsonDocument.read(
+        body,
+        fields ->
+            new SidecarEvent.EngineStatus(
+                fields.text("incarnation"),
+                fields.objects("models", Values::modelVersion),
+                Values.notNegativeInteger(fields, "running"),
+                Values.notNegativeInteger(fields, "maximum_running"),
+                fields.longField("last_fencing"),
+                fields.optionalTruth("leaving").orElse(false)));
+  }
+
+  /** Reads the state of a plain service. */
+  public static Either<JsonError, SidecarEvent.EngineStatus> serviceStatus(String body) {
+    return JsonDocument.read(
+        body,
+        fields ->
+            new SidecarEvent.EngineStatus(
+                fields.text("incarnation"),
+                List.of(),
+                0,
+                0,
+                IGNORES_FENCING,
+                fields.optionalTruth("leaving").orElse(false)));
+  }
+
+  /** Reads changes of the cache. */
+  public static Either<JsonError, SidecarEvent.CacheChanged> cacheChanges(String body) {
+    return JsonDocument.read(
+        body,
+        fields ->
+            new SidecarEvent.CacheChanged(
+                fields.text("incarnation"),
+                Values.notNegative(fields, "first_sequence"),
+                fields.objects("changes", EngineForm::cacheChange)));
+  }
+
+  /** Reads the list of all cached blocks. */
+  public static Either<JsonError, SidecarEvent.CacheListed> cacheList(String body) {
+    return JsonDocument.read(
+        body,
+        fields ->
+            new SidecarEvent.CacheListed(
+                fields.text("incarnation"),
+                Values.notNegative(fields, "next_sequence"),
+                Values.blockKeys(fields, "keys")));
+  }
+
+  private static CacheChange cacheChange(JsonFields fields) {
+    boolean isStored =
+        fields.optionalTruth("stored").orElseThrow(() -> fields.reject("stored", "true or false"));
+    return new CacheChange(Values.blockKey(fields, "key"), isStored);
+  }
+
+  private static void addIdentity(JsonObject root, CacheIdentity identity) {
+    root.addProperty("team", identity.team());
+    addModelVersion(root, identity.modelVersion());
+  }
+
+  private static void addModelVersion(JsonObject root, ModelVersion version) {
+    root.addProperty("model", version.model());
+    root.addProperty("version", version.version());
+    root.addProperty("adapter", version.adapter());
+  }
+
+  private static JsonArray keys(List<BlockKey> keys) {
+    JsonArray array = new JsonArray(keys.size());
+    keys.forEach(key -> array.add(key.toHex()));
+    return array;
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/shallothook/protocol/platform/InstanceListForm.java
@@ -0,0 +1,50 @@
+package org.shallothook.protocol.platform;
+
+import io.vavr.control.Either;
+import java.util.Locale;
+import org.shallothook.protocol.json.JsonDocument;
+import org.shallothook.protocol.json.JsonError;
+import org.shallothook.protocol.json.JsonFields;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.membership.InstanceRole;
+
+/**
+ * Reads the platform's list of instances.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class InstanceListForm {
+  private InstanceListForm() {}
+
+  /** Reads the body of a list. */
+  public static Either<JsonError, InstanceList> read(String body) {
+    return JsonDocument.read(
+        body,
+        fields ->
+            new InstanceList(
+                Values.notNegative(fields, "version"),
+                fields.objects("instances", InstanceListForm::instance)));
+  }
+
+  private static Instance instance(JsonFields fields) {
+    return new Instance(
+        fields.text("name"),
+        role(fields),
+        fields.text("address"),
+        fields.text("failure_domain"),
+        fields.optionalText("region").orElse(""),
+        fields.optionalText("service").orElse(""),
+        fields.optionalTruth("leaving").orElse(false));
+  }
+
+  private static InstanceRole role(JsonFields fields) {
+    String text = fields.text("role");
+    for (InstanceRole role : InstanceRole.values()) {
+      if (role.name().toLowerCase(Locale.ROOT).replace('_', '-').equals(text)) {
+        return role;
+      }
+    }
+    throw fields.reject("role", "'router', 'model-engine', 'cache-store' or 'service'");
+  }
+}
