Add the transport: decision thread, peers, callers, platform clients, admin port

Cause: both binaries need sockets and one decision thread. Change: DecisionThread on a bounded ring with slots reserved for open work; PeerNetwork with Hello first, heartbeats and bounded writes; CallerServer; HttpClient that tells 'not sent' from 'may have taken effect'; clients of log, instance list, engine and service; AdminServer; TransportMetrics. Ruled out: ProtobufVarint32FrameDecoder, which has no limit on a frame's size; several loops for peers, which would need locks for the order of events.

--- a/protocol/src/main/java/org/shallothook/protocol/package-info.java
+++ b/protocol/src/main/java/org/shallothook/protocol/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Mapping between typed values and the bytes on connections. */
 package org.shallothook.protocol;
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminAnswer.java
@@ -0,0 +1,31 @@
+package org.shallothook.transport.admin;
+
+import java.util.Objects;
+
+/**
+ * Answer of the admin port.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param status HTTP status
+ * @param contentType content type of the body
+ * @param body body of the answer
+ */
+public record AdminAnswer(int status, String contentType, String body) {
+  private static final String JSON = "application/json";
+
+  public AdminAnswer {
+    Objects.requireNonNull(contentType, "contentType");
+    Objects.requireNonNull(body, "body");
+  }
+
+  /** Returns a JSON answer. */
+  public static AdminAnswer json(int status, String body) {
+    return new AdminAnswer(status, JSON, body);
+  }
+
+  /** Returns a JSON answer with status 200. */
+  public static AdminAnswer ok(String body) {
+    return json(200, body);
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
@@ -0,0 +1,114 @@
+package org.shallothook.transport.admin;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.vavr.control.Try;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.shallothook.transport.EventLoops;
+
+/**
+ * HTTP server for operators and probes: {@code /healthz}, {@code /metrics} and the handlers that a
+ * binary adds.
+ *
+ * <pre>{@code
+ * AdminServer admin = new AdminServer(loop, registry, () -> isLeaving);
+ * admin.get("/status", request -> thread.ask(status).thenApply(AdminAnswer::ok));
+ * admin.listen(Addresses.parse("127.0.0.1:9901"));
+ * }</pre>
+ *
+ * <p>A handler also answers the paths below its own. It asks for no key, so it belongs on loopback.
+ *
+ * <p>Invariant: handlers are added before {@link #listen}. Otherwise thread-safe.
+ */
+public final class AdminServer implements AutoCloseable {
+  private static final int LARGEST_BODY_BYTES = 4 << 20;
+  private static final int IDLE_SECONDS = 120;
+
+  private final EventLoop loop;
+  private final Map<String, AdminHandler> gets = new TreeMap<>();
+  private final Map<String, AdminHandler> posts = new TreeMap<>();
+  private Channel listening;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param loop loop that connections run on
+   * @param metrics metrics to show
+   * @param isLeaving whether the process takes no new work
+   */
+  public AdminServer(EventLoop loop, MetricRegistry metrics, BooleanSupplier isLeaving) {
+    this.loop = loop;
+    get("/healthz", request -> CompletableFuture.completedFuture(health(isLeaving)));
+    get("/metrics", new MetricsHandler(metrics));
+  }
+
+  /** Adds a handler of reads. */
+  public AdminServer get(String path, AdminHandler handler) {
+    gets.put(path, handler);
+    return this;
+  }
+
+  /** Adds a handler of an operator's orders. */
+  public AdminServer post(String path, AdminHandler handler) {
+    posts.put(path, handler);
+    return this;
+  }
+
+  /** Starts to listen and returns the address bound. Waits for the bind. */
+  public Try<InetSocketAddress> listen(InetSocketAddress address) {
+    return Try.of(
+        () -> {
+          listening = bootstrap().bind(address).sync().channel();
+          return (InetSocketAddress) listening.localAddress();
+        });
+  }
+
+  /** Stops to listen. */
+  @Override
+  public void close() {
+    if (listening != null) {
+      listening.close();
+    }
+  }
+
+  private static AdminAnswer health(BooleanSupplier isLeaving) {
+    return isLeaving.getAsBoolean()
+        ? AdminAnswer.json(503, "{\"state\":\"leaving\"}")
+        : AdminAnswer.ok("{\"state\":\"serving\"}");
+  }
+
+  private ServerBootstrap bootstrap() {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.ALLOCATOR, EventLoops.ALLOCATOR)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(
+                        new ReadTimeoutHandler(IDLE_SECONDS),
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(LARGEST_BODY_BYTES, true),
+                        new AdminConnection(Map.of(HttpMethod.GET, gets, HttpMethod.POST, posts)));
+              }
+            });
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/admin/MetricsHandler.java
@@ -0,0 +1,51 @@
+package org.shallothook.transport.admin;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.shallothook.transport.metrics.PrometheusText;
+
+/**
+ * Shows all metrics: Prometheus text by default, JSON where asked for by {@code Accept} or {@code
+ * ?format=json}.
+ *
+ * <p>Thread-safe.
+ */
+final class MetricsHandler implements AdminHandler {
+  private static final String JSON = "application/json";
+
+  private final MetricRegistry registry;
+  private final ObjectMapper mapper =
+      new ObjectMapper()
+          .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+  MetricsHandler(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  @Override
+  public CompletionStage<AdminAnswer> handle(AdminRequest request) {
+    return CompletableFuture.completedFuture(isJson(request) ? json() : text());
+  }
+
+  private static boolean isJson(AdminRequest request) {
+    return request.query().contains("format=json")
+        || request.accept().filter(accept -> accept.contains(JSON)).isPresent();
+  }
+
+  private AdminAnswer text() {
+    return new AdminAnswer(200, PrometheusText.CONTENT_TYPE, PrometheusText.of(registry));
+  }
+
+  private AdminAnswer json() {
+    try {
+      return AdminAnswer.ok(mapper.writeValueAsString(registry));
+    } catch (JsonProcessingException e) {
+      return AdminAnswer.json(500, "{\"error\":\"The metrics cannot be written as JSON.\"}");
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP port for operators and probes. */
+package org.shallothook.transport.admin;
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
@@ -0,0 +1,256 @@
+package org.shallothook.transport.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.shallothook.coordination.router.RouterEvent;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.request.RequestId;
+
+/**
+ * One connection of a caller: gathers requests and runs them one after the other.
+ *
+ * <p>Invariant: keeps at most one body that grows, of bounded size; reads no more while a request
+ * waits for the answer to an earlier one. Used on the loop of the connection alone.
+ */
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private static final long OVERLOAD_WAIT_MICROS = 1_000_000;
+  private static final int DISCARDED_BODIES = 16;
+
+  private final CallerContext context;
+  private final Deque<CallerRequest> waiting = new ArrayDeque<>();
+  private ChannelHandlerContext channel;
+  private Optional<CallerExchange> current = Optional.empty();
+  private Optional<ScheduledFuture<?>> requestTimeout = Optional.empty();
+  private Optional<HttpRequest> head = Optional.empty();
+  private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private long discardedBytes;
+  private boolean isDiscarding;
+
+  CallerConnection(CallerContext context) {
+    this.context = context;
+  }
+
+  /** Closes the connection now, or after the answer that is being made. */
+  void closeWhenUnused() {
+    if (current.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
+      channel.close();
+    }
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext opened) {
+    channel = opened;
+    int open = context.connections().incrementAndGet();
+    if (open > context.settings().maximumConnections()) {
+      context.metrics().increment("caller.too-many-connections");
+      opened.close();
+    }
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext received, HttpObject part) {
+    if (part instanceof HttpRequest newHead) {
+      startRequest(newHead);
+    }
+    if (part instanceof HttpContent content) {
+      if (isDiscarding) {
+        discard(content);
+      } else {
+        gather(content);
+      }
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext closed) {
+    context.connections().decrementAndGet();
+    stopRequestTimeout();
+    waiting.clear();
+    current.ifPresent(this::abandon);
+    current = Optional.empty();
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext idle, Object event) {
+    if (event instanceof IdleStateEvent silence) {
+      boolean hasUnwritten = idle.channel().unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
+      if (silence.state() == IdleState.WRITER_IDLE && hasUnwritten) {
+        context.metrics().increment("caller.stalled");
+        idle.close();
+      } else if (silence.state() == IdleState.ALL_IDLE && current.isEmpty()) {
+        idle.close();
+      }
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+    context.metrics().increment("caller.connection-failed");
+    failed.close();
+  }
+
+  private void startRequest(HttpRequest newHead) {
+    head = Optional.of(newHead);
+    startRequestTimeout();
+    if (newHead.decoderResult().isFailure()) {
+      refuseAndDiscard(RefusalReason.MALFORMED_REQUEST, "The request is not valid HTTP.");
+    } else if (HttpUtil.getContentLength(newHead, 0L) > context.settings().maximumBodyBytes()) {
+      refuseTooLarge();
+    } else if (HttpUtil.is100ContinueExpected(newHead)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private void gather(HttpContent content) {
+    ByteBuf bytes = content.content();
+    if (content.decoderResult().isFailure()) {
+      refuseAndDiscard(RefusalReason.MALFORMED_REQUEST, "The body is not valid HTTP.");
+    } else if (body.size() + bytes.readableBytes() > context.settings().maximumBodyBytes()) {
+      refuseTooLarge();
+    } else {
+      byte[] copy = new byte[bytes.readableBytes()];
+      bytes.readBytes(copy);
+      body.writeBytes(copy);
+      if (content instanceof LastHttpContent) {
+        endRequest();
+      }
+    }
+  }
+
+  private void endRequest() {
+    stopRequestTimeout();
+    CallerRequest request =
+        new CallerRequest(head.orElseThrow(), body.toByteArray(), context.nowMicros());
+    head = Optional.empty();
+    body = new ByteArrayOutputStream(0);
+    waiting.add(request);
+    if (current.isPresent()) {
+      channel.channel().config().setAutoRead(false);
+    } else {
+      runNext();
+    }
+  }
+
+  private void runNext() {
+    CallerRequest request = waiting.poll();
+    if (request == null) {
+      channel.channel().config().setAutoRead(true);
+      return;
+    }
+    RequestId id = context.nextRequestId();
+    Either<Refusal, RouterEvent> event = CallerRouting.eventOf(id, request);
+    CallerExchange exchange =
+        new CallerExchange(
+            context, channel.channel(), id, request, event.toJavaOptional(), () -> ended(id));
+    current = Optional.of(exchange);
+    event.peekLeft(refusal -> refuse(exchange, refusal)).peek(open -> offer(exchange, open));
+  }
+
+  private void offer(CallerExchange exchange, RouterEvent event) {
+    context.open().put(exchange.id(), exchange);
+    if (!context.events().offer(event)) {
+      context.open().remove(exchange.id());
+      long retryAtMicros = context.nowMicros() + OVERLOAD_WAIT_MICROS;
+      refuse(
+          exchange,
+          Refusal.notRun(
+              RefusalReason.ROUTER_OVERLOADED, "The router has too much to do.", retryAtMicros));
+    }
+  }
+
+  private void refuse(CallerExchange exchange, Refusal refusal) {
+    context.metrics().refused(refusal.reason());
+    exchange.refuse(refusal);
+  }
+
+  private void ended(RequestId id) {
+    context.open().remove(id);
+    current = Optional.empty();
+    // The next request starts in a turn of its own, so that a long row of them needs no deep stack.
+    channel.executor().execute(this::runNextUnlessBusy);
+  }
+
+  private void runNextUnlessBusy() {
+    if (current.isEmpty() && channel.channel().isActive() && !isDiscarding) {
+      runNext();
+    }
+  }
+
+  private void abandon(CallerExchange exchange) {
+    exchange.abandon();
+    if (context.open().remove(exchange.id()) != null) {
+      context.events().deliver(new RouterEvent.CallerGone(exchange.id()));
+    }
+  }
+
+  private void refuseTooLarge() {
+    refuseAndDiscard(
+        RefusalReason.BODY_TOO_LARGE,
+        "The body is larger than " + context.settings().maximumBodyBytes() + " bytes.");
+  }
+
+  /** Answers at once, then reads the rest so that the caller can read the answer. */
+  private void refuseAndDiscard(RefusalReason reason, String detail) {
+    isDiscarding = true;
+    body = new ByteArrayOutputStream(0);
+    if (current.isPresent()) {
+      // An earlier answer is being written; a refusal cannot go before its end.
+      channel.close();
+      return;
+    }
+    context.metrics().refused(reason);
+    RequestId id = context.nextRequestId();
+    WholeResponse response = WholeResponse.of(id, Refusal.notRun(reason, detail));
+    channel.writeAndFlush(response.toHttp(id, true, channel.alloc()));
+  }
+
+  private void discard(HttpContent content) {
+    discardedBytes += content.content().readableBytes();
+    long most = (long) DISCARDED_BODIES * context.settings().maximumBodyBytes();
+    if (content instanceof LastHttpContent || discardedBytes > most) {
+      channel.close();
+    }
+  }
+
+  private void startRequestTimeout() {
+    stopRequestTimeout();
+    requestTimeout =
+        Optional.of(
+            channel
+                .executor()
+                .schedule(
+                    this::requestTooSlow,
+                    context.settings().requestTimeout().toMillis(),
+                    TimeUnit.MILLISECONDS));
+  }
+
+  private void stopRequestTimeout() {
+    requestTimeout.ifPresent(running -> running.cancel(false));
+    requestTimeout = Optional.empty();
+  }
+
+  private void requestTooSlow() {
+    context.metrics().increment("caller.request-too-slow");
+    channel.close();
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerRequest.java
@@ -0,0 +1,52 @@
+package org.shallothook.transport.caller;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+
+/**
+ * A whole request of a caller, as it came over HTTP.
+ *
+ * <p>Immutable and thread-safe, as long as the head is not changed.
+ *
+ * @param head request line and headers
+ * @param body bytes of the body
+ * @param receivedAtMicros when the last byte came, in microseconds since the epoch
+ */
+record CallerRequest(HttpRequest head, byte[] body, long receivedAtMicros) {
+
+  boolean isMethod(HttpMethod method) {
+    return head.method().equals(method);
+  }
+
+  /** Returns the path without the query. */
+  String path() {
+    String uri = head.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
+  boolean hasQuery() {
+    return head.uri().indexOf('?') >= 0;
+  }
+
+  Optional<String> header(CharSequence name) {
+    return Optional.ofNullable(head.headers().get(name));
+  }
+
+  String contentType() {
+    return header(HttpHeaderNames.CONTENT_TYPE).orElse("application/json");
+  }
+
+  boolean isKeepAlive() {
+    return HttpUtil.isKeepAlive(head);
+  }
+
+  /** Returns whether the caller understands chunks. */
+  boolean takesChunks() {
+    return head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server for callers. */
+package org.shallothook.transport.caller;
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/decision/DecisionHandler.java
@@ -0,0 +1,20 @@
+package org.shallothook.transport.decision;
+
+/**
+ * Handles the events of a decision thread, one after the other.
+ *
+ * <p>Called on the decision thread only.
+ *
+ * @param <E> type of the events
+ */
+@FunctionalInterface
+public interface DecisionHandler<E> {
+
+  /**
+   * Handles one event.
+   *
+   * @param event what has happened
+   * @param nowMicros time, in microseconds since the epoch; never decreases
+   */
+  void handle(E event, long nowMicros);
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
@@ -0,0 +1,65 @@
+package org.shallothook.transport.metrics;
+
+import com.codahale.metrics.ExponentiallyDecayingReservoir;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * All metrics of a process.
+ *
+ * <p>Counters for every refusal and retry reason exist from the start, at zero.
+ *
+ * <p>Thread-safe.
+ */
+public final class TransportMetrics implements Counters {
+  private static final String TIME_TO_FIRST_TOKEN = "caller.time-to-first-token";
+  private static final int RESERVOIR_SAMPLES = 256;
+  private static final double RESERVOIR_DECAY = 0.015;
+
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Timer timeToFirstToken;
+
+  /** Creates the metrics of one process. */
+  public TransportMetrics() {
+    for (RefusalReason reason : RefusalReason.values()) {
+      registry.counter("refusal." + reason.code());
+      registry.counter("retry." + reason.code());
+    }
+    timeToFirstToken = registry.timer(TIME_TO_FIRST_TOKEN, TransportMetrics::newTimer);
+  }
+
+  @Override
+  public void increment(String name) {
+    registry.counter(name).inc();
+  }
+
+  /** Returns the value of a counter; 0 where nothing was counted. */
+  public long count(String name) {
+    return registry.counter(name).getCount();
+  }
+
+  /** Records the time from a whole request to the first token written, in microseconds. */
+  public void recordTimeToFirstToken(long micros) {
+    timeToFirstToken.update(Math.max(0, micros), TimeUnit.MICROSECONDS);
+  }
+
+  /** Adds a value that is read when metrics are shown. */
+  public void gauge(String name, LongSupplier value) {
+    Gauge<Long> gauge = value::getAsLong;
+    registry.register(name, gauge);
+  }
+
+  /** Returns the registry for the forms of the admin port. */
+  public MetricRegistry registry() {
+    return registry;
+  }
+
+  private static Timer newTimer() {
+    return new Timer(new ExponentiallyDecayingReservoir(RESERVOIR_SAMPLES, RESERVOIR_DECAY));
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and timers of a process, and their forms for operators. */
+package org.shallothook.transport.metrics;
--- a/transport/src/main/java/org/shallothook/transport/package-info.java
+++ b/transport/src/main/java/org/shallothook/transport/package-info.java
@@ -1,2 +1,4 @@
-/** Placeholder. */
+/**
+ * Sockets, event loops and the decision thread: everything of a process that does input and output.
+ */
 package org.shallothook.transport;
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -0,0 +1,253 @@
+package org.shallothook.transport.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.protocol.peer.EnvelopeCodec;
+import org.shallothook.protocol.peer.PeerProtocolError;
+import org.tinylog.Logger;
+
+/**
+ * One connection to a peer, opened by either side.
+ *
+ * <p>Says Hello as soon as it is open and is ready once the peer has said Hello. Frames without
+ * bytes are heartbeats.
+ *
+ * <p>Invariant: nothing but Hello is written before the peer's Hello; every message after it names
+ * the same sender and incarnation. Used on the loop of the peers alone.
+ */
+final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
+  private static final long CONGESTION_PAUSE_MILLIS = 5;
+
+  private final PeerContext context;
+  private final boolean isOutbound;
+  private final Owner owner;
+  private final OpenAttempts openAttempts = new OpenAttempts();
+  private ChannelHandlerContext channel;
+  private ScheduledFuture<?> helloTimeout;
+  private Optional<Envelope> peerHello = Optional.empty();
+  private boolean isClosedAsUnused;
+  private long lastMessageNanos = System.nanoTime();
+
+  /** Takes what happens on the connection. */
+  interface Owner {
+    /** The socket is open; nobody has said Hello yet. */
+    default void openedSocket(PeerConnection connection) {}
+
+    /** The peer has said who it is. Returns whether the connection may go on. */
+    boolean opened(PeerConnection connection, Envelope hello);
+
+    /** A message after the first. */
+    void received(PeerConnection connection, Envelope envelope);
+
+    /** The connection has ended. */
+    void closed(PeerConnection connection);
+  }
+
+  PeerConnection(PeerContext context, boolean isOutbound, Owner owner) {
+    this.context = context;
+    this.isOutbound = isOutbound;
+    this.owner = owner;
+  }
+
+  boolean isOutbound() {
+    return isOutbound;
+  }
+
+  boolean isReady() {
+    return peerHello.isPresent() && channel.channel().isActive();
+  }
+
+  /** Returns whether this side has closed the connection because nothing needed it. */
+  boolean isClosedAsUnused() {
+    return isClosedAsUnused;
+  }
+
+  Channel channel() {
+    return channel.channel();
+  }
+
+  /** Returns the peer's first message; present once the connection is ready. */
+  Optional<Envelope> peerHello() {
+    return peerHello;
+  }
+
+  /** Writes a message, or closes the connection where the peer does not keep up. */
+  void send(PeerMessage message, long configurationOffset) {
+    if (!channel.channel().isWritable()) {
+      context.counters().increment("peer.write-buffer-full");
+      Logger.warn("peer: '{}' does not read; its connection is closed", peerName());
+      close();
+      return;
+    }
+    openAttempts.sent(message);
+    write(context.identity().envelope(message, configurationOffset));
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  /** Closes the connection once everything written has left. */
+  void closeAfterWrites() {
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> channel.close());
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext opened) {
+    channel = opened;
+    helloTimeout =
+        opened
+            .executor()
+            .schedule(
+                this::closeSilent,
+                context.settings().connectTimeout().toMillis(),
+                TimeUnit.MILLISECONDS);
+    owner.openedSocket(this);
+    write(context.identity().hello(context.configurationOffset()));
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext received, ByteBuf frame) {
+    if (!frame.isReadable()) {
+      return;
+    }
+    EnvelopeCodec.decode(frame.nioBuffer()).peekLeft(this::reject).peek(this::accept);
+    pauseWhenCongested();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext closed) {
+    helloTimeout.cancel(false);
+    owner.closed(this);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext idle, Object event) {
+    if (event instanceof IdleStateEvent silence) {
+      if (silence.state() == IdleState.READER_IDLE) {
+        if (channel.channel().config().isAutoRead()) {
+          context.counters().increment("peer.silent");
+          Logger.warn("peer: '{}' is silent; its connection is closed", peerName());
+          close();
+        }
+      } else if (isUnused()) {
+        context.counters().increment("peer.idle-closed");
+        isClosedAsUnused = true;
+        close();
+      } else {
+        channel.writeAndFlush(channel.alloc().buffer(Integer.BYTES).writeInt(0));
+      }
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+    context.counters().increment("peer.connection-failed");
+    Logger.debug("peer: the connection to '{}' failed: {}", peerName(), cause.getMessage());
+    failed.close();
+  }
+
+  private void accept(Envelope envelope) {
+    lastMessageNanos = System.nanoTime();
+    if (peerHello.isEmpty()) {
+      acceptHello(envelope);
+    } else if (isFromPeer(envelope)) {
+      openAttempts.received(envelope.message());
+      owner.received(this, envelope);
+    } else {
+      context.counters().increment("peer.sender-changed");
+      Logger.warn("peer: '{}' sent a message as '{}'", peerName(), envelope.sender());
+      close();
+    }
+  }
+
+  private void acceptHello(Envelope envelope) {
+    helloTimeout.cancel(false);
+    if (!(envelope.message() instanceof PeerMessage.Hello)) {
+      context.counters().increment("peer.no-hello");
+      Logger.warn("peer: '{}' did not say Hello first", envelope.sender());
+      close();
+      return;
+    }
+    peerHello = Optional.of(envelope);
+    if (!owner.opened(this, envelope)) {
+      close();
+    }
+  }
+
+  private boolean isFromPeer(Envelope envelope) {
+    Envelope hello = peerHello.orElseThrow();
+    return hello.sender().equals(envelope.sender())
+        && hello.senderIncarnation() == envelope.senderIncarnation();
+  }
+
+  private void reject(PeerProtocolError error) {
+    context.counters().increment("peer.malformed-frame");
+    Logger.warn("peer: a frame of '{}' was rejected: {}", peerName(), error.message());
+    close();
+  }
+
+  private void closeSilent() {
+    context.counters().increment("peer.no-hello");
+    close();
+  }
+
+  private boolean isUnused() {
+    long ageNanos = System.nanoTime() - lastMessageNanos;
+    return isOutbound
+        && openAttempts.isEmpty()
+        && ageNanos >= context.settings().idleTimeout().toNanos();
+  }
+
+  private void pauseWhenCongested() {
+    if (context.listener().isCongested() && channel.channel().config().isAutoRead()) {
+      context.counters().increment("peer.reading-paused");
+      channel.channel().config().setAutoRead(false);
+      scheduleResume();
+    }
+  }
+
+  private void scheduleResume() {
+    channel.executor().schedule(this::resume, CONGESTION_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void resume() {
+    if (context.listener().isCongested()) {
+      scheduleResume();
+    } else {
+      channel.channel().config().setAutoRead(true);
+    }
+  }
+
+  private void write(Envelope envelope) {
+    if (!(envelope.message() instanceof PeerMessage.Hello)) {
+      lastMessageNanos = System.nanoTime();
+    }
+    byte[] bytes = EnvelopeCodec.encode(envelope);
+    if (bytes.length > context.settings().maximumFrameBytes()) {
+      context.counters().increment("peer.frame-too-large");
+      Logger.error("peer: a message to '{}' has {} bytes", peerName(), bytes.length);
+      close();
+      return;
+    }
+    ByteBuf length = channel.alloc().buffer(Integer.BYTES).writeInt(bytes.length);
+    channel.write(length);
+    channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+  }
+
+  private String peerName() {
+    return peerHello
+        .map(Envelope::sender)
+        .orElse(String.valueOf(channel.channel().remoteAddress()));
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerContext.java
@@ -0,0 +1,99 @@
+package org.shallothook.transport.peer;
+
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.shallothook.coordination.port.Counters;
+
+/**
+ * What all connections to peers share.
+ *
+ * <p>Invariant: everything runs on the one loop. Used on that loop, but for construction and {@link
+ * #settings}.
+ */
+final class PeerContext {
+  private final PeerIdentity identity;
+  private final PeerSettings settings;
+  private final EventLoop loop;
+  private final PeerListener listener;
+  private final Counters counters;
+  private long configurationOffset;
+
+  PeerContext(
+      PeerIdentity identity,
+      PeerSettings settings,
+      EventLoop loop,
+      PeerListener listener,
+      Counters counters) {
+    this.identity = identity;
+    this.settings = settings;
+    this.loop = loop;
+    this.listener = listener;
+    this.counters = counters;
+  }
+
+  PeerIdentity identity() {
+    return identity;
+  }
+
+  PeerSettings settings() {
+    return settings;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  PeerListener listener() {
+    return listener;
+  }
+
+  Counters counters() {
+    return counters;
+  }
+
+  /** Returns the greatest configuration offset that was sent to any peer. */
+  long configurationOffset() {
+    return configurationOffset;
+  }
+
+  void noteConfigurationOffset(long offset) {
+    configurationOffset = Math.max(configurationOffset, offset);
+  }
+
+  WriteBufferWaterMark waterMark() {
+    int high = settings.maximumPendingBytes();
+    return new WriteBufferWaterMark(high / 2, high);
+  }
+
+  /** Returns the pipeline of a connection. */
+  ChannelInitializer<SocketChannel> pipeline(Supplier<PeerConnection> connections) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        fill(channel.pipeline(), connections.get());
+      }
+    };
+  }
+
+  private void fill(ChannelPipeline pipeline, PeerConnection connection) {
+    long silenceMillis = settings.silenceTimeout().toMillis();
+    long heartbeatMillis = settings.heartbeatInterval().toMillis();
+    pipeline.addLast(
+        new IdleStateHandler(silenceMillis, heartbeatMillis, 0, TimeUnit.MILLISECONDS));
+    pipeline.addLast(
+        new FlushConsolidationHandler(
+            FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true));
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(
+            settings.maximumFrameBytes() + Integer.BYTES, 0, Integer.BYTES, 0, Integer.BYTES));
+    pipeline.addLast(connection);
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerLink.java
@@ -0,0 +1,189 @@
+package org.shallothook.transport.peer;
+
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.tinylog.Logger;
+
+/**
+ * Everything between this process and one peer: its address, its connections and what waits for
+ * one.
+ *
+ * <p>Invariant: at most one connection of each direction is in use; a newer one takes the place of
+ * the older, and nothing that the older still brings is passed on. Used on the loop of the peers
+ * alone.
+ */
+final class PeerLink implements PeerConnection.Owner {
+  private final String peer;
+  private final PeerContext context;
+  private final PeerClient client;
+  private final RetryDelay retryDelay;
+  private final List<Pending> pending = new ArrayList<>();
+  private Optional<InetSocketAddress> address = Optional.empty();
+  private Optional<PeerConnection> outbound = Optional.empty();
+  private Optional<PeerConnection> inbound = Optional.empty();
+  private Optional<Channel> connecting = Optional.empty();
+  private boolean isConnecting;
+
+  /** A message that waits for a connection. */
+  private record Pending(PeerMessage message, long configurationOffset) {}
+
+  PeerLink(String peer, PeerContext context, PeerClient client) {
+    this.peer = peer;
+    this.context = context;
+    this.client = client;
+    this.retryDelay = new RetryDelay(context.settings());
+  }
+
+  void setAddress(Optional<InetSocketAddress> newAddress) {
+    if (newAddress.isPresent() && !newAddress.equals(address)) {
+      retryDelay.reset();
+    }
+    address = newAddress;
+  }
+
+  boolean isUnused() {
+    return address.isEmpty() && outbound.isEmpty() && inbound.isEmpty() && !isConnecting;
+  }
+
+  void send(PeerMessage message, long configurationOffset) {
+    Optional<PeerConnection> open = openConnection();
+    if (open.isPresent()) {
+      open.get().send(message, configurationOffset);
+    } else if (isConnecting && pending.size() < RetryDelay.MAXIMUM_PENDING_MESSAGES) {
+      pending.add(new Pending(message, configurationOffset));
+    } else if (isConnecting) {
+      context.counters().increment("peer.pending-full");
+      failConnecting("too many messages wait");
+    } else if (address.isEmpty() || retryDelay.isWaiting()) {
+      context.counters().increment("peer.unreachable");
+      context.listener().peerUnreachable(peer);
+    } else {
+      pending.add(new Pending(message, configurationOffset));
+      isConnecting = true;
+      client.connect(address.get(), this);
+    }
+  }
+
+  /** Takes the channel of an attempt to connect, so that it can be given up. */
+  void connecting(Channel channel) {
+    connecting = Optional.of(channel);
+  }
+
+  /** The attempt to connect has failed before anything was sent. */
+  void connectFailed(Channel channel, String detail) {
+    if (connecting.filter(current -> current == channel).isPresent()) {
+      failConnecting(detail);
+    }
+  }
+
+  @Override
+  public boolean opened(PeerConnection connection, Envelope hello) {
+    if (isStale(hello)) {
+      context.counters().increment("peer.stale-incarnation");
+      Logger.warn("peer: an older incarnation of '{}' was turned away", peer);
+      return false;
+    }
+    if (connection.isOutbound()) {
+      return openedOutbound(connection, hello);
+    }
+    Optional<PeerConnection> older = inbound;
+    inbound = Optional.of(connection);
+    older.ifPresent(this::replaced);
+    context.listener().messageReceived(hello);
+    return true;
+  }
+
+  @Override
+  public void received(PeerConnection connection, Envelope envelope) {
+    if (isInUse(connection)) {
+      context.listener().messageReceived(envelope);
+    } else {
+      context.counters().increment("peer.late-message");
+    }
+  }
+
+  @Override
+  public void closed(PeerConnection connection) {
+    if (isInUse(connection)) {
+      if (connection.isOutbound()) {
+        outbound = Optional.empty();
+      } else {
+        inbound = Optional.empty();
+      }
+      reportLoss(connection);
+    } else if (connection.isOutbound()) {
+      connectFailed(connection.channel(), "the connection was closed before Hello");
+    }
+  }
+
+  void closeConnections() {
+    outbound.ifPresent(PeerConnection::closeAfterWrites);
+    inbound.ifPresent(PeerConnection::closeAfterWrites);
+    connecting.ifPresent(open -> open.close());
+  }
+
+  private boolean openedOutbound(PeerConnection connection, Envelope hello) {
+    if (!hello.sender().equals(peer)) {
+      context.counters().increment("peer.wrong-name");
+      Logger.warn("peer: '{}' answers at the address of '{}'", hello.sender(), peer);
+      return false;
+    }
+    isConnecting = false;
+    connecting = Optional.empty();
+    outbound = Optional.of(connection);
+    retryDelay.reset();
+    context.listener().messageReceived(hello);
+    List<Pending> waiting = List.copyOf(pending);
+    pending.clear();
+    waiting.forEach(next -> connection.send(next.message(), next.configurationOffset()));
+    return true;
+  }
+
+  private void reportLoss(PeerConnection connection) {
+    if (!connection.isClosedAsUnused()) {
+      context.counters().increment("peer.lost");
+      context.listener().peerLost(peer);
+    }
+  }
+
+  private void replaced(PeerConnection older) {
+    context.counters().increment("peer.replaced");
+    context.listener().peerLost(peer);
+    older.close();
+  }
+
+  private boolean isStale(Envelope hello) {
+    return openConnection()
+        .flatMap(PeerConnection::peerHello)
+        .filter(known -> known.senderIncarnation() > hello.senderIncarnation())
+        .isPresent();
+  }
+
+  private Optional<PeerConnection> openConnection() {
+    return outbound
+        .filter(PeerConnection::isReady)
+        .or(() -> inbound.filter(PeerConnection::isReady));
+  }
+
+  private boolean isInUse(PeerConnection connection) {
+    return outbound.filter(current -> current == connection).isPresent()
+        || inbound.filter(current -> current == connection).isPresent();
+  }
+
+  private void failConnecting(String detail) {
+    Logger.debug("peer: no connection to '{}': {}", peer, detail);
+    isConnecting = false;
+    pending.clear();
+    retryDelay.failed();
+    Optional<Channel> abandoned = connecting;
+    connecting = Optional.empty();
+    abandoned.ifPresent(open -> open.close());
+    context.counters().increment("peer.unreachable");
+    context.listener().peerUnreachable(peer);
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerServer.java
@@ -0,0 +1,81 @@
+package org.shallothook.transport.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.vavr.control.Try;
+import java.net.InetSocketAddress;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.transport.EventLoops;
+import org.tinylog.Logger;
+
+/**
+ * Accepts connections of peers.
+ *
+ * <p>Invariant: never more accepted connections than the settings allow. Used on the loop of the
+ * peers, but for {@link #bind}.
+ */
+final class PeerServer implements PeerConnection.Owner {
+  private final PeerContext context;
+  private final PeerConnection.Owner registry;
+  private int accepted;
+  private Channel listening;
+
+  PeerServer(PeerContext context, PeerConnection.Owner registry) {
+    this.context = context;
+    this.registry = registry;
+  }
+
+  /** Starts to listen and returns the address bound. Waits for the bind. */
+  Try<InetSocketAddress> bind(InetSocketAddress address) {
+    return Try.of(
+        () -> {
+          listening =
+              new ServerBootstrap()
+                  .group(context.loop())
+                  .channel(NioServerSocketChannel.class)
+                  .option(ChannelOption.SO_REUSEADDR, true)
+                  .childOption(ChannelOption.ALLOCATOR, EventLoops.ALLOCATOR)
+                  .childOption(ChannelOption.TCP_NODELAY, true)
+                  .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, context.waterMark())
+                  .childHandler(context.pipeline(() -> new PeerConnection(context, false, this)))
+                  .bind(address)
+                  .sync()
+                  .channel();
+          return (InetSocketAddress) listening.localAddress();
+        });
+  }
+
+  void close() {
+    if (listening != null) {
+      listening.close();
+    }
+  }
+
+  @Override
+  public void openedSocket(PeerConnection connection) {
+    accepted++;
+    if (accepted > context.settings().maximumConnections()) {
+      context.counters().increment("peer.too-many-connections");
+      Logger.warn("peer: a connection was refused; {} are open", accepted - 1);
+      connection.close();
+    }
+  }
+
+  @Override
+  public boolean opened(PeerConnection connection, Envelope hello) {
+    return registry.opened(connection, hello);
+  }
+
+  @Override
+  public void received(PeerConnection connection, Envelope envelope) {
+    registry.received(connection, envelope);
+  }
+
+  @Override
+  public void closed(PeerConnection connection) {
+    accepted--;
+    registry.closed(connection);
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/peer/RetryDelay.java
@@ -0,0 +1,39 @@
+package org.shallothook.transport.peer;
+
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Jittered delay between attempts to connect to one peer, doubled by each failure.
+ *
+ * <p>Invariant: never longer than the settings allow. Not thread-safe.
+ */
+final class RetryDelay {
+  /** Greatest number of messages that may wait for one connection. */
+  static final int MAXIMUM_PENDING_MESSAGES = 1_024;
+
+  private final PeerSettings settings;
+  private long delayNanos;
+  private long retryAtNanos;
+  private boolean hasFailed;
+
+  RetryDelay(PeerSettings settings) {
+    this.settings = settings;
+    reset();
+  }
+
+  void reset() {
+    hasFailed = false;
+    delayNanos = settings.firstRetryDelay().toNanos();
+  }
+
+  void failed() {
+    long jittered = ThreadLocalRandom.current().nextLong(delayNanos / 2, delayNanos + 1);
+    retryAtNanos = System.nanoTime() + jittered;
+    hasFailed = true;
+    delayNanos = Math.min(delayNanos * 2, settings.longestRetryDelay().toNanos());
+  }
+
+  boolean isWaiting() {
+    return hasFailed && System.nanoTime() - retryAtNanos < 0;
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/platform/InstanceListClient.java
@@ -0,0 +1,72 @@
+package org.shallothook.transport.platform;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.protocol.platform.InstanceListForm;
+import org.shallothook.state.membership.InstanceList;
+import org.tinylog.Logger;
+
+/**
+ * Reads the platform's list of instances where it has changed.
+ *
+ * <p>A list that is unchanged or cannot be read brings no event. Thread-safe.
+ */
+public final class InstanceListClient {
+  private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
+
+  private final HttpClient client;
+  private final InetSocketAddress address;
+  private final Duration timeout;
+  private final Consumer<InstanceList> listener;
+  private final Counters counters;
+
+  /**
+   * Creates a client.
+   *
+   * @param client sends the calls
+   * @param address address of the list
+   * @param timeout longest wait for an answer
+   * @param listener takes each list that was read; called on the loop of the client
+   * @param counters counts failures
+   */
+  public InstanceListClient(
+      HttpClient client,
+      InetSocketAddress address,
+      Duration timeout,
+      Consumer<InstanceList> listener,
+      Counters counters) {
+    this.client = client;
+    this.address = address;
+    this.timeout = timeout;
+    this.listener = listener;
+    this.counters = counters;
+  }
+
+  /**
+   * Reads the list unless it is unchanged.
+   *
+   * @param knownVersion version known, or -1
+   */
+  public void read(long knownVersion) {
+    String uri = "/instances?known=" + knownVersion;
+    client.send(HttpCall.get(address, uri, timeout), this::wasRead);
+  }
+
+  private void wasRead(HttpResult result) {
+    if (result instanceof HttpResult.Answered answer && answer.status() == OK) {
+      InstanceListForm.read(answer.body())
+          .peek(listener)
+          .peekLeft(error -> failed(error.message()));
+    } else if (!(result instanceof HttpResult.Answered answer && answer.status() == NOT_MODIFIED)) {
+      failed(result.toString());
+    }
+  }
+
+  private void failed(String detail) {
+    counters.increment("instances.read-failed");
+    Logger.debug("instances: a read failed: {}", detail);
+  }
+}
