Add checked settings, log prefixes and the command lines' check verb

Ruled out: the library's own key look-up, which splits keys at dots and interpolates values; the reader walks the parsed nodes instead. Change: declared settings, a reader that reports all mistakes of a file together, log parts with fixed prefixes in text or JSON, and verb check. Conclusion: settings stand; serving waits for transport and decisions.

--- /dev/null
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -0,0 +1,35 @@
+package org.shallothook.router;
+
+import org.shallothook.transport.command.CheckCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * Command line of the router.
+ *
+ * <p>Not thread-safe: used on the thread of the command line.
+ */
+@Command(
+    name = "shallothook-router",
+    mixinStandardHelpOptions = true,
+    version = "shallothook-router 0.1.0",
+    description = "The router of shallothook.",
+    footerHeading = "%nExamples:%n",
+    footer = {
+      "  shallothook-router check --settings router.ini",
+      "  shallothook-router serve --settings router.ini",
+      "",
+      "Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 conflicting change."
+    })
+public final class RouterMain {
+  private RouterMain() {}
+
+  /** Runs a command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    System.exit(commandLine().execute(arguments));
+  }
+
+  static CommandLine commandLine() {
+    return new CommandLine(new RouterMain()).addSubcommand(new CheckCommand(RouterSettings.KEYS));
+  }
+}
--- a/router/src/main/java/org/shallothook/router/package-info.java
+++ b/router/src/main/java/org/shallothook/router/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The router binary: command line, settings, and the wiring of transport to decisions. */
 package org.shallothook.router;
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
@@ -0,0 +1,58 @@
+package org.shallothook.sidecar;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.shallothook.transport.settings.CommonKeys;
+import org.shallothook.transport.settings.SettingKey;
+import org.shallothook.transport.settings.SettingType;
+
+/**
+ * Settings of the sidecar.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class SidecarSettings {
+  static final SettingKey ROLE =
+      SettingKey.required("upstream", "role", SettingType.NAME, "What the upstream is.")
+          .oneOf(List.of("model-engine", "cache-store", "service"));
+  static final SettingKey UPSTREAM =
+      SettingKey.required(
+          "upstream", "address", SettingType.ADDRESS, "Where the upstream listens.");
+  static final SettingKey SERVICE =
+      SettingKey.withDefault(
+          "upstream",
+          "service",
+          SettingType.NAME,
+          "none",
+          "Name of the service; none where the upstream is no service.");
+  static final SettingKey CHECKS_FENCING =
+      SettingKey.withDefault(
+          "upstream",
+          "checks-fencing",
+          SettingType.SWITCH,
+          "false",
+          "Whether the upstream refuses old fencing numbers.");
+  static final SettingKey CACHE_STORE =
+      SettingKey.withDefault(
+          "upstream",
+          "cache-store",
+          SettingType.NAME,
+          "none",
+          "IP:port of the KV-cache store; none where there is none.");
+  static final SettingKey MAXIMUM_QUEUE =
+      SettingKey.withDefault(
+          "admission",
+          "maximum-queue",
+          SettingType.POSITIVE,
+          "256",
+          "Requests that wait for the engine at most.");
+
+  /** Every setting of a sidecar's file. */
+  static final List<SettingKey> KEYS =
+      Stream.concat(
+              CommonKeys.ALL.stream(),
+              Stream.of(ROLE, UPSTREAM, SERVICE, CHECKS_FENCING, CACHE_STORE, MAXIMUM_QUEUE))
+          .toList();
+
+  private SidecarSettings() {}
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/command/package-info.java
@@ -0,0 +1,2 @@
+/** Command-line parts that both binaries share. */
+package org.shallothook.transport.command;
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/logging/LogLevel.java
@@ -0,0 +1,16 @@
+package org.shallothook.transport.logging;
+
+import java.util.Locale;
+
+/** Least level of the lines that a process writes. Immutable and thread-safe. */
+public enum LogLevel {
+  DEBUG,
+  INFO,
+  WARN,
+  ERROR;
+
+  @Override
+  public String toString() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/settings/Settings.java
@@ -0,0 +1,50 @@
+package org.shallothook.transport.settings;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/**
+ * Checked values of a settings file.
+ *
+ * <p>Invariant: every declared setting has a value of its type. Immutable and thread-safe.
+ */
+public final class Settings {
+  private final Map<SettingKey, Object> values;
+
+  Settings(Map<SettingKey, Object> values) {
+    this.values = Map.copyOf(values);
+  }
+
+  /** Returns the value of a text or name. */
+  public String text(SettingKey key) {
+    return (String) value(key);
+  }
+
+  /** Returns the value of an address. */
+  public InetSocketAddress address(SettingKey key) {
+    return (InetSocketAddress) value(key);
+  }
+
+  /** Returns the value of a whole number. */
+  public int number(SettingKey key) {
+    return (Integer) value(key);
+  }
+
+  /** Returns the value of a share. */
+  public double share(SettingKey key) {
+    return (Double) value(key);
+  }
+
+  /** Returns the value of a switch. */
+  public boolean isOn(SettingKey key) {
+    return (Boolean) value(key);
+  }
+
+  private Object value(SettingKey key) {
+    Object value = values.get(key);
+    if (value == null) {
+      throw new IllegalArgumentException("Setting is not declared: " + key);
+    }
+    return value;
+  }
+}
