--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -0,0 +1,27 @@
+package org.shallothook.benchmarks;
+
+import org.shallothook.benchmarks.demo.DemoCommand;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/**
+ * Command line of the load tools, experiments and demonstrations.
+ *
+ * <p>Not thread-safe: used on the thread of the command line.
+ */
+@Command(
+    name = "shallothook-benchmarks",
+    mixinStandardHelpOptions = true,
+    description = "Load tools, experiments and demonstrations of shallothook.")
+public final class BenchmarksMain {
+  private BenchmarksMain() {}
+
+  /** Runs a command and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    System.exit(commandLine().execute(arguments));
+  }
+
+  private static CommandLine commandLine() {
+    return new CommandLine(new BenchmarksMain()).addSubcommand(new DemoCommand());
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Demonstration of a whole deployment on loopback. */
+package org.shallothook.benchmarks.demo;
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/package-info.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Load tools, experiments and demonstrations; no part of the shipped binaries. */
 package org.shallothook.benchmarks;
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
@@ -36,7 +36,7 @@
       SettingKey.withDefault(
           "upstream",
           "cache-store",
-          SettingType.NAME,
+          SettingType.OPTIONAL_ADDRESS,
           "none",
           "IP:port of the KV-cache store; none where there is none.");
   static final SettingKey MAXIMUM_QUEUE =
--- a/transport/src/main/java/org/shallothook/transport/settings/CommonKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/CommonKeys.java
@@ -38,7 +38,7 @@
       SettingKey.withDefault(
           "decisions",
           "ring-size",
-          SettingType.POSITIVE,
+          SettingType.POWER_OF_TWO,
           "8192",
           "Events that wait for a decision at most; a power of two.");
   public static final SettingKey LOG_FORM =
--- a/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Try;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -44,6 +45,24 @@
       return new InetSocketAddress(InetAddress.getByName(host), port);
     }
   },
+  /** An IP number and a port, or the word {@code none}. */
+  OPTIONAL_ADDRESS("Write an IP number and a port, such as 10.0.0.7:8080, or none.") {
+    @Override
+    Object parse(String text) throws Exception {
+      return text.equals("none") ? Optional.empty() : Optional.of(ADDRESS.parse(text));
+    }
+  },
+  /** A power of two above one. */
+  POWER_OF_TWO("Write a power of two, such as 8192.") {
+    @Override
+    Object parse(String text) {
+      int number = Integer.parseInt(text);
+      if (number < 2 || Integer.bitCount(number) != 1) {
+        throw new IllegalArgumentException("no power of two");
+      }
+      return number;
+    }
+  },
   /** A whole number above zero. */
   POSITIVE("Write a whole number above zero.") {
     @Override
--- a/transport/src/main/java/org/shallothook/transport/settings/Settings.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/Settings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Checked values of a settings file.
@@ -25,6 +26,12 @@
     return (InetSocketAddress) value(key);
   }
 
+  /** Returns the value of an address that may be absent. */
+  @SuppressWarnings("unchecked")
+  public Optional<InetSocketAddress> optionalAddress(SettingKey key) {
+    return (Optional<InetSocketAddress>) value(key);
+  }
+
   /** Returns the value of a whole number. */
   public int number(SettingKey key) {
     return (Integer) value(key);
