Fold configuration records into one state and replicate it between processes

Cause: routers and sidecars need templates, and all must agree on them without a coordination service. Ruled out: the INI reader's own quoting and escapes. In a trial it cut values at ';' and '#', dropped text after a closing quote and joined lines ending in a backslash; quoting with escapes still doubled backslashes. Change: template parser with typed errors, record form, fold with compare-and-set per template,

--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationRecordText.java
@@ -0,0 +1,116 @@
+package org.shallothook.state.configuration;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * INI form of records of the configuration stream.
+ *
+ * <p>A header section {@code [record]} is followed by an empty line and, where there is one, by the
+ * template as its publisher wrote it.
+ *
+ * <p>Invariant: reading what was written gives an equal record. Stateless and thread-safe.
+ */
+public final class ConfigurationRecordText {
+  private static final String HEADER_END = "\n\n";
+
+  private ConfigurationRecordText() {}
+
+  /** Returns the text of a record. */
+  public static String write(ConfigurationRecord record) {
+    if (record instanceof ConfigurationRecord.Change change) {
+      String header =
+          "[record]\ntype = "
+              + (change.source().isPresent() ? "template" : "removal")
+              + "\nchange = "
+              + change.change()
+              + "\nbase = "
+              + change.base()
+              + "\ntemplate = "
+              + change.template();
+      return header + HEADER_END + change.source().orElse("");
+    }
+    ConfigurationRecord.SnapshotPart part = (ConfigurationRecord.SnapshotPart) record;
+    String header =
+        "[record]\ntype = snapshot\nat = "
+            + part.at()
+            + "\npart = "
+            + part.part()
+            + "\nparts = "
+            + part.parts();
+    if (part.template().isEmpty()) {
+      return header + HEADER_END;
+    }
+    TemplateVersion version = part.version();
+    return header
+        + "\ntemplate = "
+        + part.template()
+        + "\nchanged-at = "
+        + version.changedAt()
+        + "\nchanges = "
+        + String.join(" ", version.changes())
+        + "\nremoved = "
+        + version.source().isEmpty()
+        + HEADER_END
+        + version.source().orElse("");
+  }
+
+  /** Returns the record, or why the text is none. */
+  public static Either<ConfigurationError, ConfigurationRecord> read(String text) {
+    int headerEnd = text.indexOf(HEADER_END);
+    String header = headerEnd < 0 ? text : text.substring(0, headerEnd);
+    String body = headerEnd < 0 ? "" : text.substring(headerEnd + HEADER_END.length());
+    return IniDocument.parse(header)
+        .flatMap(
+            document -> {
+              try {
+                return Either.right(read(new IniSection(document, "record"), body));
+              } catch (IniSection.Fault fault) {
+                return Either.left(fault.error());
+              }
+            });
+  }
+
+  private static ConfigurationRecord read(IniSection header, String body) {
+    String type = header.required("type");
+    ConfigurationRecord record =
+        switch (type) {
+          case "template" -> change(header, Optional.of(body));
+          case "removal" -> change(header, Optional.empty());
+          case "snapshot" -> snapshotPart(header, body);
+          default ->
+              throw header.fault(
+                  ConfigurationError.Kind.INVALID_VALUE,
+                  "type",
+                  type,
+                  "Expected template, removal or snapshot.");
+        };
+    header.requireAllRead();
+    return record;
+  }
+
+  private static ConfigurationRecord change(IniSection header, Optional<String> source) {
+    return new ConfigurationRecord.Change(
+        header.name("change"), header.requiredNumber("base"), header.name("template"), source);
+  }
+
+  private static ConfigurationRecord snapshotPart(IniSection header, String body) {
+    long at = header.requiredNumber("at");
+    int parts = header.positive("parts", 1);
+    long part = header.requiredNumber("part");
+    if (part >= parts) {
+      throw header.fault(
+          ConfigurationError.Kind.INVALID_VALUE, "part", "" + part, "Expected less than parts.");
+    }
+    if (header.optional("template").isEmpty()) {
+      return new ConfigurationRecord.SnapshotPart(at, (int) part, parts, "", TemplateVersion.NONE);
+    }
+    Optional<String> source = header.flag("removed", false) ? Optional.empty() : Optional.of(body);
+    List<String> changes = List.of(header.required("changes").split(" "));
+    TemplateVersion version =
+        new TemplateVersion(header.requiredNumber("changed-at"), changes, source);
+    return new ConfigurationRecord.SnapshotPart(
+        at, (int) part, parts, header.name("template"), version);
+  }
+}
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
@@ -1,9 +1,14 @@
 package org.shallothook.state.configuration;
 
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.shallothook.state.log.LogRecord;
 
 /**
  * Configuration in force at an offset of the configuration stream.
@@ -13,11 +18,18 @@
  *
  * @param offset offset of the next record to fold; everything below it is in force
  * @param teams templates by name of the team
+ * @param versions latest accepted change of each template, removed ones included
  */
-public record ConfigurationState(long offset, PMap<String, TeamTemplate> teams) {
+public record ConfigurationState(
+    long offset, PMap<String, TeamTemplate> teams, PMap<String, TemplateVersion> versions) {
   /** State before any record. */
   public static final ConfigurationState EMPTY = new ConfigurationState(0, HashTreePMap.empty());
 
+  /** Creates a state whose templates have no known versions. */
+  public ConfigurationState(long offset, PMap<String, TeamTemplate> teams) {
+    this(offset, teams, HashTreePMap.empty());
+  }
+
   /** Returns the template of a team, if there is one. */
   public Optional<TeamTemplate> team(String name) {
     return Optional.ofNullable(teams.get(name));
@@ -27,4 +39,181 @@
   public Map<String, TeamTemplate> allTeams() {
     return teams;
   }
+
+  /** Returns the latest accepted change of a template, if there was any. */
+  public Optional<TemplateVersion> version(String template) {
+    return Optional.ofNullable(versions.get(template));
+  }
+
+  /**
+   * Returns what the record at this state's offset leads to. Faulty records only move the offset.
+   *
+   * @throws IllegalArgumentException if the record has another offset
+   */
+  public FoldedRecord fold(LogRecord record) {
+    if (record.offset() != offset) {
+      throw new IllegalArgumentException(
+          "Expected the record at offset " + offset + ", found " + record.offset() + ".");
+    }
+    Either<ConfigurationError, ConfigurationRecord> content =
+        ConfigurationRecordText.read(record.payload());
+    if (content.isLeft()) {
+      return without(ChangeVerdict.INVALID, "", "", Optional.of(content.getLeft()));
+    }
+    if (content.get() instanceof ConfigurationRecord.Change change) {
+      return foldChange(change);
+    }
+    return without(ChangeVerdict.SNAPSHOT, content.get().template(), "", Optional.empty());
+  }
+
+  /**
+   * Returns the parts of a snapshot of this state. They carry the whole state and are a function of
+   * its offset alone.
+   */
+  public List<ConfigurationRecord.SnapshotPart> snapshot() {
+    List<ConfigurationRecord.SnapshotPart> parts = new ArrayList<>();
+    if (versions.isEmpty()) {
+      parts.add(new ConfigurationRecord.SnapshotPart(offset, 0, 1, "", TemplateVersion.NONE));
+      return parts;
+    }
+    new TreeMap<>(versions)
+        .forEach(
+            (template, version) ->
+                parts.add(
+                    new ConfigurationRecord.SnapshotPart(
+                        offset, parts.size(), versions.size(), template, version)));
+    return parts;
+  }
+
+  /** Returns the state that all parts of one snapshot carry; empty where a template is faulty. */
+  public static Optional<ConfigurationState> ofSnapshot(
+      long at, Iterable<ConfigurationRecord.SnapshotPart> parts) {
+    PMap<String, TeamTemplate> teams = HashTreePMap.empty();
+    PMap<String, TemplateVersion> versions = HashTreePMap.empty();
+    for (ConfigurationRecord.SnapshotPart part : parts) {
+      if (part.template().isEmpty()) {
+        continue;
+      }
+      versions = versions.plus(part.template(), part.version());
+      if (part.version().source().isPresent()) {
+        Either<ConfigurationError, TeamTemplate> team =
+            TemplateParser.parse(part.version().source().get());
+        if (team.isLeft()) {
+          return Optional.empty();
+        }
+        teams = teams.plus(part.template(), team.get());
+      }
+    }
+    return Optional.of(new ConfigurationState(at, teams, versions));
+  }
+
+  private FoldedRecord foldChange(ConfigurationRecord.Change change) {
+    Optional<TemplateVersion> current = version(change.template());
+    if (current.isPresent() && current.get().changes().contains(change.change())) {
+      return without(ChangeVerdict.REPEATED, change.template(), change.change(), Optional.empty());
+    }
+    if (current.isPresent() && current.get().changedAt() >= change.base()) {
+      return refuse(ChangeVerdict.CONFLICT, change, conflict(change, current.get()));
+    }
+    if (change.base() > offset) {
+      return refuse(ChangeVerdict.INVALID, change, baseAhead(change));
+    }
+    return change.source().isPresent() ? foldTemplate(change) : foldRemoval(change);
+  }
+
+  private FoldedRecord foldTemplate(ConfigurationRecord.Change change) {
+    Either<ConfigurationError, TeamTemplate> parsed =
+        TemplateParser.parse(change.source().orElseThrow());
+    if (parsed.isLeft()) {
+      return refuse(ChangeVerdict.INVALID, change, parsed.getLeft());
+    }
+    Optional<ConfigurationError> fault = faultBesideOthers(change.template(), parsed.get());
+    if (fault.isPresent()) {
+      return refuse(ChangeVerdict.INVALID, change, fault.get());
+    }
+    return accept(change, teams.plus(change.template(), parsed.get()));
+  }
+
+  private FoldedRecord foldRemoval(ConfigurationRecord.Change change) {
+    if (!teams.containsKey(change.template())) {
+      return refuse(
+          ChangeVerdict.INVALID,
+          change,
+          new ConfigurationError(
+              ConfigurationError.Kind.UNKNOWN_TEMPLATE,
+              "record",
+              "template",
+              change.template(),
+              "There is no such template to remove."));
+    }
+    return accept(change, teams.minus(change.template()));
+  }
+
+  /** Returns why a sound template cannot stand beside the templates of this state. */
+  public Optional<ConfigurationError> faultBesideOthers(String template, TeamTemplate parsed) {
+    if (!parsed.name().equals(template)) {
+      return Optional.of(
+          new ConfigurationError(
+              ConfigurationError.Kind.INVALID_VALUE,
+              "team",
+              "name",
+              parsed.name(),
+              "The record names the template '" + template + "'."));
+    }
+    return teams.values().stream()
+        .filter(other -> other.keyDigest().equals(parsed.keyDigest()))
+        .filter(other -> !other.name().equals(template))
+        .findFirst()
+        .map(
+            other ->
+                new ConfigurationError(
+                    ConfigurationError.Kind.DUPLICATE_KEY_DIGEST,
+                    "team",
+                    "key-sha256",
+                    parsed.keyDigest(),
+                    "Team '" + other.name() + "' has the same key."));
+  }
+
+  private FoldedRecord accept(ConfigurationRecord.Change change, PMap<String, TeamTemplate> next) {
+    TemplateVersion version =
+        TemplateVersion.after(version(change.template()), offset, change.change(), change.source());
+    ConfigurationState state =
+        new ConfigurationState(offset + 1, next, versions.plus(change.template(), version));
+    return new FoldedRecord(
+        state, ChangeVerdict.ACCEPTED, change.template(), change.change(), Optional.empty());
+  }
+
+  private FoldedRecord refuse(
+      ChangeVerdict verdict, ConfigurationRecord.Change change, ConfigurationError error) {
+    return without(verdict, change.template(), change.change(), Optional.of(error));
+  }
+
+  private FoldedRecord without(
+      ChangeVerdict verdict, String template, String change, Optional<ConfigurationError> error) {
+    ConfigurationState state = new ConfigurationState(offset + 1, teams, versions);
+    return new FoldedRecord(state, verdict, template, change, error);
+  }
+
+  private static ConfigurationError conflict(
+      ConfigurationRecord.Change change, TemplateVersion winner) {
+    return new ConfigurationError(
+        ConfigurationError.Kind.CONFLICT,
+        "record",
+        "base",
+        Long.toString(change.base()),
+        "Change '"
+            + winner.latestChange()
+            + "' of the same template was accepted at offset "
+            + winner.changedAt()
+            + ".");
+  }
+
+  private ConfigurationError baseAhead(ConfigurationRecord.Change change) {
+    return new ConfigurationError(
+        ConfigurationError.Kind.INVALID_VALUE,
+        "record",
+        "base",
+        Long.toString(change.base()),
+        "The base must not be above the record's own offset, " + offset + ".");
+  }
 }
--- /dev/null
+++ b/state/src/test/java/org/shallothook/state/configuration/ConfigurationLogTest.java
@@ -0,0 +1,106 @@
+package org.shallothook.state.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.shallothook.state.configuration.Templates.change;
+import static org.shallothook.state.configuration.Templates.source;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.shallothook.state.log.LogRecord;
+
+final class ConfigurationLogTest {
+  private final ConfigurationLog log = new ConfigurationLog();
+
+  private ChangeVerdict take(LogRecord record) {
+    log.take(0, List.of(record));
+    return log.history().get(log.history().size() - 1).verdict();
+  }
+
+  @Test
+  void oneOfTwoRacingChangesWins() {
+    assertThat(take(change(0, "c1", 0, "a", source("a", "1", "1"))))
+        .isEqualTo(ChangeVerdict.ACCEPTED);
+    assertThat(take(change(1, "c2", 0, "a", source("a", "1", "2"))))
+        .isEqualTo(ChangeVerdict.CONFLICT);
+    assertThat(take(change(2, "c3", 0, "b", source("b", "2", "1"))))
+        .isEqualTo(ChangeVerdict.ACCEPTED);
+    assertThat(take(change(3, "c4", 1, "a", source("a", "1", "3"))))
+        .isEqualTo(ChangeVerdict.ACCEPTED);
+    assertThat(log.state().team("a").orElseThrow().modelVersion().version()).isEqualTo("3");
+    assertThat(log.history().get(1).detail()).contains("'c1'");
+    assertThat(log.conflicts()).isEqualTo(1);
+  }
+
+  @Test
+  void aRepeatedChangeNeverRevertsALaterOne() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    take(change(1, "c2", 1, "a", source("a", "1", "2")));
+    assertThat(take(change(2, "c1", 2, "a", source("a", "1", "1"))))
+        .isEqualTo(ChangeVerdict.REPEATED);
+    assertThat(log.state().team("a").orElseThrow().modelVersion().version()).isEqualTo("2");
+  }
+
+  @Test
+  void faultyRecordsAreSkippedAndCounted() {
+    assertThat(take(new LogRecord(0, 0, "not a record"))).isEqualTo(ChangeVerdict.INVALID);
+    assertThat(take(change(1, "c1", 9, "a", source("a", "1", "1"))))
+        .isEqualTo(ChangeVerdict.INVALID);
+    assertThat(take(change(2, "c2", 0, "b", source("a", "1", "1"))))
+        .isEqualTo(ChangeVerdict.INVALID);
+    assertThat(take(change(3, "c3", 0, "a", null))).isEqualTo(ChangeVerdict.INVALID);
+    assertThat(log.faultyRecords()).isEqualTo(4);
+    assertThat(log.state().offset()).isEqualTo(4);
+    assertThat(log.state().teams()).isEmpty();
+  }
+
+  @Test
+  void aKeyBelongsToOneTeamUntilTheTeamIsRemoved() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    assertThat(take(change(1, "c2", 0, "b", source("b", "1", "1"))))
+        .isEqualTo(ChangeVerdict.INVALID);
+    assertThat(take(change(2, "c3", 1, "a", null))).isEqualTo(ChangeVerdict.ACCEPTED);
+    assertThat(take(change(3, "c4", 0, "b", source("b", "1", "1"))))
+        .isEqualTo(ChangeVerdict.ACCEPTED);
+  }
+
+  @Test
+  void aChangeBasedBeforeARemovalIsRefused() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    take(change(1, "c2", 1, "a", null));
+    assertThat(take(change(2, "c3", 1, "a", source("a", "1", "2"))))
+        .isEqualTo(ChangeVerdict.CONFLICT);
+  }
+
+  @Test
+  void aNewcomerStartsFromASnapshotWhenOlderRecordsAreGone() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    take(change(1, "c2", 0, "b", source("b", "2", "1")));
+    take(change(2, "c3", 2, "b", null));
+    List<LogRecord> tail = new ArrayList<>();
+    for (ConfigurationRecord.SnapshotPart part : log.state().snapshot()) {
+      long offset = 4L + tail.size();
+      tail.add(new LogRecord(offset, 0, ConfigurationRecordText.write(part)));
+    }
+    tail.add(0, change(3, "c4", 3, "a", source("a", "1", "2")));
+    tail.add(change(6, "c5", 0, "b", source("b", "2", "2")));
+    log.take(0, tail);
+
+    ConfigurationLog newcomer = new ConfigurationLog();
+    newcomer.take(3, tail.subList(0, 2));
+    assertThat(newcomer.state().offset()).isEqualTo(0);
+    newcomer.take(3, tail.subList(2, 4));
+    assertThat(newcomer.state()).isEqualTo(log.state());
+    assertThat(newcomer.state().team("a").orElseThrow().modelVersion().version()).isEqualTo("2");
+    assertThat(newcomer.recordsFrom(0)).isEqualTo(log.recordsFrom(0));
+    assertThat(log.oldestRetained().orElseThrow().offset()).isEqualTo(3);
+  }
+
+  @Test
+  void aGapInWhatASourceStillHasIsNotSkipped() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    log.take(0, List.of(change(2, "c3", 1, "a", source("a", "1", "3"))));
+    assertThat(log.state().offset()).isEqualTo(1);
+    assertThat(log.nextOffset()).isEqualTo(1);
+  }
+}
