--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -115,10 +115,27 @@
    * @param outcome whether this attempt can have reached the upstream
    * @param detail what was found
    * @param retryAtMicros when to come back, in microseconds since the epoch; 0 for at once
+   * @param crashRole part of the attempt in the loss of its engine
    */
   record Failed(
-      AttemptId attempt, RefusalReason reason, Outcome outcome, String detail, long retryAtMicros)
-      implements PeerMessage {}
+      AttemptId attempt,
+      RefusalReason reason,
+      Outcome outcome,
+      String detail,
+      long retryAtMicros,
+      CrashRole crashRole)
+      implements PeerMessage {
+
+    /** Creates a failure in which no engine was lost. */
+    public Failed(
+        AttemptId attempt,
+        RefusalReason reason,
+        Outcome outcome,
+        String detail,
+        long retryAtMicros) {
+      this(attempt, reason, outcome, detail, retryAtMicros, CrashRole.NONE);
+    }
+  }
 
   /**
    * Gives up an attempt or its reservation.
