Add the stand-ins for platform and upstreams

Cause: nothing ran yet that the router and the sidecars could be tried against. Ruled out: one class for model and server (the virtual-time harness needs the models without sockets); a thread for each stand-in (locks for no gain at these loads). Change: a pure model for log, instance list, weight store, model engine, KV-cache store and service, driven by time passed in; one Netty shell that serves them all from a single event loop; control addresses for faults; INI settings whose unknown keys are errors; bin/standins.

--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/engine/LoadedVersions.java
@@ -0,0 +1,84 @@
+package org.shallothook.standins.engine;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.shallothook.state.cache.ModelVersion;
+
+/**
+ * Model versions loaded or being loaded by an engine, and the fencing numbers of its orders.
+ *
+ * <p>Invariant: at most one load runs. Not thread-safe.
+ */
+final class LoadedVersions {
+  private final boolean checksFencing;
+  private final Set<ModelVersion> loaded = new LinkedHashSet<>();
+  private Optional<ModelVersion> loading = Optional.empty();
+  private long lastFencing;
+
+  LoadedVersions(List<ModelVersion> first, boolean checksFencing) {
+    this.checksFencing = checksFencing;
+    loaded.addAll(first);
+  }
+
+  OrderResult load(long fencing, ModelVersion version) {
+    if (isOld(fencing)) {
+      return OrderResult.OLD_FENCING;
+    }
+    if (loaded.contains(version) || loading.equals(Optional.of(version))) {
+      return OrderResult.TAKEN;
+    }
+    if (loading.isPresent()) {
+      return OrderResult.BUSY;
+    }
+    loading = Optional.of(version);
+    return OrderResult.FETCH_WEIGHTS;
+  }
+
+  OrderResult unload(long fencing, ModelVersion version) {
+    if (isOld(fencing)) {
+      return OrderResult.OLD_FENCING;
+    }
+    loaded.remove(version);
+    return OrderResult.TAKEN;
+  }
+
+  void finishLoad(ModelVersion version, boolean hasWeights) {
+    if (!loading.equals(Optional.of(version))) {
+      return;
+    }
+    loading = Optional.empty();
+    if (hasWeights) {
+      loaded.add(version);
+    }
+  }
+
+  void abandonLoad() {
+    loading = Optional.empty();
+  }
+
+  boolean isLoaded(ModelVersion version) {
+    return loaded.contains(version);
+  }
+
+  List<ModelVersion> loaded() {
+    return List.copyOf(loaded);
+  }
+
+  Optional<ModelVersion> loading() {
+    return loading;
+  }
+
+  long lastFencing() {
+    return checksFencing ? lastFencing : -1;
+  }
+
+  private boolean isOld(long fencing) {
+    if (checksFencing && fencing < lastFencing) {
+      return true;
+    }
+    lastFencing = Math.max(lastFencing, fencing);
+    return false;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that every stand-in can be told to show. */
+package org.shallothook.standins.fault;
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/instances/package-info.java
@@ -0,0 +1,2 @@
+/** Model of the lagging list of instances. */
+package org.shallothook.standins.instances;
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/log/LogModel.java
@@ -0,0 +1,127 @@
+package org.shallothook.standins.log;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.shallothook.standins.fault.Disturbances;
+import org.shallothook.standins.fault.Fate;
+import org.shallothook.state.log.LogPage;
+import org.shallothook.state.log.LogRecord;
+
+/**
+ * The append-only log: streams with offsets, limited retention and a limited rate of appends.
+ *
+ * <pre>{@code
+ * LogModel log = new LogModel(LogSettings.DEFAULT);
+ * log.append("leases", "payload", nowMicros);
+ * Optional<LogPage> page = log.read("leases", 0, 100, nowMicros);
+ * }</pre>
+ *
+ * <p>Invariant: offsets of a stream are consecutive and never reused. Not thread-safe.
+ */
+public final class LogModel {
+  private static final long SECOND_MICROS = 1_000_000;
+
+  private final LogSettings settings;
+  private final Disturbances disturbances = new Disturbances();
+  private final Map<String, Stream> streams = new TreeMap<>();
+  private long currentSecond;
+  private int appendsInSecond;
+  private long overRate;
+
+  /** Creates an empty log. */
+  public LogModel(LogSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Returns the faults in force. */
+  public Disturbances disturbances() {
+    return disturbances;
+  }
+
+  /** Appends one record, unless a fault or the rate forbids it. */
+  public AppendAnswer append(String stream, String payload, long nowMicros) {
+    Fate fate = disturbances.fateOf(true, nowMicros);
+    if (!fate.takesEffect()) {
+      return new AppendAnswer(fate, OptionalLong.empty());
+    }
+    if (isOverRate(nowMicros)) {
+      overRate++;
+      return new AppendAnswer(Fate.REFUSED, OptionalLong.empty());
+    }
+    Stream target = streams.computeIfAbsent(stream, name -> new Stream());
+    long offset = target.append(payload, nowMicros);
+    target.trim(settings, nowMicros);
+    return new AppendAnswer(fate, OptionalLong.of(offset));
+  }
+
+  /** Reads records from an offset on; empty while the log is out. */
+  public Optional<LogPage> read(String stream, long fromOffset, int maximum, long nowMicros) {
+    if (disturbances.fateOf(false, nowMicros) != Fate.SERVED) {
+      return Optional.empty();
+    }
+    Stream source = streams.getOrDefault(stream, new Stream());
+    source.trim(settings, nowMicros);
+    return Optional.of(source.page(stream, fromOffset, maximum));
+  }
+
+  /** Returns the end offset of each stream by its name. */
+  public Map<String, Long> endOffsets() {
+    Map<String, Long> ends = new TreeMap<>();
+    streams.forEach((name, stream) -> ends.put(name, stream.end));
+    return ends;
+  }
+
+  /** Returns the number of appends refused over the rate. */
+  public long overRate() {
+    return overRate;
+  }
+
+  private boolean isOverRate(long nowMicros) {
+    long second = nowMicros / SECOND_MICROS;
+    if (second != currentSecond) {
+      currentSecond = second;
+      appendsInSecond = 0;
+    }
+    appendsInSecond++;
+    return appendsInSecond > settings.appendsPerSecond();
+  }
+
+  private static final class Stream {
+    private final Deque<LogRecord> records = new ArrayDeque<>();
+    private long end;
+
+    long append(String payload, long nowMicros) {
+      records.addLast(new LogRecord(end, nowMicros, payload));
+      return end++;
+    }
+
+    void trim(LogSettings settings, long nowMicros) {
+      long oldestMicros = nowMicros - settings.retentionMicros();
+      while (!records.isEmpty()
+          && (records.size() > settings.retainedRecords()
+              || records.getFirst().appendedAtMicros() < oldestMicros)) {
+        records.removeFirst();
+      }
+    }
+
+    LogPage page(String name, long fromOffset, int maximum) {
+      long first = records.isEmpty() ? end : records.getFirst().offset();
+      List<LogRecord> found = new ArrayList<>();
+      for (LogRecord record : records) {
+        if (found.size() == maximum) {
+          break;
+        }
+        if (record.offset() >= fromOffset) {
+          found.add(record);
+        }
+      }
+      return new LogPage(name, first, end, found);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/log/package-info.java
@@ -0,0 +1,2 @@
+/** Model of the append-only log. */
+package org.shallothook.standins.log;
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** Model of a plain service. */
+package org.shallothook.standins.service;
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/settings/SettingsSection.java
@@ -0,0 +1,128 @@
+package org.shallothook.standins.settings;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * One section of a settings file, read key by key.
+ *
+ * <p>Invariant: after {@link #requireNoOtherKeys} every key has been read. Not thread-safe.
+ */
+public final class SettingsSection {
+  private static final long MILLISECOND_MICROS = 1_000;
+
+  private final String file;
+  private final String name;
+  private final Map<String, String> values;
+  private final Set<String> read = new TreeSet<>();
+
+  SettingsSection(String file, String name, Map<String, String> values) {
+    this.file = file;
+    this.name = name;
+    this.values = Map.copyOf(values);
+  }
+
+  /** Returns the name of the section. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the value of a key, if it is there. */
+  public Optional<String> text(String key) {
+    read.add(key);
+    return Optional.ofNullable(values.get(key));
+  }
+
+  /**
+   * Returns the value of a key.
+   *
+   * @throws SettingsException if the key is missing
+   */
+  public String requiredText(String key) {
+    return text(key).orElseThrow(() -> problem(key, "is missing; add it."));
+  }
+
+  /**
+   * Returns a whole number that is not negative.
+   *
+   * @throws SettingsException if the value is none
+   */
+  public long number(String key, long fallback) {
+    Optional<String> value = text(key);
+    if (value.isEmpty()) {
+      return fallback;
+    }
+    try {
+      long number = Long.parseLong(value.get());
+      if (number >= 0) {
+        return number;
+      }
+    } catch (NumberFormatException e) {
+      throw notANumber(key, value.get());
+    }
+    throw notANumber(key, value.get());
+  }
+
+  /** Returns a whole number that fits an {@code int}. */
+  public int smallNumber(String key, int fallback) {
+    long number = number(key, fallback);
+    if (number > Integer.MAX_VALUE) {
+      throw notANumber(key, Long.toString(number));
+    }
+    return (int) number;
+  }
+
+  /** Returns a key in milliseconds as microseconds. */
+  public long millisAsMicros(String key, long fallbackMicros) {
+    return number(key, fallbackMicros / MILLISECOND_MICROS) * MILLISECOND_MICROS;
+  }
+
+  /** Returns a key that is {@code true} or {@code false}. */
+  public boolean flag(String key, boolean fallback) {
+    String value = text(key).orElse(Boolean.toString(fallback));
+    if (!value.equals("true") && !value.equals("false")) {
+      throw problem(key, "found '" + value + "'; write true or false.");
+    }
+    return Boolean.parseBoolean(value);
+  }
+
+  /** Returns an address of the form {@code IP:port}, if the key is there. */
+  public Optional<InetSocketAddress> address(String key) {
+    return text(key).map(value -> parseAddress(key, value));
+  }
+
+  private InetSocketAddress parseAddress(String key, String value) {
+    int colon = value.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(value.substring(colon + 1));
+      return new InetSocketAddress(value.substring(0, Math.max(0, colon)), port);
+    } catch (IllegalArgumentException e) {
+      throw problem(key, "found '" + value + "'; write IP:port, such as 127.0.0.1:9101.");
+    }
+  }
+
+  /**
+   * Checks that each key of the section has been read.
+   *
+   * @throws SettingsException if one has not
+   */
+  public void requireNoOtherKeys() {
+    for (String key : new TreeSet<>(values.keySet())) {
+      if (!read.contains(key)) {
+        throw problem(key, "is unknown; remove it or use one of " + read + ".");
+      }
+    }
+  }
+
+  /** Returns an exception about one key. */
+  public SettingsException problem(String key, String remedy) {
+    return new SettingsException(file, name, key, remedy);
+  }
+
+  private SettingsException notANumber(String key, String value) {
+    return problem(key, "found '" + value + "'; write a whole number that is not negative.");
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings file of the stand-ins. */
+package org.shallothook.standins.settings;
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/store/CacheStoreModel.java
@@ -0,0 +1,88 @@
+package org.shallothook.standins.store;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.shallothook.standins.cache.BlockCache;
+import org.shallothook.standins.cache.CacheFeed;
+import org.shallothook.standins.fault.Disturbances;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.CacheIdentity;
+
+/**
+ * The KV-cache store: blocks by identity and key, with limited room.
+ *
+ * <p>Invariant: a block is only given out under the identity that it was stored under. Not
+ * thread-safe.
+ */
+public final class CacheStoreModel {
+  private final String name;
+  private final int capacityBlocks;
+  private final long publishDelayMicros;
+  private final Disturbances disturbances = new Disturbances();
+  private final Map<BlockKey, byte[]> bodies = new LinkedHashMap<>();
+  private CacheFeed feed;
+  private BlockCache cache;
+  private int incarnation;
+
+  /**
+   * Creates an empty store.
+   *
+   * @param name name of the store
+   * @param capacityBlocks greatest number of blocks
+   * @param publishDelayMicros how late changes are published, in microseconds
+   */
+  public CacheStoreModel(String name, int capacityBlocks, long publishDelayMicros) {
+    this.name = name;
+    this.capacityBlocks = capacityBlocks;
+    this.publishDelayMicros = publishDelayMicros;
+    restartEmpty();
+  }
+
+  /** Returns the faults in force. */
+  public Disturbances disturbances() {
+    return disturbances;
+  }
+
+  /** Forgets everything and becomes a new incarnation. */
+  public void restartEmpty() {
+    incarnation++;
+    feed = new CacheFeed(publishDelayMicros);
+    cache = new BlockCache(capacityBlocks, feed);
+    bodies.clear();
+  }
+
+  /** Stores a block. */
+  public void put(CacheIdentity identity, BlockKey key, byte[] body, long nowMicros) {
+    cache.store(identity, List.of(key), nowMicros);
+    bodies.put(key, body);
+    if (bodies.size() > cache.size()) {
+      bodies.keySet().retainAll(Set.copyOf(cache.keys()));
+    }
+  }
+
+  /** Returns a block that was stored under the identity, if it is still there. */
+  public Optional<byte[]> get(CacheIdentity identity, BlockKey key) {
+    if (cache.match(identity, List.of(key)) == 0) {
+      return Optional.empty();
+    }
+    return Optional.ofNullable(bodies.get(key));
+  }
+
+  /** Returns the incarnation, new after each restart. */
+  public String incarnation() {
+    return name + "-" + incarnation;
+  }
+
+  /** Returns the feed of changes. */
+  public CacheFeed feed() {
+    return feed;
+  }
+
+  /** Returns the keys of all stored blocks. */
+  public List<BlockKey> keys() {
+    return cache.keys();
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/shallothook/standins/store/package-info.java
@@ -0,0 +1,2 @@
+/** Model of the KV-cache store. */
+package org.shallothook.standins.store;
