--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -0,0 +1,208 @@
+package org.shallothook.coordination.admission;
+
+import java.util.List;
+import java.util.Optional;
+import org.shallothook.coordination.engine.EngineMonitor;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.coordination.sidecar.SidecarOptions;
+import org.shallothook.coordination.sidecar.SidecarOutbox;
+import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Gives the engine what it can batch now, and keeps the rest in the queues.
+ *
+ * <p>Invariants: never more runs than the engine's slots; a crash suspect runs alone; nothing is
+ * started after its deadline. Not thread-safe: used on the decision thread.
+ */
+final class Dispatcher {
+  private final SidecarOptions options;
+  private final SidecarOutbox outbox;
+  private final Counters counters;
+  private final EngineMonitor engine;
+  private final AttemptTable table;
+  private final ServiceEstimator estimator;
+  private final PrefixSupply prefixes;
+  private final AttemptEnds ends;
+  private boolean isStalled;
+  private long suspectSinceMicros = Long.MAX_VALUE;
+
+  Dispatcher(
+      SidecarOptions options,
+      SidecarOutbox outbox,
+      Counters counters,
+      EngineMonitor engine,
+      AttemptTable table,
+      ServiceEstimator estimator,
+      PrefixSupply prefixes,
+      AttemptEnds ends) {
+    this.options = options;
+    this.outbox = outbox;
+    this.counters = counters;
+    this.engine = engine;
+    this.table = table;
+    this.estimator = estimator;
+    this.prefixes = prefixes;
+    this.ends = ends;
+  }
+
+  /** Stops dispatching until the engine has reported its state. */
+  void stall() {
+    isStalled = true;
+  }
+
+  /** Dispatches again after a report of the engine. */
+  void unstall() {
+    isStalled = false;
+  }
+
+  /** Starts all that can start now. */
+  void dispatch(long nowMicros) {
+    if (isStalled || !engine.isReachable()) {
+      return;
+    }
+    Optional<Ticket> next = next(nowMicros);
+    while (next.isPresent()) {
+      startInTime(next.get(), nowMicros);
+      next = next(nowMicros);
+    }
+  }
+
+  private Optional<Ticket> next(long nowMicros) {
+    if (table.running().stream().anyMatch(Ticket::isSuspect)) {
+      return Optional.empty();
+    }
+    Optional<Ticket> candidate = candidate(nowMicros);
+    if (isSuspectDue(candidate, nowMicros)) {
+      return nextSuspect(nowMicros);
+    }
+    if (candidate.isEmpty() || table.running().size() < engine.maximumRunning()) {
+      return candidate;
+    }
+    return candidate.filter(ticket -> hasMadeWayFor(ticket, nowMicros));
+  }
+
+  private Optional<Ticket> candidate(long nowMicros) {
+    PriorityClass first = SlotPolicy.firstClass(table, options, engine.maximumRunning());
+    Optional<Ticket> candidate = candidateOf(first, nowMicros);
+    if (candidate.isPresent()) {
+      return candidate;
+    }
+    return candidateOf(
+        first == PriorityClass.PRIORITY ? PriorityClass.ORDINARY : PriorityClass.PRIORITY,
+        nowMicros);
+  }
+
+  private Optional<Ticket> candidateOf(PriorityClass priority, long nowMicros) {
+    return table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
+  }
+
+  private boolean isEligible(Ticket ticket, long nowMicros) {
+    return engine.ready().contains(ticket.offer().identity().modelVersion())
+        && (ticket.runs() > 0 || !prefixes.isAwaited(ticket.keys(), nowMicros));
+  }
+
+  private boolean isSuspectDue(Optional<Ticket> candidate, long nowMicros) {
+    if (candidate.filter(Ticket::isSuspect).isPresent()) {
+      suspectSinceMicros = Math.min(suspectSinceMicros, nowMicros);
+      return true;
+    }
+    return suspectSinceMicros != Long.MAX_VALUE;
+  }
+
+  /** Waits for the running streams, but no longer than the options allow. */
+  private Optional<Ticket> nextSuspect(long nowMicros) {
+    Optional<Ticket> suspect = queuedSuspect(nowMicros);
+    if (suspect.isEmpty()) {
+      suspectSinceMicros = Long.MAX_VALUE;
+      return next(nowMicros);
+    }
+    if (nowMicros - suspectSinceMicros >= options.suspectDrainMicros()) {
+      List.copyOf(table.running()).forEach(ticket -> preempt(ticket, "preemptions.suspect"));
+    }
+    if (!table.running().isEmpty()) {
+      return Optional.empty();
+    }
+    suspectSinceMicros = Long.MAX_VALUE;
+    return suspect;
+  }
+
+  private Optional<Ticket> queuedSuspect(long nowMicros) {
+    for (PriorityClass priority : PriorityClass.values()) {
+      Optional<Ticket> suspect =
+          table.queue(priority).next(ticket -> ticket.isSuspect() && isEligible(ticket, nowMicros));
+      if (suspect.isPresent()) {
+        return suspect;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private boolean hasMadeWayFor(Ticket ticket, long nowMicros) {
+    if (ticket.priority() != PriorityClass.PRIORITY || isLate(ticket, nowMicros)) {
+      return isLate(ticket, nowMicros);
+    }
+    Optional<Ticket> victim = SlotPolicy.victim(table, options, engine.maximumRunning());
+    victim.ifPresent(stream -> preempt(stream, "preemptions.priority"));
+    return victim.isPresent();
+  }
+
+  private void preempt(Ticket ticket, String counter) {
+    outbox.command(new SidecarCommand.CancelAnswer(ticket.run()));
+    prefixes.onRunOver(ticket.run());
+    table.preempt(ticket);
+    ticket.record().notePreempted();
+    counters.increment(counter);
+  }
+
+  private static boolean isLate(Ticket ticket, long nowMicros) {
+    return !ticket.hasDelivered() && ticket.offer().deadlineMicros() <= nowMicros;
+  }
+
+  private void startInTime(Ticket ticket, long nowMicros) {
+    int units = estimator.unitsOf(ticket);
+    if (isLate(ticket, nowMicros)) {
+      ends.fail(
+          ticket, RefusalReason.DEADLINE_PASSED, "The deadline passed in the queue.", 0, nowMicros);
+      return;
+    }
+    if (cannotMeetDeadline(ticket, units, nowMicros)) {
+      ends.fail(
+          ticket,
+          RefusalReason.DEADLINE_UNREACHABLE,
+          "The prompt cannot be read before the deadline.",
+          nowMicros + estimator.queueDelayMicros(ticket.team(), ticket.priority()),
+          nowMicros);
+      return;
+    }
+    start(ticket, units, nowMicros);
+  }
+
+  private boolean cannotMeetDeadline(Ticket ticket, int units, long nowMicros) {
+    if (ticket.hasDelivered() || table.running().isEmpty()) {
+      return false;
+    }
+    int unitsAhead = estimator.unitsInPrefill(ticket.priority());
+    return nowMicros + estimator.prefillMicros(units + unitsAhead)
+        > ticket.offer().deadlineMicros();
+  }
+
+  private void start(Ticket ticket, int units, long nowMicros) {
+    int unitsAhead = estimator.unitsInPrefill(ticket.priority());
+    table.start(ticket, estimator.costOf(ticket, units), units, unitsAhead, nowMicros);
+    ticket.record().noteStarted(nowMicros);
+    long expectedMicros = estimator.prefillMicros(units + unitsAhead);
+    prefixes.onStarted(ticket.run(), ticket.keys(), expectedMicros, nowMicros);
+    outbox.command(
+        new SidecarCommand.StartAnswer(
+            ticket.run(),
+            ticket.offer().identity(),
+            ticket.priority(),
+            ticket.keys(),
+            ticket.prompt(),
+            ticket.deliveredText(),
+            ticket.position(),
+            ticket.offer().maximumOutputTokens()));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/FairQueue.java
@@ -0,0 +1,172 @@
+package org.shallothook.coordination.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Waiting attempts of one class of service, in fair turns by team.
+ *
+ * <p>Each team has a virtual time that grows by the cost of what it was given. The team with the
+ * smallest virtual time goes next; a team that was idle starts at the queue's virtual time, so that
+ * it is served at once and gains nothing by having been idle. Attempts that were preempted are paid
+ * for and go ahead of the rest.
+ *
+ * <p>Invariants: the queue's virtual time never decreases; the attempts of a team leave in order of
+ * arrival, but for those that are not eligible yet. Not thread-safe: used on the decision thread.
+ */
+final class FairQueue {
+
+  private static final class Team {
+    private final Deque<Ticket> tickets = new ArrayDeque<>();
+    private double virtualTime;
+  }
+
+  private final Map<String, Team> teams = new LinkedHashMap<>();
+  private final Deque<Ticket> preempted = new ArrayDeque<>();
+  private double virtualTime;
+  private int waiting;
+
+  /** Returns the number of waiting attempts. */
+  int size() {
+    return waiting + preempted.size();
+  }
+
+  /** Returns the number of waiting attempts of a team that have not run. */
+  int sizeOf(String team) {
+    Team found = teams.get(team);
+    return found == null ? 0 : found.tickets.size();
+  }
+
+  /** Returns the attempts expected to run before a further attempt of the team. */
+  int aheadOf(String team) {
+    int own = sizeOf(team);
+    int ahead = preempted.size();
+    for (Team other : teams.values()) {
+      ahead += Math.min(other.tickets.size(), own + 1);
+    }
+    return ahead;
+  }
+
+  /** Adds an attempt behind those of its team. */
+  void add(Ticket ticket) {
+    Team team = teams.computeIfAbsent(ticket.team(), name -> new Team());
+    if (team.tickets.isEmpty()) {
+      team.virtualTime = Math.max(team.virtualTime, virtualTime);
+    }
+    team.tickets.addLast(ticket);
+    waiting++;
+  }
+
+  /** Adds an attempt that was charged before, ahead of the rest. */
+  void addPaid(Ticket ticket) {
+    preempted.addLast(ticket);
+  }
+
+  /** Removes an attempt that gives up waiting. */
+  void remove(Ticket ticket) {
+    if (preempted.remove(ticket)) {
+      return;
+    }
+    Team team = teams.get(ticket.team());
+    if (team != null && team.tickets.remove(ticket)) {
+      waiting--;
+    }
+  }
+
+  /** Returns the attempt that goes next among those eligible, without removing it. */
+  Optional<Ticket> next(Predicate<Ticket> eligible) {
+    Optional<Ticket> resumed = first(preempted, eligible);
+    if (resumed.isPresent()) {
+      return resumed;
+    }
+    Ticket best = null;
+    double bestTime = Double.POSITIVE_INFINITY;
+    for (Team team : teams.values()) {
+      Optional<Ticket> candidate =
+          team.virtualTime < bestTime || isTie(team.virtualTime, bestTime)
+              ? first(team.tickets, eligible)
+              : Optional.empty();
+      if (candidate.isPresent() && isBefore(team, candidate.get(), bestTime, best)) {
+        best = candidate.get();
+        bestTime = team.virtualTime;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Removes an attempt that is about to run, and charges its team.
+   *
+   * @param ticket attempt returned by {@link #next}
+   * @param cost cost in tokens
+   */
+  void take(Ticket ticket, double cost) {
+    if (preempted.remove(ticket)) {
+      return;
+    }
+    Team team = teams.get(ticket.team());
+    team.tickets.remove(ticket);
+    waiting--;
+    virtualTime = Math.max(virtualTime, team.virtualTime);
+    team.virtualTime += cost;
+    ticket.charge(cost);
+  }
+
+  /** Gives a team back what an attempt was charged but has not used. */
+  void refund(String name, double cost) {
+    Team team = teams.get(name);
+    if (team != null) {
+      team.virtualTime -= Math.max(0, cost);
+    }
+  }
+
+  /** Forgets idle teams whose virtual time the queue's has reached. */
+  void forgetIdleTeams() {
+    teams.values().removeIf(team -> team.tickets.isEmpty() && team.virtualTime <= virtualTime);
+  }
+
+  /** Returns the newest attempt of the team with most waiting attempts, if any. */
+  Optional<Ticket> newestOfLongest() {
+    return teams.values().stream()
+        .filter(team -> !team.tickets.isEmpty())
+        .max(
+            Comparator.<Team>comparingInt(team -> team.tickets.size())
+                .thenComparing(team -> team.tickets.peekFirst().team()))
+        .map(team -> team.tickets.peekLast());
+  }
+
+  /** Returns all waiting attempts. */
+  List<Ticket> all() {
+    List<Ticket> all = new ArrayList<>(preempted);
+    teams.values().forEach(team -> all.addAll(team.tickets));
+    return all;
+  }
+
+  private static Optional<Ticket> first(Deque<Ticket> tickets, Predicate<Ticket> eligible) {
+    for (Ticket ticket : tickets) {
+      if (eligible.test(ticket)) {
+        return Optional.of(ticket);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static boolean isTie(double time, double other) {
+    return Double.compare(time, other) == 0;
+  }
+
+  private static boolean isBefore(Team team, Ticket candidate, double bestTime, Ticket best) {
+    return best == null
+        || team.virtualTime < bestTime
+        || candidate.record().offeredMicros() < best.record().offeredMicros()
+        || (candidate.record().offeredMicros() == best.record().offeredMicros()
+            && candidate.team().compareTo(best.team()) < 0);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
@@ -0,0 +1,35 @@
+package org.shallothook.coordination.admission;
+
+import java.util.List;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.request.AttemptId;
+
+/**
+ * What admission needs to know of cached prefixes, and tells of those being computed.
+ *
+ * <p>Not thread-safe: used on the decision thread.
+ */
+public interface PrefixSupply {
+
+  /** Returns the number of leading blocks of the chain that the engine need not compute. */
+  int matchedBlocks(List<BlockKey> chain);
+
+  /** Returns whether a request should wait because its next missing block is being obtained. */
+  boolean isAwaited(List<BlockKey> chain, long nowMicros);
+
+  /**
+   * Notes that a run computes the missing blocks of its chain.
+   *
+   * @param run run on the engine
+   * @param chain keys of the prompt's whole blocks
+   * @param expectedMicros expected time of the computation, in microseconds
+   * @param nowMicros time of the start
+   */
+  void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros);
+
+  /** Notes that a run has computed its whole prompt. */
+  void onComputed(AttemptId run, long nowMicros);
+
+  /** Notes that a run is over, whether or not it has computed its prompt. */
+  void onRunOver(AttemptId run);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/ServiceEstimator.java
@@ -0,0 +1,129 @@
+package org.shallothook.coordination.admission;
+
+import org.shallothook.coordination.engine.EngineMonitor;
+import org.shallothook.coordination.sidecar.SidecarOptions;
+import org.shallothook.state.configuration.PriorityClass;
+
+/**
+ * Expected delays at this engine, from its own recent times and from all work known here.
+ *
+ * <p>The engine's load reports lag and are not used. Prefill is counted in units: the missing
+ * blocks of a prompt and one for its trailing part.
+ *
+ * <p>Not thread-safe: used on the decision thread.
+ */
+final class ServiceEstimator {
+  private static final int BYTES_PER_TOKEN = 4;
+  private static final double WEIGHT_OF_LATEST = 0.1;
+
+  private final SidecarOptions options;
+  private final EngineMonitor engine;
+  private final AttemptTable table;
+  private final PrefixSupply prefixes;
+  private double microsPerUnit;
+  private double streamMicros;
+  private double unitsPerPrompt = 1;
+
+  ServiceEstimator(
+      SidecarOptions options, EngineMonitor engine, AttemptTable table, PrefixSupply prefixes) {
+    this.options = options;
+    this.engine = engine;
+    this.table = table;
+    this.prefixes = prefixes;
+    this.microsPerUnit = options.prefillMicrosPerBlock();
+    this.streamMicros = options.streamMicros();
+  }
+
+  /** Returns the prefill units of an attempt if it started now. */
+  int unitsOf(Ticket ticket) {
+    return unitsFor(ticket.keys().size(), prefixes.matchedBlocks(ticket.keys()));
+  }
+
+  /** Returns the prefill units of a prompt. */
+  static int unitsFor(int blocks, int matchedBlocks) {
+    return blocks - matchedBlocks + 1;
+  }
+
+  /** Returns the expected time of a prefill on an idle engine, in microseconds. */
+  long prefillMicros(int units) {
+    return (long) (units * microsPerUnit);
+  }
+
+  /** Returns the mean time of an answer on the engine, in microseconds. */
+  long streamMicros() {
+    return (long) streamMicros;
+  }
+
+  /** Returns the cost of an attempt for its team, in tokens. */
+  double costOf(Ticket ticket, int units) {
+    int blockTokens = options.blockBytes() / BYTES_PER_TOKEN;
+    int outputTokens = ticket.offer().maximumOutputTokens() - ticket.position();
+    return (double) units * blockTokens + Math.max(0, outputTokens);
+  }
+
+  /** Returns the prefill units that running attempts have still to compute. */
+  int unitsInPrefill(PriorityClass priority) {
+    int units = 0;
+    for (Ticket ticket : table.running()) {
+      boolean counts = !priority.isAheadOf(ticket.priority());
+      units += counts && !ticket.hasTokenOfRun() ? ticket.prefillUnits() : 0;
+    }
+    return units;
+  }
+
+  /** Returns the expected time until new work of a team would start, in microseconds. */
+  long queueDelayMicros(String team, PriorityClass priority) {
+    int ahead = aheadOf(team, priority);
+    int free = engine.maximumRunning() - slotsNotFor(priority);
+    int startable = Math.min(ahead, Math.max(0, free));
+    double units = unitsInPrefill(priority) + startable * unitsPerPrompt;
+    return (long) Math.max(slotDelayMicros(ahead, free), units * microsPerUnit);
+  }
+
+  /** Learns from the first token of a run. */
+  void onFirstToken(Ticket ticket, long nowMicros) {
+    double units = ticket.prefillUnits() + ticket.prefillUnitsAhead();
+    microsPerUnit = learn(microsPerUnit, (nowMicros - ticket.runStartedMicros()) / units);
+    unitsPerPrompt = learn(unitsPerPrompt, ticket.prefillUnits());
+  }
+
+  /** Learns from the end of a complete answer. */
+  void onEnded(Ticket ticket, long nowMicros) {
+    if (ticket.runs() == 1) {
+      streamMicros = learn(streamMicros, (double) (nowMicros - ticket.runStartedMicros()));
+    }
+  }
+
+  private double slotDelayMicros(int ahead, int free) {
+    double delay = 0;
+    if (ahead >= free) {
+      delay = (ahead - free + 1) * streamMicros / Math.max(1, engine.maximumRunning());
+    }
+    return isHeldBySuspect() ? Math.max(delay, streamMicros) : delay;
+  }
+
+  private boolean isHeldBySuspect() {
+    return table.running().stream().anyMatch(Ticket::isSuspect);
+  }
+
+  private int aheadOf(String team, PriorityClass priority) {
+    int ahead = table.queue(priority).aheadOf(team) + table.reservedOf(priority);
+    for (PriorityClass other : PriorityClass.values()) {
+      ahead += other.isAheadOf(priority) ? table.waitingOf(other) : 0;
+    }
+    return ahead;
+  }
+
+  private int slotsNotFor(PriorityClass priority) {
+    int slots = table.running().size();
+    if (priority == PriorityClass.PRIORITY) {
+      int floor = SlotPolicy.ordinaryFloor(options, engine.maximumRunning());
+      slots -= Math.max(0, table.runningOf(PriorityClass.ORDINARY) - floor);
+    }
+    return slots;
+  }
+
+  private static double learn(double mean, double latest) {
+    return mean + WEIGHT_OF_LATEST * (latest - mean);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/StreamRelay.java
@@ -0,0 +1,159 @@
+package org.shallothook.coordination.admission;
+
+import java.util.Optional;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.coordination.sidecar.SidecarOptions;
+import org.shallothook.coordination.sidecar.SidecarOutbox;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Passes answers of the engine on to the routers, in order and without holes.
+ *
+ * <p>A caller that does not take its tokens has the reading of its answer paused.
+ *
+ * <p>Invariants: positions sent for an attempt are consecutive over all its runs; events of runs
+ * that are over change nothing. Not thread-safe: used on the decision thread.
+ */
+final class StreamRelay {
+  private static final int MAXIMUM_ENGINE_REFUSALS = 3;
+
+  private final SidecarOptions options;
+  private final SidecarOutbox outbox;
+  private final Counters counters;
+  private final AttemptTable table;
+  private final ServiceEstimator estimator;
+  private final PrefixSupply prefixes;
+  private final AttemptEnds ends;
+  private final CrashWatch crashes;
+
+  StreamRelay(
+      SidecarOptions options,
+      SidecarOutbox outbox,
+      Counters counters,
+      AttemptTable table,
+      ServiceEstimator estimator,
+      PrefixSupply prefixes,
+      AttemptEnds ends,
+      CrashWatch crashes) {
+    this.options = options;
+    this.outbox = outbox;
+    this.counters = counters;
+    this.table = table;
+    this.estimator = estimator;
+    this.prefixes = prefixes;
+    this.ends = ends;
+    this.crashes = crashes;
+  }
+
+  /** Passes tokens on. */
+  void onTokens(SidecarEvent.EngineTokens event, long nowMicros) {
+    Optional<Ticket> found = table.findRun(event.attempt());
+    if (found.isEmpty()) {
+      counters.increment("streams.late-frames");
+      return;
+    }
+    Ticket ticket = found.get();
+    if (event.position() + event.count() <= ticket.position()) {
+      counters.increment("streams.repeated-frames");
+      return;
+    }
+    if (event.position() != ticket.position()) {
+      breakOff(ticket, "The engine's tokens are not consecutive.", nowMicros);
+      return;
+    }
+    deliver(ticket, event, nowMicros);
+  }
+
+  /** Ends an answer that is complete. */
+  void onEnded(SidecarEvent.EngineEnded event, long nowMicros) {
+    Optional<Ticket> found = table.findRun(event.attempt());
+    if (found.isEmpty()) {
+      counters.increment("streams.late-frames");
+      return;
+    }
+    Ticket ticket = found.get();
+    if (event.position() != ticket.position()) {
+      breakOff(ticket, "The engine's end does not follow its last token.", nowMicros);
+      return;
+    }
+    noteFirstToken(ticket, nowMicros);
+    estimator.onEnded(ticket, nowMicros);
+    ends.complete(ticket, event.finishReason(), event.cachedBlocks(), nowMicros);
+  }
+
+  /**
+   * Takes the engine's refusal of a run, or its loss.
+   *
+   * @return whether the engine has to be asked for its state before more is dispatched
+   */
+  boolean onFailed(SidecarEvent.EngineFailed event, long nowMicros) {
+    Optional<Ticket> found = table.findRun(event.attempt());
+    if (found.isEmpty()) {
+      counters.increment("streams.late-frames");
+      return false;
+    }
+    if (event.hasReachedEngine()) {
+      crashes.onBroken(found.get(), nowMicros);
+    } else {
+      returnUntaken(found.get(), event.detail(), nowMicros);
+    }
+    return true;
+  }
+
+  /** Notes how far a caller has read. */
+  void onConsumed(PeerMessage.Consumed message) {
+    table.find(message.attempt()).ifPresent(ticket -> consume(ticket, message.position()));
+  }
+
+  private void deliver(Ticket ticket, SidecarEvent.EngineTokens event, long nowMicros) {
+    noteFirstToken(ticket, nowMicros);
+    ticket.deliver(event.count(), event.text());
+    outbox.send(
+        ticket.router(),
+        new PeerMessage.Tokens(ticket.attempt(), event.position(), event.count(), event.text()));
+    if (!ticket.isPaused() && ticket.unconsumed() >= options.streamWindowTokens()) {
+      setPaused(ticket, true);
+      counters.increment("streams.paused");
+    }
+  }
+
+  private void noteFirstToken(Ticket ticket, long nowMicros) {
+    if (ticket.hasTokenOfRun()) {
+      return;
+    }
+    estimator.onFirstToken(ticket, nowMicros);
+    prefixes.onComputed(ticket.run(), nowMicros);
+    ticket.record().noteToken(nowMicros);
+  }
+
+  private void consume(Ticket ticket, int position) {
+    ticket.consume(position);
+    if (ticket.isPaused()
+        && ticket.is(Ticket.Stage.RUNNING)
+        && ticket.unconsumed() <= options.streamWindowTokens() / 2) {
+      setPaused(ticket, false);
+    }
+  }
+
+  private void setPaused(Ticket ticket, boolean isPaused) {
+    ticket.setPaused(isPaused);
+    outbox.command(new SidecarCommand.PauseAnswer(ticket.run(), isPaused));
+  }
+
+  private void breakOff(Ticket ticket, String detail, long nowMicros) {
+    counters.increment("streams.broken");
+    ends.fail(ticket, RefusalReason.ENGINE_LOST, detail, 0, nowMicros);
+  }
+
+  private void returnUntaken(Ticket ticket, String detail, long nowMicros) {
+    counters.increment("engine.refused-run");
+    prefixes.onRunOver(ticket.run());
+    table.returnUntaken(ticket);
+    if (ticket.engineRefusals() >= MAXIMUM_ENGINE_REFUSALS) {
+      ends.fail(ticket, RefusalReason.ENGINE_LOST, detail, 0, nowMicros);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/engine/EngineMonitor.java
@@ -0,0 +1,147 @@
+package org.shallothook.coordination.engine;
+
+import java.util.EnumSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.coordination.sidecar.SidecarOptions;
+import org.shallothook.coordination.sidecar.SidecarOutbox;
+import org.shallothook.state.cache.ModelVersion;
+
+/**
+ * What the sidecar knows of its engine or service: incarnation, loaded versions, and reachability.
+ *
+ * <p>Reads the state at an interval, one reading at a time.
+ *
+ * <p>Invariant: nothing is ready while the engine is unreachable. Not thread-safe: used on the
+ * decision thread.
+ */
+public final class EngineMonitor {
+  private static final long ANSWER_TIMEOUT_MICROS = 1_000_000;
+
+  private final SidecarOptions options;
+  private final SidecarOutbox outbox;
+  private Optional<String> incarnation = Optional.empty();
+  private Set<ModelVersion> loaded = Set.of();
+  private int maximumRunning;
+  private long lastFencing = -1;
+  private boolean isReachable;
+  private boolean isLeaving;
+  private int consecutiveFailures;
+  private long unreachableSinceMicros = Long.MAX_VALUE;
+  private long nextReadMicros = Long.MIN_VALUE;
+
+  /** Creates a monitor of an engine that has not answered yet. */
+  public EngineMonitor(SidecarOptions options, SidecarOutbox outbox) {
+    this.options = options;
+    this.outbox = outbox;
+  }
+
+  /** Returns the incarnation seen last, if any. */
+  public Optional<String> incarnation() {
+    return incarnation;
+  }
+
+  /** Returns the model versions that can serve now. */
+  public Set<ModelVersion> ready() {
+    return isReachable ? loaded : Set.of();
+  }
+
+  /** Returns the number of streams that the engine can run at once. */
+  public int maximumRunning() {
+    return maximumRunning;
+  }
+
+  /** Returns the greatest fencing number that the engine has seen; -1 where it ignores them. */
+  public long lastFencing() {
+    return lastFencing;
+  }
+
+  /** Returns whether the engine answered the last question for its state. */
+  public boolean isReachable() {
+    return isReachable;
+  }
+
+  /** Returns whether the engine says that it is leaving. */
+  public boolean isLeaving() {
+    return isLeaving;
+  }
+
+  /** Returns whether the engine has been out of reach for longer than the options allow. */
+  public boolean isLost(long nowMicros) {
+    return !isReachable
+        && unreachableSinceMicros != Long.MAX_VALUE
+        && nowMicros - unreachableSinceMicros >= options.engineLossMicros();
+  }
+
+  /** Returns how many questions for its state the engine has left unanswered in a row. */
+  public int consecutiveFailures() {
+    return consecutiveFailures;
+  }
+
+  /** Asks for the engine's state when it is time to. */
+  public void onTick(long nowMicros) {
+    if (nowMicros >= nextReadMicros) {
+      readNow(nowMicros);
+    }
+  }
+
+  /** Asks for the engine's state at once. */
+  public void readNow(long nowMicros) {
+    nextReadMicros = nowMicros + ANSWER_TIMEOUT_MICROS;
+    outbox.command(new SidecarCommand.ReadEngineStatus());
+  }
+
+  /**
+   * Takes a report of the engine.
+   *
+   * @return what differs from before
+   */
+  public Set<EngineChange> onStatus(SidecarEvent.EngineStatus status, long nowMicros) {
+    Objects.requireNonNull(status, "status");
+    Set<EngineChange> changes = EnumSet.noneOf(EngineChange.class);
+    Optional<String> reported = Optional.of(status.incarnation());
+    Set<ModelVersion> reportedVersions = Set.copyOf(status.ready());
+    note(changes, EngineChange.INCARNATION, !incarnation.equals(reported));
+    note(changes, EngineChange.REACHABILITY, !isReachable);
+    note(changes, EngineChange.VERSIONS, !loaded.equals(reportedVersions));
+    note(changes, EngineChange.VERSION_REMOVED, !reportedVersions.containsAll(loaded));
+    note(changes, EngineChange.LEAVING, isLeaving != status.isLeaving());
+    incarnation = reported;
+    loaded = reportedVersions;
+    maximumRunning = status.maximumRunning();
+    lastFencing = status.lastFencing();
+    isLeaving = status.isLeaving();
+    isReachable = true;
+    consecutiveFailures = 0;
+    unreachableSinceMicros = Long.MAX_VALUE;
+    nextReadMicros = nowMicros + options.statusPollMicros();
+    return changes;
+  }
+
+  /**
+   * Notes that the engine did not answer.
+   *
+   * @return what differs from before
+   */
+  public Set<EngineChange> onUnreachable(long nowMicros) {
+    nextReadMicros = nowMicros + options.statusPollMicros();
+    consecutiveFailures++;
+    if (unreachableSinceMicros == Long.MAX_VALUE) {
+      unreachableSinceMicros = nowMicros;
+    }
+    if (!isReachable) {
+      return Set.of();
+    }
+    isReachable = false;
+    return EnumSet.of(EngineChange.REACHABILITY);
+  }
+
+  private static void note(Set<EngineChange> changes, EngineChange change, boolean hasChanged) {
+    if (hasChanged) {
+      changes.add(change);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/engine/package-info.java
@@ -0,0 +1,2 @@
+/** What a sidecar knows of its engine: state, incarnation and cache. */
+package org.shallothook.coordination.engine;
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/DemandSketch.java
@@ -0,0 +1,115 @@
+package org.shallothook.coordination.hotprefix;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.shallothook.state.cache.BlockKey;
+
+/**
+ * Recent demand for the most wanted prefixes, in bounded space.
+ *
+ * <p>This is the space-saving algorithm with counts that decay exponentially: a prefix that is not
+ * tracked takes the place of the least wanted one and inherits its count as possible error. Rates
+ * leave the error out, so they are never overstated.
+ *
+ * <p>Invariant: at most the given number of prefixes is tracked. Not thread-safe: used on the
+ * decision thread.
+ */
+final class DemandSketch {
+  private static final double HALF_LIFE_MICROS = 1_000_000;
+  private static final double MICROS_PER_SECOND = 1_000_000;
+
+  private static final class Entry {
+    private final Prefix prefix;
+    private double count;
+    private double error;
+    private long updatedMicros;
+
+    private Entry(Prefix prefix, double inherited, long nowMicros) {
+      this.prefix = prefix;
+      this.count = inherited;
+      this.error = inherited;
+      this.updatedMicros = nowMicros;
+    }
+
+    private void decayTo(long nowMicros) {
+      double factor = Math.pow(0.5, (nowMicros - updatedMicros) / HALF_LIFE_MICROS);
+      count *= factor;
+      error *= factor;
+      updatedMicros = nowMicros;
+    }
+
+    private double ratePerSecond() {
+      return (count - error) * Math.log(2) * MICROS_PER_SECOND / HALF_LIFE_MICROS;
+    }
+  }
+
+  private final int maximumPrefixes;
+  private final Map<BlockKey, Entry> entries = new HashMap<>();
+
+  DemandSketch(int maximumPrefixes) {
+    this.maximumPrefixes = maximumPrefixes;
+  }
+
+  /** Counts one request for a prefix. */
+  void record(Prefix prefix, long nowMicros) {
+    Entry entry = entries.get(prefix.key());
+    if (entry == null) {
+      entry = track(prefix, nowMicros);
+    }
+    entry.decayTo(nowMicros);
+    entry.count++;
+  }
+
+  /** Returns the requests a second for a prefix, at least; 0 where it is not tracked. */
+  double ratePerSecond(BlockKey key, long nowMicros) {
+    Entry entry = entries.get(key);
+    if (entry == null) {
+      return 0;
+    }
+    entry.decayTo(nowMicros);
+    return entry.ratePerSecond();
+  }
+
+  /** Returns the prefixes wanted at least at a rate. */
+  List<Prefix> wantedAtLeast(double ratePerSecond, long nowMicros) {
+    List<Prefix> wanted = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      entry.decayTo(nowMicros);
+      if (entry.ratePerSecond() >= ratePerSecond) {
+        wanted.add(entry.prefix);
+      }
+    }
+    return wanted;
+  }
+
+  /** Returns the number of prefixes tracked. */
+  int size() {
+    return entries.size();
+  }
+
+  private Entry track(Prefix prefix, long nowMicros) {
+    double inherited = 0;
+    if (entries.size() >= maximumPrefixes) {
+      Entry least = leastWanted(nowMicros).orElseThrow();
+      entries.remove(least.prefix.key());
+      inherited = least.count;
+    }
+    Entry entry = new Entry(prefix, inherited, nowMicros);
+    entries.put(prefix.key(), entry);
+    return entry;
+  }
+
+  private Optional<Entry> leastWanted(long nowMicros) {
+    Entry least = null;
+    for (Entry entry : entries.values()) {
+      entry.decayTo(nowMicros);
+      if (least == null || entry.count < least.count) {
+        least = entry;
+      }
+    }
+    return Optional.ofNullable(least);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/Prefix.java
@@ -0,0 +1,40 @@
+package org.shallothook.coordination.hotprefix;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.CacheIdentity;
+
+/**
+ * The leading blocks of a prompt, down to a depth.
+ *
+ * <p>Demand is followed at depths that are powers of two, so that a chain of 64 blocks counts for
+ * seven prefixes.
+ *
+ * <p>Invariant: the depth is from 1 to the length of the chain. Immutable and thread-safe.
+ *
+ * @param identity scope within which the blocks may be reused
+ * @param chain keys of the prompt that the prefix was taken from
+ * @param depth number of leading blocks
+ */
+record Prefix(CacheIdentity identity, List<BlockKey> chain, int depth) {
+
+  /** Returns the prefixes of a chain whose demand is followed, shortest first. */
+  static List<Prefix> of(CacheIdentity identity, List<BlockKey> chain) {
+    List<Prefix> prefixes = new ArrayList<>();
+    for (int depth = 1; depth <= chain.size(); depth *= 2) {
+      prefixes.add(new Prefix(identity, chain, depth));
+    }
+    return prefixes;
+  }
+
+  /** Returns the key of the last block, which stands for the whole prefix. */
+  BlockKey key() {
+    return chain.get(depth - 1);
+  }
+
+  /** Returns the keys of the prefix. */
+  List<BlockKey> keys() {
+    return chain.subList(0, depth);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -0,0 +1,140 @@
+package org.shallothook.coordination.hotprefix;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.shallothook.coordination.admission.PrefixSupply;
+import org.shallothook.coordination.engine.CacheFollower;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.request.AttemptId;
+
+/**
+ * Lets a missing prefix be computed once: others that need it wait for the one that computes it.
+ *
+ * <p>The engine's cache events come late, so blocks that were just computed here or imported count
+ * as cached for a short time.
+ *
+ * <p>Invariants: nothing is held over an incarnation of the engine; every wait ends at a stored
+ * deadline. Not thread-safe: used on the decision thread.
+ */
+public final class PrefixGate implements PrefixSupply {
+  private static final long MAXIMUM_WAIT_MICROS = 2_000_000;
+  private static final long MINIMUM_WAIT_MICROS = 20_000;
+  private static final long RECENT_MICROS = 1_000_000;
+
+  private record Computation(Object owner, long waitUntilMicros) {}
+
+  private final CacheFollower cache;
+  private final Counters counters;
+  private final Map<BlockKey, Computation> computations = new HashMap<>();
+  private final Map<Object, List<BlockKey>> chains = new HashMap<>();
+  private final Map<BlockKey, Long> recentUntil = new HashMap<>();
+
+  /** Creates a gate before an engine's cache. */
+  public PrefixGate(CacheFollower cache, Counters counters) {
+    this.cache = cache;
+    this.counters = counters;
+  }
+
+  @Override
+  public int matchedBlocks(List<BlockKey> chain) {
+    int matched = 0;
+    while (matched < chain.size() && isAvailable(chain.get(matched))) {
+      matched++;
+    }
+    return matched;
+  }
+
+  @Override
+  public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
+    int matched = matchedBlocks(chain);
+    if (matched == chain.size()) {
+      return false;
+    }
+    Computation computation = computations.get(chain.get(matched));
+    return computation != null && nowMicros < computation.waitUntilMicros();
+  }
+
+  @Override
+  public void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    begin(run, chain, expectedMicros, nowMicros);
+  }
+
+  @Override
+  public void onComputed(AttemptId run, long nowMicros) {
+    List<BlockKey> chain = chains.get(run);
+    if (chain != null) {
+      noteAvailable(chain, nowMicros);
+    }
+    onRunOver(run);
+  }
+
+  @Override
+  public void onRunOver(AttemptId run) {
+    end(run);
+  }
+
+  /**
+   * Notes that the missing blocks of a chain are being obtained.
+   *
+   * @param owner run or transfer that obtains them
+   * @param chain whole chain
+   * @param expectedMicros expected time, in microseconds
+   * @param nowMicros time of the start
+   */
+  void begin(Object owner, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    int matched = matchedBlocks(chain);
+    if (matched == chain.size()) {
+      return;
+    }
+    long wait = Math.max(MINIMUM_WAIT_MICROS, Math.min(MAXIMUM_WAIT_MICROS, 2 * expectedMicros));
+    Computation computation = new Computation(owner, nowMicros + wait);
+    chains.put(owner, chain);
+    for (BlockKey key : chain.subList(matched, chain.size())) {
+      computations.putIfAbsent(key, computation);
+    }
+    if (!computations.get(chain.get(matched)).owner().equals(owner)) {
+      counters.increment("prefixes.computed-twice");
+    }
+  }
+
+  /** Notes that blocks are in the engine's cache, ahead of its events. */
+  void noteAvailable(List<BlockKey> keys, long nowMicros) {
+    for (BlockKey key : keys) {
+      if (!cache.contains(key)) {
+        recentUntil.put(key, nowMicros + RECENT_MICROS);
+      }
+    }
+  }
+
+  /** Notes that a run or transfer is over. */
+  void end(Object owner) {
+    List<BlockKey> chain = chains.remove(owner);
+    if (chain == null) {
+      return;
+    }
+    for (BlockKey key : chain) {
+      Computation computation = computations.get(key);
+      if (computation != null && computation.owner().equals(owner)) {
+        computations.remove(key);
+      }
+    }
+  }
+
+  /** Forgets everything: the engine has started anew. */
+  public void onIncarnation() {
+    computations.clear();
+    chains.clear();
+    recentUntil.clear();
+  }
+
+  /** Forgets what was computed too long ago to be unreported. */
+  public void onTick(long nowMicros) {
+    recentUntil.values().removeIf(until -> until <= nowMicros);
+  }
+
+  private boolean isAvailable(BlockKey key) {
+    return cache.contains(key) || recentUntil.containsKey(key);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/ServiceCalls.java
@@ -0,0 +1,113 @@
+package org.shallothook.coordination.sidecar;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Repeatable calls to the service beside the sidecar.
+ *
+ * <p>Calls that may not be repeated are refused here, because they need a claim first.
+ *
+ * <p>Invariant: a call is reported as not run only when no byte of it reached the service. Not
+ * thread-safe: used on the decision thread.
+ */
+final class ServiceCalls {
+  private final SidecarOptions options;
+  private final SidecarOutbox outbox;
+  private final Counters counters;
+  private final Map<AttemptId, String> routers = new LinkedHashMap<>();
+
+  ServiceCalls(SidecarOptions options, SidecarOutbox outbox, Counters counters) {
+    this.options = options;
+    this.outbox = outbox;
+    this.counters = counters;
+  }
+
+  boolean isIdle() {
+    return routers.isEmpty();
+  }
+
+  void onCall(String router, PeerMessage.Call call, boolean isLeaving, long nowMicros) {
+    Optional<RefusalReason> refusal = refusal(call, isLeaving, nowMicros);
+    if (refusal.isPresent()) {
+      fail(router, call.attempt(), refusal.get(), Outcome.NOT_RUN, "The call was not dispatched.");
+      return;
+    }
+    if (routers.putIfAbsent(call.attempt(), router) == null) {
+      outbox.command(
+          new SidecarCommand.CallService(
+              call.attempt(),
+              call.path(),
+              call.idempotencyKey(),
+              Optional.empty(),
+              call.contentType(),
+              call.body()));
+    }
+  }
+
+  void onAnswered(SidecarEvent.ServiceAnswered event) {
+    String router = routers.remove(event.attempt());
+    if (router == null) {
+      counters.increment("calls.late-answers");
+      return;
+    }
+    counters.increment("calls.answered");
+    outbox.send(
+        router,
+        new PeerMessage.CallAnswer(
+            event.attempt(), event.status(), event.contentType(), event.body()));
+  }
+
+  void onFailed(SidecarEvent.ServiceFailed event) {
+    String router = routers.remove(event.attempt());
+    if (router == null) {
+      counters.increment("calls.late-answers");
+    } else if (event.hasReachedService()) {
+      fail(
+          router,
+          event.attempt(),
+          RefusalReason.CONNECTION_LOST,
+          Outcome.UNKNOWN,
+          "The service did not answer.");
+    } else {
+      fail(
+          router,
+          event.attempt(),
+          RefusalReason.NO_UPSTREAM,
+          Outcome.NOT_RUN,
+          "The service was not reached.");
+    }
+  }
+
+  void onRouterGone(String router) {
+    routers.values().removeIf(router::equals);
+  }
+
+  private Optional<RefusalReason> refusal(
+      PeerMessage.Call call, boolean isLeaving, long nowMicros) {
+    if (isLeaving) {
+      return Optional.of(RefusalReason.UPSTREAM_LEAVING);
+    }
+    if (!call.service().equals(options.service())) {
+      return Optional.of(RefusalReason.UNKNOWN_SERVICE);
+    }
+    if (!call.isRepeatable()) {
+      return Optional.of(RefusalReason.LOG_UNAVAILABLE);
+    }
+    return call.deadlineMicros() <= nowMicros
+        ? Optional.of(RefusalReason.DEADLINE_PASSED)
+        : Optional.empty();
+  }
+
+  private void fail(
+      String router, AttemptId attempt, RefusalReason reason, Outcome outcome, String detail) {
+    counters.increment("failures." + reason.code());
+    outbox.send(router, new PeerMessage.Failed(attempt, reason, outcome, detail, 0));
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -1,11 +1,29 @@
 package org.shallothook.coordination.sidecar;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Consumer;
+import org.shallothook.coordination.admission.Admission;
+import org.shallothook.coordination.admission.AttemptRecord;
+import org.shallothook.coordination.engine.CacheFollower;
+import org.shallothook.coordination.engine.EngineChange;
+import org.shallothook.coordination.engine.EngineMonitor;
+import org.shallothook.coordination.hotprefix.HotPrefixes;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.InstanceRole;
+import org.shallothook.state.request.RequestId;
 
 /**
  * All decisions of a sidecar behind one entrance.
  *
+ * <p>The core hands each event to the part that decides on it: the engine's monitor, the follower
+ * of its cache, admission, hot prefixes, and calls to services.
+ *
  * <p>Invariant: the same events at the same times give the same commands. Not thread-safe: one
  * decision thread owns it.
  */
@@ -13,15 +31,81 @@
   /** Longest time between two ticks, in microseconds. */
   public static final long TICK_INTERVAL_MICROS = 20_000;
 
-  private final Consumer<SidecarCommand> commands;
+  private static final Comparator<ModelVersion> VERSION_ORDER =
+      Comparator.comparing(ModelVersion::model)
+          .thenComparing(ModelVersion::version)
+          .thenComparing(ModelVersion::adapter);
+
+  private final SidecarOptions options;
+  private final SidecarOutbox outbox;
+  private final Counters counters;
+  private final EngineMonitor engine;
+  private final CacheFollower cache;
+  private final HotPrefixes hotPrefixes;
+  private final Admission admission;
+  private final ServiceCalls calls;
+  private final RouterSessions routers = new RouterSessions();
+  private final LeavingSignals leaving = new LeavingSignals();
+  private final InstanceWatch instances;
+  private boolean hasDrained;
+
+  /**
+   * Creates a core that counts nothing.
+   *
+   * @param options options
+   * @param commands sink that takes each command in order
+   */
+  public SidecarCore(SidecarOptions options, Consumer<SidecarCommand> commands) {
+    this(options, commands, Counters.NONE);
+  }
 
   /**
    * Creates a core.
    *
+   * @param options options
    * @param commands sink that takes each command in order
+   * @param counters counters of refusals, failures and other happenings
    */
-  public SidecarCore(Consumer<SidecarCommand> commands) {
-    this.commands = Objects.requireNonNull(commands, "commands");
+  public SidecarCore(SidecarOptions options, Consumer<SidecarCommand> commands, Counters counters) {
+    this.options = Objects.requireNonNull(options, "options");
+    this.counters = Objects.requireNonNull(counters, "counters");
+    outbox = new SidecarOutbox(Objects.requireNonNull(commands, "commands"));
+    engine = new EngineMonitor(options, outbox);
+    cache = new CacheFollower(options, outbox, counters);
+    hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
+    admission = new Admission(options, outbox, counters, engine, hotPrefixes.gate());
+    calls = new ServiceCalls(options, outbox, counters);
+    instances = new InstanceWatch(options, outbox);
+  }
+
+  /** Returns whether the sidecar was asked to drain and nothing is open any more. */
+  public boolean isDrained() {
+    return leaving.isDraining() && admission.isIdle() && calls.isIdle();
+  }
+
+  /** Returns the state that routers are told. */
+  public PeerMessage.SidecarStatus status() {
+    return new PeerMessage.SidecarStatus(
+        options.name(),
+        engine.incarnation().orElse(""),
+        engine.ready().stream().sorted(VERSION_ORDER).toList(),
+        leaving.isLeaving(),
+        admission.queueDelayMicros());
+  }
+
+  /** Returns the load known here. */
+  public SidecarLoad load() {
+    return new SidecarLoad(admission.running(), admission.waiting(), cache.size());
+  }
+
+  /** Returns the records of a request's attempts here that are still kept, oldest first. */
+  public List<AttemptRecord> explain(RequestId request) {
+    return admission.history().of(request);
+  }
+
+  /** Returns the records of the latest attempts, oldest first. */
+  public List<AttemptRecord> recentAttempts() {
+    return admission.history().all();
   }
 
   /**
@@ -31,8 +115,198 @@
    * @param nowMicros time of the event, in microseconds since the epoch; never decreases
    */
   public void handle(SidecarEvent event, long nowMicros) {
-    if (event instanceof SidecarEvent.DrainRequested) {
-      commands.accept(new SidecarCommand.Drained());
+    if (event instanceof SidecarEvent.PeerMessageReceived received) {
+      onEnvelope(received.envelope(), nowMicros);
+    } else if (event instanceof SidecarEvent.EngineTokens tokens) {
+      admission.onTokens(tokens, nowMicros);
+    } else if (event instanceof SidecarEvent.Tick) {
+      onTick(nowMicros);
+    } else if (!isEngineEvent(event, nowMicros)) {
+      onPlatformEvent(event, nowMicros);
+    }
+    finishDrain();
+  }
+
+  private boolean isEngineEvent(SidecarEvent event, long nowMicros) {
+    if (event instanceof SidecarEvent.EngineEnded ended) {
+      admission.onEnded(ended, nowMicros);
+    } else if (event instanceof SidecarEvent.EngineFailed failed) {
+      admission.onFailed(failed, nowMicros);
+    } else if (event instanceof SidecarEvent.EngineStatus status) {
+      onEngineStatus(status, nowMicros);
+    } else if (event instanceof SidecarEvent.EngineUnreachable) {
+      onEngineUnreachable(nowMicros);
+    } else if (event instanceof SidecarEvent.CacheChanged changed) {
+      cache.onChanged(changed, nowMicros);
+    } else if (event instanceof SidecarEvent.CacheListed listed) {
+      cache.onListed(listed, nowMicros);
+    } else if (event instanceof SidecarEvent.TransferEnded ended) {
+      hotPrefixes.onTransferEnded(ended, nowMicros);
+      admission.onPrefixesChanged(nowMicros);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void onPlatformEvent(SidecarEvent event, long nowMicros) {
+    if (event instanceof SidecarEvent.PeerLost lost) {
+      onPeerGone(lost.peer(), nowMicros);
+    } else if (event instanceof SidecarEvent.PeerUnreachable unreachable) {
+      onPeerGone(unreachable.peer(), nowMicros);
+    } else if (event instanceof SidecarEvent.ServiceAnswered answered) {
+      calls.onAnswered(answered);
+    } else if (event instanceof SidecarEvent.ServiceFailed failed) {
+      calls.onFailed(failed);
+    } else if (event instanceof SidecarEvent.InstancesRead read) {
+      instances.onRead(read.list());
+      hotPrefixes.setStore(instances.hasStore());
+      setLeaving(LeavingSignals.Signal.INSTANCE_LIST, instances.isSelfLeaving(), nowMicros);
+    } else if (event instanceof SidecarEvent.DrainRequested) {
+      setLeaving(LeavingSignals.Signal.DRAIN, true, nowMicros);
+    }
+  }
+
+  private void onEnvelope(Envelope envelope, long nowMicros) {
+    switch (routers.note(envelope)) {
+      case OUTDATED -> {
+        counters.increment("messages.outdated-incarnation");
+        return;
+      }
+      case RESTARTED -> {
+        counters.increment("routers.restarted");
+        releaseWorkOf(envelope.sender(), nowMicros);
+      }
+      case CURRENT -> {}
+    }
+    onMessage(envelope.sender(), envelope.message(), nowMicros);
+  }
+
+  private void onMessage(String router, PeerMessage message, long nowMicros) {
+    if (message instanceof PeerMessage.Offer offer) {
+      onOffer(router, offer, nowMicros);
+    } else if (message instanceof PeerMessage.Submit submit) {
+      onSubmit(router, submit, nowMicros);
+    } else if (message instanceof PeerMessage.Consumed consumed) {
+      admission.onConsumed(consumed);
+    } else if (message instanceof PeerMessage.Cancel cancel) {
+      admission.onCancel(cancel, nowMicros);
+    } else if (message instanceof PeerMessage.Quarantine quarantine) {
+      admission.onQuarantine(quarantine);
+    } else if (message instanceof PeerMessage.Call call) {
+      calls.onCall(router, call, leaving.isLeaving(), nowMicros);
+    } else if (message instanceof PeerMessage.Hello hello) {
+      onHello(router, hello);
+    }
+  }
+
+  private void onOffer(String router, PeerMessage.Offer offer, long nowMicros) {
+    boolean hasPlace = admission.onOffer(router, offer, hotPrefixes.spread(offer), nowMicros);
+    if (hasPlace) {
+      hotPrefixes.onAccepted(offer, admission.prefillMicrosPerBlock(), nowMicros);
+    }
+  }
+
+  private void onSubmit(String router, PeerMessage.Submit submit, long nowMicros) {
+    admission
+        .onSubmit(router, submit, nowMicros)
+        .ifPresent(
+            offer ->
+                hotPrefixes.onSubmitted(
+                    offer, engine.maximumRunning(), admission.streamMicros(), nowMicros));
+  }
+
+  private void onHello(String router, PeerMessage.Hello hello) {
+    if (hello.role() != InstanceRole.ROUTER) {
+      return;
+    }
+    routers.connect(router);
+    outbox.send(router, new PeerMessage.Hello(options.role(), options.failureDomain()));
+    outbox.send(router, status());
+  }
+
+  private void onPeerGone(String peer, long nowMicros) {
+    routers.disconnect(peer);
+    releaseWorkOf(peer, nowMicros);
+  }
+
+  private void releaseWorkOf(String router, long nowMicros) {
+    calls.onRouterGone(router);
+    admission.onRouterGone(router, nowMicros);
+  }
+
+  private void onEngineStatus(SidecarEvent.EngineStatus status, long nowMicros) {
+    Set<EngineChange> changes = engine.onStatus(status, nowMicros);
+    if (changes.contains(EngineChange.INCARNATION)) {
+      counters.increment("engine.incarnations");
+      hotPrefixes.onIncarnation();
+    }
+    admission.onEngineStatus(changes, nowMicros);
+    if (options.role() != InstanceRole.SERVICE) {
+      followCache(changes, nowMicros);
+    }
+    boolean hasLeft = leaving.set(LeavingSignals.Signal.ENGINE, status.isLeaving());
+    applyLeaving(hasLeft, nowMicros);
+    if (hasLeft || !changes.isEmpty()) {
+      publishStatus();
+    }
+  }
+
+  private void followCache(Set<EngineChange> changes, long nowMicros) {
+    if (changes.contains(EngineChange.INCARNATION)) {
+      cache.onIncarnation(engine.incarnation().orElseThrow(), nowMicros);
+    } else if (changes.contains(EngineChange.VERSION_REMOVED)) {
+      cache.onVersionRemoved(nowMicros);
+    }
+  }
+
+  private void onEngineUnreachable(long nowMicros) {
+    counters.increment("engine.unreachable");
+    Set<EngineChange> changes = engine.onUnreachable(nowMicros);
+    admission.onEngineUnreachable(nowMicros);
+    if (!changes.isEmpty()) {
+      publishStatus();
+    }
+  }
+
+  private void onTick(long nowMicros) {
+    engine.onTick(nowMicros);
+    if (options.role() != InstanceRole.SERVICE && engine.isReachable()) {
+      cache.onTick(nowMicros);
+    }
+    instances.onTick(nowMicros);
+    hotPrefixes.onTick(nowMicros);
+    admission.onTick(nowMicros);
+  }
+
+  private void setLeaving(LeavingSignals.Signal signal, boolean isRaised, long nowMicros) {
+    boolean hasChanged = leaving.set(signal, isRaised);
+    applyLeaving(hasChanged, nowMicros);
+    if (hasChanged) {
+      publishStatus();
+    }
+  }
+
+  private void applyLeaving(boolean hasChanged, long nowMicros) {
+    if (!hasChanged) {
+      return;
+    }
+    if (leaving.isLeaving()) {
+      admission.leave(nowMicros);
+    } else {
+      admission.stay();
+    }
+  }
+
+  private void publishStatus() {
+    PeerMessage.SidecarStatus status = status();
+    routers.connected().forEach(router -> outbox.send(router, status));
+  }
+
+  private void finishDrain() {
+    if (!hasDrained && isDrained()) {
+      hasDrained = true;
+      outbox.command(new SidecarCommand.Drained());
     }
   }
 }
