--- a/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
@@ -5,8 +5,8 @@
 /**
  * Counts what decisions do, by name.
  *
- * <p>Names are dotted, with lower-case words joined by hyphens, such as {@code retry.queue-full}.
- * Implementations are thread-safe and never throw.
+ * <p>Names are dotted, with lower-case words joined by hyphens, such as {@code
+ * refusals.queue-full}. Implementations are thread-safe and never throw.
  */
 @FunctionalInterface
 public interface Counters {
@@ -16,13 +16,25 @@
   /** Adds one to a counter. */
   void increment(String name);
 
+  /**
+   * Adds a number to a counter.
+   *
+   * @param name name of the counter
+   * @param amount number to add, not negative
+   */
+  default void add(String name, long amount) {
+    for (long added = 0; added < amount; added++) {
+      increment(name);
+    }
+  }
+
   /** Counts a refusal by its reason. */
   default void refused(RefusalReason reason) {
-    increment("refusal." + reason.code());
+    increment("refusals." + reason.code());
   }
 
   /** Counts a retry by the reason of the attempt that failed. */
   default void retried(RefusalReason reason) {
-    increment("retry." + reason.code());
+    increment("retries." + reason.code());
   }
 }
