--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -0,0 +1,51 @@
+package org.shallothook.transport;
+
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOutboundInvoker;
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Actions on connections whose failures need no decision of the one who asks for them.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class Channels {
+  private Channels() {}
+
+  /** Closes a connection. */
+  public static void close(ChannelOutboundInvoker connection) {
+    connection
+        .close()
+        .addListener(
+            done -> {
+              if (!done.isSuccess()) {
+                Logger.debug("channel: closing failed: {}", done.cause().getMessage());
+              }
+            });
+  }
+
+  /** Hands a message over for the next flush; closes the connection where it cannot be written. */
+  public static void write(ChannelOutboundInvoker connection, Object message) {
+    connection.write(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  /** Writes a message and flushes; closes the connection where it cannot be written. */
+  public static void writeAndFlush(ChannelOutboundInvoker connection, Object message) {
+    connection.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  /** Runs a task on a loop after a while, for tasks that are never cancelled. */
+  public static void after(EventExecutor loop, Duration delay, Runnable task) {
+    ScheduledFuture<?> scheduled = loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
+    scheduled.addListener(
+        done -> {
+          if (done.cause() != null) {
+            Logger.error(done.cause(), "channel: a delayed task failed");
+          }
+        });
+  }
+}
--- a/transport/src/main/java/org/shallothook/transport/admin/AdminConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminConnection.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import org.shallothook.transport.Channels;
 import org.tinylog.Logger;
 
 /**
@@ -60,7 +61,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     Logger.debug("admin: a connection failed: {}", cause.getMessage());
-    context.newFailedFuture(cause).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    Channels.close(context);
   }
 
   private Optional<Map.Entry<String, AdminHandler>> find(HttpMethod method, String path) {
--- a/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
@@ -18,6 +18,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.shallothook.transport.Channels;
 import org.shallothook.transport.EventLoops;
 
 /**
@@ -81,7 +82,7 @@
   @Override
   public void close() {
     if (listening != null) {
-      listening.close();
+      Channels.close(listening);
     }
   }
 
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.state.request.RequestId;
+import org.shallothook.transport.Channels;
 
 /**
  * One connection of a caller: gathers requests and runs them one after the other.
@@ -52,7 +54,7 @@
   /** Closes the connection now, or after the answer that is being made. */
   void closeWhenUnused() {
     if (current.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
-      channel.close();
+      Channels.close(channel);
     }
   }
 
@@ -62,7 +64,7 @@
     int open = context.connections().incrementAndGet();
     if (open > context.settings().maximumConnections()) {
       context.metrics().increment("caller.too-many-connections");
-      opened.close();
+      Channels.close(opened);
     }
   }
 
@@ -95,9 +97,9 @@
       boolean hasUnwritten = idle.channel().unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
       if (silence.state() == IdleState.WRITER_IDLE && hasUnwritten) {
         context.metrics().increment("caller.stalled");
-        idle.close();
+        Channels.close(idle);
       } else if (silence.state() == IdleState.ALL_IDLE && current.isEmpty()) {
-        idle.close();
+        Channels.close(idle);
       }
     }
   }
@@ -105,7 +107,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
     context.metrics().increment("caller.connection-failed");
-    failed.close();
+    Channels.close(failed);
   }
 
   private void startRequest(HttpRequest newHead) {
@@ -116,8 +118,8 @@
     } else if (HttpUtil.getContentLength(newHead, 0L) > context.settings().maximumBodyBytes()) {
       refuseTooLarge();
     } else if (HttpUtil.is100ContinueExpected(newHead)) {
-      channel.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+      Channels.writeAndFlush(
+          channel, new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
   }
 
@@ -140,7 +142,8 @@
   private void endRequest() {
     stopRequestTimeout();
     CallerRequest request =
-        new CallerRequest(head.orElseThrow(), body.toByteArray(), context.nowMicros());
+        new CallerRequest(
+            head.orElseThrow(), ByteBuffer.wrap(body.toByteArray()), context.nowMicros());
     head = Optional.empty();
     body = new ByteArrayOutputStream(0);
     waiting.add(request);
@@ -215,20 +218,20 @@
     body = new ByteArrayOutputStream(0);
     if (current.isPresent()) {
       // An earlier answer is being written; a refusal cannot go before its end.
-      channel.close();
+      Channels.close(channel);
       return;
     }
     context.metrics().refused(reason);
     RequestId id = context.nextRequestId();
     WholeResponse response = WholeResponse.of(id, Refusal.notRun(reason, detail));
-    channel.writeAndFlush(response.toHttp(id, true, channel.alloc()));
+    Channels.writeAndFlush(channel, response.toHttp(id, true, channel.alloc()));
   }
 
   private void discard(HttpContent content) {
     discardedBytes += content.content().readableBytes();
     long most = (long) DISCARDED_BODIES * context.settings().maximumBodyBytes();
     if (content instanceof LastHttpContent || discardedBytes > most) {
-      channel.close();
+      Channels.close(channel);
     }
   }
 
@@ -251,6 +254,6 @@
 
   private void requestTooSlow() {
     context.metrics().increment("caller.request-too-slow");
-    channel.close();
+    Channels.close(channel);
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
@@ -24,6 +24,7 @@
 import org.shallothook.protocol.caller.ModelListForm;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RequestId;
+import org.shallothook.transport.Channels;
 import org.tinylog.Logger;
 
 /**
@@ -121,7 +122,7 @@
     if (answer.tokens() != position) {
       Logger.error("caller: {} has {} of {} tokens", id, position, answer.tokens());
       context.metrics().increment("caller.incomplete");
-      channel.close();
+      Channels.close(channel);
       return;
     }
     if (isStreaming()) {
@@ -170,19 +171,20 @@
   private void failOrder(RouterCommand.SendTokens tokens) {
     Logger.error("caller: {} expected token {}, got {}", id, position, tokens.position());
     context.metrics().increment("caller.out-of-order");
-    channel.close();
+    Channels.close(channel);
   }
 
   private void stream(String text) {
     if (channel.bytesBeforeUnwritable() == 0) {
       Logger.debug("caller: {} does not read; its connection is closed", id);
       context.metrics().increment("caller.write-buffer-full");
-      channel.close();
+      Channels.close(channel);
       return;
     }
     writeHead();
     int written = position;
-    writeText(form.text(text))
+    channel
+        .writeAndFlush(new DefaultHttpContent(bytesOf(form.text(text))))
         .addListener(
             done -> {
               if (done.isSuccess()) {
@@ -212,12 +214,12 @@
     if (endsConnection()) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    channel.write(head);
+    Channels.write(channel, head);
     writeText(form.opening());
   }
 
-  private ChannelFuture writeText(String text) {
-    return channel.writeAndFlush(new DefaultHttpContent(bytesOf(text)));
+  private void writeText(String text) {
+    Channels.writeAndFlush(channel, new DefaultHttpContent(bytesOf(text)));
   }
 
   private void endStream() {
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerRequest.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerRequest.java
@@ -5,18 +5,19 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.ByteBuffer;
 import java.util.Optional;
 
 /**
  * A whole request of a caller, as it came over HTTP.
  *
- * <p>Immutable and thread-safe, as long as the head is not changed.
+ * <p>Not thread-safe: used on the loop of its connection.
  *
  * @param head request line and headers
- * @param body bytes of the body
+ * @param body bytes of the body, read once
  * @param receivedAtMicros when the last byte came, in microseconds since the epoch
  */
-record CallerRequest(HttpRequest head, byte[] body, long receivedAtMicros) {
+record CallerRequest(HttpRequest head, ByteBuffer body, long receivedAtMicros) {
 
   boolean isMethod(HttpMethod method) {
     return head.method().equals(method);
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerRouting.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerRouting.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
-import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.shallothook.coordination.router.RouterEvent;
 import org.shallothook.protocol.caller.CallerHeaders;
@@ -72,8 +71,7 @@
   }
 
   private static Either<CallerProtocolError, String> body(CallerRequest request) {
-    return JsonDocument.decodeText(ByteBuffer.wrap(request.body()))
-        .mapLeft(CallerProtocolError.MalformedBody::new);
+    return JsonDocument.decodeText(request.body()).mapLeft(CallerProtocolError.MalformedBody::new);
   }
 
   private static String key(CallerRequest request) {
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -3,17 +3,20 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.protocol.peer.EnvelopeCodec;
 import org.shallothook.protocol.peer.PeerProtocolError;
+import org.shallothook.transport.Channels;
 import org.tinylog.Logger;
 
 /**
@@ -26,7 +29,7 @@
  * the same sender and incarnation. Used on the loop of the peers alone.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
-  private static final long CONGESTION_PAUSE_MILLIS = 5;
+  private static final Duration CONGESTION_PAUSE = Duration.ofMillis(5);
 
   private final PeerContext context;
   private final boolean isOutbound;
@@ -94,12 +97,12 @@
   }
 
   void close() {
-    channel.close();
+    Channels.close(channel);
   }
 
   /** Closes the connection once everything written has left. */
   void closeAfterWrites() {
-    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> channel.close());
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
   }
 
   @Override
@@ -145,7 +148,7 @@
         isClosedAsUnused = true;
         close();
       } else {
-        channel.writeAndFlush(channel.alloc().buffer(Integer.BYTES).writeInt(0));
+        Channels.writeAndFlush(channel, channel.alloc().buffer(Integer.BYTES).writeInt(0));
       }
     }
   }
@@ -154,7 +157,7 @@
   public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
     context.counters().increment("peer.connection-failed");
     Logger.debug("peer: the connection to '{}' failed: {}", peerName(), cause.getMessage());
-    failed.close();
+    Channels.close(failed);
   }
 
   private void accept(Envelope envelope) {
@@ -218,7 +221,7 @@
   }
 
   private void scheduleResume() {
-    channel.executor().schedule(this::resume, CONGESTION_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    Channels.after(channel.executor(), CONGESTION_PAUSE, this::resume);
   }
 
   private void resume() {
@@ -241,8 +244,8 @@
       return;
     }
     ByteBuf length = channel.alloc().buffer(Integer.BYTES).writeInt(bytes.length);
-    channel.write(length);
-    channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+    Channels.write(channel, length);
+    Channels.writeAndFlush(channel, Unpooled.wrappedBuffer(bytes));
   }
 
   private String peerName() {
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerLink.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerLink.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.transport.Channels;
 import org.tinylog.Logger;
 
 /**
@@ -124,7 +125,7 @@
   void closeConnections() {
     outbound.ifPresent(PeerConnection::closeAfterWrites);
     inbound.ifPresent(PeerConnection::closeAfterWrites);
-    connecting.ifPresent(open -> open.close());
+    connecting.ifPresent(Channels::close);
   }
 
   private boolean openedOutbound(PeerConnection connection, Envelope hello) {
@@ -182,7 +183,7 @@
     retryDelay.failed();
     Optional<Channel> abandoned = connecting;
     connecting = Optional.empty();
-    abandoned.ifPresent(open -> open.close());
+    abandoned.ifPresent(Channels::close);
     context.counters().increment("peer.unreachable");
     context.listener().peerUnreachable(peer);
   }
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerServer.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerServer.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
 import org.shallothook.coordination.message.Envelope;
+import org.shallothook.transport.Channels;
 import org.shallothook.transport.EventLoops;
 import org.tinylog.Logger;
 
@@ -49,7 +50,7 @@
 
   void close() {
     if (listening != null) {
-      listening.close();
+      Channels.close(listening);
     }
   }
 
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -19,6 +19,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.shallothook.transport.Channels;
 import org.shallothook.transport.EventLoops;
 
 /**
@@ -86,7 +87,7 @@
           if (!done.isSuccess()) {
             exchange.failBeforeSending(String.valueOf(done.cause().getMessage()));
           } else if (exchange.hasEnded()) {
-            connecting.channel().close();
+            Channels.close(connecting.channel());
           } else {
             write(connecting.channel(), exchange);
           }
@@ -114,7 +115,7 @@
     try {
       request = request(exchange.call());
     } catch (IllegalArgumentException e) {
-      channel.close();
+      Channels.close(channel);
       exchange.failBeforeSending(String.valueOf(e.getMessage()));
       return;
     }
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.shallothook.transport.Channels;
 
 /**
  * One call on one connection, from its first byte to the end of its answer.
@@ -70,7 +71,7 @@
   void cancel() {
     hasEnded = true;
     stopTimeout();
-    channel.ifPresent(open -> open.close());
+    channel.ifPresent(Channels::close);
   }
 
   /** Stops or restarts reading the answer. */
@@ -119,7 +120,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     fail(true, String.valueOf(cause.getMessage()));
-    context.close();
+    Channels.close(context);
   }
 
   private void receive(ChannelHandlerContext context, HttpContent content) {
@@ -140,7 +141,7 @@
     if (mayReuse && !isStream) {
       reuse.accept(this);
     } else {
-      open.close();
+      Channels.close(open);
     }
     handler.ended();
   }
@@ -149,7 +150,7 @@
     if (!hasEnded) {
       hasEnded = true;
       stopTimeout();
-      channel.ifPresent(open -> open.close());
+      channel.ifPresent(Channels::close);
       handler.failed(wasSent, detail);
     }
   }
--- a/transport/src/main/java/org/shallothook/transport/platform/IdleConnections.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/IdleConnections.java
@@ -10,7 +10,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import org.shallothook.transport.Channels;
 
 /**
  * Open connections that no call uses, by server.
@@ -29,7 +29,7 @@
   void keep(InetSocketAddress server, Channel channel) {
     Deque<Kept> kept = byServer.computeIfAbsent(server, address -> new ArrayDeque<>());
     if (kept.size() >= settings.maximumIdleConnections()) {
-      channel.close();
+      Channels.close(channel);
       return;
     }
     Kept entry = new Kept(server, channel);
@@ -72,9 +72,7 @@
     }
 
     void startTimeout() {
-      channel
-          .eventLoop()
-          .schedule(this::close, settings.idleTimeout().toMillis(), TimeUnit.MILLISECONDS);
+      Channels.after(channel.eventLoop(), settings.idleTimeout(), this::close);
     }
 
     void leave() {
@@ -101,7 +99,7 @@
     private void close() {
       if (!hasLeft) {
         forget(this);
-        channel.close();
+        Channels.close(channel);
       }
     }
   }
--- a/transport/src/main/java/org/shallothook/transport/platform/ServiceClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/ServiceClient.java
@@ -77,7 +77,7 @@
   private void statusRead(HttpResult result) {
     if (result instanceof HttpResult.Answered answer && answer.status() == OK) {
       EngineForm.serviceStatus(answer.body())
-          .peek(events::accept)
+          .peek(events)
           .peekLeft(error -> events.accept(new SidecarEvent.EngineUnreachable()));
     } else {
       events.accept(new SidecarEvent.EngineUnreachable());
