--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/configuration/ReplicaNode.java
@@ -0,0 +1,136 @@
+package org.shallothook.coordination.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.shallothook.coordination.fake.FakeLog;
+import org.shallothook.coordination.fake.VirtualTime;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.state.log.LogPage;
+
+/** A process with a replica and a desk, joined to a fake log and to other nodes. */
+final class ReplicaNode {
+  static final long TICK_MICROS = 50_000;
+
+  private final String name;
+  private final VirtualTime time;
+  private final FakeLog log;
+  private final Map<String, ReplicaNode> nodes;
+  private final ConfigurationOptions options;
+  private ConfigurationReplica replica;
+  private PublicationDesk desk;
+  private long incarnation;
+  private long tokens;
+  boolean isCutFromLog;
+  final List<PublicationResult> results = new ArrayList<>();
+  long highestOffsetServed;
+  long reversions;
+
+  ReplicaNode(
+      ConfigurationOptions options, VirtualTime time, FakeLog log, Map<String, ReplicaNode> nodes) {
+    this.name = options.instance();
+    this.options = options;
+    this.time = time;
+    this.log = log;
+    this.nodes = nodes;
+    nodes.put(name, this);
+    restart();
+  }
+
+  ConfigurationReplica replica() {
+    return replica;
+  }
+
+  void restart() {
+    incarnation++;
+    long current = incarnation;
+    Outbox outbox = new NodeOutbox(current);
+    replica = new ConfigurationReplica(outbox, options);
+    desk = new PublicationDesk(outbox, replica);
+    highestOffsetServed = 0;
+    time.after(0, () -> tick(current));
+  }
+
+  void publish(ChangeRequest request, long patienceMicros) {
+    desk.publish(request, time.now() + patienceMicros, results::add, time.now());
+  }
+
+  void tell(String peer, PeerMessage message) {
+    Envelope envelope = new Envelope(name, incarnation, replica.offset(), message);
+    time.after(1_000, () -> nodes.get(peer).receive(envelope));
+  }
+
+  private void receive(Envelope envelope) {
+    replica.onEnvelope(envelope, time.now());
+    observe();
+  }
+
+  private void tick(long of) {
+    if (of == incarnation) {
+      replica.onTick(time.now());
+      desk.onTick(time.now());
+      time.after(TICK_MICROS, () -> tick(of));
+    }
+  }
+
+  private void observe() {
+    reversions += replica.offset() < highestOffsetServed ? 1 : 0;
+    highestOffsetServed = Math.max(highestOffsetServed, replica.offset());
+  }
+
+  private final class NodeOutbox implements Outbox {
+    private final long of;
+
+    NodeOutbox(long of) {
+      this.of = of;
+    }
+
+    @Override
+    public void send(String peer, PeerMessage message) {
+      tell(peer, message);
+    }
+
+    @Override
+    public void readLog(String stream, long fromOffset) {
+      if (isCutFromLog) {
+        time.after(1_000, () -> ifCurrent(() -> replica.onLogReadFailed(stream, time.now())));
+        return;
+      }
+      log.read(
+          stream,
+          fromOffset,
+          page -> ifCurrent(() -> take(page)),
+          () -> ifCurrent(() -> replica.onLogReadFailed(stream, time.now())));
+    }
+
+    @Override
+    public long appendLog(String stream, String payload) {
+      long token = tokens++;
+      log.append(
+          stream,
+          payload,
+          offset -> ifCurrent(() -> desk.onLogAppended(token, time.now())),
+          may -> ifCurrent(() -> desk.onLogAppendFailed(token, may, time.now())));
+      return token;
+    }
+
+    private void take(LogPage page) {
+      replica.onLogRead(page, time.now());
+      observe();
+      desk.onTick(time.now());
+    }
+
+    private void ifCurrent(Runnable body) {
+      if (of == incarnation) {
+        body.run();
+      }
+    }
+  }
+
+  static Map<String, ReplicaNode> newNodes() {
+    return new HashMap<>();
+  }
+}
