--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -0,0 +1,187 @@
+package org.shallothook.coordination.membership;
+
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.coordination.placement.PlacementCandidate;
+import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.Instance;
+
+/**
+ * What a router believes of one upstream.
+ *
+ * <p>Invariant: the list and the sidecar each hold their own word on leaving; only the one that
+ * gave a word can take it back. Not thread-safe.
+ */
+public final class Upstream implements PlacementCandidate {
+  private final String name;
+  private final long hash;
+  private Instance instance;
+  private boolean isListed = true;
+  private boolean hasStatus;
+  private boolean isDown;
+  private long sidecarIncarnation;
+  private String engineIncarnation = "";
+  private Set<ModelVersion> ready = Set.of();
+  private boolean isLeavingBySidecar;
+  private long queueDelayMicros;
+  private long unreachableUntilMicros;
+  private long ejectedUntilMicros;
+  private int outstanding;
+  private int unansweredOffers;
+
+  Upstream(Instance instance) {
+    this.name = instance.name();
+    this.hash = RendezvousHash.hashOf(name);
+    this.instance = instance;
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public long hash() {
+    return hash;
+  }
+
+  @Override
+  public String failureDomain() {
+    return instance.failureDomain();
+  }
+
+  @Override
+  public int outstanding() {
+    return outstanding;
+  }
+
+  @Override
+  public long queueDelayMicros() {
+    return queueDelayMicros;
+  }
+
+  /** Returns the instance as the list last described it. */
+  public Instance instance() {
+    return instance;
+  }
+
+  /** Returns whether the sidecar has reported its state over the present connection. */
+  public boolean hasStatus() {
+    return hasStatus;
+  }
+
+  /** Returns the incarnation of the engine or service, empty while unknown. */
+  public String engineIncarnation() {
+    return engineIncarnation;
+  }
+
+  /** Returns whether any signal says that the upstream takes no new work. */
+  public boolean isLeaving() {
+    return !isListed || instance.isLeaving() || isLeavingBySidecar;
+  }
+
+  /** Returns when an ejection ends, in microseconds since the epoch; 0 if there was none. */
+  public long ejectedUntilMicros() {
+    return ejectedUntilMicros;
+  }
+
+  /** Returns whether the upstream is ejected for slowness. */
+  public boolean isEjected(long nowMicros) {
+    return nowMicros < ejectedUntilMicros;
+  }
+
+  /** Returns whether the upstream is left alone because no connection could be opened or kept. */
+  public boolean isUnreachable(long nowMicros) {
+    return isDown || nowMicros < unreachableUntilMicros;
+  }
+
+  /** Returns whether new work may be sent. */
+  public boolean isUsable(long nowMicros) {
+    return !isLeaving() && !isUnreachable(nowMicros);
+  }
+
+  /** Returns whether the sidecar says that it can serve the model version now. */
+  public boolean isReady(ModelVersion modelVersion) {
+    return ready.contains(modelVersion);
+  }
+
+  /** Counts a request opened at the upstream. */
+  public void onOpened() {
+    outstanding++;
+  }
+
+  /** Counts a request that is no longer open at the upstream. */
+  public void onClosed() {
+    outstanding--;
+  }
+
+  /** Takes in that an offer was answered. */
+  public void onAnswered() {
+    unansweredOffers = 0;
+  }
+
+  /** Takes in that an offer was not answered in time and returns how many in a row were not. */
+  public int onUnanswered() {
+    return ++unansweredOffers;
+  }
+
+  /** Takes in a queue delay that the sidecar named. */
+  public void onQueueDelay(long delayMicros) {
+    queueDelayMicros = delayMicros;
+  }
+
+  /** Takes in the sidecar's word that the upstream takes no new work. */
+  public void onLeaving() {
+    isLeavingBySidecar = true;
+  }
+
+  /** Takes in the sidecar's word that a model version cannot be served now. */
+  public void onNotReady(ModelVersion modelVersion) {
+    if (ready.contains(modelVersion)) {
+      ready =
+          ready.stream()
+              .filter(version -> !version.equals(modelVersion))
+              .collect(Collectors.toUnmodifiableSet());
+    }
+  }
+
+  void onListed(Instance newInstance) {
+    instance = newInstance;
+    isListed = true;
+  }
+
+  void onUnlisted() {
+    isListed = false;
+  }
+
+  /** Takes in a status unless an older process of the sidecar sent it. */
+  void onStatus(SidecarStatus status, long incarnation) {
+    if (incarnation < sidecarIncarnation) {
+      return;
+    }
+    sidecarIncarnation = incarnation;
+    hasStatus = true;
+    engineIncarnation = status.engineIncarnation();
+    ready = Set.copyOf(status.ready());
+    isLeavingBySidecar = status.isLeaving();
+    queueDelayMicros = status.queueDelayMicros();
+    unreachableUntilMicros = 0;
+    isDown = false;
+  }
+
+  /** Takes in that the connection is gone; only a new status of the sidecar makes up for it. */
+  void onDown() {
+    isDown = true;
+    hasStatus = false;
+  }
+
+  void onUnreachable(long untilMicros) {
+    unreachableUntilMicros = untilMicros;
+  }
+
+  void eject(long untilMicros) {
+    ejectedUntilMicros = untilMicros;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -0,0 +1,175 @@
+package org.shallothook.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.membership.InstanceRole;
+
+/**
+ * All upstreams and routers that a router knows, from the instance list and the sidecars' word.
+ *
+ * <p>Signals add up: an upstream is offered no new work as soon as one of them says that it is
+ * leaving, and the list cannot take back what the sidecar said.
+ *
+ * <p>Invariant: an instance of the list is known under its name until the list drops it and nothing
+ * is open at it. Not thread-safe.
+ */
+public final class UpstreamDirectory {
+  private final String region;
+  private final long unreachableMicros;
+  private final Map<String, Upstream> upstreams = new LinkedHashMap<>();
+  private List<Instance> routers = List.of();
+  private long listVersion = -1;
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param region region of the router, preferred over others
+   * @param unreachableMicros how long an upstream that does not answer is left alone
+   */
+  public UpstreamDirectory(String region, long unreachableMicros) {
+    this.region = region;
+    this.unreachableMicros = unreachableMicros;
+  }
+
+  /** Returns the version of the list last read, or -1. */
+  public long listVersion() {
+    return listVersion;
+  }
+
+  /** Returns every known upstream. */
+  public Collection<Upstream> all() {
+    return Collections.unmodifiableCollection(upstreams.values());
+  }
+
+  /** Returns the routers of the list. */
+  public List<Instance> routers() {
+    return routers;
+  }
+
+  /** Returns the upstream of that name, if it is known. */
+  public Optional<Upstream> find(String name) {
+    return Optional.ofNullable(upstreams.get(name));
+  }
+
+  /**
+   * Takes in a reading of the list.
+   *
+   * @return upstreams that are new
+   */
+  public List<Upstream> onInstances(InstanceList list) {
+    if (list.version() < listVersion) {
+      return List.of();
+    }
+    listVersion = list.version();
+    List<Instance> newRouters = new ArrayList<>();
+    Map<String, Instance> listed = new LinkedHashMap<>();
+    for (Instance instance : list.instances()) {
+      if (instance.role() == InstanceRole.ROUTER) {
+        newRouters.add(instance);
+      } else if (instance.role().isUpstream()) {
+        listed.put(instance.name(), instance);
+      }
+    }
+    routers = List.copyOf(newRouters);
+    forgetUnlisted(listed);
+    return addListed(listed.values());
+  }
+
+  /** Takes in the state of an upstream, sent by its own sidecar. */
+  public void onStatus(SidecarStatus status, long senderIncarnation) {
+    find(status.upstream()).ifPresent(upstream -> upstream.onStatus(status, senderIncarnation));
+  }
+
+  /** Leaves an upstream alone until its sidecar reports again: there is no connection to it. */
+  public void onDown(String name) {
+    find(name).ifPresent(Upstream::onDown);
+  }
+
+  /** Leaves an upstream alone for a while, because it does not answer or has no engine. */
+  public void onUnreachable(String name, long nowMicros) {
+    find(name).ifPresent(upstream -> upstream.onUnreachable(nowMicros + unreachableMicros));
+  }
+
+  /** Returns the engines that can serve a model version now, those of the own region if any. */
+  public List<Upstream> candidates(ModelVersion modelVersion, long nowMicros) {
+    List<Upstream> usable =
+        select(upstream -> isEngine(upstream) && upstream.isReady(modelVersion), nowMicros);
+    List<Upstream> healthy = usable.stream().filter(one -> !one.isEjected(nowMicros)).toList();
+    return preferRegion(healthy.isEmpty() ? usable : healthy);
+  }
+
+  /** Returns the engines that can serve a model version, ejected or not. */
+  public List<Upstream> peersOf(ModelVersion modelVersion, long nowMicros) {
+    return select(upstream -> isEngine(upstream) && upstream.isReady(modelVersion), nowMicros);
+  }
+
+  /** Returns the instances of a service that take new calls. */
+  public List<Upstream> servers(String service, long nowMicros) {
+    return select(
+        upstream ->
+            upstream.instance().role() == InstanceRole.SERVICE
+                && upstream.instance().service().equals(service),
+        nowMicros);
+  }
+
+  /** Returns whether some upstream that is not leaving has not reported its state yet. */
+  public boolean awaitsStatus() {
+    return listVersion < 0
+        || upstreams.values().stream()
+            .anyMatch(upstream -> !upstream.isLeaving() && !upstream.hasStatus());
+  }
+
+  private List<Upstream> select(Predicate<Upstream> predicate, long nowMicros) {
+    List<Upstream> selected = new ArrayList<>();
+    for (Upstream upstream : upstreams.values()) {
+      if (upstream.isUsable(nowMicros) && predicate.test(upstream)) {
+        selected.add(upstream);
+      }
+    }
+    return selected;
+  }
+
+  private List<Upstream> preferRegion(List<Upstream> candidates) {
+    List<Upstream> near =
+        candidates.stream().filter(one -> one.instance().region().equals(region)).toList();
+    return near.isEmpty() ? candidates : near;
+  }
+
+  private static boolean isEngine(Upstream upstream) {
+    return upstream.instance().role() == InstanceRole.MODEL_ENGINE;
+  }
+
+  private void forgetUnlisted(Map<String, Instance> listed) {
+    for (Upstream upstream : upstreams.values()) {
+      if (!listed.containsKey(upstream.name())) {
+        upstream.onUnlisted();
+      }
+    }
+    upstreams.values().removeIf(one -> !listed.containsKey(one.name()) && one.outstanding() == 0);
+  }
+
+  private List<Upstream> addListed(Collection<Instance> listed) {
+    List<Upstream> added = new ArrayList<>();
+    for (Instance instance : listed) {
+      Upstream known = upstreams.get(instance.name());
+      if (known == null) {
+        Upstream upstream = new Upstream(instance);
+        upstreams.put(instance.name(), upstream);
+        added.add(upstream);
+      } else {
+        known.onListed(instance);
+      }
+    }
+    return added;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/PlannedOffer.java
@@ -0,0 +1,11 @@
+package org.shallothook.coordination.placement;
+
+/**
+ * An upstream that may be offered a request.
+ *
+ * <p>Immutable and thread-safe, but for the state of the candidate.
+ *
+ * @param candidate the upstream
+ * @param rank its rendezvous rank for the prompt's shared opening, 0 for the home
+ */
+public record PlannedOffer(PlacementCandidate candidate, int rank) {}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/TopWeights.java
@@ -0,0 +1,72 @@
+package org.shallothook.coordination.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Keeps the candidates of the greatest weights seen.
+ *
+ * <p>Invariant: entries are in falling order of unsigned weight. Not thread-safe.
+ */
+final class TopWeights {
+  private final PlacementCandidate[] candidates;
+  private final long[] weights;
+  private int size;
+
+  /** Creates a list that keeps up to {@code capacity} candidates. */
+  TopWeights(int capacity) {
+    candidates = new PlacementCandidate[capacity];
+    weights = new long[capacity];
+  }
+
+  /** Adds a candidate unless the list is full of greater weights. */
+  void add(PlacementCandidate candidate, long weight) {
+    if (size == candidates.length) {
+      if (size == 0 || Long.compareUnsigned(weight, weights[size - 1]) <= 0) {
+        return;
+      }
+      size--;
+    }
+    insert(candidate, weight);
+  }
+
+  /** Adds a candidate if it is the best of its failure domain so far, in place of the earlier. */
+  void addOnePerDomain(PlacementCandidate candidate, long weight) {
+    for (int index = 0; index < size; index++) {
+      if (candidates[index].failureDomain().equals(candidate.failureDomain())) {
+        if (Long.compareUnsigned(weight, weights[index]) > 0) {
+          remove(index);
+          insert(candidate, weight);
+        }
+        return;
+      }
+    }
+    add(candidate, weight);
+  }
+
+  /** Returns the kept candidates, greatest weight first. */
+  List<PlacementCandidate> inOrder() {
+    return new ArrayList<>(Arrays.asList(candidates).subList(0, size));
+  }
+
+  private void insert(PlacementCandidate candidate, long weight) {
+    int index = size;
+    while (index > 0 && Long.compareUnsigned(weight, weights[index - 1]) > 0) {
+      candidates[index] = candidates[index - 1];
+      weights[index] = weights[index - 1];
+      index--;
+    }
+    candidates[index] = candidate;
+    weights[index] = weight;
+    size++;
+  }
+
+  private void remove(int index) {
+    for (int next = index + 1; next < size; next++) {
+      candidates[next - 1] = candidates[next];
+      weights[next - 1] = weights[next];
+    }
+    size--;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Reasons, budget and back-off of retries. */
+package org.shallothook.coordination.retry;
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/Admission.java
@@ -0,0 +1,168 @@
+package org.shallothook.coordination.router;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.Set;
+import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.quarantine.Fingerprint;
+import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.state.configuration.ServiceTemplate;
+import org.shallothook.state.configuration.TeamTemplate;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.request.RequestId;
+
+/**
+ * Decides whether a request may be tried at all, before any upstream hears of it.
+ *
+ * <p>Invariant: every refusal made here is truly not run. Not thread-safe.
+ */
+final class Admission {
+  private static final Set<String> ROLES = Set.of("system", "user", "assistant");
+  private static final long OVERLOAD_WAIT_MICROS = 1_000_000;
+
+  private final RouterOptions options;
+  private final ConfigurationReplica configuration;
+  private final RequestBook book;
+  private final PoisonGuard poison;
+  private final PromptRenderer renderer;
+  private final TeamDirectory teams = new TeamDirectory();
+  private boolean isDraining;
+
+  Admission(
+      RouterOptions options,
+      ConfigurationReplica configuration,
+      RequestBook book,
+      PoisonGuard poison) {
+    this.options = options;
+    this.configuration = configuration;
+    this.book = book;
+    this.poison = poison;
+    this.renderer = new PromptRenderer(options.blockBytes());
+  }
+
+  /** Refuses every new request from now on. */
+  void drain() {
+    isDraining = true;
+  }
+
+  boolean isDraining() {
+    return isDraining;
+  }
+
+  /** Returns the team of a key, or the refusal of a request that cannot be taken now. */
+  Either<Refusal, TeamTemplate> authenticate(RequestId request, String key, long nowMicros) {
+    if (isDraining) {
+      return refuse(RefusalReason.ROUTER_LEAVING, "Router " + options.name() + " is leaving.");
+    }
+    Optional<TeamTemplate> team = teams.authenticate(key, configuration.state());
+    if (team.isEmpty()) {
+      return refuse(RefusalReason.UNKNOWN_KEY, "The key belongs to no team.");
+    }
+    if (book.findChat(request).isPresent() || book.findCall(request).isPresent()) {
+      return refuse(RefusalReason.MALFORMED_REQUEST, "The request identifier is in use.");
+    }
+    if (book.size() >= options.maximumOpenRequests()) {
+      return overload(
+          RefusalReason.ROUTER_OVERLOADED, "The router has too many open requests.", nowMicros);
+    }
+    int open = book.openOf(team.get().name());
+    if (open >= team.get().limits().maximumConcurrentRequests()) {
+      return overload(
+          RefusalReason.TEAM_LIMIT, "The team has " + open + " open requests here.", nowMicros);
+    }
+    return Either.right(team.get());
+  }
+
+  /** Returns the exchange of an authenticated request, or its refusal. */
+  Either<Refusal, ChatExchange> admit(
+      RouterEvent.ChatRequested request, TeamTemplate team, long nowMicros) {
+    Optional<Refusal> fault = faultOf(request, team);
+    if (fault.isPresent()) {
+      return Either.left(fault.get());
+    }
+    String tenantText = request.tenant().flatMap(team::tenantText).orElse("");
+    RenderedPrompt prompt = renderer.render(team, tenantText, request.messages());
+    int limit = team.limits().maximumPromptBytes();
+    if (prompt.bytes().length > limit) {
+      return refuse(
+          RefusalReason.BODY_TOO_LARGE,
+          "The prompt has " + prompt.bytes().length + " bytes, the team's limit is " + limit + ".");
+    }
+    String fingerprint = Fingerprint.of(team.name(), prompt.bytes());
+    Optional<Long> until = poison.quarantinedUntil(fingerprint, nowMicros);
+    if (until.isPresent()) {
+      return Either.left(
+          Refusal.notRun(RefusalReason.QUARANTINED, "The request is in quarantine.", until.get()));
+    }
+    long deadline = request.deadlineMicros().orElse(nowMicros + options.firstTokenWaitMicros());
+    if (deadline <= nowMicros) {
+      return refuse(RefusalReason.DEADLINE_PASSED, "The deadline had passed on arrival.");
+    }
+    int outputLimit = team.limits().maximumOutputTokens();
+    return Either.right(
+        new ChatExchange(
+            request.request(),
+            team,
+            prompt,
+            fingerprint,
+            Math.min(outputLimit, request.maximumOutputTokens().orElse(outputLimit)),
+            configuration.state().offset(),
+            nowMicros,
+            deadline));
+  }
+
+  /** Returns the service that an authenticated call may use, or the refusal of the call. */
+  Either<Refusal, ServiceTemplate> admit(RouterEvent.CallRequested call, TeamTemplate team) {
+    Optional<ServiceTemplate> service = team.service(call.service());
+    if (service.isEmpty()) {
+      return refuse(
+          RefusalReason.UNKNOWN_SERVICE,
+          "Team " + team.name() + " may not call service " + call.service() + ".");
+    }
+    boolean hasKey = call.idempotencyKey().filter(key -> !key.isBlank()).isPresent();
+    if (!hasKey && !service.get().isRepeatable(call.path())) {
+      return refuse(
+          RefusalReason.IDEMPOTENCY_KEY_MISSING,
+          "Calls to " + call.service() + "/" + call.path() + " may not be repeated.");
+    }
+    return Either.right(service.get());
+  }
+
+  private static Optional<Refusal> faultOf(RouterEvent.ChatRequested request, TeamTemplate team) {
+    if (!team.modelVersion().model().equals(request.model())) {
+      return Optional.of(
+          Refusal.notRun(
+              RefusalReason.UNKNOWN_MODEL, "The team does not use model " + request.model() + "."));
+    }
+    if (request.messages().isEmpty()) {
+      return Optional.of(malformed("messages must not be empty."));
+    }
+    for (ChatMessage message : request.messages()) {
+      if (!ROLES.contains(message.role())) {
+        return Optional.of(malformed("messages.role must be one of system, user, assistant."));
+      }
+    }
+    Optional<String> tenant = request.tenant();
+    if (tenant.isPresent() && team.tenantText(tenant.get()).isEmpty()) {
+      return Optional.of(malformed("The team has no tenant " + tenant.get() + "."));
+    }
+    if (request.maximumOutputTokens().filter(tokens -> tokens <= 0).isPresent()) {
+      return Optional.of(malformed("The greatest number of tokens must be positive."));
+    }
+    return Optional.empty();
+  }
+
+  private static Refusal malformed(String detail) {
+    return Refusal.notRun(RefusalReason.MALFORMED_REQUEST, detail);
+  }
+
+  private static <T> Either<Refusal, T> refuse(RefusalReason reason, String detail) {
+    return Either.left(Refusal.notRun(reason, detail));
+  }
+
+  private static <T> Either<Refusal, T> overload(
+      RefusalReason reason, String detail, long nowMicros) {
+    return Either.left(Refusal.notRun(reason, detail, nowMicros + OVERLOAD_WAIT_MICROS));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/Attempt.java
@@ -0,0 +1,191 @@
+package org.shallothook.coordination.router;
+
+import java.util.Optional;
+import org.shallothook.coordination.membership.Upstream;
+import org.shallothook.coordination.message.Hint;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * One attempt of a request at one upstream, from the offer to its end.
+ *
+ * <p>Invariant: an ended attempt never changes again. Not thread-safe.
+ */
+final class Attempt {
+
+  /** Where an attempt stands. Immutable and thread-safe. */
+  enum Phase {
+    OFFERED,
+    ACCEPTED,
+    SUBMITTED,
+    ENDED
+  }
+
+  private final AttemptId id;
+  private final Upstream upstream;
+  private final int rank;
+  private final int fromPosition;
+  private final boolean isAlone;
+  private final long offeredAtMicros;
+  private Phase phase = Phase.OFFERED;
+  private Optional<Hint> hint = Optional.empty();
+  private Optional<RefusalReason> refusal = Optional.empty();
+  private long validUntilMicros;
+  private long costMicros;
+  private long submittedAtMicros;
+  private long firstFrameAtMicros;
+  private long lastFrameAtMicros;
+  private int toPosition;
+  private boolean isSampled;
+  private long endedAtMicros;
+  private String end = "open";
+
+  Attempt(
+      AttemptId id,
+      Upstream upstream,
+      int rank,
+      int fromPosition,
+      boolean isAlone,
+      long offeredAtMicros) {
+    this.id = id;
+    this.upstream = upstream;
+    this.rank = rank;
+    this.fromPosition = fromPosition;
+    this.toPosition = fromPosition;
+    this.isAlone = isAlone;
+    this.offeredAtMicros = offeredAtMicros;
+    upstream.onOpened();
+  }
+
+  AttemptId id() {
+    return id;
+  }
+
+  Upstream upstream() {
+    return upstream;
+  }
+
+  int rank() {
+    return rank;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  /** Returns whether the upstream was told to run the request alone. */
+  boolean isAlone() {
+    return isAlone;
+  }
+
+  boolean isOpen() {
+    return phase != Phase.ENDED;
+  }
+
+  boolean is(Phase wanted) {
+    return phase == wanted;
+  }
+
+  Optional<Hint> hint() {
+    return hint;
+  }
+
+  Optional<RefusalReason> refusal() {
+    return refusal;
+  }
+
+  /** Returns when the reservation ends or, after a refusal, when to come back. */
+  long validUntilMicros() {
+    return validUntilMicros;
+  }
+
+  long costMicros() {
+    return costMicros;
+  }
+
+  long offeredAtMicros() {
+    return offeredAtMicros;
+  }
+
+  long submittedAtMicros() {
+    return submittedAtMicros;
+  }
+
+  /** Returns when the first frame came, or 0. */
+  long firstFrameAtMicros() {
+    return firstFrameAtMicros;
+  }
+
+  /** Returns when the latest frame came, or the prompt was sent. */
+  long lastFrameAtMicros() {
+    return Math.max(lastFrameAtMicros, submittedAtMicros);
+  }
+
+  /** Returns whether the wait for the first token has been measured. */
+  boolean isSampled() {
+    return isSampled;
+  }
+
+  void setSampled() {
+    isSampled = true;
+  }
+
+  int tokens() {
+    return toPosition - fromPosition;
+  }
+
+  void onAccepted(Hint acceptedHint, long acceptedUntilMicros, long acceptedCostMicros) {
+    phase = Phase.ACCEPTED;
+    hint = Optional.of(acceptedHint);
+    validUntilMicros = acceptedUntilMicros;
+    costMicros = acceptedCostMicros;
+  }
+
+  void onRefused(RefusalReason reason, Hint refusedHint, long comeBackAtMicros, long nowMicros) {
+    refusal = Optional.of(reason);
+    hint = Optional.of(refusedHint);
+    validUntilMicros = comeBackAtMicros;
+    end("refused: " + reason.code(), nowMicros);
+  }
+
+  void onSubmitted(long nowMicros) {
+    phase = Phase.SUBMITTED;
+    submittedAtMicros = nowMicros;
+  }
+
+  void onFrame(int position, long nowMicros) {
+    if (firstFrameAtMicros == 0) {
+      firstFrameAtMicros = nowMicros;
+    }
+    lastFrameAtMicros = nowMicros;
+    toPosition = position;
+  }
+
+  void end(String why, long nowMicros) {
+    if (phase == Phase.ENDED) {
+      return;
+    }
+    phase = Phase.ENDED;
+    end = why;
+    endedAtMicros = nowMicros;
+    upstream.onClosed();
+  }
+
+  Explanation.AttemptExplanation explain() {
+    return new Explanation.AttemptExplanation(
+        id.number(),
+        upstream.name(),
+        upstream.failureDomain(),
+        rank,
+        isAlone,
+        offeredAtMicros,
+        hint,
+        costMicros,
+        submittedAtMicros,
+        firstFrameAtMicros,
+        fromPosition,
+        toPosition,
+        end,
+        endedAtMicros);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/CallFlow.java
@@ -0,0 +1,217 @@
+package org.shallothook.coordination.router;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.membership.Upstream;
+import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.message.PeerMessage.CallAnswer;
+import org.shallothook.coordination.message.PeerMessage.Failed;
+import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.coordination.retry.RetryReason;
+import org.shallothook.state.configuration.ServiceTemplate;
+import org.shallothook.state.configuration.TeamTemplate;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Takes calls of plain services from admission to their end.
+ *
+ * <p>Repeats of a call meet at the same sidecar as long as the set of servers stays the same; the
+ * sidecars settle the rest.
+ *
+ * <p>Invariant: a call is sent again only if it has not run, or if it may be repeated. Not
+ * thread-safe.
+ */
+final class CallFlow {
+  private static final long COME_BACK_MICROS = 1_000_000;
+
+  private final RouterOptions options;
+  private final RouterOutbox outbox;
+  private final RequestBook book;
+  private final Admission admission;
+  private final UpstreamDirectory directory;
+  private final ConfigurationReplica configuration;
+
+  CallFlow(
+      RouterOptions options,
+      RouterOutbox outbox,
+      RequestBook book,
+      Admission admission,
+      UpstreamDirectory directory,
+      ConfigurationReplica configuration) {
+    this.options = options;
+    this.outbox = outbox;
+    this.book = book;
+    this.admission = admission;
+    this.directory = directory;
+    this.configuration = configuration;
+  }
+
+  void onRequested(RouterEvent.CallRequested request, long nowMicros) {
+    Either<Refusal, TeamTemplate> team =
+        admission.authenticate(request.request(), request.key(), nowMicros);
+    Either<Refusal, ServiceTemplate> service =
+        team.flatMap(template -> admission.admit(request, template));
+    if (service.isLeft()) {
+      String name = team.map(TeamTemplate::name).getOrElse("");
+      book.refuseUnadmitted(
+          request.request(), name, request.service(), service.getLeft(), nowMicros);
+      return;
+    }
+    CallExchange exchange =
+        new CallExchange(
+            request,
+            team.get(),
+            service.get(),
+            orderFor(request, team.get(), nowMicros),
+            configuration.state().offset(),
+            nowMicros,
+            nowMicros + options.callWaitMicros());
+    book.add(exchange);
+    sendNext(exchange, RefusalReason.NO_UPSTREAM, "No server of the service is live.", nowMicros);
+  }
+
+  void onAnswer(CallAnswer answer, long nowMicros) {
+    Optional<CallExchange> exchange = findOpen(answer.attempt());
+    if (exchange.isEmpty()) {
+      options.counters().increment("answers.late");
+      return;
+    }
+    exchange.get().find(answer.attempt()).get().end("answered " + answer.status(), nowMicros);
+    book.complete(
+        exchange.get(),
+        new RouterCommand.AnswerCall(
+            exchange.get().id(), answer.status(), answer.contentType(), answer.body()),
+        nowMicros);
+  }
+
+  void onFailed(Failed failed, long nowMicros) {
+    Optional<CallExchange> found = findOpen(failed.attempt());
+    if (found.isEmpty()) {
+      options.counters().increment("answers.late");
+      return;
+    }
+    CallExchange exchange = found.get();
+    Attempt attempt = exchange.find(failed.attempt()).get();
+    attempt.end("failed: " + failed.reason().code() + " " + failed.detail(), nowMicros);
+    if (failed.outcome() != Outcome.NOT_RUN) {
+      exchange.setMayHaveRun();
+    }
+    if (failed.reason() == RefusalReason.UPSTREAM_LEAVING) {
+      attempt.upstream().onLeaving();
+    }
+    Optional<RetryReason> retry = RetryReason.after(failed.reason(), failed.outcome());
+    if (retry.isEmpty()) {
+      refuse(exchange, failed.reason(), failed.detail(), failed.retryAtMicros(), nowMicros);
+      return;
+    }
+    retry(exchange, retry.get(), failed.reason(), failed.detail(), nowMicros);
+  }
+
+  void onPeerDown(CallExchange exchange, String peer, boolean wasConnected, long nowMicros) {
+    for (Attempt attempt : exchange.openAttempts()) {
+      if (!attempt.upstream().name().equals(peer)) {
+        continue;
+      }
+      attempt.end(wasConnected ? "connection lost" : "unreachable", nowMicros);
+      if (wasConnected) {
+        exchange.setMayHaveRun();
+        retry(
+            exchange,
+            RetryReason.CONNECTION_LOST,
+            RefusalReason.CONNECTION_LOST,
+            "The connection to " + peer + " was lost.",
+            nowMicros);
+      } else {
+        retry(
+            exchange,
+            RetryReason.UPSTREAM_UNREACHABLE,
+            RefusalReason.NO_UPSTREAM,
+            "No connection to " + peer + " could be opened.",
+            nowMicros);
+      }
+    }
+  }
+
+  void onCallerGone(CallExchange exchange, long nowMicros) {
+    book.abandon(exchange, nowMicros);
+  }
+
+  void onTick(CallExchange exchange, long nowMicros) {
+    if (nowMicros < exchange.deadlineMicros()) {
+      return;
+    }
+    exchange.setMayHaveRun();
+    refuse(
+        exchange,
+        RefusalReason.DEADLINE_PASSED,
+        "The service has not answered in time.",
+        nowMicros + COME_BACK_MICROS,
+        nowMicros);
+  }
+
+  private List<Upstream> orderFor(
+      RouterEvent.CallRequested request, TeamTemplate team, long nowMicros) {
+    String affinity = request.idempotencyKey().orElse(request.request().value());
+    long key = RendezvousHash.hashOf(team.name() + "/" + request.service() + "/" + affinity);
+    List<Upstream> servers = new ArrayList<>(directory.servers(request.service(), nowMicros));
+    servers.sort(
+        (first, second) ->
+            Long.compareUnsigned(
+                RendezvousHash.weight(key, second.hash()),
+                RendezvousHash.weight(key, first.hash())));
+    return servers;
+  }
+
+  private void retry(
+      CallExchange exchange,
+      RetryReason reason,
+      RefusalReason otherwise,
+      String detail,
+      long nowMicros) {
+    boolean isSafe = !exchange.mayHaveRun() || exchange.isRepeatable();
+    if (!isSafe || exchange.submissions() >= options.maximumAttempts()) {
+      refuse(exchange, otherwise, detail, nowMicros + COME_BACK_MICROS, nowMicros);
+      return;
+    }
+    options.counters().increment(reason.counter());
+    exchange.addRetry(reason);
+    sendNext(exchange, otherwise, detail, nowMicros);
+  }
+
+  private void sendNext(
+      CallExchange exchange, RefusalReason otherwise, String detail, long nowMicros) {
+    Upstream upstream = exchange.remaining().poll();
+    while (upstream != null && !upstream.isUsable(nowMicros)) {
+      upstream = exchange.remaining().poll();
+    }
+    if (upstream == null) {
+      refuse(exchange, otherwise, detail, nowMicros + COME_BACK_MICROS, nowMicros);
+      return;
+    }
+    Attempt attempt = exchange.open(upstream, exchange.attempts().size(), 0, false, nowMicros);
+    attempt.onSubmitted(nowMicros);
+    outbox.send(upstream.name(), exchange.messageOf(attempt.id()));
+  }
+
+  private void refuse(
+      CallExchange exchange,
+      RefusalReason reason,
+      String detail,
+      long comeBackAtMicros,
+      long nowMicros) {
+    Optional<Long> retryAt =
+        comeBackAtMicros > nowMicros ? Optional.of(comeBackAtMicros) : Optional.empty();
+    book.refuse(exchange, new Refusal(reason, detail, exchange.outcome(), retryAt), nowMicros);
+  }
+
+  private Optional<CallExchange> findOpen(AttemptId id) {
+    return book.findCall(id.request())
+        .filter(call -> call.find(id).filter(Attempt::isOpen).isPresent());
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
@@ -0,0 +1,147 @@
+package org.shallothook.coordination.router;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.shallothook.coordination.placement.PlacementPlan;
+import org.shallothook.coordination.placement.PlannedOffer;
+import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.configuration.TeamTemplate;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RequestId;
+
+/**
+ * An open request for a chat completion.
+ *
+ * <p>Invariant: the cache identity, and with it the model version, is the same for all attempts.
+ * Not thread-safe.
+ */
+final class ChatExchange extends Exchange {
+  private final CacheIdentity identity;
+  private final RenderedPrompt prompt;
+  private final String fingerprint;
+  private final int maximumOutputTokens;
+  private final long configurationOffset;
+  private final StreamAssembler stream = new StreamAssembler();
+  private PlacementPlan plan = new PlacementPlan(List.of(), false);
+  private Deque<PlannedOffer> remaining = new ArrayDeque<>();
+  private int roundStart;
+  private long retryAtMicros;
+  private int consumed;
+  private int reportedConsumed;
+
+  ChatExchange(
+      RequestId id,
+      TeamTemplate team,
+      RenderedPrompt prompt,
+      String fingerprint,
+      int maximumOutputTokens,
+      long configurationOffset,
+      long arrivedAtMicros,
+      long deadlineMicros) {
+    super(id, team, arrivedAtMicros, deadlineMicros);
+    this.identity = team.cacheIdentity();
+    this.prompt = prompt;
+    this.fingerprint = fingerprint;
+    this.maximumOutputTokens = maximumOutputTokens;
+    this.configurationOffset = configurationOffset;
+  }
+
+  CacheIdentity identity() {
+    return identity;
+  }
+
+  RenderedPrompt prompt() {
+    return prompt;
+  }
+
+  String fingerprint() {
+    return fingerprint;
+  }
+
+  int maximumOutputTokens() {
+    return maximumOutputTokens;
+  }
+
+  long configurationOffset() {
+    return configurationOffset;
+  }
+
+  StreamAssembler stream() {
+    return stream;
+  }
+
+  boolean hasBegun() {
+    return stream.position() > 0;
+  }
+
+  PlacementPlan plan() {
+    return plan;
+  }
+
+  /** Starts a round of offers along a plan. */
+  void startRound(PlacementPlan newPlan) {
+    plan = newPlan;
+    remaining = new ArrayDeque<>(newPlan.offers());
+    roundStart = attempts().size();
+    retryAtMicros = 0;
+  }
+
+  /** Returns the upstreams of the plan that have not been offered the request in this round. */
+  Deque<PlannedOffer> remaining() {
+    return remaining;
+  }
+
+  /** Returns the attempts of this round. */
+  List<Attempt> round() {
+    return attempts().subList(roundStart, attempts().size());
+  }
+
+  /** Returns when the next round starts, or 0 while none is due. */
+  long retryAtMicros() {
+    return retryAtMicros;
+  }
+
+  void setRetryAtMicros(long atMicros) {
+    retryAtMicros = atMicros;
+  }
+
+  int consumed() {
+    return consumed;
+  }
+
+  void onConsumed(int position) {
+    consumed = Math.max(consumed, Math.min(position, stream.position()));
+  }
+
+  int unreportedConsumed() {
+    return consumed - reportedConsumed;
+  }
+
+  void onConsumedReported() {
+    reportedConsumed = consumed;
+  }
+
+  @Override
+  Explanation explain(
+      Outcome finalOutcome, Optional<Refusal> refusal, long endedAtMicros, String end) {
+    return new Explanation(
+        id(),
+        team().name(),
+        identity.modelVersion().toString(),
+        arrivedAtMicros(),
+        deadlineMicros(),
+        configurationOffset,
+        prompt.keys().size(),
+        fingerprint,
+        plan.offers().stream().map(offer -> offer.candidate().name()).toList(),
+        explainAttempts(),
+        explainRetries(),
+        finalOutcome,
+        refusal,
+        endedAtMicros,
+        end);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ExplanationRing.java
@@ -0,0 +1,31 @@
+package org.shallothook.coordination.router;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.shallothook.state.request.RequestId;
+
+/**
+ * Explanations of the latest finished requests.
+ *
+ * <p>Invariant: never more than the capacity; the oldest is given up first. Not thread-safe.
+ */
+final class ExplanationRing {
+  private final int capacity;
+  private final Map<RequestId, Explanation> explanations = new LinkedHashMap<>();
+
+  ExplanationRing(int capacity) {
+    this.capacity = capacity;
+  }
+
+  void add(Explanation explanation) {
+    explanations.put(explanation.request(), explanation);
+    if (explanations.size() > capacity) {
+      explanations.remove(explanations.keySet().iterator().next());
+    }
+  }
+
+  Optional<Explanation> find(RequestId request) {
+    return Optional.ofNullable(explanations.get(request));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -0,0 +1,268 @@
+package org.shallothook.coordination.router;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.shallothook.coordination.membership.Upstream;
+import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.message.Hint;
+import org.shallothook.coordination.message.PeerMessage.Cancel;
+import org.shallothook.coordination.message.PeerMessage.Offer;
+import org.shallothook.coordination.message.PeerMessage.OfferReply;
+import org.shallothook.coordination.message.PeerMessage.Submit;
+import org.shallothook.coordination.placement.HintScore;
+import org.shallothook.coordination.placement.PlacementCandidate;
+import org.shallothook.coordination.placement.PlacementPlan;
+import org.shallothook.coordination.placement.PlacementQuery;
+import org.shallothook.coordination.placement.PlannedOffer;
+import org.shallothook.coordination.placement.SpreadCache;
+import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Offers a request to upstreams one after the other until one of them is good enough.
+ *
+ * <p>One upstream is asked first, two where the first is believed to be busy. A poor hint is a
+ * reason to ask the next while the place is kept; the best of up to {@link #MAXIMUM_PROBES} gets
+ * the prompt and the others are cancelled.
+ *
+ * <p>Invariant: at most one attempt of a request holds its prompt. Not thread-safe.
+ */
+final class OfferRounds {
+  /** Greatest number of places kept for a request at once. */
+  static final int MAXIMUM_PROBES = 3;
+
+  private static final long SPREAD_VALIDITY_MICROS = 10_000_000;
+  private static final long FAR_MICROS = 2_000;
+  private static final int UNANSWERED_IN_A_ROW = 3;
+
+  /** How a step of a round has ended. Immutable and thread-safe. */
+  enum Progress {
+    /** The prompt was sent. */
+    SUBMITTED,
+    /** An answer is awaited. */
+    WAITING,
+    /** Every upstream of the plan has refused, or not answered. */
+    EXHAUSTED,
+    /** No upstream can serve the model version. */
+    NO_CANDIDATE
+  }
+
+  private final RouterOptions options;
+  private final RouterOutbox outbox;
+  private final UpstreamDirectory directory;
+  private final PoisonGuard poison;
+  private final SplittableRandom random;
+  private final HintScore score;
+  private final SpreadCache spreads = new SpreadCache(SPREAD_VALIDITY_MICROS);
+  private long sequence;
+
+  OfferRounds(
+      RouterOptions options,
+      RouterOutbox outbox,
+      UpstreamDirectory directory,
+      PoisonGuard poison,
+      SplittableRandom random) {
+    this.options = options;
+    this.outbox = outbox;
+    this.directory = directory;
+    this.poison = poison;
+    this.random = random;
+    this.score =
+        new HintScore(options.recomputeMicrosPerBlock(), FAR_MICROS, options.poorHintMicros());
+  }
+
+  /** Starts a round of offers. */
+  Progress begin(ChatExchange exchange, long nowMicros) {
+    List<Upstream> candidates = candidatesOf(exchange, nowMicros);
+    if (candidates.isEmpty()) {
+      return Progress.NO_CANDIDATE;
+    }
+    PlacementPlan plan =
+        options
+            .placement()
+            .plan(
+                new PlacementQuery(
+                    candidates,
+                    exchange.prompt().levels(),
+                    level -> spreads.spreadOf(level, nowMicros),
+                    sequence++,
+                    random.nextLong()));
+    exchange.startRound(plan);
+    offerNext(exchange, nowMicros);
+    if (plan.comparesHints() && isBelievedBusy(plan)) {
+      offerNext(exchange, nowMicros);
+    }
+    return Progress.WAITING;
+  }
+
+  /** Takes in the answer to an open offer. */
+  Progress onReply(ChatExchange exchange, Attempt attempt, OfferReply reply, long nowMicros) {
+    Upstream upstream = attempt.upstream();
+    upstream.onAnswered();
+    upstream.onQueueDelay(reply.hint().queueDelayMicros());
+    if (attempt.rank() == 0) {
+      spreads.learn(exchange.prompt().levels(), reply.hint(), nowMicros);
+    }
+    if (reply.refusal().isPresent()) {
+      onRefused(exchange, attempt, reply, nowMicros);
+    } else {
+      attempt.onAccepted(
+          reply.hint(), reply.validUntilMicros(), costOf(exchange, upstream, reply.hint()));
+    }
+    return advance(exchange, nowMicros);
+  }
+
+  /** Gives up offers that were not answered in time, and goes on. */
+  Progress onTick(ChatExchange exchange, long nowMicros) {
+    boolean hasChanged = false;
+    for (Attempt attempt : exchange.round()) {
+      long latest = attempt.offeredAtMicros() + options.offerWaitMicros();
+      if (attempt.is(Attempt.Phase.OFFERED) && nowMicros >= latest) {
+        onUnanswered(attempt, nowMicros);
+        hasChanged = true;
+      }
+    }
+    return hasChanged ? advance(exchange, nowMicros) : Progress.WAITING;
+  }
+
+  /** Goes on after an attempt of the round has ended. */
+  Progress advance(ChatExchange exchange, long nowMicros) {
+    dropExpired(exchange, nowMicros);
+    Optional<Attempt> best = bestOf(exchange);
+    boolean isAwaiting = exchange.round().stream().anyMatch(one -> one.is(Attempt.Phase.OFFERED));
+    if (best.isPresent() && isGoodEnough(exchange, best.get())) {
+      submit(exchange, best.get(), nowMicros);
+      return Progress.SUBMITTED;
+    }
+    if (isAwaiting) {
+      return Progress.WAITING;
+    }
+    if (canProbe(exchange, best) && offerNext(exchange, nowMicros)) {
+      return Progress.WAITING;
+    }
+    if (best.isPresent()) {
+      submit(exchange, best.get(), nowMicros);
+      return Progress.SUBMITTED;
+    }
+    return Progress.EXHAUSTED;
+  }
+
+  /** Cancels an open attempt. */
+  void cancel(Attempt attempt, String why, long nowMicros) {
+    if (attempt.isOpen()) {
+      outbox.send(attempt.upstream().name(), new Cancel(attempt.id()));
+      attempt.end(why, nowMicros);
+    }
+  }
+
+  private List<Upstream> candidatesOf(ChatExchange exchange, long nowMicros) {
+    List<Upstream> all = directory.candidates(exchange.identity().modelVersion(), nowMicros);
+    List<Upstream> untried = all.stream().filter(one -> !exchange.hasTried(one)).toList();
+    return untried.isEmpty() ? all : untried;
+  }
+
+  private boolean isBelievedBusy(PlacementPlan plan) {
+    PlacementCandidate first = plan.offers().get(0).candidate();
+    return first.queueDelayMicros() > options.poorHintMicros();
+  }
+
+  private boolean offerNext(ChatExchange exchange, long nowMicros) {
+    PlannedOffer next = exchange.remaining().poll();
+    if (next == null) {
+      return false;
+    }
+    Upstream upstream = (Upstream) next.candidate();
+    boolean isSuspect = poison.isSuspect(exchange.fingerprint(), nowMicros);
+    Attempt attempt =
+        exchange.open(upstream, next.rank(), exchange.stream().position(), isSuspect, nowMicros);
+    outbox.send(upstream.name(), messageOf(exchange, attempt, nowMicros));
+    return true;
+  }
+
+  private Offer messageOf(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    long deadline =
+        exchange.hasBegun()
+            ? nowMicros + options.firstTokenWaitMicros()
+            : exchange.deadlineMicros();
+    return new Offer(
+        attempt.id(),
+        exchange.identity(),
+        exchange.team().priority(),
+        exchange.prompt().keys(),
+        exchange.prompt().bytes().length,
+        exchange.maximumOutputTokens(),
+        deadline,
+        exchange.stream().position(),
+        exchange.fingerprint(),
+        attempt.isAlone(),
+        attempt.rank());
+  }
+
+  private void onRefused(ChatExchange exchange, Attempt attempt, OfferReply reply, long nowMicros) {
+    RefusalReason reason = reply.refusal().get();
+    options.counters().increment("offers.refused." + reason.code());
+    attempt.onRefused(reason, reply.hint(), reply.validUntilMicros(), nowMicros);
+    switch (reason) {
+      case UPSTREAM_LEAVING -> attempt.upstream().onLeaving();
+      case WRONG_VERSION -> attempt.upstream().onNotReady(exchange.identity().modelVersion());
+      case NO_UPSTREAM -> directory.onUnreachable(attempt.upstream().name(), nowMicros);
+      default -> {}
+    }
+  }
+
+  private void onUnanswered(Attempt attempt, long nowMicros) {
+    options.counters().increment("offers.unanswered");
+    cancel(attempt, "unanswered", nowMicros);
+    if (attempt.upstream().onUnanswered() >= UNANSWERED_IN_A_ROW) {
+      directory.onUnreachable(attempt.upstream().name(), nowMicros);
+    }
+  }
+
+  private void dropExpired(ChatExchange exchange, long nowMicros) {
+    for (Attempt attempt : exchange.round()) {
+      if (attempt.is(Attempt.Phase.ACCEPTED) && attempt.validUntilMicros() < nowMicros) {
+        cancel(attempt, "reservation expired", nowMicros);
+      }
+    }
+  }
+
+  private Optional<Attempt> bestOf(ChatExchange exchange) {
+    Attempt best = null;
+    for (Attempt attempt : exchange.round()) {
+      boolean isBetter = best == null || attempt.costMicros() < best.costMicros();
+      if (attempt.is(Attempt.Phase.ACCEPTED) && isBetter) {
+        best = attempt;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean isGoodEnough(ChatExchange exchange, Attempt attempt) {
+    return !exchange.plan().comparesHints()
+        || !score.isPoor(attempt.hint().orElse(Hint.NONE), exchange.prompt().expectedBlocks());
+  }
+
+  private static boolean canProbe(ChatExchange exchange, Optional<Attempt> best) {
+    long places = exchange.round().stream().filter(one -> one.is(Attempt.Phase.ACCEPTED)).count();
+    return best.isEmpty() || places < MAXIMUM_PROBES;
+  }
+
+  private long costOf(ChatExchange exchange, Upstream upstream, Hint hint) {
+    boolean isNear = upstream.failureDomain().equals(options.failureDomain());
+    return score.costMicros(hint, exchange.prompt().keys().size(), isNear);
+  }
+
+  private void submit(ChatExchange exchange, Attempt chosen, long nowMicros) {
+    for (Attempt attempt : exchange.openAttempts()) {
+      if (attempt != chosen) {
+        options.counters().increment("offers.not-chosen");
+        cancel(attempt, "not chosen", nowMicros);
+      }
+    }
+    chosen.onSubmitted(nowMicros);
+    outbox.send(
+        chosen.upstream().name(),
+        new Submit(chosen.id(), exchange.prompt().text(), exchange.stream().text()));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RequestBook.java
@@ -0,0 +1,129 @@
+package org.shallothook.coordination.router;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RequestId;
+
+/**
+ * All open requests, and the explanations of the latest finished ones.
+ *
+ * <p>Invariant: a request ends once, with exactly one answer unless its caller is gone. Not
+ * thread-safe.
+ */
+final class RequestBook {
+  private final RouterOutbox outbox;
+  private final Counters counters;
+  private final ExplanationRing ring;
+  private final Map<RequestId, Exchange> open = new LinkedHashMap<>();
+  private final Map<String, Integer> openByTeam = new HashMap<>();
+
+  RequestBook(RouterOutbox outbox, RouterOptions options) {
+    this.outbox = outbox;
+    this.counters = options.counters();
+    this.ring = new ExplanationRing(options.explanations());
+  }
+
+  void add(Exchange exchange) {
+    open.put(exchange.id(), exchange);
+    openByTeam.merge(exchange.team().name(), 1, Integer::sum);
+  }
+
+  int size() {
+    return open.size();
+  }
+
+  int openOf(String team) {
+    return openByTeam.getOrDefault(team, 0);
+  }
+
+  /** Returns a copy that stays the same while requests end. */
+  List<Exchange> all() {
+    return List.copyOf(open.values());
+  }
+
+  Optional<ChatExchange> findChat(RequestId request) {
+    return open.get(request) instanceof ChatExchange chat ? Optional.of(chat) : Optional.empty();
+  }
+
+  Optional<CallExchange> findCall(RequestId request) {
+    return open.get(request) instanceof CallExchange call ? Optional.of(call) : Optional.empty();
+  }
+
+  Optional<Explanation> explain(RequestId request) {
+    Exchange exchange = open.get(request);
+    if (exchange == null) {
+      return ring.find(request);
+    }
+    return Optional.of(exchange.explain(exchange.outcome(), Optional.empty(), 0, "open"));
+  }
+
+  /** Refuses a request that was never admitted. */
+  void refuseUnadmitted(
+      RequestId request, String team, String target, Refusal refusal, long nowMicros) {
+    ring.add(
+        new Explanation(
+            request,
+            team,
+            target,
+            nowMicros,
+            0,
+            0,
+            0,
+            "",
+            List.of(),
+            List.of(),
+            List.of(),
+            refusal.outcome(),
+            Optional.of(refusal),
+            nowMicros,
+            endOf(refusal)));
+    answer(request, refusal);
+  }
+
+  /** Ends an open request with a refusal. */
+  void refuse(Exchange exchange, Refusal refusal, long nowMicros) {
+    close(exchange, refusal.outcome(), Optional.of(refusal), nowMicros, endOf(refusal));
+    answer(exchange.id(), refusal);
+  }
+
+  /** Ends an open request with its whole answer, given as a command. */
+  void complete(Exchange exchange, RouterCommand answer, long nowMicros) {
+    close(exchange, Outcome.DONE, Optional.empty(), nowMicros, "complete");
+    counters.increment("requests.complete");
+    outbox.emit(answer);
+  }
+
+  /** Ends an open request whose caller no longer listens. */
+  void abandon(Exchange exchange, long nowMicros) {
+    close(exchange, exchange.outcome(), Optional.empty(), nowMicros, "caller gone");
+    counters.increment("refusals.caller-gone");
+  }
+
+  private void answer(RequestId request, Refusal refusal) {
+    counters.increment("refusals." + refusal.reason().code());
+    outbox.refuse(request, refusal);
+  }
+
+  private void close(
+      Exchange exchange, Outcome outcome, Optional<Refusal> refusal, long nowMicros, String end) {
+    if (open.remove(exchange.id()) == null) {
+      throw new IllegalStateException("Request " + exchange.id() + " has ended before.");
+    }
+    openByTeam.computeIfPresent(
+        exchange.team().name(), (team, count) -> count == 1 ? null : count - 1);
+    for (Attempt attempt : exchange.openAttempts()) {
+      attempt.end(end, nowMicros);
+    }
+    ring.add(exchange.explain(outcome, refusal, nowMicros, end));
+  }
+
+  private static String endOf(Refusal refusal) {
+    return "refused: " + refusal.reason().code();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RetryDesk.java
@@ -0,0 +1,86 @@
+package org.shallothook.coordination.router;
+
+import java.util.SplittableRandom;
+import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.retry.Backoff;
+import org.shallothook.coordination.retry.RetryBudget;
+import org.shallothook.coordination.retry.RetryReason;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Decides whether and when a request is tried again.
+ *
+ * <p>Invariant: attempts of a request, retries of a request and the retries of the router that
+ * spend the budget are bounded. Not thread-safe.
+ */
+final class RetryDesk {
+  private static final int MAXIMUM_RETRIES = 8;
+  private static final long BACKOFF_BASE_MICROS = 20_000;
+  private static final long BACKOFF_MAXIMUM_MICROS = 1_000_000;
+  private static final long BUDGET_WINDOW_MICROS = 10_000_000;
+  private static final long CANDIDATE_WAIT_MICROS = 2_000_000;
+  private static final long CANDIDATE_RETRY_MICROS = 40_000;
+
+  /** What becomes of a request whose attempt has failed. Immutable and thread-safe. */
+  enum Decision {
+    NOW,
+    LATER,
+    EXHAUSTED,
+    BUDGET_EMPTY
+  }
+
+  private final RouterOptions options;
+  private final UpstreamDirectory directory;
+  private final RetryBudget budget;
+  private final Backoff backoff;
+
+  RetryDesk(RouterOptions options, UpstreamDirectory directory, SplittableRandom random) {
+    this.options = options;
+    this.directory = directory;
+    this.budget =
+        new RetryBudget(options.retryShare(), options.retryMinimum(), BUDGET_WINDOW_MICROS);
+    this.backoff = new Backoff(BACKOFF_BASE_MICROS, BACKOFF_MAXIMUM_MICROS, random);
+  }
+
+  /** Returns whether a refusal means that work is too much, so that retries make it worse. */
+  static boolean isOverload(RefusalReason reason) {
+    return reason == RefusalReason.QUEUE_FULL || reason == RefusalReason.DEADLINE_UNREACHABLE;
+  }
+
+  void onSuccess(long nowMicros) {
+    budget.onSuccess(nowMicros);
+  }
+
+  /** Decides on a retry and, where it is due later, notes when. */
+  Decision request(ChatExchange exchange, RetryReason reason, long nowMicros) {
+    boolean isExhausted =
+        exchange.submissions() >= options.maximumAttempts()
+            || exchange.retries().size() >= MAXIMUM_RETRIES;
+    if (isExhausted) {
+      return Decision.EXHAUSTED;
+    }
+    if (reason.spendsBudget() && !budget.tryRetry(nowMicros)) {
+      return Decision.BUDGET_EMPTY;
+    }
+    options.counters().increment(reason.counter());
+    exchange.addRetry(reason);
+    int retry = exchange.retries().size();
+    if (retry == 1 && reason != RetryReason.OFFER_UNANSWERED) {
+      return Decision.NOW;
+    }
+    exchange.setRetryAtMicros(backoff.retryAtMicros(retry, nowMicros));
+    return Decision.LATER;
+  }
+
+  /** Returns whether an upstream for the request may still become known. */
+  boolean mayWaitForCandidate(ChatExchange exchange, long nowMicros) {
+    boolean isEarly = nowMicros < exchange.arrivedAtMicros() + CANDIDATE_WAIT_MICROS;
+    return isEarly && directory.awaitsStatus();
+  }
+
+  /** Notes that the request is placed again soon, when more upstreams may be known. */
+  void scheduleWait(ChatExchange exchange, long nowMicros) {
+    options.counters().increment(RetryReason.NO_CANDIDATE.counter());
+    exchange.setRetryAtMicros(nowMicros + CANDIDATE_RETRY_MICROS);
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -1,27 +1,83 @@
 package org.shallothook.coordination.router;
 
+import io.vavr.control.Either;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.shallothook.coordination.configuration.ConfigurationOptions;
+import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.state.configuration.TeamTemplate;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.request.RequestId;
 
 /**
  * All decisions of a router behind one entrance.
  *
+ * <pre>{@code
+ * RouterCore core = new RouterCore(RouterOptions.builder().name("router-1").build(), commands::add);
+ * core.handle(new RouterEvent.Tick(), nowMicros);
+ * }</pre>
+ *
  * <p>Invariant: the same events at the same times give the same commands. Not thread-safe: one
- * decision thread owns it.
+ * decision thread owns it, queries included.
  */
 public final class RouterCore {
   /** Longest time between two ticks, in microseconds. */
-  public static final long TICK_INTERVAL_MICROS = 50_000;
+  public static final long TICK_INTERVAL_MICROS = 20_000;
+
+  private static final long UNREACHABLE_MICROS = 1_000_000;
+  private static final long CONFIGURATION_COME_BACK_MICROS = 1_000_000;
 
-  private final Consumer<RouterCommand> commands;
+  private final RouterOptions options;
+  private final RouterOutbox outbox;
+  private final ConfigurationReplica configuration;
+  private final UpstreamDirectory directory;
+  private final FleetWatch fleet;
+  private final PoisonGuard poison;
+  private final RequestBook book;
+  private final Admission admission;
+  private final ChatFlow chats;
+  private final CallFlow calls;
+  private final ParkedRequests parked = new ParkedRequests();
+  private boolean isDrained;
+  private long latestMicros;
 
   /**
-   * Creates a core.
+   * Creates a core that knows neither configuration nor peers.
    *
+   * @param options settings
    * @param commands sink that takes each command in order
    */
-  public RouterCore(Consumer<RouterCommand> commands) {
-    this.commands = Objects.requireNonNull(commands, "commands");
+  public RouterCore(RouterOptions options, Consumer<RouterCommand> commands) {
+    this.options = Objects.requireNonNull(options, "options");
+    SplittableRandom random = new SplittableRandom(options.seed());
+    outbox = new RouterOutbox(commands);
+    configuration = new ConfigurationReplica(outbox, ConfigurationOptions.ofRouter(options.name()));
+    outbox.setConfigurationOffset(() -> configuration.state().offset());
+    directory = new UpstreamDirectory(options.region(), UNREACHABLE_MICROS);
+    fleet = new FleetWatch(options, outbox, directory, random.split());
+    poison =
+        new PoisonGuard(
+            outbox,
+            options.counters(),
+            this::otherRouters,
+            random.split(),
+            options.quarantineMicros());
+    book = new RequestBook(outbox, options);
+    admission = new Admission(options, configuration, book, poison);
+    OfferRounds rounds = new OfferRounds(options, outbox, directory, poison, random.split());
+    RetryDesk retries = new RetryDesk(options, directory, random.split());
+    SlownessWatch slowness = new SlownessWatch(options, directory);
+    chats = new ChatFlow(options, outbox, book, admission, rounds, retries, poison, slowness);
+    calls = new CallFlow(options, outbox, book, admission, directory, configuration);
   }
 
   /**
@@ -31,8 +87,214 @@
    * @param nowMicros time of the event, in microseconds since the epoch; never decreases
    */
   public void handle(RouterEvent event, long nowMicros) {
-    if (event instanceof RouterEvent.DrainRequested) {
-      commands.accept(new RouterCommand.Drained());
+    latestMicros = nowMicros;
+    if (isRequest(event)) {
+      onRequest(event, nowMicros);
+    } else {
+      react(event, nowMicros);
+      releaseParked(nowMicros);
+    }
+    announceDrained();
+  }
+
+  /** Returns whether the router has drained. */
+  public boolean isDrained() {
+    return isDrained;
+  }
+
+  /** Returns what the router believes and does, as of the latest event. */
+  public RouterStatus status() {
+    return new RouterStatus(
+        options.name(),
+        options.incarnation(),
+        configuration.state().offset(),
+        configuration.isBehind(),
+        admission.isDraining(),
+        book.size(),
+        poison.quarantined(),
+        directory.listVersion(),
+        directory.all().stream()
+            .map(upstream -> RouterStatus.UpstreamView.of(upstream, latestMicros))
+            .toList());
+  }
+
+  /** Returns why a request, open or recently finished, was decided as it was. */
+  public Optional<Explanation> explain(RequestId request) {
+    return book.explain(request);
+  }
+
+  private static boolean isRequest(RouterEvent event) {
+    return event instanceof RouterEvent.ChatRequested
+        || event instanceof RouterEvent.CallRequested
+        || event instanceof RouterEvent.ModelsRequested;
+  }
+
+  private void onRequest(RouterEvent event, long nowMicros) {
+    if (!configuration.isBehind() || admission.isDraining()) {
+      admit(event, nowMicros);
+    } else if (!parked.add(event, nowMicros)) {
+      refuseBehind(event, nowMicros);
+    }
+  }
+
+  private void admit(RouterEvent event, long nowMicros) {
+    if (event instanceof RouterEvent.ChatRequested chat) {
+      chats.onRequested(chat, nowMicros);
+    } else if (event instanceof RouterEvent.CallRequested call) {
+      calls.onRequested(call, nowMicros);
+    } else if (event instanceof RouterEvent.ModelsRequested models) {
+      onModelsRequested(models, nowMicros);
+    }
+  }
+
+  private void react(RouterEvent event, long nowMicros) {
+    if (event instanceof RouterEvent.PeerMessageReceived received) {
+      onEnvelope(received.envelope(), nowMicros);
+    } else if (event instanceof RouterEvent.Tick) {
+      onTick(nowMicros);
+    } else if (event instanceof RouterEvent.CallerConsumed consumed) {
+      chats.onConsumed(consumed);
+    } else if (event instanceof RouterEvent.CallerGone gone) {
+      onCallerGone(gone.request(), nowMicros);
+    } else if (event instanceof RouterEvent.PeerUnreachable unreachable) {
+      onPeerDown(unreachable.peer(), false, nowMicros);
+    } else if (event instanceof RouterEvent.PeerLost lost) {
+      onPeerDown(lost.peer(), true, nowMicros);
+    } else if (event instanceof RouterEvent.InstancesRead read) {
+      fleet.onInstances(read.list(), nowMicros);
+      configuration.retainPeers(fleet.peerNames());
+    } else if (event instanceof RouterEvent.DrainRequested) {
+      admission.drain();
+    } else {
+      onLogEvent(event, nowMicros);
+    }
+  }
+
+  private void onLogEvent(RouterEvent event, long nowMicros) {
+    if (event instanceof RouterEvent.LogRead read) {
+      configuration.onLogRead(read.page(), nowMicros);
+      poison.onLogRead(read.page(), nowMicros);
+    } else if (event instanceof RouterEvent.LogReadFailed failed) {
+      configuration.onLogReadFailed(failed.stream(), nowMicros);
+    } else if (event instanceof RouterEvent.LogAppended appended) {
+      poison.onAppended(appended.token());
+    } else if (event instanceof RouterEvent.LogAppendFailed failed) {
+      poison.onAppendFailed(failed.token(), nowMicros);
+    }
+  }
+
+  private void onEnvelope(Envelope envelope, long nowMicros) {
+    configuration.onEnvelope(envelope, nowMicros);
+    PeerMessage message = envelope.message();
+    if (message instanceof PeerMessage.Tokens tokens) {
+      chats.onTokens(tokens, nowMicros);
+    } else if (message instanceof PeerMessage.OfferReply reply) {
+      chats.onReply(reply, nowMicros);
+    } else if (message instanceof PeerMessage.Ended ended) {
+      chats.onEnded(ended, nowMicros);
+    } else if (message instanceof PeerMessage.Failed failed) {
+      onFailed(failed, nowMicros);
+    } else if (message instanceof PeerMessage.CallAnswer answer) {
+      calls.onAnswer(answer, nowMicros);
+    } else if (message instanceof PeerMessage.SidecarStatus status) {
+      directory.onStatus(status, envelope.senderIncarnation());
+    } else if (message instanceof PeerMessage.Quarantine quarantine) {
+      poison.onMessage(quarantine, nowMicros);
     }
   }
+
+  private void onFailed(PeerMessage.Failed failed, long nowMicros) {
+    if (book.findCall(failed.attempt().request()).isPresent()) {
+      calls.onFailed(failed, nowMicros);
+    } else {
+      chats.onFailed(failed, nowMicros);
+    }
+  }
+
+  private void onTick(long nowMicros) {
+    configuration.onTick(nowMicros);
+    fleet.onTick(nowMicros);
+    poison.onTick(nowMicros);
+    for (Exchange exchange : book.all()) {
+      if (exchange instanceof ChatExchange chat) {
+        chats.onTick(chat, nowMicros);
+      } else if (exchange instanceof CallExchange call) {
+        calls.onTick(call, nowMicros);
+      }
+    }
+  }
+
+  private void onPeerDown(String peer, boolean wasConnected, long nowMicros) {
+    directory.onDown(peer);
+    for (Exchange exchange : book.all()) {
+      if (exchange instanceof ChatExchange chat) {
+        chats.onPeerDown(chat, peer, wasConnected, nowMicros);
+      } else if (exchange instanceof CallExchange call) {
+        calls.onPeerDown(call, peer, wasConnected, nowMicros);
+      }
+    }
+  }
+
+  private void onCallerGone(RequestId request, long nowMicros) {
+    parked.remove(request);
+    book.findChat(request).ifPresent(chat -> chats.onCallerGone(chat, nowMicros));
+    book.findCall(request).ifPresent(call -> calls.onCallerGone(call, nowMicros));
+  }
+
+  private void onModelsRequested(RouterEvent.ModelsRequested models, long nowMicros) {
+    Either<Refusal, TeamTemplate> team =
+        admission.authenticate(models.request(), models.key(), nowMicros);
+    if (team.isLeft()) {
+      book.refuseUnadmitted(models.request(), "", "models", team.getLeft(), nowMicros);
+      return;
+    }
+    outbox.emit(
+        new RouterCommand.AnswerModels(
+            models.request(), List.of(team.get().modelVersion().model())));
+  }
+
+  private void releaseParked(long nowMicros) {
+    if (parked.isEmpty()) {
+      return;
+    }
+    boolean isReady = !configuration.isBehind() || admission.isDraining();
+    Optional<RouterEvent> next = isReady ? parked.poll() : parked.pollExpired(nowMicros);
+    while (next.isPresent()) {
+      if (isReady) {
+        admit(next.get(), nowMicros);
+      } else {
+        refuseBehind(next.get(), nowMicros);
+      }
+      next = isReady ? parked.poll() : parked.pollExpired(nowMicros);
+    }
+  }
+
+  private void refuseBehind(RouterEvent event, long nowMicros) {
+    ParkedRequests.requestOf(event)
+        .ifPresent(
+            request ->
+                book.refuseUnadmitted(
+                    request,
+                    "",
+                    "",
+                    Refusal.notRun(
+                        RefusalReason.CONFIGURATION_BEHIND,
+                        "The router does not have the latest configuration yet.",
+                        nowMicros + CONFIGURATION_COME_BACK_MICROS),
+                    nowMicros));
+  }
+
+  private void announceDrained() {
+    if (admission.isDraining() && book.size() == 0 && !isDrained) {
+      isDrained = true;
+      outbox.emit(new RouterCommand.Drained());
+    }
+  }
+
+  private List<String> otherRouters() {
+    return directory.routers().stream()
+        .map(Instance::name)
+        .filter(name -> !name.equals(options.name()))
+        .toList();
+  }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterOutbox.java
@@ -0,0 +1,57 @@
+package org.shallothook.coordination.router;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RequestId;
+
+/**
+ * Turns decisions into commands.
+ *
+ * <p>Invariant: every message carries the offset in force when it is sent, and no token is used
+ * twice. Not thread-safe.
+ */
+final class RouterOutbox implements Outbox {
+  private final Consumer<RouterCommand> commands;
+  private LongSupplier configurationOffset = () -> 0;
+  private long nextToken = 1;
+
+  /** Creates an outbox before the given sink. */
+  RouterOutbox(Consumer<RouterCommand> commands) {
+    this.commands = commands;
+  }
+
+  /** Sets where the offset of messages comes from. */
+  void setConfigurationOffset(LongSupplier offset) {
+    configurationOffset = offset;
+  }
+
+  @Override
+  public void send(String peer, PeerMessage message) {
+    emit(new RouterCommand.SendToPeer(peer, message, configurationOffset.getAsLong()));
+  }
+
+  @Override
+  public void readLog(String stream, long fromOffset) {
+    emit(new RouterCommand.ReadLog(stream, fromOffset));
+  }
+
+  @Override
+  public long appendLog(String stream, String payload) {
+    long token = nextToken++;
+    emit(new RouterCommand.AppendLog(token, stream, payload));
+    return token;
+  }
+
+  /** Ends a request with a refusal. */
+  void refuse(RequestId request, Refusal refusal) {
+    emit(new RouterCommand.Refuse(request, refusal));
+  }
+
+  /** Passes on any other command. */
+  void emit(RouterCommand command) {
+    commands.accept(command);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterStatus.java
@@ -0,0 +1,82 @@
+package org.shallothook.coordination.router;
+
+import java.util.List;
+import org.shallothook.coordination.membership.Upstream;
+
+/**
+ * What a router believes and does at one moment, for operators.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param name name of the router
+ * @param incarnation incarnation of its process
+ * @param configurationOffset offset below which it has the configuration in force
+ * @param isBehind whether it has heard of a later offset, or of none yet
+ * @param isDraining whether it takes no new requests
+ * @param openRequests number of open requests
+ * @param quarantined number of requests in quarantine
+ * @param instanceListVersion version of the instance list last read, or -1
+ * @param upstreams every known upstream
+ */
+public record RouterStatus(
+    String name,
+    long incarnation,
+    long configurationOffset,
+    boolean isBehind,
+    boolean isDraining,
+    int openRequests,
+    int quarantined,
+    long instanceListVersion,
+    List<UpstreamView> upstreams) {
+  public RouterStatus {
+    upstreams = List.copyOf(upstreams);
+  }
+
+  /**
+   * What a router believes of one upstream.
+   *
+   * <p>Immutable and thread-safe.
+   *
+   * @param name name of the upstream
+   * @param failureDomain its failure domain
+   * @param state {@code ready}, {@code unreported}, {@code leaving}, {@code unreachable} or {@code
+   *     ejected}
+   * @param engineIncarnation incarnation of its engine or service, empty while unknown
+   * @param outstanding requests that this router has open there
+   * @param queueDelayMicros queue delay last reported, in microseconds
+   * @param ejectedUntilMicros end of its latest ejection, 0 if there was none
+   */
+  public record UpstreamView(
+      String name,
+      String failureDomain,
+      String state,
+      String engineIncarnation,
+      int outstanding,
+      long queueDelayMicros,
+      long ejectedUntilMicros) {
+
+    static UpstreamView of(Upstream upstream, long nowMicros) {
+      return new UpstreamView(
+          upstream.name(),
+          upstream.failureDomain(),
+          stateOf(upstream, nowMicros),
+          upstream.engineIncarnation(),
+          upstream.outstanding(),
+          upstream.queueDelayMicros(),
+          upstream.ejectedUntilMicros());
+    }
+
+    private static String stateOf(Upstream upstream, long nowMicros) {
+      if (upstream.isLeaving()) {
+        return "leaving";
+      }
+      if (upstream.isUnreachable(nowMicros)) {
+        return "unreachable";
+      }
+      if (upstream.isEjected(nowMicros)) {
+        return "ejected";
+      }
+      return upstream.hasStatus() ? "ready" : "unreported";
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
@@ -0,0 +1,85 @@
+package org.shallothook.coordination.router;
+
+import org.shallothook.coordination.membership.SlownessDetector;
+import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.message.Hint;
+
+/**
+ * Measures upstreams by their streams and ejects those much slower than their peers.
+ *
+ * <p>Two things are measured: how much later than promised the first token comes, and how long a
+ * fixed number of tokens takes after it.
+ *
+ * <p>Invariant: an attempt gives at most one sample of each kind. Not thread-safe.
+ */
+final class SlownessWatch {
+  private static final long SILENCE_MICROS = 2_000_000;
+  private static final int TOKENS_MEASURED = 100;
+  private static final int MINIMUM_TOKENS = 16;
+
+  private final RouterOptions options;
+  private final UpstreamDirectory directory;
+  private final SlownessDetector firstTokens;
+  private final SlownessDetector laterTokens;
+
+  SlownessWatch(RouterOptions options, UpstreamDirectory directory) {
+    this.options = options;
+    this.directory = directory;
+    this.firstTokens = new SlownessDetector(options.ejectionShare(), options.ejectionMicros());
+    this.laterTokens = new SlownessDetector(options.ejectionShare(), options.ejectionMicros());
+  }
+
+  /** Takes in a frame before the attempt does. */
+  void onFrame(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    if (attempt.firstFrameAtMicros() == 0 && !attempt.isSampled()) {
+      sampleFirstToken(exchange, attempt, nowMicros);
+    }
+  }
+
+  /** Takes in that no frame has come yet. */
+  void onSilence(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    boolean isSilent = attempt.firstFrameAtMicros() == 0 && !attempt.isSampled();
+    if (isSilent && excessOf(exchange, attempt, nowMicros) >= SILENCE_MICROS) {
+      sampleFirstToken(exchange, attempt, nowMicros);
+    }
+  }
+
+  /** Takes in the end of a complete attempt. */
+  void onEnded(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    boolean hasReadAll = exchange.consumed() + MINIMUM_TOKENS >= exchange.stream().position();
+    if (attempt.tokens() < MINIMUM_TOKENS || !hasReadAll) {
+      return;
+    }
+    long took = attempt.lastFrameAtMicros() - attempt.firstFrameAtMicros();
+    sample(laterTokens, exchange, attempt, took * TOKENS_MEASURED / attempt.tokens(), nowMicros);
+  }
+
+  private void sampleFirstToken(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    attempt.setSampled();
+    sample(firstTokens, exchange, attempt, excessOf(exchange, attempt, nowMicros), nowMicros);
+  }
+
+  private long excessOf(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    Hint hint = attempt.hint().orElse(Hint.NONE);
+    int missing = Math.max(0, exchange.prompt().keys().size() - hint.matchedBlocks());
+    long promised = hint.queueDelayMicros() + missing * options.recomputeMicrosPerBlock();
+    return nowMicros - attempt.submittedAtMicros() - promised;
+  }
+
+  private void sample(
+      SlownessDetector detector,
+      ChatExchange exchange,
+      Attempt attempt,
+      long micros,
+      long nowMicros) {
+    boolean wasEjected =
+        detector.onSample(
+            attempt.upstream(),
+            directory.peersOf(exchange.identity().modelVersion(), nowMicros),
+            micros,
+            nowMicros);
+    if (wasEjected) {
+      options.counters().increment("ejections");
+    }
+  }
+}
