Wire both binaries and the operators' verbs

Cause: decisions and transport stood, but no process served. Ruled out: publishing straight to the log from the command line, which could not tell who has a change in force; the verbs ask a running router. Change: RouterProcess and SidecarProcess around the cores, graceful stop with exit code 0, verbs publish, history, show, status, explain, stand-ins count computed blocks for the demonstration.

--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -2,17 +2,24 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.shallothook.coordination.configuration.ChangeRequest;
 import org.shallothook.coordination.configuration.ConfigurationOptions;
 import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.configuration.PublicationDesk;
+import org.shallothook.coordination.configuration.PublicationResult;
 import org.shallothook.coordination.membership.UpstreamDirectory;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.state.configuration.HistoryEntry;
 import org.shallothook.state.configuration.TeamTemplate;
+import org.shallothook.state.configuration.TemplateVersion;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -46,6 +53,7 @@
   private final Admission admission;
   private final ChatFlow chats;
   private final CallFlow calls;
+  private final PublicationDesk publications;
   private final ParkedRequests parked = new ParkedRequests();
   private boolean isDrained;
   private long latestMicros;
@@ -78,6 +86,7 @@
     SlownessWatch slowness = new SlownessWatch(options, directory);
     chats = new ChatFlow(options, outbox, book, admission, rounds, retries, poison, slowness);
     calls = new CallFlow(options, outbox, book, admission, directory, configuration);
+    publications = new PublicationDesk(outbox, configuration);
   }
 
   /**
@@ -123,6 +132,40 @@
     return book.explain(request);
   }
 
+  /**
+   * Publishes a change of the configuration.
+   *
+   * @param change what to publish
+   * @param onEnd takes the result once it is known, on the decision thread
+   * @param nowMicros time in microseconds since the epoch
+   */
+  public void publish(ChangeRequest change, Consumer<PublicationResult> onEnd, long nowMicros) {
+    long deadlineMicros = nowMicros + PublicationDesk.DEFAULT_PATIENCE_MICROS;
+    publications.publish(change, deadlineMicros, onEnd, nowMicros);
+  }
+
+  /** Returns the configuration records still known, oldest first. */
+  public List<HistoryEntry> configurationHistory() {
+    return configuration.history();
+  }
+
+  /** Returns the INI text of a template in force, as it was published. */
+  public Optional<String> templateSource(String template) {
+    return configuration.state().version(template).flatMap(TemplateVersion::source);
+  }
+
+  /**
+   * Returns the offset below which each known instance has the configuration in force, as last
+   * heard; -1 where it was not heard of.
+   */
+  public Map<String, Long> configurationInForce() {
+    Map<String, Long> offsets = new TreeMap<>();
+    fleet.peerNames().forEach(name -> offsets.put(name, -1L));
+    offsets.putAll(configuration.peerOffsets());
+    offsets.put(options.name(), configuration.offset());
+    return offsets;
+  }
+
   private static boolean isRequest(RouterEvent event) {
     return event instanceof RouterEvent.ChatRequested
         || event instanceof RouterEvent.CallRequested
@@ -174,12 +217,15 @@
     if (event instanceof RouterEvent.LogRead read) {
       configuration.onLogRead(read.page(), nowMicros);
       poison.onLogRead(read.page(), nowMicros);
+      publications.onTick(nowMicros);
     } else if (event instanceof RouterEvent.LogReadFailed failed) {
       configuration.onLogReadFailed(failed.stream(), nowMicros);
     } else if (event instanceof RouterEvent.LogAppended appended) {
       poison.onAppended(appended.token());
+      publications.onLogAppended(appended.token(), nowMicros);
     } else if (event instanceof RouterEvent.LogAppendFailed failed) {
       poison.onAppendFailed(failed.token(), nowMicros);
+      publications.onLogAppendFailed(failed.token(), failed.mayHaveTakenEffect(), nowMicros);
     }
   }
 
@@ -213,6 +259,7 @@
 
   private void onTick(long nowMicros) {
     configuration.onTick(nowMicros);
+    publications.onTick(nowMicros);
     fleet.onTick(nowMicros);
     poison.onTick(nowMicros);
     for (Exchange exchange : book.all()) {
--- /dev/null
+++ b/router/src/main/java/org/shallothook/router/AdminClient.java
@@ -0,0 +1,74 @@
+package org.shallothook.router;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.platform.HttpCall;
+import org.shallothook.transport.platform.HttpClient;
+import org.shallothook.transport.platform.HttpResult;
+import org.shallothook.transport.platform.HttpSettings;
+
+/**
+ * Talks to the admin port of a running router on behalf of the command line.
+ *
+ * <p>Not thread-safe.
+ */
+final class AdminClient implements AutoCloseable {
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final int OK = 200;
+
+  private final InetSocketAddress address;
+  private final EventLoops loops = EventLoops.create(1);
+  private final HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
+
+  AdminClient(InetSocketAddress address) {
+    this.address = address;
+  }
+
+  /**
+   * Returns the body of a page.
+   *
+   * @throws IOException if the router cannot be reached or does not answer with 200
+   */
+  String get(String path) throws IOException, InterruptedException {
+    return send(HttpCall.get(address, path, TIMEOUT));
+  }
+
+  /**
+   * Sends an order and returns the body of its answer.
+   *
+   * @throws IOException if the router cannot be reached or does not answer with 200
+   */
+  String post(String path, String body) throws IOException, InterruptedException {
+    return send(HttpCall.postJson(address, path, body, TIMEOUT));
+  }
+
+  @Override
+  public void close() {
+    loops.close();
+  }
+
+  private String send(HttpCall call) throws IOException, InterruptedException {
+    CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    client.send(call, result::complete);
+    try {
+      return bodyOf(result.get());
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause());
+    }
+  }
+
+  private String bodyOf(HttpResult result) throws IOException {
+    if (result instanceof HttpResult.Answered answer) {
+      if (answer.status() == OK) {
+        return answer.body();
+      }
+      throw new IOException("The router answered " + answer.status() + ": " + answer.body());
+    }
+    throw new IOException(
+        "No router answers on " + address + "; start it or check [listen] admin.");
+  }
+}
--- /dev/null
+++ b/router/src/main/java/org/shallothook/router/OperatorCommand.java
@@ -0,0 +1,51 @@
+package org.shallothook.router;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.shallothook.transport.command.ExitCode;
+import org.shallothook.transport.command.SettingsOption;
+import org.shallothook.transport.logging.LogForm;
+import org.shallothook.transport.logging.LogLevel;
+import org.shallothook.transport.settings.CommonKeys;
+import org.shallothook.transport.settings.Settings;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/**
+ * A verb that asks the running router named by the settings.
+ *
+ * <p>Not thread-safe: used on the thread of the command line.
+ */
+abstract class OperatorCommand implements Callable<Integer> {
+  @Mixin private SettingsOption file;
+  @Spec private CommandSpec specification;
+
+  /** Does the verb's work and returns its exit code. */
+  abstract int run(AdminClient client) throws IOException, InterruptedException;
+
+  @Override
+  public final Integer call() throws InterruptedException {
+    LogForm.TEXT.activate(LogLevel.ERROR);
+    Optional<Settings> settings = file.read(RouterSettings.KEYS, errors());
+    if (settings.isEmpty()) {
+      return ExitCode.USAGE;
+    }
+    try (AdminClient client = new AdminClient(settings.get().address(CommonKeys.LISTEN_ADMIN))) {
+      return run(client);
+    } catch (IOException e) {
+      errors().println(e.getMessage());
+      return ExitCode.FAILURE;
+    }
+  }
+
+  final PrintWriter output() {
+    return specification.commandLine().getOut();
+  }
+
+  final PrintWriter errors() {
+    return specification.commandLine().getErr();
+  }
+}
--- a/router/src/main/java/org/shallothook/router/RouterMain.java
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -1,6 +1,7 @@
 package org.shallothook.router;
 
 import org.shallothook.transport.command.CheckCommand;
+import org.shallothook.transport.command.ServeCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -30,6 +31,14 @@
   }
 
   static CommandLine commandLine() {
-    return new CommandLine(new RouterMain()).addSubcommand(new CheckCommand(RouterSettings.KEYS));
+    return new CommandLine(new RouterMain())
+        .addSubcommand(
+            new ServeCommand(RouterSettings.KEYS, settings -> new RouterProcess(settings).start()))
+        .addSubcommand(new CheckCommand(RouterSettings.KEYS))
+        .addSubcommand(new PublishCommand())
+        .addSubcommand(new PageCommand.History())
+        .addSubcommand(new PageCommand.Show())
+        .addSubcommand(new PageCommand.Status())
+        .addSubcommand(new PageCommand.Explain());
   }
 }
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarAdmin.java
@@ -0,0 +1,50 @@
+package org.shallothook.sidecar;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.sidecar.SidecarCore;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.coordination.sidecar.SidecarLoad;
+import org.shallothook.state.request.RequestId;
+import org.shallothook.transport.admin.AdminAnswer;
+import org.shallothook.transport.admin.AdminJson;
+import org.shallothook.transport.admin.AdminRequest;
+import org.shallothook.transport.admin.AdminServer;
+import org.shallothook.transport.decision.DecisionThread;
+
+/**
+ * Pages of the sidecar's admin port.
+ *
+ * <p>Invariant: the core is asked on its decision thread alone. Thread-safe.
+ */
+final class SidecarAdmin {
+  private final SidecarCore core;
+  private final DecisionThread<SidecarEvent> thread;
+
+  SidecarAdmin(SidecarCore core, DecisionThread<SidecarEvent> thread) {
+    this.core = core;
+    this.thread = thread;
+  }
+
+  void addTo(AdminServer admin) {
+    admin
+        .get("/status", request -> shown(() -> new Status(core.status(), core.load())))
+        .get("/explain", this::explain);
+  }
+
+  private CompletionStage<AdminAnswer> explain(AdminRequest request) {
+    return shown(
+        () ->
+            request.path().isBlank()
+                ? core.recentAttempts()
+                : core.explain(new RequestId(request.path())));
+  }
+
+  private CompletionStage<AdminAnswer> shown(Supplier<Object> question) {
+    return thread.ask(question).thenApply(value -> AdminAnswer.ok(AdminJson.write(value)));
+  }
+
+  /** What {@code /status} shows. Immutable and thread-safe. */
+  private record Status(PeerMessage.SidecarStatus upstream, SidecarLoad load) {}
+}
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
@@ -1,6 +1,7 @@
 package org.shallothook.sidecar;
 
 import org.shallothook.transport.command.CheckCommand;
+import org.shallothook.transport.command.ServeCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -19,7 +20,7 @@
       "  shallothook-sidecar check --settings sidecar.ini",
       "  shallothook-sidecar serve --settings sidecar.ini",
       "",
-      "Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 conflicting change."
+      "Exit codes: 0 done, 1 failed, 2 wrong command line or settings."
     })
 public final class SidecarMain {
   private SidecarMain() {}
@@ -30,6 +31,10 @@
   }
 
   static CommandLine commandLine() {
-    return new CommandLine(new SidecarMain()).addSubcommand(new CheckCommand(SidecarSettings.KEYS));
+    return new CommandLine(new SidecarMain())
+        .addSubcommand(
+            new ServeCommand(
+                SidecarSettings.KEYS, settings -> new SidecarProcess(settings).start()))
+        .addSubcommand(new CheckCommand(SidecarSettings.KEYS));
   }
 }
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -0,0 +1,158 @@
+package org.shallothook.sidecar;
+
+import io.vavr.control.Try;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.coordination.sidecar.SidecarCore;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.coordination.sidecar.SidecarOptions;
+import org.shallothook.state.membership.InstanceRole;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.admin.AdminServer;
+import org.shallothook.transport.decision.DecisionSettings;
+import org.shallothook.transport.decision.DecisionThread;
+import org.shallothook.transport.logging.Part;
+import org.shallothook.transport.metrics.TransportMetrics;
+import org.shallothook.transport.peer.PeerIdentity;
+import org.shallothook.transport.peer.PeerNetwork;
+import org.shallothook.transport.peer.PeerSettings;
+import org.shallothook.transport.platform.HttpClient;
+import org.shallothook.transport.platform.HttpSettings;
+import org.shallothook.transport.platform.InstanceListClient;
+import org.shallothook.transport.platform.LogClient;
+import org.shallothook.transport.process.Clock;
+import org.shallothook.transport.process.GracefulStop;
+import org.shallothook.transport.settings.CommonKeys;
+import org.shallothook.transport.settings.Settings;
+
+/**
+ * A running sidecar: sockets around one {@link SidecarCore}.
+ *
+ * <p>Invariant: the core is used on the decision thread alone. Thread-safe once started.
+ */
+final class SidecarProcess {
+  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+
+  private final Settings settings;
+  private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
+  private final TransportMetrics metrics = new TransportMetrics();
+  private final EventLoops loops = EventLoops.create(1);
+  private final AtomicBoolean isLeaving = new AtomicBoolean();
+  private final DecisionThread<SidecarEvent> thread;
+  private final PeerNetwork peers;
+  private final UpstreamLink upstream;
+  private final LogClient log;
+  private final InstanceListClient instances;
+  private final SidecarCore core;
+  private final AdminServer admin;
+  private final GracefulStop stop = new GracefulStop(this::drain, this::close);
+
+  SidecarProcess(Settings settings) {
+    this.settings = settings;
+    thread =
+        new DecisionThread<>(
+            new DecisionSettings(
+                "decisions",
+                settings.number(CommonKeys.RING_SIZE),
+                SidecarCore.TICK_INTERVAL_MICROS),
+            SidecarEvent.Tick::new,
+            Clock::nowMicros,
+            metrics);
+    SidecarEvents events = new SidecarEvents(thread);
+    peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), events, metrics);
+    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
+    upstream = new UpstreamLink(settings, role(), client, thread::deliver);
+    log =
+        new LogClient(client, settings.address(CommonKeys.LOG), PLATFORM_TIMEOUT, events, metrics);
+    instances =
+        new InstanceListClient(
+            client,
+            settings.address(CommonKeys.INSTANCES),
+            PLATFORM_TIMEOUT,
+            list -> thread.deliver(new SidecarEvent.InstancesRead(list)),
+            metrics);
+    core = new SidecarCore(options(), this::carryOut, metrics);
+    admin = new AdminServer(loops.internal(), metrics.registry(), isLeaving::get);
+    new SidecarAdmin(core, thread).addTo(admin);
+  }
+
+  /** Starts to serve; returns the failure where an address cannot be listened on. */
+  Try<Void> start() {
+    thread.start(core::handle);
+    return listen("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
+        .flatMap(done -> listen("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
+        .onSuccess(done -> stop.arm());
+  }
+
+  private static Try<Void> listen(String use, Listener listener, InetSocketAddress address) {
+    return listener
+        .listen(address)
+        .peek(bound -> Part.PROCESS.info("Listening for {} on {}.", use, bound))
+        .map(bound -> null);
+  }
+
+  private InstanceRole role() {
+    String name = settings.text(SidecarSettings.ROLE).toUpperCase(Locale.ROOT).replace('-', '_');
+    return InstanceRole.valueOf(name);
+  }
+
+  private PeerIdentity identity() {
+    return new PeerIdentity(
+        settings.text(CommonKeys.NAME),
+        incarnation,
+        role(),
+        settings.text(CommonKeys.FAILURE_DOMAIN));
+  }
+
+  private SidecarOptions options() {
+    boolean isService = role() == InstanceRole.SERVICE;
+    return SidecarOptions.builder(settings.text(CommonKeys.NAME), incarnation)
+        .role(role())
+        .service(isService ? settings.text(SidecarSettings.SERVICE) : "")
+        .failureDomain(settings.text(CommonKeys.FAILURE_DOMAIN))
+        .region(settings.text(CommonKeys.REGION))
+        .blockBytes(settings.number(CommonKeys.BLOCK_BYTES))
+        .maximumQueueLength(settings.number(SidecarSettings.MAXIMUM_QUEUE))
+        .build();
+  }
+
+  private void carryOut(SidecarCommand command) {
+    if (command instanceof SidecarCommand.SendToPeer send) {
+      peers.send(send.peer(), send.message(), send.configurationOffset());
+    } else if (command instanceof SidecarCommand.PeersChanged changed) {
+      peers.peersChanged(changed.peers());
+    } else if (command instanceof SidecarCommand.ReadLog read) {
+      log.read(read.stream(), read.fromOffset());
+    } else if (command instanceof SidecarCommand.AppendLog append) {
+      log.append(append.token(), append.stream(), append.payload());
+    } else if (command instanceof SidecarCommand.ReadInstances read) {
+      instances.read(read.knownVersion());
+    } else if (command instanceof SidecarCommand.Drained) {
+      stop.drained();
+    } else {
+      upstream.carryOut(command);
+    }
+  }
+
+  private void drain() {
+    isLeaving.set(true);
+    thread.deliver(new SidecarEvent.DrainRequested());
+  }
+
+  private void close() {
+    admin.close();
+    peers.close();
+    thread.close();
+    loops.close();
+  }
+
+  /** Starts to listen on an address. */
+  @FunctionalInterface
+  private interface Listener {
+    Try<InetSocketAddress> listen(InetSocketAddress address);
+  }
+}
--- a/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
@@ -1,6 +1,7 @@
 package org.shallothook.standins.engine;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,6 +62,7 @@
   private long prefilledTokens;
   private long cachedTokens;
   private long decodedTokens;
+  private final Map<BlockKey, Integer> computedBlocks = new HashMap<>();
 
   /**
    * Creates an engine with an empty cache.
@@ -198,6 +200,7 @@
     prefillEndMicros = NEVER;
     prefilledTokens += prefillTokens;
     EngineRequest request = generation.request;
+    countComputed(request.keys(), generation.cachedBlocks);
     cache.store(request.identity(), request.keys(), atMicros);
     decoding.add(generation);
     if (stepEndMicros == NEVER) {
@@ -207,6 +210,11 @@
     beginPrefill(atMicros);
   }
 
+  private void countComputed(List<BlockKey> keys, int cachedBlocks) {
+    keys.subList(Math.min(cachedBlocks, keys.size()), keys.size())
+        .forEach(key -> computedBlocks.merge(key, 1, Integer::sum));
+  }
+
   private void beginStep(long nowMicros) {
     stepEndMicros =
         decoding.isEmpty() ? NEVER : nowMicros + scaled(settings.decodeMicros(decoding.size()));
@@ -386,6 +394,11 @@
     return settings;
   }
 
+  /** Returns how often the engine has computed each block, by key. */
+  public Map<BlockKey, Integer> computedBlocks() {
+    return Map.copyOf(computedBlocks);
+  }
+
   /** Returns what the engine has done so far. */
   public EngineCounters counters() {
     return new EngineCounters(
--- a/transport/src/main/java/org/shallothook/transport/metrics/PrometheusText.java
+++ b/transport/src/main/java/org/shallothook/transport/metrics/PrometheusText.java
@@ -39,7 +39,7 @@
   }
 
   private static boolean isByReason(String name) {
-    return name.startsWith("refusal.") || name.startsWith("retry.");
+    return name.startsWith("refusals.") || name.startsWith("retries.");
   }
 
   private static void addReasons(StringBuilder text, MetricRegistry registry, String kind) {
--- a/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
+++ b/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
@@ -27,8 +27,8 @@
   /** Creates the metrics of one process. */
   public TransportMetrics() {
     for (RefusalReason reason : RefusalReason.values()) {
-      registry.counter("refusal." + reason.code());
-      registry.counter("retry." + reason.code());
+      registry.counter("refusals." + reason.code());
+      registry.counter("retries." + reason.code());
     }
     timeToFirstToken = registry.timer(TIME_TO_FIRST_TOKEN, TransportMetrics::newTimer);
   }
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/process/package-info.java
@@ -0,0 +1,2 @@
+/** What both binaries do when they start and stop. */
+package org.shallothook.transport.process;
