--- a/coordination/src/main/java/org/shallothook/coordination/admission/SlotPolicy.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/SlotPolicy.java
@@ -14,6 +14,10 @@
  * <p>Stateless and thread-safe.
  */
 final class SlotPolicy {
+  private static final Comparator<Ticket> YOUNGER =
+      Comparator.comparing(Ticket::hasTokenOfRun)
+          .thenComparingLong(ticket -> ticket.record().offeredMicros());
+
   private SlotPolicy() {}
 
   /** Returns the slots that priority work leaves to ordinary work. */
@@ -47,8 +51,6 @@
     return table.running().stream()
         .filter(ticket -> ticket.priority() == PriorityClass.ORDINARY)
         .filter(ticket -> ticket.preemptions() < options.maximumPreemptions())
-        .max(
-            Comparator.comparing(Ticket::hasTokenOfRun)
-                .thenComparingLong(ticket -> ticket.record().offeredMicros()));
+        .reduce((first, second) -> YOUNGER.compare(first, second) > 0 ? first : second);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/DemandSketch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/DemandSketch.java
@@ -73,6 +73,15 @@
     return entry.ratePerSecond();
   }
 
+  /** Multiplies the demand seen for a prefix, ahead of a change of its spread. */
+  void scale(BlockKey key, double factor) {
+    Entry entry = entries.get(key);
+    if (entry != null) {
+      entry.count *= factor;
+      entry.error *= factor;
+    }
+  }
+
   /** Returns the prefixes wanted at least at a rate. */
   List<Prefix> wantedAtLeast(double ratePerSecond, long nowMicros) {
     List<Prefix> wanted = new ArrayList<>();
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -85,7 +85,7 @@
     for (Prefix prefix : Prefix.of(offer.identity(), offer.keys())) {
       demand.record(prefix, nowMicros);
       if (offer.rank() == 0) {
-        judge(prefix.key(), nowMicros);
+        raise(prefix.key(), nowMicros);
       }
     }
   }
@@ -109,7 +109,7 @@
       return;
     }
     nextReviewMicros = nowMicros + REVIEW_INTERVAL_MICROS;
-    spreads.spreadKeys().forEach(key -> judge(key, nowMicros));
+    spreads.spreadKeys().forEach(key -> lower(key, nowMicros));
     if (hasStore) {
       demand
           .wantedAtLeast(EXPORT_RATE_PER_SECOND, nowMicros)
@@ -117,8 +117,21 @@
     }
   }
 
-  private void judge(BlockKey key, long nowMicros) {
-    double share = demand.ratePerSecond(key, nowMicros) * engineSecondsPerRequest;
-    spreads.judge(key, share, nowMicros);
+  /** Raises a spread where its share is high, and expects the demand here to halve. */
+  private void raise(BlockKey key, long nowMicros) {
+    if (spreads.hasRaised(key, share(key, nowMicros), nowMicros)) {
+      demand.scale(key, 0.5);
+    }
+  }
+
+  /** Lowers a spread where its share is low, and expects the demand here to double. */
+  private void lower(BlockKey key, long nowMicros) {
+    if (spreads.hasLowered(key, share(key, nowMicros), nowMicros)) {
+      demand.scale(key, 2);
+    }
+  }
+
+  private double share(BlockKey key, long nowMicros) {
+    return demand.ratePerSecond(key, nowMicros) * engineSecondsPerRequest;
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -92,7 +92,8 @@
     Computation computation = new Computation(owner, nowMicros + wait);
     chains.put(owner, chain);
     for (BlockKey key : chain.subList(matched, chain.size())) {
-      computations.putIfAbsent(key, computation);
+      computations.merge(
+          key, computation, (open, next) -> nowMicros < open.waitUntilMicros() ? open : next);
     }
     if (!computations.get(chain.get(matched)).owner().equals(owner)) {
       counters.increment("prefixes.computed-twice");
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/SpreadPolicy.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/SpreadPolicy.java
@@ -33,37 +33,43 @@
     return spread == null ? 1 : spread.ranks();
   }
 
-  /** Judges a prefix by its share of the engine. */
-  void judge(BlockKey key, double share, long nowMicros) {
+  /**
+   * Raises the ranks of a prefix that was just asked for, if its share is high.
+   *
+   * @return whether the ranks were doubled
+   */
+  boolean hasRaised(BlockKey key, double share, long nowMicros) {
     Spread spread = spreads.get(key);
-    if (spread == null) {
-      raise(key, 1, share, nowMicros);
-      return;
+    boolean isRecent = spread != null && nowMicros - spread.changedMicros() < RAISE_INTERVAL_MICROS;
+    if (share <= HIGH_SHARE || isRecent || ranks(key) == MAXIMUM_RANKS) {
+      return false;
     }
-    long age = nowMicros - spread.changedMicros();
-    if (age >= RAISE_INTERVAL_MICROS && share > HIGH_SHARE) {
-      raise(key, spread.ranks(), share, nowMicros);
-    } else if (age >= LOWER_INTERVAL_MICROS && share < LOW_SHARE) {
-      lower(key, spread.ranks(), nowMicros);
-    }
-  }
-
-  /** Returns the keys of all prefixes with more than one rank. */
-  Iterable<BlockKey> spreadKeys() {
-    return List.copyOf(spreads.keySet());
+    spreads.put(key, new Spread(2 * ranks(key), nowMicros));
+    return true;
   }
 
-  private void raise(BlockKey key, int ranks, double share, long nowMicros) {
-    if (share > HIGH_SHARE) {
-      spreads.put(key, new Spread(Math.min(MAXIMUM_RANKS, 2 * ranks), nowMicros));
+  /**
+   * Lowers the ranks of a prefix, if its share is low.
+   *
+   * @return whether the ranks were halved
+   */
+  boolean hasLowered(BlockKey key, double share, long nowMicros) {
+    Spread spread = spreads.get(key);
+    if (spread == null
+        || share >= LOW_SHARE
+        || nowMicros - spread.changedMicros() < LOWER_INTERVAL_MICROS) {
+      return false;
     }
-  }
-
-  private void lower(BlockKey key, int ranks, long nowMicros) {
-    if (ranks <= 2) {
+    if (spread.ranks() == 2) {
       spreads.remove(key);
     } else {
-      spreads.put(key, new Spread(ranks / 2, nowMicros));
+      spreads.put(key, new Spread(spread.ranks() / 2, nowMicros));
     }
+    return true;
+  }
+
+  /** Returns the keys of all prefixes with more than one rank. */
+  List<BlockKey> spreadKeys() {
+    return List.copyOf(spreads.keySet());
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/message/Hint.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/Hint.java
@@ -3,6 +3,10 @@
 /**
  * What a sidecar tells a router about its upstream when it answers an offer.
  *
+ * <p>Only the hint of the prompt's home (rendezvous rank 0) states a spread: its spread of 1 says
+ * that the prefix is not spread any more. Hints of other ranks carry {@code spreadBlocks} 0 and a
+ * spread of 1, which say nothing.
+ *
  * <p>Immutable and thread-safe.
  *
  * @param matchedBlocks leading blocks of the offered chain that the engine has cached
