Keep prompts in the sidecar's queue until the engine can read them

Dispatching up to all of the engine's slots let ordinary prompts queue inside the engine, where neither fair turns nor deadlines reach them. At most two prompts (an option) are now with the engine unread, counting only work of the same class or ahead of it, so that priority work is never held by the bound; the first token of a run starts the next. A long ordinary prefill gives way to priority work.

The test harness sets the bound to 64 for tests of other rules; two tests of the bound itself and of giving way are new.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -176,7 +176,9 @@
 
   /** Passes tokens of the engine on. */
   public void onTokens(SidecarEvent.EngineTokens event, long nowMicros) {
-    relay.onTokens(event, nowMicros);
+    if (relay.onTokens(event, nowMicros)) {
+      dispatcher.dispatch(nowMicros);
+    }
   }
 
   /** Ends an answer that is complete. */
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -95,6 +95,9 @@
   }
 
   private Optional<Ticket> candidateOf(PriorityClass priority, long nowMicros) {
+    if (estimator.prefills(priority) >= options.maximumPrefills()) {
+      return Optional.empty();
+    }
     return table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
   }
 
@@ -176,9 +179,26 @@
           nowMicros);
       return;
     }
+    if (ticket.priority() == PriorityClass.PRIORITY) {
+      stopLongPrefills(nowMicros);
+    }
     start(ticket, units, nowMicros);
   }
 
+  /** Takes back ordinary prompts that would keep priority work waiting on the engine. */
+  private void stopLongPrefills(long nowMicros) {
+    for (Ticket ticket : List.copyOf(table.running())) {
+      boolean isLong =
+          ticket.priority() == PriorityClass.ORDINARY
+              && !ticket.hasTokenOfRun()
+              && ticket.preemptions() < options.maximumPreemptions()
+              && estimator.remainingPrefillMicros(ticket, nowMicros) > options.prefillYieldMicros();
+      if (isLong) {
+        preempt(ticket, "preemptions.prefill");
+      }
+    }
+  }
+
   private boolean cannotMeetDeadline(Ticket ticket, int units, long nowMicros) {
     if (ticket.hasDelivered() || table.running().isEmpty()) {
       return false;
--- a/coordination/src/main/java/org/shallothook/coordination/admission/ServiceEstimator.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/ServiceEstimator.java
@@ -71,6 +71,23 @@
     return units;
   }
 
+  /** Returns the number of running attempts of a class, or ahead of it, without a token yet. */
+  int prefills(PriorityClass priority) {
+    int prefills = 0;
+    for (Ticket ticket : table.running()) {
+      boolean counts = !priority.isAheadOf(ticket.priority());
+      prefills += counts && !ticket.hasTokenOfRun() ? 1 : 0;
+    }
+    return prefills;
+  }
+
+  /** Returns the expected time that a run still keeps the engine reading, in microseconds. */
+  long remainingPrefillMicros(Ticket ticket, long nowMicros) {
+    long own = prefillMicros(ticket.prefillUnits());
+    long ahead = prefillMicros(ticket.prefillUnitsAhead());
+    return Math.min(own, ticket.runStartedMicros() + own + ahead - nowMicros);
+  }
+
   /** Returns the expected time until new work of a team would start, in microseconds. */
   long queueDelayMicros(String team, PriorityClass priority) {
     int ahead = aheadOf(team, priority);
--- a/coordination/src/main/java/org/shallothook/coordination/admission/StreamRelay.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/StreamRelay.java
@@ -48,23 +48,29 @@
     this.crashes = crashes;
   }
 
-  /** Passes tokens on. */
-  void onTokens(SidecarEvent.EngineTokens event, long nowMicros) {
+  /**
+   * Passes tokens on.
+   *
+   * @return whether they were the first of their run
+   */
+  boolean onTokens(SidecarEvent.EngineTokens event, long nowMicros) {
     Optional<Ticket> found = table.findRun(event.attempt());
     if (found.isEmpty()) {
       counters.increment("streams.late-frames");
-      return;
+      return false;
     }
     Ticket ticket = found.get();
     if (event.position() + event.count() <= ticket.position()) {
       counters.increment("streams.repeated-frames");
-      return;
+      return false;
     }
     if (event.position() != ticket.position()) {
       breakOff(ticket, "The engine's tokens are not consecutive.", nowMicros);
-      return;
+      return false;
     }
+    boolean isFirst = !ticket.hasTokenOfRun();
     deliver(ticket, event, nowMicros);
+    return isFirst;
   }
 
   /** Ends an answer that is complete. */
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -48,19 +48,19 @@
     hasStore = isPresent;
   }
 
-  /** Returns the spread of the offer's widest hot prefix. */
+  /** Returns the spread of the offer's deepest hot prefix. */
   public PrefixSpread spread(PeerMessage.Offer offer) {
-    PrefixSpread widest = PrefixSpread.UNSPECIFIED;
+    PrefixSpread deepest = PrefixSpread.UNSPECIFIED;
     if (offer.rank() > 0) {
-      return widest;
+      return deepest;
     }
     for (Prefix prefix : Prefix.of(offer.identity(), offer.keys())) {
       int ranks = spreads.ranks(prefix.key());
-      if (ranks > 1 && ranks >= widest.ranks()) {
-        widest = new PrefixSpread(ranks, prefix.depth());
+      if (ranks > 1) {
+        deepest = new PrefixSpread(ranks, prefix.depth());
       }
     }
-    return widest;
+    return deepest;
   }
 
   /** Fetches what an accepted offer misses, where that is worth it. */
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOptions.java
@@ -27,6 +27,8 @@
   private final int streamWindowTokens;
   private final double ordinarySlotShare;
   private final int maximumPreemptions;
+  private final int maximumPrefills;
+  private final long prefillYieldMicros;
   private final long suspectDrainMicros;
   private final long statusPollMicros;
   private final long cachePollMicros;
@@ -50,6 +52,8 @@
     this.streamWindowTokens = builder.streamWindowTokens;
     this.ordinarySlotShare = builder.ordinarySlotShare;
     this.maximumPreemptions = builder.maximumPreemptions;
+    this.maximumPrefills = builder.maximumPrefills;
+    this.prefillYieldMicros = builder.prefillYieldMicros;
     this.suspectDrainMicros = builder.suspectDrainMicros;
     this.statusPollMicros = builder.statusPollMicros;
     this.cachePollMicros = builder.cachePollMicros;
@@ -135,6 +139,19 @@
     return maximumPreemptions;
   }
 
+  /** Returns the greatest number of prompts that the engine is given to read at once. */
+  public int maximumPrefills() {
+    return maximumPrefills;
+  }
+
+  /**
+   * Returns the remaining time of an ordinary prefill above which it gives way to priority work, in
+   * microseconds.
+   */
+  public long prefillYieldMicros() {
+    return prefillYieldMicros;
+  }
+
   /** Returns the longest wait of a crash suspect for an empty engine, in microseconds. */
   public long suspectDrainMicros() {
     return suspectDrainMicros;
@@ -190,6 +207,8 @@
     private int streamWindowTokens = 512;
     private double ordinarySlotShare = 0.125;
     private int maximumPreemptions = 3;
+    private int maximumPrefills = 2;
+    private long prefillYieldMicros = 100_000;
     private long suspectDrainMicros = 1_000_000;
     private long statusPollMicros = 50_000;
     private long cachePollMicros = 50_000;
@@ -274,6 +293,21 @@
       return this;
     }
 
+    /** Sets the greatest number of prompts that the engine is given to read at once. Default: 2. */
+    public Builder maximumPrefills(int maximumPrefills) {
+      this.maximumPrefills = (int) requirePositive("maximumPrefills", maximumPrefills);
+      return this;
+    }
+
+    /**
+     * Sets the remaining time of an ordinary prefill above which it gives way to priority work, in
+     * microseconds. Default: 100,000.
+     */
+    public Builder prefillYieldMicros(long prefillYieldMicros) {
+      this.prefillYieldMicros = requirePositive("prefillYieldMicros", prefillYieldMicros);
+      return this;
+    }
+
     /**
      * Sets the longest wait of a crash suspect for an empty engine, in microseconds. Default:
      * 1,000,000.
--- a/coordination/src/test/java/org/shallothook/coordination/admission/AdmissionTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/admission/AdmissionTest.java
@@ -16,6 +16,7 @@
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarEvent;
 import org.shallothook.coordination.sidecar.SidecarHarness;
+import org.shallothook.coordination.sidecar.SidecarLoad;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.RefusalReason;
@@ -36,6 +37,33 @@
     assertThat(sidecar.started()).containsExactly(ONE, TWO, attempt("three")).inOrder();
   }
 
+  @Test
+  void engineIsGivenFewPromptsToReadAtOnceButPriorityWorkAlways() {
+    SidecarHarness sidecar = SidecarHarness.ready(8, SidecarHarness.options().maximumPrefills(1));
+    sidecar.send(offer("one"));
+    sidecar.send(offer("two"));
+    sidecar.send(offer("urgent").priority());
+    assertThat(sidecar.started()).containsExactly(ONE, attempt("urgent"));
+
+    sidecar.tokens(attempt("urgent"), 0, 1);
+    assertThat(sidecar.started()).hasSize(2);
+    sidecar.tokens(ONE, 0, 1);
+    assertThat(sidecar.started()).contains(TWO);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"8, 0", "20, 1"})
+  void longOrdinaryPrefillGivesWayToPriorityWork(int blocks, int preemptions) {
+    SidecarHarness sidecar = SidecarHarness.ready(8);
+    sidecar.send(offer("one").keys(SidecarHarness.keys("register", blocks)));
+    sidecar.send(offer("urgent").priority());
+
+    assertThat(sidecar.commands(SidecarCommand.CancelAnswer.class)).hasSize(preemptions);
+    assertThat(sidecar.started()).contains(attempt("urgent"));
+    sidecar.end(attempt("urgent"), 0);
+    assertThat(sidecar.core.load()).isEqualTo(new SidecarLoad(1, 0, 0));
+  }
+
   @Test
   void waitingPriorityWorkGoesAheadOfOrdinaryWork() {
     SidecarHarness sidecar =
--- a/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarHarness.java
@@ -53,6 +53,7 @@
 
   public static SidecarOptions.Builder options() {
     return SidecarOptions.builder("engine-1", 1)
+        .maximumPrefills(64)
         .prefillMicrosPerBlock(10_000)
         .streamMicros(100_000);
   }
