Keep to the spread of the home, serve the earlier version while the next loads

Cause: a spread learned for one depth was forgotten at the next hint about a prompt of the same home; a change of version refused requests until an engine had loaded it; retries of calls took nothing from the budget. Change: spreads are kept for the home level until their deadline; a team is served with the version it had until the new one is ready, and never after; retries of both kinds share one budget; teams with priority keep an eighth of the router's room; the homes of a convicted request are told at once. The ejection case failed first because two engines only got samples; it now spreads its requests over four.

--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -113,6 +113,17 @@
     return select(upstream -> isEngine(upstream) && upstream.isReady(modelVersion), nowMicros);
   }
 
+  /** Returns whether any engine can serve a model version now. */
+  public boolean hasReady(ModelVersion modelVersion, long nowMicros) {
+    return upstreams.values().stream()
+        .anyMatch(one -> isEngine(one) && one.isUsable(nowMicros) && one.isReady(modelVersion));
+  }
+
+  /** Returns whether any engine takes new work, whatever it has loaded. */
+  public boolean hasEngine(long nowMicros) {
+    return upstreams.values().stream().anyMatch(one -> isEngine(one) && one.isUsable(nowMicros));
+  }
+
   /** Returns the instances of a service that take new calls. */
   public List<Upstream> servers(String service, long nowMicros) {
     return select(
--- a/coordination/src/main/java/org/shallothook/coordination/placement/PlacementStrategy.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/PlacementStrategy.java
@@ -21,7 +21,7 @@
   PREFIX_AFFINITY {
     @Override
     public PlacementPlan plan(PlacementQuery query) {
-      PrefixLevel home = homeLevel(query.levels());
+      PrefixLevel home = PrefixLevel.homeOf(query.levels());
       int spread = Math.max(1, query.spread().applyAsInt(home));
       List<PlacementCandidate> ranks =
           RendezvousHash.ranks(query.candidates(), home.hash(), spread + SPARE_RANKS);
@@ -85,15 +85,6 @@
       Comparator.comparingLong(PlacementCandidate::queueDelayMicros)
           .thenComparingInt(PlacementCandidate::outstanding);
 
-  private static PrefixLevel homeLevel(List<PrefixLevel> levels) {
-    for (PrefixLevel level : levels) {
-      if (level.kind() != PrefixLevel.Kind.CONVERSATION) {
-        return level;
-      }
-    }
-    return levels.get(0);
-  }
-
   private static void addShallowerHomes(
       Set<PlacementCandidate> order, PlacementQuery query, PrefixLevel home) {
     for (PrefixLevel level : query.levels()) {
--- a/coordination/src/main/java/org/shallothook/coordination/placement/PrefixLevel.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/PrefixLevel.java
@@ -1,5 +1,6 @@
 package org.shallothook.coordination.placement;
 
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -21,6 +22,16 @@
     RULEBOOK
   }
 
+  /** Returns the level whose home set a prompt belongs to: its deepest shared one. */
+  public static PrefixLevel homeOf(List<PrefixLevel> levels) {
+    for (PrefixLevel level : levels) {
+      if (level.kind() != Kind.CONVERSATION) {
+        return level;
+      }
+    }
+    return levels.get(0);
+  }
+
   public PrefixLevel {
     Objects.requireNonNull(kind, "kind");
   }
--- a/coordination/src/main/java/org/shallothook/coordination/placement/SpreadCache.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/SpreadCache.java
@@ -1,7 +1,6 @@
 package org.shallothook.coordination.placement;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import org.shallothook.coordination.message.Hint;
 
@@ -33,40 +32,28 @@
     this.validityMicros = validityMicros;
   }
 
-  /** Returns the number of ranks that a level is spread over, at least 1. */
-  public int spreadOf(PrefixLevel level, long nowMicros) {
-    Entry entry = entries.get(level.hash());
+  /** Returns the number of ranks that a home level is spread over, at least 1. */
+  public int spreadOf(PrefixLevel home, long nowMicros) {
+    Entry entry = entries.get(home.hash());
     return entry == null || entry.untilMicros() < nowMicros ? 1 : entry.spread();
   }
 
   /**
-   * Takes in a hint of the home of a prompt.
+   * Takes in a hint of the upstream at rank 0. A hint that names no spread leaves an earlier one to
+   * its deadline, because it may be about another prompt of the same home.
    *
-   * @param levels levels of the prompt, deepest first
+   * @param home home level of the prompt
    * @param hint hint of the upstream at rank 0
    * @param nowMicros time of the hint
    */
-  public void learn(List<PrefixLevel> levels, Hint hint, long nowMicros) {
-    PrefixLevel level = levelOf(levels, hint.spreadBlocks());
+  public void learn(PrefixLevel home, Hint hint, long nowMicros) {
     if (hint.spread() <= 1) {
-      entries.remove(level.hash());
       return;
     }
-    entries.put(level.hash(), new Entry(hint.spread(), nowMicros + validityMicros));
+    entries.put(home.hash(), new Entry(hint.spread(), nowMicros + validityMicros));
     evictEldest();
   }
 
-  private static PrefixLevel levelOf(List<PrefixLevel> levels, int blocks) {
-    PrefixLevel shallowest = levels.get(levels.size() - 1);
-    for (PrefixLevel level : levels) {
-      boolean isShared = level.kind() != PrefixLevel.Kind.CONVERSATION;
-      if (isShared && level.blocks() <= blocks) {
-        return level;
-      }
-    }
-    return shallowest;
-  }
-
   private void evictEldest() {
     if (entries.size() > MAXIMUM_ENTRIES) {
       Map.Entry<Long, Entry> eldest = entries.entrySet().iterator().next();
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/PoisonGuard.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/PoisonGuard.java
@@ -80,9 +80,14 @@
   /**
    * Takes in the crash of an engine that ran the request.
    *
+   * @param fingerprint digest of the request
+   * @param ranAlone whether it was the only request on the engine, and known to be a suspect
+   * @param homes upstreams that the request would be offered to again; they are told at once
+   * @param nowMicros time of the crash
    * @return end of the request's quarantine, if it is convicted by this crash
    */
-  public Optional<Long> onCrash(String fingerprint, boolean ranAlone, long nowMicros) {
+  public Optional<Long> onCrash(
+      String fingerprint, boolean ranAlone, List<String> homes, long nowMicros) {
     if (!suspects.onCrash(fingerprint, ranAlone, nowMicros)) {
       counters.increment("quarantine.suspects");
       return Optional.empty();
@@ -91,6 +96,7 @@
     QuarantineRecord record = new QuarantineRecord(fingerprint, nowMicros + quarantineMicros);
     register.add(fingerprint, record.untilMicros(), nowMicros);
     append(record);
+    homes.forEach(home -> outbox.send(home, messageOf(record)));
     passOn(record);
     return Optional.of(record.untilMicros());
   }
@@ -159,9 +165,12 @@
 
   private void passOn(QuarantineRecord record) {
     List<String> others = new ArrayList<>(routers.get());
-    Quarantine message = new Quarantine(record.fingerprint(), record.untilMicros());
     for (int sent = 0; sent < GOSSIP_PEERS && !others.isEmpty(); sent++) {
-      outbox.send(others.remove(random.nextInt(others.size())), message);
+      outbox.send(others.remove(random.nextInt(others.size())), messageOf(record));
     }
   }
+
+  private static Quarantine messageOf(QuarantineRecord record) {
+    return new Quarantine(record.fingerprint(), record.untilMicros());
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/router/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/Admission.java
@@ -6,6 +6,8 @@
 import org.shallothook.coordination.configuration.ConfigurationReplica;
 import org.shallothook.coordination.quarantine.Fingerprint;
 import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.configuration.ServiceTemplate;
 import org.shallothook.state.configuration.TeamTemplate;
 import org.shallothook.state.request.Refusal;
@@ -19,12 +21,14 @@
  */
 final class Admission {
   private static final Set<String> ROLES = Set.of("system", "user", "assistant");
+  private static final int PRIORITY_ROOM_DIVISOR = 8;
   private static final long OVERLOAD_WAIT_MICROS = 1_000_000;
 
   private final RouterOptions options;
   private final ConfigurationReplica configuration;
   private final RequestBook book;
   private final PoisonGuard poison;
+  private final ServedVersions versions;
   private final PromptRenderer renderer;
   private final TeamDirectory teams = new TeamDirectory();
   private boolean isDraining;
@@ -33,11 +37,13 @@
       RouterOptions options,
       ConfigurationReplica configuration,
       RequestBook book,
-      PoisonGuard poison) {
+      PoisonGuard poison,
+      ServedVersions versions) {
     this.options = options;
     this.configuration = configuration;
     this.book = book;
     this.poison = poison;
+    this.versions = versions;
     this.renderer = new PromptRenderer(options.blockBytes());
   }
 
@@ -62,7 +68,7 @@
     if (book.findChat(request).isPresent() || book.findCall(request).isPresent()) {
       return refuse(RefusalReason.MALFORMED_REQUEST, "The request identifier is in use.");
     }
-    if (book.size() >= options.maximumOpenRequests()) {
+    if (book.size() >= openLimit(team.get())) {
       return overload(
           RefusalReason.ROUTER_OVERLOADED, "The router has too many open requests.", nowMicros);
     }
@@ -82,7 +88,8 @@
       return Either.left(fault.get());
     }
     String tenantText = request.tenant().flatMap(team::tenantText).orElse("");
-    RenderedPrompt prompt = renderer.render(team, tenantText, request.messages());
+    CacheIdentity identity = new CacheIdentity(team.name(), versions.versionFor(team, nowMicros));
+    RenderedPrompt prompt = renderer.render(team, identity, tenantText, request.messages());
     int limit = team.limits().maximumPromptBytes();
     if (prompt.bytes().length > limit) {
       return refuse(
@@ -104,6 +111,7 @@
         new ChatExchange(
             request.request(),
             team,
+            identity,
             prompt,
             fingerprint,
             Math.min(outputLimit, request.maximumOutputTokens().orElse(outputLimit)),
@@ -129,6 +137,12 @@
     return Either.right(service.get());
   }
 
+  /** Keeps some room for teams with priority, who call rarely and must not find the router full. */
+  private int openLimit(TeamTemplate team) {
+    int all = options.maximumOpenRequests();
+    return team.priority() == PriorityClass.PRIORITY ? all : all - all / PRIORITY_ROOM_DIVISOR;
+  }
+
   private static Optional<Refusal> faultOf(RouterEvent.ChatRequested request, TeamTemplate team) {
     if (!team.modelVersion().model().equals(request.model())) {
       return Optional.of(
--- a/coordination/src/main/java/org/shallothook/coordination/router/CallFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/CallFlow.java
@@ -31,6 +31,7 @@
   private static final long COME_BACK_MICROS = 1_000_000;
 
   private final RouterOptions options;
+  private final RetryDesk retries;
   private final RouterOutbox outbox;
   private final RequestBook book;
   private final Admission admission;
@@ -39,12 +40,14 @@
 
   CallFlow(
       RouterOptions options,
+      RetryDesk retries,
       RouterOutbox outbox,
       RequestBook book,
       Admission admission,
       UpstreamDirectory directory,
       ConfigurationReplica configuration) {
     this.options = options;
+    this.retries = retries;
     this.outbox = outbox;
     this.book = book;
     this.admission = admission;
@@ -83,6 +86,7 @@
       return;
     }
     exchange.get().find(answer.attempt()).get().end("answered " + answer.status(), nowMicros);
+    retries.onSuccess(nowMicros);
     book.complete(
         exchange.get(),
         new RouterCommand.AnswerCall(
@@ -175,12 +179,10 @@
       String detail,
       long nowMicros) {
     boolean isSafe = !exchange.mayHaveRun() || exchange.isRepeatable();
-    if (!isSafe || exchange.submissions() >= options.maximumAttempts()) {
+    if (!isSafe || retries.take(exchange, reason, nowMicros) != RetryDesk.Decision.NOW) {
       refuse(exchange, otherwise, detail, nowMicros + COME_BACK_MICROS, nowMicros);
       return;
     }
-    options.counters().increment(reason.counter());
-    exchange.addRetry(reason);
     sendNext(exchange, otherwise, detail, nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
@@ -35,6 +35,7 @@
   ChatExchange(
       RequestId id,
       TeamTemplate team,
+      CacheIdentity identity,
       RenderedPrompt prompt,
       String fingerprint,
       int maximumOutputTokens,
@@ -42,7 +43,7 @@
       long arrivedAtMicros,
       long deadlineMicros) {
     super(id, team, arrivedAtMicros, deadlineMicros);
-    this.identity = team.cacheIdentity();
+    this.identity = identity;
     this.prompt = prompt;
     this.fingerprint = fingerprint;
     this.maximumOutputTokens = maximumOutputTokens;
@@ -81,6 +82,11 @@
     return plan;
   }
 
+  /** Returns the names of the upstreams in the plan, the preferred first. */
+  List<String> planNames() {
+    return plan.offers().stream().map(offer -> offer.candidate().name()).toList();
+  }
+
   /** Starts a round of offers along a plan. */
   void startRound(PlacementPlan newPlan) {
     plan = newPlan;
@@ -136,7 +142,7 @@
         configurationOffset,
         prompt.keys().size(),
         fingerprint,
-        plan.offers().stream().map(offer -> offer.candidate().name()).toList(),
+        planNames(),
         explainAttempts(),
         explainRetries(),
         finalOutcome,
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -234,10 +234,10 @@
       return;
     }
     RefusalReason reason =
-        exchange.hasBegun() ? RefusalReason.STREAM_CANNOT_RESUME : RefusalReason.NO_UPSTREAM;
+        rounds.hasEngine(nowMicros) ? RefusalReason.WRONG_VERSION : RefusalReason.NO_UPSTREAM;
     refuse(
         exchange,
-        reason,
+        exchange.hasBegun() ? RefusalReason.STREAM_CANNOT_RESUME : reason,
         "No upstream can serve " + exchange.identity().modelVersion() + " now.",
         nowMicros + COME_BACK_MICROS,
         nowMicros);
@@ -320,7 +320,8 @@
       return false;
     }
     boolean ranAlone = attempt.isAlone() && failed.crashRole() == CrashRole.ALONE;
-    Optional<Long> until = poison.onCrash(exchange.fingerprint(), ranAlone, nowMicros);
+    Optional<Long> until =
+        poison.onCrash(exchange.fingerprint(), ranAlone, exchange.planNames(), nowMicros);
     until.ifPresent(at -> refuseQuarantined(exchange, at, nowMicros));
     return until.isPresent();
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -15,6 +15,7 @@
 import org.shallothook.coordination.placement.PlacementPlan;
 import org.shallothook.coordination.placement.PlacementQuery;
 import org.shallothook.coordination.placement.PlannedOffer;
+import org.shallothook.coordination.placement.PrefixLevel;
 import org.shallothook.coordination.placement.SpreadCache;
 import org.shallothook.coordination.quarantine.PoisonGuard;
 import org.shallothook.state.request.RefusalReason;
@@ -32,7 +33,7 @@
   /** Greatest number of places kept for a request at once. */
   static final int MAXIMUM_PROBES = 3;
 
-  private static final long SPREAD_VALIDITY_MICROS = 10_000_000;
+  private static final long SPREAD_VALIDITY_MICROS = 5_000_000;
   private static final long FAR_MICROS = 2_000;
   private static final int UNANSWERED_IN_A_ROW = 3;
 
@@ -102,7 +103,7 @@
     upstream.onAnswered();
     upstream.onQueueDelay(reply.hint().queueDelayMicros());
     if (attempt.rank() == 0) {
-      spreads.learn(exchange.prompt().levels(), reply.hint(), nowMicros);
+      spreads.learn(PrefixLevel.homeOf(exchange.prompt().levels()), reply.hint(), nowMicros);
     }
     if (reply.refusal().isPresent()) {
       onRefused(exchange, attempt, reply, nowMicros);
@@ -148,6 +149,11 @@
     return Progress.EXHAUSTED;
   }
 
+  /** Returns whether any engine takes new work, whatever it has loaded. */
+  boolean hasEngine(long nowMicros) {
+    return directory.hasEngine(nowMicros);
+  }
+
   /** Cancels an open attempt. */
   void cancel(Attempt attempt, String why, long nowMicros) {
     if (attempt.isOpen()) {
@@ -168,10 +174,11 @@
   }
 
   private boolean offerNext(ChatExchange exchange, long nowMicros) {
-    PlannedOffer next = exchange.remaining().poll();
-    if (next == null) {
+    Optional<PlannedOffer> planned = pollUsable(exchange, nowMicros);
+    if (planned.isEmpty()) {
       return false;
     }
+    PlannedOffer next = planned.get();
     Upstream upstream = (Upstream) next.candidate();
     boolean isSuspect = poison.isSuspect(exchange.fingerprint(), nowMicros);
     Attempt attempt =
@@ -180,6 +187,14 @@
     return true;
   }
 
+  private static Optional<PlannedOffer> pollUsable(ChatExchange exchange, long nowMicros) {
+    PlannedOffer next = exchange.remaining().poll();
+    while (next != null && !((Upstream) next.candidate()).isUsable(nowMicros)) {
+      next = exchange.remaining().poll();
+    }
+    return Optional.ofNullable(next);
+  }
+
   private Offer messageOf(ChatExchange exchange, Attempt attempt, long nowMicros) {
     long deadline =
         exchange.hasBegun()
--- a/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
@@ -34,10 +34,12 @@
    * Renders a prompt.
    *
    * @param team template of the team
+   * @param identity scope of cache reuse that the prompt belongs to
    * @param tenantText text of the tenant, or the empty string
    * @param messages conversation, oldest first, not empty
    */
-  RenderedPrompt render(TeamTemplate team, String tenantText, List<ChatMessage> messages) {
+  RenderedPrompt render(
+      TeamTemplate team, CacheIdentity identity, String tenantText, List<ChatMessage> messages) {
     StringBuilder text = new StringBuilder();
     appendPart(text, "rulebook", team.rulebook());
     int rulebookBytes = utf8Length(text);
@@ -56,7 +58,6 @@
     }
     String prompt = text.append(MARKER).append("assistant|>\n").toString();
     byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
-    CacheIdentity identity = team.cacheIdentity();
     List<BlockKey> keys = BlockKeyChain.keysOf(identity, bytes, blockBytes);
     String opening = prompt.substring(0, firstTurn == 0 ? prompt.length() : firstTurn);
     List<PrefixLevel> levels =
--- a/coordination/src/main/java/org/shallothook/coordination/router/RetryDesk.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RetryDesk.java
@@ -53,6 +53,17 @@
 
   /** Decides on a retry and, where it is due later, notes when. */
   Decision request(ChatExchange exchange, RetryReason reason, long nowMicros) {
+    Decision decision = take(exchange, reason, nowMicros);
+    int retry = exchange.retries().size();
+    if (decision != Decision.NOW || (retry == 1 && reason != RetryReason.OFFER_UNANSWERED)) {
+      return decision;
+    }
+    exchange.setRetryAtMicros(backoff.retryAtMicros(retry, nowMicros));
+    return Decision.LATER;
+  }
+
+  /** Counts a retry against all bounds, and tells which of them forbids it. */
+  Decision take(Exchange exchange, RetryReason reason, long nowMicros) {
     boolean isExhausted =
         exchange.submissions() >= options.maximumAttempts()
             || exchange.retries().size() >= MAXIMUM_RETRIES;
@@ -64,12 +75,7 @@
     }
     options.counters().increment(reason.counter());
     exchange.addRetry(reason);
-    int retry = exchange.retries().size();
-    if (retry == 1 && reason != RetryReason.OFFER_UNANSWERED) {
-      return Decision.NOW;
-    }
-    exchange.setRetryAtMicros(backoff.retryAtMicros(retry, nowMicros));
-    return Decision.LATER;
+    return Decision.NOW;
   }
 
   /** Returns whether an upstream for the request may still become known. */
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -72,12 +72,18 @@
             random.split(),
             options.quarantineMicros());
     book = new RequestBook(outbox, options);
-    admission = new Admission(options, configuration, book, poison);
+    admission =
+        new Admission(
+            options,
+            configuration,
+            book,
+            poison,
+            new ServedVersions(directory, options.counters()));
     OfferRounds rounds = new OfferRounds(options, outbox, directory, poison, random.split());
     RetryDesk retries = new RetryDesk(options, directory, random.split());
     SlownessWatch slowness = new SlownessWatch(options, directory);
     chats = new ChatFlow(options, outbox, book, admission, rounds, retries, poison, slowness);
-    calls = new CallFlow(options, outbox, book, admission, directory, configuration);
+    calls = new CallFlow(options, retries, outbox, book, admission, directory, configuration);
   }
 
   /**
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -0,0 +1,286 @@
+package org.shallothook.coordination.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.shallothook.coordination.message.CrashRole;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.Hint;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.router.RouterHarness.Sent;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.log.LogPage;
+import org.shallothook.state.log.LogRecord;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.request.RequestId;
+
+/** What a router does as upstreams, routers and configurations come and go. */
+final class RouterCoreFleetTest {
+
+  static Stream<Arguments> leavingSignals() {
+    return Stream.of(
+        signal("list", (harness, name) -> harness.markLeaving(name, true)),
+        signal("sidecar", (harness, name) -> harness.status(name, true, RouterHarness.VERSION)),
+        signal(
+            "sidecar, then a lagging list",
+            (harness, name) -> {
+              harness.status(name, true, RouterHarness.VERSION);
+              harness.listInstances();
+            }),
+        signal(
+            "refused offer",
+            (harness, name) -> {
+              RequestId request = harness.chat("probe");
+              while (!harness.latestOffer(request).peer().equals(name)) {
+                harness.reply(
+                    harness.latestOffer(request), Optional.of(RefusalReason.QUEUE_FULL), Hint.NONE);
+              }
+              harness.reply(
+                  harness.latestOffer(request),
+                  Optional.of(RefusalReason.UPSTREAM_LEAVING),
+                  Hint.NONE);
+            }),
+        signal("lost connection", (harness, name) -> harness.send(new RouterEvent.PeerLost(name))));
+  }
+
+  private static Arguments signal(String name, BiConsumer<RouterHarness, String> action) {
+    return Arguments.of(name, action);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("leavingSignals")
+  void anySignalStopsNewWork(String name, BiConsumer<RouterHarness, String> action) {
+    RouterHarness harness = RouterHarness.ready(3);
+    action.accept(harness, "engine-2");
+    harness.commands.clear();
+    for (int sent = 0; sent < 50; sent++) {
+      harness.chat("question " + sent);
+    }
+
+    List<Sent<PeerMessage.Offer>> offers = harness.sent(PeerMessage.Offer.class, one -> true);
+    assertThat(offers).isNotEmpty();
+    assertThat(offers.stream().map(Sent::peer).toList()).doesNotContain("engine-2");
+  }
+
+  @Test
+  void sidecarThatReportsAgainIsTakenBack() {
+    RouterHarness harness = RouterHarness.ready(1);
+    harness.send(new RouterEvent.PeerLost("engine-1"));
+    RequestId request = harness.chat("hello");
+    harness.advance(1_100_000);
+    assertThat(harness.sent(PeerMessage.Hello.class, one -> true)).isNotEmpty();
+    assertThat(harness.offers(request)).isEmpty();
+
+    harness.status("engine-1", false, RouterHarness.VERSION);
+    harness.advance(50_000);
+    assertThat(harness.offers(request)).hasSize(1);
+  }
+
+  @Test
+  void statusOfAnOlderSidecarProcessIsIgnored() {
+    RouterHarness harness = RouterHarness.ready(1);
+    harness.send(
+        new RouterEvent.PeerMessageReceived(
+            new Envelope(
+                "engine-1",
+                0,
+                1,
+                new PeerMessage.SidecarStatus("engine-1", "e-0", List.of(), true, 0))));
+
+    assertThat(harness.offers(harness.chat("hello"))).hasSize(1);
+  }
+
+  @Test
+  void servesTheEarlierVersionUntilTheNewOneIsReadyAndNeverAfter() {
+    RouterHarness harness = RouterHarness.ready(1);
+    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
+    harness.chat("hello");
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    RequestId during = harness.chat("hello");
+    harness.status("engine-1", false, RouterHarness.VERSION, newer);
+    RequestId after = harness.chat("hello");
+    harness.status("engine-1", false, RouterHarness.VERSION);
+    RequestId later = harness.chat("hello");
+
+    assertThat(harness.latestOffer(during).message().identity().modelVersion())
+        .isEqualTo(RouterHarness.VERSION);
+    assertThat(harness.latestOffer(after).message().identity().modelVersion()).isEqualTo(newer);
+    assertThat(harness.refusal(later).get().reason()).isEqualTo(RefusalReason.WRONG_VERSION);
+  }
+
+  @Test
+  void requestsWaitWhileTheConfigurationIsBehindAndAreRefusedAsNotRunAfterwards() {
+    RouterHarness harness = RouterHarness.ready(2);
+    harness.send(
+        new RouterEvent.PeerMessageReceived(
+            new Envelope("engine-1", 1, 99, new PeerMessage.Quarantine("0".repeat(32), 0))));
+    RequestId request = harness.chat("hello");
+    assertThat(harness.offers(request)).isEmpty();
+    assertThat(harness.refusal(request)).isEmpty();
+
+    harness.advance(1_100_000);
+    assertThat(harness.refusal(request).get().reason())
+        .isEqualTo(RefusalReason.CONFIGURATION_BEHIND);
+    assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
+  @Test
+  void drainRefusesNewRequestsAndEndsWithTheLastRunningOne() {
+    RouterHarness harness = RouterHarness.ready(2);
+    RequestId running = harness.chat("hello");
+    AttemptId attempt = harness.acceptLatest(running);
+    harness.send(new RouterEvent.DrainRequested());
+    RequestId refused = harness.chat("late");
+
+    assertThat(harness.refusal(refused).get().reason()).isEqualTo(RefusalReason.ROUTER_LEAVING);
+    assertThat(harness.refusal(refused).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(harness.core.isDrained()).isFalse();
+
+    harness.tokens(attempt, 0, "Maria");
+    harness.ended(attempt, 1);
+    assertThat(harness.isComplete(running)).isTrue();
+    assertThat(harness.commands(RouterCommand.Drained.class)).hasSize(1);
+    assertThat(harness.core.isDrained()).isTrue();
+  }
+
+  @Test
+  void teamAtItsLimitIsRefusedUntilARequestEnds() {
+    RouterHarness harness = RouterHarness.ready(2);
+    harness.publish(
+        RouterHarness.template(
+            "linen", RouterHarness.KEY, "3", "[limits]\nmaximum-concurrent-requests = 1\n"));
+    RequestId first = harness.chat("one");
+    RequestId second = harness.chat("two");
+    harness.send(new RouterEvent.CallerGone(first));
+    RequestId third = harness.chat("three");
+
+    assertThat(harness.refusal(second).get().reason()).isEqualTo(RefusalReason.TEAM_LIMIT);
+    assertThat(harness.refusal(third)).isEmpty();
+  }
+
+  @Test
+  void secondCrashQuarantinesTheSuspectButNotTheInnocentOfTheSameBatch() {
+    RouterHarness harness = RouterHarness.ready(4);
+    RequestId poison = harness.chat("poison");
+    RequestId innocent = harness.chat("innocent");
+    crash(harness, harness.acceptLatest(poison), CrashRole.PREFILLING);
+    crash(harness, harness.acceptLatest(innocent), CrashRole.STREAMING);
+    AttemptId innocentRetry = harness.acceptLatest(innocent);
+    harness.tokens(innocentRetry, 0, "fine");
+    harness.ended(innocentRetry, 1);
+    Sent<PeerMessage.Offer> alone = harness.latestOffer(poison);
+    crash(harness, harness.accept(alone), CrashRole.ALONE);
+
+    assertThat(alone.message().isSuspect()).isTrue();
+    assertThat(harness.isComplete(innocent)).isTrue();
+    Refusal refusal = harness.refusal(poison).get();
+    assertThat(refusal.reason()).isEqualTo(RefusalReason.QUARANTINED);
+    assertThat(refusal.outcome()).isEqualTo(Outcome.UNKNOWN);
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
+    assertThat(
+            harness.sent(PeerMessage.Quarantine.class, one -> true).stream()
+                .map(Sent::peer)
+                .toList())
+        .contains("router-2");
+    assertThat(harness.refusal(harness.chat("poison")).get().reason())
+        .isEqualTo(RefusalReason.QUARANTINED);
+    assertThat(harness.refusal(harness.chat("innocent"))).isEmpty();
+  }
+
+  private static void crash(RouterHarness harness, AttemptId attempt, CrashRole role) {
+    harness.failed(attempt, RefusalReason.ENGINE_LOST, Outcome.UNKNOWN, role);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void quarantineIsLearnedFromTheLogAndFromOtherRouters(boolean fromLog) {
+    RouterHarness harness = RouterHarness.ready(2);
+    RequestId request = harness.chat("poison");
+    String fingerprint = harness.latestOffer(request).message().fingerprint();
+    long until = harness.now + 60_000_000;
+    if (fromLog) {
+      LogRecord record = new LogRecord(0, harness.now, "quarantine " + fingerprint + " " + until);
+      harness.send(new RouterEvent.LogRead(new LogPage("quarantine", 0, 1, List.of(record))));
+    } else {
+      harness.receive("router-2", new PeerMessage.Quarantine(fingerprint, until));
+    }
+    Refusal refusal = harness.refusal(harness.chat("poison")).get();
+    assertThat(refusal.reason()).isEqualTo(RefusalReason.QUARANTINED);
+    assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(refusal.retryAtMicros()).hasValue(until);
+
+    harness.advance(61_000_000);
+    assertThat(harness.refusal(harness.chat("poison"))).isEmpty();
+  }
+
+  @Test
+  void appendOfAQuarantineIsRepeatedAfterALogOutage() {
+    RouterHarness harness = RouterHarness.ready(4);
+    RequestId poison = harness.chat("poison");
+    crash(harness, harness.acceptLatest(poison), CrashRole.PREFILLING);
+    crash(harness, harness.acceptLatest(poison), CrashRole.ALONE);
+    RouterCommand.AppendLog append = harness.commands(RouterCommand.AppendLog.class).get(0);
+    harness.send(new RouterEvent.LogAppendFailed(append.token(), true));
+    harness.advance(6_000_000);
+
+    List<RouterCommand.AppendLog> appends = harness.commands(RouterCommand.AppendLog.class);
+    assertThat(appends).hasSize(2);
+    assertThat(appends.get(1).payload()).isEqualTo(append.payload());
+  }
+
+  @Test
+  void slowUpstreamIsEjectedUntilItsDeadline() {
+    RouterHarness harness = RouterHarness.ready(4);
+    int sent = 0;
+    while (harness.counter("ejections") == 0 && sent < 400) {
+      RequestId request = harness.chat("question " + sent++);
+      Sent<PeerMessage.Offer> offer = spreadOffer(harness, request);
+      AttemptId attempt = harness.accept(offer);
+      harness.now += offer.peer().equals("engine-1") ? 2_000_000 : 10_000;
+      harness.tokens(attempt, 0, "a");
+      harness.ended(attempt, 1);
+    }
+    assertThat(harness.counter("ejections")).isEqualTo(1);
+    assertThat(stateOf(harness, "engine-1")).isEqualTo("ejected");
+    assertThat(spreadPeers(harness)).doesNotContain("engine-1");
+
+    harness.advance(11_000_000);
+    assertThat(stateOf(harness, "engine-1")).isEqualTo("ready");
+  }
+
+  /** Refuses offers for as long as the request's number asks for, so that all engines get work. */
+  private static Sent<PeerMessage.Offer> spreadOffer(RouterHarness harness, RequestId request) {
+    int refusals = request.value().hashCode() & 3;
+    for (int refused = 0; refused < refusals; refused++) {
+      harness.reply(harness.latestOffer(request), Optional.of(RefusalReason.QUEUE_FULL), Hint.NONE);
+    }
+    return harness.latestOffer(request);
+  }
+
+  private static List<String> spreadPeers(RouterHarness harness) {
+    harness.commands.clear();
+    for (int sent = 0; sent < 40; sent++) {
+      spreadOffer(harness, harness.chat("after " + sent));
+    }
+    return harness.sent(PeerMessage.Offer.class, one -> true).stream().map(Sent::peer).toList();
+  }
+
+  private static String stateOf(RouterHarness harness, String name) {
+    return harness.core.status().upstreams().stream()
+        .filter(one -> one.name().equals(name))
+        .findFirst()
+        .orElseThrow()
+        .state();
+  }
+}
