Count computed blocks and serve control paths at each stand-in's address

Cause: the demonstration's client reads /control/state at the address of the upstream and adds up computed_blocks; the examples name versions MODEL@VERSION. Change: control paths at both addresses, computed_blocks in the engine's state, running counts moved out of EngineModel, version form of the examples.

--- a/standins/src/main/java/org/shallothook/standins/StandinFactory.java
+++ b/standins/src/main/java/org/shallothook/standins/StandinFactory.java
@@ -31,7 +31,7 @@
   private static final long LIST_LAG_MICROS = 1_000_000;
   private static final long SERVICE_LATENCY_MICROS = 5_000;
   private static final Pattern COMMA = Pattern.compile(",");
-  private static final Pattern COLON = Pattern.compile(":");
+  private static final Pattern AT = Pattern.compile("@");
   private static final int STORE_BLOCKS = 4_000;
 
   private final StandinClient client;
@@ -92,11 +92,11 @@
   private static List<ModelVersion> versions(SettingsSection section) {
     List<ModelVersion> versions = new ArrayList<>();
     for (String entry : COMMA.split(section.requiredText("models"), -1)) {
-      String[] parts = COLON.split(entry.trim(), -1);
+      String[] parts = AT.split(entry.trim(), -1);
       if (parts.length < 2 || parts.length > 3 || parts[0].isBlank() || parts[1].isBlank()) {
         throw section.problem(
             "models",
-            "found '" + entry.trim() + "'; write MODEL:VERSION or MODEL:VERSION:ADAPTER.");
+            "found '" + entry.trim() + "'; write MODEL@VERSION or MODEL@VERSION@ADAPTER.");
       }
       versions.add(new ModelVersion(parts[0], parts[1], parts.length == 3 ? parts[2] : ""));
     }
--- a/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
@@ -40,6 +40,7 @@
   private final Map<String, Generation> generations = new LinkedHashMap<>();
   private final List<Generation> waiting = new ArrayList<>();
   private final List<Generation> decoding = new ArrayList<>();
+  private final EngineTally tally = new EngineTally();
   private CacheFeed feed;
   private BlockCache cache;
   private Generation prefilling;
@@ -53,14 +54,6 @@
   private long orderSequence;
   private double slowFactor = 1;
   private boolean isLeaving;
-  private long started;
-  private long ended;
-  private long cancelled;
-  private long lost;
-  private long crashes;
-  private long prefilledTokens;
-  private long cachedTokens;
-  private long decodedTokens;
 
   /**
    * Creates an engine with an empty cache.
@@ -97,7 +90,7 @@
     Generation generation = new Generation(request, orderSequence++, settings);
     generations.put(request.id(), generation);
     waiting.add(generation);
-    started++;
+    tally.started++;
     load.record(generations.size(), nowMicros);
     beginPrefill(nowMicros);
     return StartResult.STARTED;
@@ -109,7 +102,7 @@
     if (generation == null) {
       return false;
     }
-    cancelled++;
+    tally.cancelled++;
     load.record(generations.size(), nowMicros);
     waiting.remove(generation);
     decoding.remove(generation);
@@ -172,7 +165,7 @@
     next.cachedBlocks = cache.match(request.identity(), request.keys());
     long cached = (long) next.cachedBlocks * settings.blockTokens();
     long prompt = promptTokens(request);
-    cachedTokens += Math.min(cached, prompt);
+    tally.cachedTokens += Math.min(cached, prompt);
     prefillTokens = Math.max(1, prompt - cached + request.resumePosition());
     prefillStartMicros = nowMicros;
     prefillEndMicros = nowMicros + scaled(settings.prefillMicros(prefillTokens));
@@ -186,7 +179,7 @@
   private void abandonPrefill(long nowMicros) {
     long elapsed = Math.max(0, nowMicros - prefillStartMicros);
     long total = Math.max(1, prefillEndMicros - prefillStartMicros);
-    prefilledTokens += prefillTokens * Math.min(elapsed, total) / total;
+    tally.prefilledTokens += prefillTokens * Math.min(elapsed, total) / total;
     prefilling = null;
     prefillEndMicros = NEVER;
     beginPrefill(nowMicros);
@@ -196,8 +189,9 @@
     Generation generation = prefilling;
     prefilling = null;
     prefillEndMicros = NEVER;
-    prefilledTokens += prefillTokens;
+    tally.prefilledTokens += prefillTokens;
     EngineRequest request = generation.request;
+    tally.computed(request.keys().subList(generation.cachedBlocks, request.keys().size()));
     cache.store(request.identity(), request.keys(), atMicros);
     decoding.add(generation);
     if (stepEndMicros == NEVER) {
@@ -226,13 +220,13 @@
     String id = generation.request.id();
     if (!generation.isComplete()) {
       int position = generation.position++;
-      decodedTokens++;
+      tally.decodedTokens++;
       listener.token(id, position, generation.answer.token(position), atMicros);
     }
     if (generation.isComplete()) {
       generations.remove(id, generation);
       decoding.remove(generation);
-      ended++;
+      tally.ended++;
       load.record(generations.size(), atMicros);
       listener.ended(
           id, generation.position, generation.finishReason(), generation.cachedBlocks, atMicros);
@@ -250,8 +244,8 @@
     stepEndMicros = NEVER;
     crashMicros = NEVER;
     versions.abandonLoad();
-    crashes++;
-    lost += ids.size();
+    tally.crashes++;
+    tally.lost += ids.size();
     restartMicros = nowMicros + settings.restartMicros();
     load.record(0, nowMicros);
     ids.forEach(id -> listener.lost(id, nowMicros));
@@ -388,7 +382,11 @@
 
   /** Returns what the engine has done so far. */
   public EngineCounters counters() {
-    return new EngineCounters(
-        started, ended, cancelled, lost, crashes, prefilledTokens, cachedTokens, decodedTokens);
+    return tally.counters();
+  }
+
+  /** Returns how often each block was computed. */
+  public Map<BlockKey, Integer> computedBlocks() {
+    return tally.computedBlocks();
   }
 }
--- a/standins/src/main/java/org/shallothook/standins/http/EngineStandin.java
+++ b/standins/src/main/java/org/shallothook/standins/http/EngineStandin.java
@@ -253,6 +253,9 @@
     state.addProperty("running", model.running());
     state.addProperty("cached_blocks", model.cachedKeys().size());
     Json.of(model.counters()).getAsJsonObject().asMap().forEach(state::add);
+    JsonObject computedBlocks = new JsonObject();
+    model.computedBlocks().forEach((key, times) -> computedBlocks.addProperty(key.toHex(), times));
+    state.add("computed_blocks", computedBlocks);
     return state;
   }
 }
--- a/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
+++ b/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
@@ -26,15 +26,17 @@
 import org.tinylog.Logger;
 
 /**
- * Serves one stand-in at its address and its control address.
+ * Serves one stand-in at its address and, if it has one, at a control address of its own.
  *
- * <p>While the stand-in is down, its address is closed; the control address stays open.
+ * <p>Control paths are served at both. While the stand-in is down, only the control address stays
+ * open.
  *
  * <p>Invariant: everything after {@link #start} runs on the one event loop.
  */
 public final class StandinServer {
   private static final int MAXIMUM_BODY_BYTES = 16 << 20;
   private static final int SERVICE_UNAVAILABLE = 503;
+  private static final String CONTROL_PREFIX = "control/";
   private static final int BAD_REQUEST = 400;
   private static final long REBIND_RETRY_MICROS = 50_000;
 
@@ -98,6 +100,10 @@
   }
 
   private void serve(Exchange exchange) {
+    if (exchange.path().startsWith(CONTROL_PREFIX)) {
+      control(exchange);
+      return;
+    }
     long now = clock.nowMicros();
     long thawedAt = standin.disturbances().thawedAtMicros(now);
     if (thawedAt > now) {
