--- a/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
@@ -1,20 +1,23 @@
 package org.shallothook.coordination.port;
 
+import org.shallothook.state.request.RefusalReason;
+
 /**
- * Counts what happened, by name.
+ * Counts what decisions do, by name.
  *
- * <p>Names are lower-case words joined by hyphens, with dots between the parts, such as {@code
- * refusals.queue-full}. Not thread-safe: used on the decision thread.
+ * <p>Names are dotted, with lower-case words joined by hyphens, such as {@code
+ * refusals.queue-full}. Implementations are thread-safe and never throw.
  */
+@FunctionalInterface
 public interface Counters {
-  /** Counters that keep nothing. */
+  /** Counts nothing. */
   Counters NONE = name -> {};
 
-  /** Adds one to the counter of that name. */
+  /** Adds one to a counter. */
   void increment(String name);
 
   /**
-   * Adds a number to the counter of that name.
+   * Adds a number to a counter.
    *
    * @param name name of the counter
    * @param amount number to add, not negative
@@ -24,4 +27,14 @@
       increment(name);
     }
   }
+
+  /** Counts a refusal by its reason. */
+  default void refused(RefusalReason reason) {
+    increment("refusals." + reason.code());
+  }
+
+  /** Counts a retry by the reason of the attempt that failed. */
+  default void retried(RefusalReason reason) {
+    increment("retries." + reason.code());
+  }
 }
