--- a/standins/src/main/java/org/shallothook/standins/engine/EngineListener.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineListener.java
@@ -35,4 +35,13 @@
    * @param atMicros time of the crash
    */
   void lost(String id, long atMicros);
+
+  /**
+   * The prompt of a stream has been computed.
+   *
+   * @param id identifier of the request
+   * @param cachedBlocks leading prompt blocks taken from the cache
+   * @param atMicros time of the end
+   */
+  default void prefilled(String id, int cachedBlocks, long atMicros) {}
 }
--- a/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
@@ -193,6 +193,7 @@
     EngineRequest request = generation.request;
     tally.computed(request.keys().subList(generation.cachedBlocks, request.keys().size()));
     cache.store(request.identity(), request.keys(), atMicros);
+    listener.prefilled(request.id(), generation.cachedBlocks, atMicros);
     decoding.add(generation);
     if (stepEndMicros == NEVER) {
       beginStep(atMicros);
--- a/standins/src/main/java/org/shallothook/standins/store/CacheStoreModel.java
+++ b/standins/src/main/java/org/shallothook/standins/store/CacheStoreModel.java
@@ -71,6 +71,11 @@
     return Optional.ofNullable(bodies.get(key));
   }
 
+  /** Returns whether a block is stored under the identity, without marking it as used. */
+  public boolean contains(CacheIdentity identity, BlockKey key) {
+    return cache.contains(identity, key);
+  }
+
   /** Returns the incarnation, new after each restart. */
   public String incarnation() {
     return name + "-" + incarnation;
