Claim bookings in the log before dispatch and answer repeats from it

Cause: calls that may not be repeated must run at most once over the fleet. Ruled out: taking a claim over after its deadline. Fencing numbers stop a late call of the earlier claimant but cannot tell that it has not run, so a takeover may run a booking twice. Change: claims and ends in partitions of the log, written in batches by a keeper that reads back; the first claim by offset runs; a claim is given back only by its claimant. Messages between sidecars, with their mapping.

--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
@@ -0,0 +1,417 @@
+package org.shallothook.coordination.booking;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.state.booking.KeyAge;
+import org.shallothook.state.booking.ServiceOutcome;
+import org.shallothook.state.log.LogPage;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Makes calls that may not be repeated, each at most once over the whole fleet.
+ *
+ * <p>A call is dispatched only after its claim was read back from the log as the one that counts.
+ * What the service answered goes to the log too, and from there to every repeat. A claim that may
+ * have led to a call is never taken over.
+ *
+ * <p>Invariant: a claim is given back only when its call was not made and never will be made under
+ * it. Not thread-safe: used on the decision thread.
+ */
+public final class CallDesk {
+  /** Longest time that a caller waits for a claim, in microseconds. */
+  public static final long CLAIM_PATIENCE_MICROS = 4_000_000;
+
+  private static final long ASK_INTERVAL_MICROS = 400_000;
+
+  /** Questions without an answer after which the next sidecar in rank is asked. */
+  private static final int QUESTIONS_PER_KEEPER = 2;
+
+  private static final int LONGEST_KEY = 256;
+
+  private final String self;
+  private final long incarnation;
+  private final Outbox outbox;
+  private final Consumer<SidecarCommand.CallService> dispatcher;
+  private final BookingOptions options;
+  private final Counters counters;
+  private final ClaimPartitions partitions;
+  private final ClaimKeeping keeping;
+  private final ClaimEnds ends = new ClaimEnds(this::sendEnd);
+  private final Map<String, BookedCall> callsByScope = new LinkedHashMap<>();
+  private final Map<String, BookedCall> callsByClaim = new LinkedHashMap<>();
+  private final Map<AttemptId, BookedCall> callsByAttempt = new LinkedHashMap<>();
+  private long claims;
+  private long nowMicros;
+
+  /**
+   * Creates a desk.
+   *
+   * @param self name of this instance
+   * @param incarnation incarnation of this process; grows with each restart
+   * @param outbox way to peers and to the log
+   * @param dispatcher takes calls to the service
+   * @param options options, equal in the whole fleet
+   * @param counters counters of refusals and appends
+   */
+  public CallDesk(
+      String self,
+      long incarnation,
+      Outbox outbox,
+      Consumer<SidecarCommand.CallService> dispatcher,
+      BookingOptions options,
+      Counters counters) {
+    this.self = self;
+    this.incarnation = incarnation;
+    this.outbox = outbox;
+    this.dispatcher = dispatcher;
+    this.options = options;
+    this.counters = counters;
+    this.partitions = new ClaimPartitions(options.partitions(), self);
+    this.keeping = new ClaimKeeping(self, outbox, options, counters, this::reply, partitions);
+  }
+
+  /** Returns whether no call is open and every end is in the log. */
+  public boolean isIdle() {
+    return callsByScope.isEmpty() && ends.isEmpty();
+  }
+
+  /** Returns the number of scopes remembered for the fleet by this sidecar. */
+  public int scopesKept() {
+    return keeping.scopes();
+  }
+
+  /** Takes the list of instances, from which keepers are chosen. */
+  public void onInstances(InstanceList list) {
+    partitions.setInstances(list, self);
+  }
+
+  /** Takes a call that may not be repeated. The sidecar has checked that it may take work. */
+  public void onCall(String router, PeerMessage.Call call, long now) {
+    nowMicros = now;
+    Optional<RefusalReason> refusal = refusal(call);
+    if (refusal.isPresent()) {
+      fail(router, call.attempt(), refusal.get(), Outcome.NOT_RUN, "The call was not dispatched.");
+      return;
+    }
+    String scope = call.team() + '|' + call.service() + '|' + call.idempotencyKey().orElseThrow();
+    String digest = digest(call);
+    BookedCall open = callsByScope.get(scope);
+    if (open == null) {
+      open(router, call, scope, digest);
+    } else if (open.digest.equals(digest)) {
+      open.waiters.put(call.attempt(), router);
+    } else {
+      fail(
+          router,
+          call.attempt(),
+          RefusalReason.IDEMPOTENCY_KEY_REUSED,
+          Outcome.NOT_RUN,
+          "The key is in use for another payload.");
+    }
+  }
+
+  /** Takes a message between sidecars; returns whether it was about claims. */
+  public boolean onEnvelope(Envelope envelope, long now) {
+    nowMicros = now;
+    PeerMessage message = envelope.message();
+    if (message instanceof PeerMessage.ClaimRequest request) {
+      keeping.onClaim(envelope.sender(), request, now);
+    } else if (message instanceof PeerMessage.ClaimEnded ended) {
+      keeping.onEnded(envelope.sender(), ended, now);
+    } else if (message instanceof PeerMessage.ClaimAnswer answer) {
+      onAnswer(answer);
+    } else if (message instanceof PeerMessage.ClaimEndRecorded recorded) {
+      ends.onRecorded(recorded.claim());
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  /** Takes the service's answer to a call; returns whether the call was made here. */
+  public boolean onAnswered(
+      AttemptId attempt, int status, String contentType, String body, long now) {
+    nowMicros = now;
+    BookedCall call = callsByAttempt.remove(attempt);
+    if (call == null) {
+      return false;
+    }
+    counters.increment("calls.answered");
+    answer(call, status, contentType, body);
+    close(call);
+    Optional<ServiceOutcome> outcome = Optional.of(ServiceOutcome.of(status, contentType, body));
+    ends.add(call.scope, call.claim, outcome, now);
+    return true;
+  }
+
+  /** Takes the failure of a call; returns whether the call was made here. */
+  public boolean onFailed(AttemptId attempt, boolean hasReachedService, long now) {
+    nowMicros = now;
+    BookedCall call = callsByAttempt.remove(attempt);
+    if (call == null) {
+      return false;
+    }
+    if (hasReachedService) {
+      failAll(
+          call,
+          RefusalReason.CONNECTION_LOST,
+          Outcome.UNKNOWN,
+          "The service did not answer, and the call is not made again.");
+      close(call);
+    } else {
+      failAll(call, RefusalReason.NO_UPSTREAM, Outcome.NOT_RUN, "The service was not reached.");
+      giveBack(call);
+    }
+    return true;
+  }
+
+  /** Forgets who waits at a router that is gone. Calls that run go on. */
+  public void onRouterGone(String router) {
+    callsByScope.values().forEach(call -> call.waiters.values().removeIf(router::equals));
+  }
+
+  /** Takes records read from the log. */
+  public void onLogRead(LogPage page, long now) {
+    nowMicros = now;
+    if (ClaimPartitions.isClaims(page.stream())) {
+      keeping.onRead(page, now);
+    }
+  }
+
+  /** Takes the failure of a read. */
+  public void onLogReadFailed(String stream, long now) {
+    nowMicros = now;
+    keeping.onReadFailed(stream, now);
+  }
+
+  /** Takes the answer to an append; answers to others' appends are ignored. */
+  public void onLogAppended(long token, long now) {
+    nowMicros = now;
+    keeping.onAppended(token, now);
+  }
+
+  /** Takes the failure of an append; failures of others' appends are ignored. */
+  public void onLogAppendFailed(long token, boolean mayHaveTakenEffect, long now) {
+    nowMicros = now;
+    keeping.onAppendFailed(token, mayHaveTakenEffect, now);
+  }
+
+  /** Asks again, gives up or appends, as the time requires. */
+  public void onTick(long now) {
+    nowMicros = now;
+    for (BookedCall call : List.copyOf(callsByScope.values())) {
+      if (!call.isRunning) {
+        proceed(call);
+      }
+    }
+    ends.onTick(now);
+    keeping.onTick(now);
+  }
+
+  private Optional<RefusalReason> refusal(PeerMessage.Call call) {
+    String key = call.idempotencyKey().orElse("");
+    if (key.isBlank()) {
+      return Optional.of(RefusalReason.IDEMPOTENCY_KEY_MISSING);
+    }
+    if (key.length() > LONGEST_KEY) {
+      return Optional.of(RefusalReason.MALFORMED_REQUEST);
+    }
+    if (call.deadlineMicros() <= nowMicros) {
+      return Optional.of(RefusalReason.DEADLINE_PASSED);
+    }
+    boolean isExpired =
+        KeyAge.createdAtMicros(key)
+            .filter(made -> made < nowMicros - options.windowMicros())
+            .isPresent();
+    return isExpired ? Optional.of(RefusalReason.IDEMPOTENCY_KEY_EXPIRED) : Optional.empty();
+  }
+
+  private void open(String router, PeerMessage.Call call, String scope, String digest) {
+    String claim = self + '/' + incarnation + '/' + claims++;
+    long giveUpMicros = Math.min(call.deadlineMicros(), nowMicros + CLAIM_PATIENCE_MICROS);
+    String stream = partitions.streamOf(scope);
+    BookedCall open = new BookedCall(call, scope, digest, claim, stream, giveUpMicros);
+    open.waiters.put(call.attempt(), router);
+    callsByScope.put(scope, open);
+    callsByClaim.put(claim, open);
+    proceed(open);
+  }
+
+  private void proceed(BookedCall call) {
+    if (nowMicros >= call.giveUpMicros) {
+      giveUp(call);
+    } else if (nowMicros >= call.nextAskMicros) {
+      call.nextAskMicros = nowMicros + ASK_INTERVAL_MICROS;
+      call.hasAsked = true;
+      int rank = call.unansweredQuestions++ / QUESTIONS_PER_KEEPER;
+      sendToKeeper(call.stream, rank, question(call));
+    }
+  }
+
+  private PeerMessage.ClaimRequest question(BookedCall call) {
+    Optional<Long> created =
+        KeyAge.createdAtMicros(call.call.idempotencyKey().orElseThrow())
+            .filter(made -> made <= nowMicros + options.clockSkewMicros());
+    return new PeerMessage.ClaimRequest(
+        call.scope, call.digest, call.claim, created, call.giveUpMicros);
+  }
+
+  private void giveUp(BookedCall call) {
+    if (call.isHeldElsewhere) {
+      failAll(
+          call,
+          RefusalReason.CLAIM_HELD_ELSEWHERE,
+          Outcome.UNKNOWN,
+          "The call may have run under an earlier claim, and its answer is not known.");
+    } else {
+      failAll(
+          call,
+          RefusalReason.CLAIM_UNDECIDED,
+          Outcome.UNKNOWN,
+          "The claim was not decided in time.");
+    }
+    giveBack(call);
+  }
+
+  private void onAnswer(PeerMessage.ClaimAnswer answer) {
+    BookedCall call = callsByClaim.get(answer.claim());
+    if (call == null || call.isRunning) {
+      return;
+    }
+    call.unansweredQuestions = 0;
+    switch (answer.verdict()) {
+      case GRANTED -> onGranted(call, answer.offset());
+      case FINISHED -> onFinished(call, answer.outcome().orElseThrow());
+      case HELD -> call.isHeldElsewhere = true;
+      case MISMATCH -> {
+        failAll(
+            call,
+            RefusalReason.IDEMPOTENCY_KEY_REUSED,
+            Outcome.NOT_RUN,
+            "The key belongs to another payload.");
+        giveBack(call);
+      }
+      case UNAVAILABLE_UNCLAIMED -> {
+        failAll(
+            call,
+            RefusalReason.LOG_UNAVAILABLE,
+            Outcome.NOT_RUN,
+            "The claim could not be written to the log.");
+        giveBack(call);
+      }
+      case UNDECIDED -> {
+        failAll(
+            call,
+            RefusalReason.CLAIM_UNDECIDED,
+            Outcome.UNKNOWN,
+            "The log cannot be read, so an earlier claim cannot be ruled out.");
+        giveBack(call);
+      }
+    }
+  }
+
+  /** Last step before the call is made: the deadline is checked here and nowhere later. */
+  private void onGranted(BookedCall call, long offset) {
+    if (nowMicros >= call.call.deadlineMicros() || call.waiters.isEmpty()) {
+      failAll(call, RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN, "The claim came too late.");
+      giveBack(call);
+      return;
+    }
+    call.isRunning = true;
+    callsByAttempt.put(call.call.attempt(), call);
+    counters.increment("calls.claimed");
+    dispatcher.accept(
+        new SidecarCommand.CallService(
+            call.call.attempt(),
+            call.call.path(),
+            call.call.idempotencyKey(),
+            call.call.checksFencing() ? Optional.of(offset) : Optional.empty(),
+            call.call.contentType(),
+            call.call.body()));
+  }
+
+  private void onFinished(BookedCall call, ServiceOutcome outcome) {
+    counters.increment("calls.answered-from-log");
+    if (outcome.body().isPresent()) {
+      answer(call, outcome.status(), outcome.contentType(), outcome.body().get());
+    } else {
+      failAll(
+          call,
+          RefusalReason.CLAIM_HELD_ELSEWHERE,
+          Outcome.DONE,
+          "The call has run; its answer was too long to be kept.");
+    }
+    close(call);
+  }
+
+  private void answer(BookedCall call, int status, String contentType, String body) {
+    call.waiters.forEach(
+        (attempt, router) ->
+            outbox.send(router, new PeerMessage.CallAnswer(attempt, status, contentType, body)));
+  }
+
+  private void failAll(BookedCall call, RefusalReason reason, Outcome outcome, String detail) {
+    call.waiters.forEach((attempt, router) -> fail(router, attempt, reason, outcome, detail));
+  }
+
+  private void fail(
+      String router, AttemptId attempt, RefusalReason reason, Outcome outcome, String detail) {
+    counters.increment("failures." + reason.code());
+    outbox.send(router, new PeerMessage.Failed(attempt, reason, outcome, detail, 0));
+  }
+
+  private void giveBack(BookedCall call) {
+    close(call);
+    if (call.hasAsked) {
+      ends.add(call.scope, call.claim, Optional.empty(), nowMicros);
+    }
+  }
+
+  private void close(BookedCall call) {
+    callsByScope.remove(call.scope);
+    callsByClaim.remove(call.claim);
+    callsByAttempt.remove(call.call.attempt());
+  }
+
+  private void sendEnd(PeerMessage.ClaimEnded ended, int earlier) {
+    sendToKeeper(partitions.streamOf(ended.scope()), earlier / QUESTIONS_PER_KEEPER, ended);
+  }
+
+  private void sendToKeeper(String stream, int rank, PeerMessage message) {
+    reply(partitions.keeperOf(stream, rank).orElse(self), message);
+  }
+
+  private void reply(String peer, PeerMessage message) {
+    if (peer.equals(self)) {
+      onEnvelope(new Envelope(self, incarnation, 0, message), nowMicros);
+    } else {
+      outbox.send(peer, message);
+    }
+  }
+
+  private static String digest(PeerMessage.Call call) {
+    try {
+      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+      String payload = call.path() + '\n' + call.contentType() + '\n' + call.body();
+      byte[] digest = sha256.digest(payload.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(digest, 0, 16);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("Every Java runtime has SHA-256.", e);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/ClaimKeeping.java
@@ -0,0 +1,112 @@
+package org.shallothook.coordination.booking;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.state.log.LogPage;
+
+/**
+ * Partitions of the claims that this sidecar keeps now or was asked about lately.
+ *
+ * <p>Invariant: serves whoever asks, keeper or not, because the log decides. Not thread-safe.
+ */
+final class ClaimKeeping {
+  /** Time without questions after which a partition is dropped from memory, in microseconds. */
+  private static final long IDLE_MICROS = 120_000_000;
+
+  private static final long REVIEW_INTERVAL_MICROS = 10_000_000;
+
+  private final String self;
+  private final Outbox outbox;
+  private final BookingOptions options;
+  private final Counters counters;
+  private final ClaimReplies replies;
+  private final ClaimPartitions partitions;
+  private final Map<String, PartitionKeeper> keepers = new LinkedHashMap<>();
+  private long nextReviewMicros;
+
+  ClaimKeeping(
+      String self,
+      Outbox outbox,
+      BookingOptions options,
+      Counters counters,
+      ClaimReplies replies,
+      ClaimPartitions partitions) {
+    this.self = self;
+    this.outbox = outbox;
+    this.options = options;
+    this.counters = counters;
+    this.replies = replies;
+    this.partitions = partitions;
+  }
+
+  void onClaim(String asker, PeerMessage.ClaimRequest request, long nowMicros) {
+    keeper(partitions.streamOf(request.scope())).onClaim(asker, request, nowMicros);
+  }
+
+  void onEnded(String asker, PeerMessage.ClaimEnded ended, long nowMicros) {
+    keeper(partitions.streamOf(ended.scope())).onEnded(asker, ended, nowMicros);
+  }
+
+  void onRead(LogPage page, long nowMicros) {
+    PartitionKeeper keeper = keepers.get(page.stream());
+    if (keeper != null) {
+      keeper.onRead(page, nowMicros);
+    }
+  }
+
+  void onReadFailed(String stream, long nowMicros) {
+    PartitionKeeper keeper = keepers.get(stream);
+    if (keeper != null) {
+      keeper.onReadFailed(nowMicros);
+    }
+  }
+
+  void onAppended(long token, long nowMicros) {
+    for (PartitionKeeper keeper : List.copyOf(keepers.values())) {
+      if (keeper.onAppended(token, nowMicros)) {
+        return;
+      }
+    }
+  }
+
+  void onAppendFailed(long token, boolean mayHaveTakenEffect, long nowMicros) {
+    for (PartitionKeeper keeper : List.copyOf(keepers.values())) {
+      if (keeper.onAppendFailed(token, mayHaveTakenEffect, nowMicros)) {
+        return;
+      }
+    }
+  }
+
+  void onTick(long nowMicros) {
+    if (nowMicros >= nextReviewMicros) {
+      nextReviewMicros = nowMicros + REVIEW_INTERVAL_MICROS;
+      review(nowMicros);
+    }
+    List.copyOf(keepers.values()).forEach(keeper -> keeper.onTick(nowMicros));
+  }
+
+  /** Returns the number of scopes remembered. */
+  int scopes() {
+    return keepers.values().stream().mapToInt(PartitionKeeper::scopes).sum();
+  }
+
+  private void review(long nowMicros) {
+    List<String> carried = options.needsCarrying() ? partitions.keptBy(self) : List.of();
+    carried.forEach(this::keeper);
+    keepers
+        .entrySet()
+        .removeIf(
+            entry ->
+                !carried.contains(entry.getKey())
+                    && entry.getValue().isIdleSince(nowMicros - IDLE_MICROS));
+  }
+
+  private PartitionKeeper keeper(String stream) {
+    return keepers.computeIfAbsent(
+        stream, name -> new PartitionKeeper(name, outbox, options, counters, replies));
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationReplica.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationReplica.java
@@ -23,8 +23,8 @@
  * asks that sender for the records between; a process that hears of a lower one sends them where
  * they are small, and otherwise only lets its own offset be heard. The log is polled besides.
  *
- * <p>Invariant: the offset never falls, and {@link #isBehind} holds while a higher one has been
- * heard of or nothing is known yet. Not thread-safe: used on the decision thread.
+ * <p>Invariant: the state's offset never falls, and {@link #isBehind} holds while a higher one has
+ * been heard of or nothing is known yet. Not thread-safe: used on the decision thread.
  */
 public final class ConfigurationReplica {
   /** Stream of the log that holds the configuration. */
@@ -51,6 +51,8 @@
   private final SnapshotWriter snapshots;
   private final ConfigurationLog log = new ConfigurationLog();
   private final Map<String, Peer> peers = new TreeMap<>();
+  private long effectiveAtOffset;
+  private long effectiveOffset;
   private boolean isInformed;
   private long heardOffset;
   private long firstInLog;
@@ -78,16 +80,24 @@
     return log.state();
   }
 
-  /** Returns the offset below which the configuration is in force here. */
+  /**
+   * Returns the offset that messages carry: the one just above the latest accepted change in force
+   * here. Records without effect, such as snapshots, do not move it.
+   */
   public long offset() {
-    return log.state().offset();
+    ConfigurationState state = log.state();
+    if (state.offset() != effectiveAtOffset) {
+      effectiveAtOffset = state.offset();
+      effectiveOffset = state.effectiveOffset();
+    }
+    return effectiveOffset;
   }
 
   /**
    * Returns whether work must be refused, because a newer configuration exists or none is known.
    */
   public boolean isBehind() {
-    return !isInformed || heardOffset > offset();
+    return !isInformed || heardOffset > state().offset();
   }
 
   /** Returns the newest records of the stream, oldest first. */
@@ -146,7 +156,7 @@
       log.stopCollecting();
       return;
     }
-    isInformed = isInformed || offset() >= page.end();
+    isInformed = isInformed || state().offset() >= page.end();
   }
 
   /** Notes that a read failed; the next one follows at the usual interval. */
@@ -166,7 +176,7 @@
       answer(envelope.sender(), request.fromOffset(), nowMicros);
       return;
     }
-    if (envelope.configurationOffset() > offset()) {
+    if (envelope.configurationOffset() > state().offset()) {
       request(envelope.sender(), nowMicros);
     } else if (envelope.configurationOffset() < offset()) {
       tell(envelope.sender(), envelope.configurationOffset(), nowMicros);
@@ -178,9 +188,9 @@
     if (nowMicros >= nextPollMicros) {
       readNow(nowMicros);
     }
-    if (heardOffset > offset() && nowMicros >= nextRequestMicros) {
-      peersAtOrAbove(offset() + 1).stream()
-          .skip(random.nextInt(Math.max(1, peersAtOrAbove(offset() + 1).size())))
+    if (heardOffset > state().offset() && nowMicros >= nextRequestMicros) {
+      peersAtOrAbove(state().offset() + 1).stream()
+          .skip(random.nextInt(Math.max(1, peersAtOrAbove(state().offset() + 1).size())))
           .findFirst()
           .ifPresent(peer -> request(peer, nowMicros));
     }
@@ -215,7 +225,7 @@
       return;
     }
     log.take(records.get(0).offset(), records);
-    isInformed = isInformed || (offset() > 0 && offset() >= heardOffset);
+    isInformed = isInformed || (offset() > 0 && state().offset() >= heardOffset);
   }
 
   private void request(String peer, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
@@ -116,7 +116,7 @@
       result = fault.map(PublicationResult.Invalid::of);
       return;
     }
-    long base = request.base().orElse(replica.offset());
+    long base = request.base().orElse(replica.state().offset());
     payload =
         Optional.of(
             ConfigurationRecordText.write(
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.shallothook.state.booking.ServiceOutcome;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
@@ -236,4 +237,50 @@
    * @param untilMicros end of the quarantine, in microseconds since the epoch
    */
   record Quarantine(String fingerprint, long untilMicros) implements PeerMessage {}
+
+  /**
+   * Asks the keeper of a partition to claim the right to make a call, or what became of it.
+   *
+   * @param scope team, service and idempotency key
+   * @param digest digest of the payload
+   * @param claim identifier of the claim; the same in every repeat of the question
+   * @param keyCreatedAtMicros when the idempotency key was made, where it proves that
+   * @param deadlineMicros when the claim is of no more use and must not be appended any more
+   */
+  record ClaimRequest(
+      String scope,
+      String digest,
+      String claim,
+      Optional<Long> keyCreatedAtMicros,
+      long deadlineMicros)
+      implements PeerMessage {}
+
+  /**
+   * Answers a claim request.
+   *
+   * @param claim identifier of the claim
+   * @param verdict what the log says
+   * @param offset offset of the claim that counts, used as fencing number; 0 where there is none
+   * @param outcome what the service answered; present for {@link ClaimVerdict#FINISHED}
+   */
+  record ClaimAnswer(
+      String claim, ClaimVerdict verdict, long offset, Optional<ServiceOutcome> outcome)
+      implements PeerMessage {}
+
+  /**
+   * Tells the keeper of a partition how a claim ended.
+   *
+   * @param scope scope of the claim
+   * @param claim identifier of the claim
+   * @param outcome what the service answered; empty where the call was not made and never will be
+   */
+  record ClaimEnded(String scope, String claim, Optional<ServiceOutcome> outcome)
+      implements PeerMessage {}
+
+  /**
+   * Tells the claimant that the end of its claim is in the log.
+   *
+   * @param claim identifier of the claim
+   */
+  record ClaimEndRecorded(String claim) implements PeerMessage {}
 }
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/booking/BookingFleet.java
@@ -0,0 +1,259 @@
+package org.shallothook.coordination.booking;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.shallothook.coordination.fake.FakeLog;
+import org.shallothook.coordination.fake.VirtualTime;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.state.log.LogPage;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.membership.InstanceRole;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.request.RequestId;
+
+/** Booking sidecars with their desks, a fake log, a service and callers, in virtual time. */
+final class BookingFleet {
+  static final long TICK_MICROS = 50_000;
+  private static final long MESSAGE_MICROS = 1_000;
+
+  final SplittableRandom random;
+  final VirtualTime time;
+  final FakeLog log;
+  final List<Node> nodes = new ArrayList<>();
+  final Map<String, Integer> executions = new HashMap<>();
+  final Set<AttemptId> attemptsRun = new HashSet<>();
+  final List<Answer> answers = new ArrayList<>();
+  final List<Long> claimMicros = new ArrayList<>();
+  double lostServiceAnswers;
+  double unreachedService;
+  private final BookingOptions options;
+  private final Map<AttemptId, Question> questions = new HashMap<>();
+  private long requests;
+
+  record Question(String key, String payload, long askedMicros) {}
+
+  /** What a caller was told, and how often its key had run by then. */
+  record Answer(
+      AttemptId attempt,
+      String key,
+      String payload,
+      Outcome outcome,
+      Optional<RefusalReason> reason,
+      String body,
+      int executions) {}
+
+  BookingFleet(SplittableRandom random, int sidecars, BookingOptions options) {
+    this.random = random;
+    this.time = new VirtualTime(1_000_000_000_000L);
+    this.log = new FakeLog(time, random.split());
+    this.options = options;
+    for (int i = 0; i < sidecars; i++) {
+      nodes.add(new Node("booking-" + i));
+    }
+    nodes.forEach(Node::restart);
+  }
+
+  InstanceList listOf(List<Node> members) {
+    return new InstanceList(1, members.stream().map(node -> instance(node.name)).toList());
+  }
+
+  private static Instance instance(String name) {
+    return new Instance(name, InstanceRole.SERVICE, "127.0.0.1:1", "a", "r", "cloths", false);
+  }
+
+  /** Sends a booking to a sidecar, as a router would. */
+  void book(Node node, String key, String payload, long patienceMicros) {
+    AttemptId attempt = new AttemptId(new RequestId("request-" + requests++), 1);
+    questions.put(attempt, new Question(key, payload, time.now()));
+    PeerMessage.Call call =
+        new PeerMessage.Call(
+            attempt,
+            "guild",
+            "cloths",
+            "book",
+            Optional.of(key),
+            "text/plain",
+            payload,
+            false,
+            false,
+            time.now() + patienceMicros);
+    time.after(
+        MESSAGE_MICROS, () -> node.happen(() -> node.desk.onCall("router", call, time.now())));
+  }
+
+  private void answered(PeerMessage message) {
+    if (message instanceof PeerMessage.CallAnswer answer) {
+      add(answer.attempt(), Outcome.DONE, Optional.empty(), answer.body());
+    } else if (message instanceof PeerMessage.Failed failed) {
+      add(failed.attempt(), failed.outcome(), Optional.of(failed.reason()), "");
+    }
+  }
+
+  private void add(
+      AttemptId attempt, Outcome outcome, Optional<RefusalReason> reason, String body) {
+    Question question = questions.get(attempt);
+    int runs = executions.getOrDefault(question.key(), 0);
+    answers.add(
+        new Answer(attempt, question.key(), question.payload(), outcome, reason, body, runs));
+  }
+
+  /** One sidecar. While it is paused, what happens to it waits. */
+  final class Node {
+    final String name;
+    CallDesk desk;
+    private long incarnation;
+    private long tokens;
+    private long pausedUntilMicros;
+    private final ArrayDeque<Runnable> held = new ArrayDeque<>();
+
+    Node(String name) {
+      this.name = name;
+    }
+
+    void restart() {
+      long current = ++incarnation;
+      held.clear();
+      pausedUntilMicros = 0;
+      NodeOutbox outbox = new NodeOutbox(current);
+      desk =
+          new CallDesk(
+              name, incarnation, outbox, call -> dispatch(current, call), options, Counters.NONE);
+      desk.onInstances(listOf(nodes));
+      time.after(random.nextLong(TICK_MICROS), () -> tick(current));
+    }
+
+    void pause(long micros) {
+      pausedUntilMicros = time.now() + micros;
+      long current = incarnation;
+      time.after(micros, () -> resume(current));
+    }
+
+    void happen(Runnable event) {
+      if (time.now() < pausedUntilMicros) {
+        held.add(event);
+      } else {
+        event.run();
+      }
+    }
+
+    private void resume(long of) {
+      while (of == incarnation && !held.isEmpty() && time.now() >= pausedUntilMicros) {
+        held.remove().run();
+      }
+    }
+
+    private void ifCurrent(long of, Runnable event) {
+      if (of == incarnation) {
+        happen(
+            () -> {
+              if (of == incarnation) {
+                event.run();
+              }
+            });
+      }
+    }
+
+    private void tick(long of) {
+      ifCurrent(
+          of,
+          () -> {
+            desk.onTick(time.now());
+            time.after(TICK_MICROS, () -> tick(of));
+          });
+    }
+
+    /** A dispatched call reaches the service whatever becomes of its sidecar. */
+    private void dispatch(long of, SidecarCommand.CallService call) {
+      Question question = questions.get(call.attempt());
+      claimMicros.add(time.now() - question.askedMicros());
+      if (random.nextDouble() < unreachedService) {
+        time.after(
+            MESSAGE_MICROS,
+            () -> ifCurrent(of, () -> desk.onFailed(call.attempt(), false, time.now())));
+        return;
+      }
+      long delay = 1_000 + random.nextLong(20_000);
+      time.after(delay, () -> run(of, call));
+    }
+
+    private void run(long of, SidecarCommand.CallService call) {
+      String key = call.idempotencyKey().orElseThrow();
+      attemptsRun.add(call.attempt());
+      int count = executions.merge(key, 1, Integer::sum);
+      boolean isLost = random.nextDouble() < lostServiceAnswers;
+      String body = key + " " + call.body() + " run " + count;
+      time.after(
+          MESSAGE_MICROS,
+          () ->
+              ifCurrent(
+                  of,
+                  () -> {
+                    if (isLost) {
+                      desk.onFailed(call.attempt(), true, time.now());
+                    } else {
+                      desk.onAnswered(call.attempt(), 200, "text/plain", body, time.now());
+                    }
+                  }));
+    }
+
+    private final class NodeOutbox implements Outbox {
+      private final long of;
+
+      NodeOutbox(long of) {
+        this.of = of;
+      }
+
+      @Override
+      public void send(String peer, PeerMessage message) {
+        if (peer.equals("router")) {
+          time.after(MESSAGE_MICROS, () -> answered(message));
+          return;
+        }
+        Node to = nodes.stream().filter(node -> node.name.equals(peer)).findFirst().orElseThrow();
+        long toIncarnation = to.incarnation;
+        Envelope envelope = new Envelope(name, of, 0, message);
+        time.after(
+            MESSAGE_MICROS,
+            () -> to.ifCurrent(toIncarnation, () -> to.desk.onEnvelope(envelope, time.now())));
+      }
+
+      @Override
+      public void readLog(String stream, long fromOffset) {
+        log.read(
+            stream,
+            fromOffset,
+            page -> ifCurrent(of, () -> read(page)),
+            () -> ifCurrent(of, () -> desk.onLogReadFailed(stream, time.now())));
+      }
+
+      private void read(LogPage page) {
+        desk.onLogRead(page, time.now());
+      }
+
+      @Override
+      public long appendLog(String stream, String payload) {
+        long token = tokens++;
+        log.append(
+            stream,
+            payload,
+            offset -> ifCurrent(of, () -> desk.onLogAppended(token, time.now())),
+            may -> ifCurrent(of, () -> desk.onLogAppendFailed(token, may, time.now())));
+        return token;
+      }
+    }
+  }
+}
--- a/coordination/src/test/java/org/shallothook/coordination/configuration/ConfigurationHistoriesTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/configuration/ConfigurationHistoriesTest.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.configuration;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -130,7 +131,7 @@
         ConfigurationState state = node.replica().state();
         assertThat(state.offset()).isAtLeast(history.settledOffset);
         assertThat(Map.of(seed, state)).isEqualTo(Map.of(seed, history.truth(state.offset())));
-        assertThat(node.replica().isBehind()).isFalse();
+        assertWithMessage("seed %s", seed).that(node.replica().isBehind()).isFalse();
         count(results, node.results);
       }
       checkAccepted(history);
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -68,6 +68,11 @@
                   frame.getQuarantine().getFingerprint(),
                   FieldMapping.notNegative(
                       "quarantine.until_micros", frame.getQuarantine().getUntilMicros())));
+      case CLAIM_REQUEST -> Optional.of(ClaimMapping.request(frame.getClaimRequest()));
+      case CLAIM_ANSWER -> Optional.of(ClaimMapping.answer(frame.getClaimAnswer()));
+      case CLAIM_ENDED -> Optional.of(ClaimMapping.ended(frame.getClaimEnded()));
+      case CLAIM_END_RECORDED ->
+          Optional.of(new PeerMessage.ClaimEndRecorded(frame.getClaimEndRecorded().getClaim()));
       case MESSAGE_NOT_SET -> Optional.empty();
     };
   }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -67,7 +67,7 @@
           QuarantineFrame.newBuilder()
               .setFingerprint(quarantine.fingerprint())
               .setUntilMicros(quarantine.untilMicros()));
-    } else {
+    } else if (!ClaimMapping.encode(message, frame)) {
       throw new IllegalArgumentException("No frame maps " + message.getClass().getName());
     }
   }
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/booking/KeyAge.java
@@ -0,0 +1,32 @@
+package org.shallothook.state.booking;
+
+import java.util.Optional;
+import java.util.UUID;
+
+/**
+ * Time that an idempotency key proves about itself.
+ *
+ * <p>Only keys that are UUIDs of version 7 carry their time. Stateless and thread-safe.
+ */
+public final class KeyAge {
+  private static final int TIME_ORDERED_VERSION = 7;
+  private static final int TIMESTAMP_SHIFT = 16;
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private KeyAge() {}
+
+  /** Returns when the key was made, in microseconds since the epoch, if the key says so. */
+  public static Optional<Long> createdAtMicros(String key) {
+    if (key.length() != 36) {
+      return Optional.empty();
+    }
+    try {
+      UUID uuid = UUID.fromString(key);
+      return uuid.version() == TIME_ORDERED_VERSION
+          ? Optional.of((uuid.getMostSignificantBits() >>> TIMESTAMP_SHIFT) * MICROS_PER_MILLI)
+          : Optional.empty();
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+}
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
@@ -45,6 +45,14 @@
     return Optional.ofNullable(versions.get(template));
   }
 
+  /**
+   * Returns the offset just above the latest accepted change. States with equal ones hold the same
+   * templates, whatever records without effect lie above.
+   */
+  public long effectiveOffset() {
+    return versions.values().stream().mapToLong(v -> v.changedAt() + 1).max().orElse(0);
+  }
+
   /**
    * Returns what the record at this state's offset leads to. Faulty records only move the offset.
    *
--- a/state/src/main/java/org/shallothook/state/configuration/TemplateParser.java
+++ b/state/src/main/java/org/shallothook/state/configuration/TemplateParser.java
@@ -79,7 +79,7 @@
       boolean isKnown =
           FIXED_SECTIONS.contains(section)
               || isNamed(section, TENANT_PREFIX)
-              || isNamed(section, SERVICE_PREFIX);
+              || (isNamed(section, SERVICE_PREFIX) && section.indexOf('|') < 0);
       if (!isKnown) {
         String shown = section.isEmpty() ? "(before the first section)" : section;
         throw new IniSection.Fault(
