Order engines to load and unload what the configuration assigns

Cause: versions must follow the configuration without leaving a model unserved, with at most two loads at once over the fleet. Ruled out: a lease record of every waiting engine at once, which would fill the log with renewals; unloading by comparing other engines' states, which a sidecar does not know.

--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases over the log for loads of weights. */
+package org.shallothook.coordination.lease;
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/order/RolloutFleet.java
@@ -0,0 +1,136 @@
+package org.shallothook.coordination.order;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.shallothook.coordination.fake.FakeLog;
+import org.shallothook.coordination.fake.VirtualTime;
+import org.shallothook.coordination.lease.LoadSlots;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.ConfigurationState;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.membership.InstanceRole;
+
+/** Engines with the orders of their sidecars over a fake log, in virtual time. */
+final class RolloutFleet {
+  private static final long TICK_MICROS = 50_000;
+  private static final long LOAD_MICROS = 600_000;
+
+  final SplittableRandom random;
+  final VirtualTime time = new VirtualTime(1_000_000_000_000L);
+  final FakeLog log;
+  final List<Engine> engines = new ArrayList<>();
+  ConfigurationState configuration = ConfigurationState.EMPTY;
+  boolean checksFencing = true;
+  int loadsNow;
+  int greatestLoads;
+
+  RolloutFleet(long seed, int count, Set<ModelVersion> first) {
+    random = new SplittableRandom(seed);
+    log = new FakeLog(time, random.split());
+    for (int i = 0; i < count; i++) {
+      engines.add(new Engine("engine-" + i, first));
+    }
+    engines.forEach(Engine::restartSidecar);
+  }
+
+  boolean allHave(ModelVersion version) {
+    return engines.stream().allMatch(engine -> engine.ready.contains(version));
+  }
+
+  private InstanceList list() {
+    return new InstanceList(
+        1,
+        engines.stream()
+            .map(
+                engine ->
+                    new Instance(
+                        engine.name, InstanceRole.MODEL_ENGINE, "127.0.0.1:1", "a", "r", "", false))
+            .toList());
+  }
+
+  final class Engine implements Outbox {
+    final String name;
+    final Set<ModelVersion> ready;
+    private LoadSlots slots;
+    private EngineOrders orders;
+    private long incarnation;
+    private long lastFencing;
+    private Optional<ModelVersion> loading = Optional.empty();
+    private long tokens;
+
+    Engine(String name, Set<ModelVersion> first) {
+      this.name = name;
+      this.ready = new LinkedHashSet<>(first);
+    }
+
+    void restartSidecar() {
+      long current = ++incarnation;
+      slots = new LoadSlots(name, incarnation, this, Counters.NONE);
+      orders = new EngineOrders(name, incarnation, 2, slots, this::order, Counters.NONE);
+      orders.onInstances(list());
+      time.after(random.nextLong(TICK_MICROS), () -> tick(current));
+    }
+
+    private void tick(long of) {
+      if (of == incarnation) {
+        orders.onTick(configuration, Set.copyOf(ready), time.now());
+        time.after(TICK_MICROS, () -> tick(of));
+      }
+    }
+
+    private void order(SidecarCommand.OrderEngine order) {
+      boolean isOld = checksFencing && order.fencing() < lastFencing;
+      lastFencing = Math.max(lastFencing, order.fencing());
+      boolean isBusy = order.isLoad() && loading.isPresent();
+      EngineOrders asked = orders;
+      time.after(1_000, () -> asked.onOrderAnswered(Optional.of(!isOld && !isBusy), time.now()));
+      if (isOld || isBusy) {
+        return;
+      }
+      if (order.isLoad()) {
+        load(order.modelVersion());
+      } else {
+        ready.remove(order.modelVersion());
+      }
+    }
+
+    private void load(ModelVersion version) {
+      loading = Optional.of(version);
+      loadsNow++;
+      greatestLoads = Math.max(greatestLoads, loadsNow);
+      time.after(
+          LOAD_MICROS * Math.max(1, loadsNow - 1),
+          () -> {
+            loadsNow--;
+            loading = Optional.empty();
+            ready.add(version);
+          });
+    }
+
+    @Override
+    public void send(String peer, PeerMessage message) {
+      throw new AssertionError("Orders send no messages.");
+    }
+
+    @Override
+    public void readLog(String stream, long fromOffset) {
+      LoadSlots reader = slots;
+      log.read(stream, fromOffset, page -> reader.onLogRead(page, time.now()), () -> {});
+    }
+
+    @Override
+    public long appendLog(String stream, String payload) {
+      log.append(stream, payload, offset -> {}, may -> {});
+      return tokens++;
+    }
+  }
+}
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases with stored deadlines, as folded from a stream of the log. */
+package org.shallothook.state.lease;
