--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -162,13 +162,21 @@
 
   /**
    * Returns the offset below which each known instance has the configuration in force, as last
-   * heard; -1 where it was not heard of.
+   * heard; -1 where it was not heard of. Asks those that were last heard of below this router's own
+   * offset, so that a later call knows more.
    */
   public Map<String, Long> configurationInForce() {
     Map<String, Long> offsets = new TreeMap<>();
-    fleet.peerNames().forEach(name -> offsets.put(name, -1L));
-    offsets.putAll(configuration.peerOffsets());
+    Map<String, Long> heard = configuration.peerOffsets();
+    fleet.peerNames().forEach(name -> offsets.put(name, heard.getOrDefault(name, -1L)));
     offsets.put(options.name(), configuration.offset());
+    PeerMessage question = new PeerMessage.ConfigurationRequest(configuration.offset());
+    offsets.forEach(
+        (name, offset) -> {
+          if (offset < configuration.offset()) {
+            outbox.send(name, question);
+          }
+        });
     return offsets;
   }
 
--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -43,7 +43,7 @@
     ScheduledFuture<?> scheduled = loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     scheduled.addListener(
         done -> {
-          if (done.cause() != null) {
+          if (!done.isSuccess() && !done.isCancelled()) {
             Logger.error(done.cause(), "channel: a delayed task failed");
           }
         });
