--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -1,5 +1,6 @@
 package org.shallothook.benchmarks;
 
+import org.shallothook.benchmarks.bench.BenchCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -22,6 +23,8 @@
   }
 
   private static CommandLine commandLine() {
-    return new CommandLine(new BenchmarksMain()).addSubcommand(new DemoCommand());
+    return new CommandLine(new BenchmarksMain())
+        .addSubcommand(new BenchCommand())
+        .addSubcommand(new DemoCommand());
   }
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/CallerRecord.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/CallerRecord.java
@@ -43,7 +43,8 @@
     return router;
   }
 
-  final long routerIncarnation() {
+  /** Returns the incarnation of that router when the request was sent. */
+  public final long routerIncarnation() {
     return routerIncarnation;
   }
 
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/FleetBuilder.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/FleetBuilder.java
@@ -206,6 +206,7 @@
                   .failureDomain(domain)
                   .region(REGION)
                   .placement(placement)
+                  .blockBytes(engineSettings.blockBytes())
                   .seed(seed * 31 + name.hashCode() + incarnation)
                   .counters(counters());
           routerOptions.accept(options);
@@ -246,6 +247,7 @@
             .role(role)
             .service(role == InstanceRole.SERVICE ? service : "")
             .failureDomain(domain)
+            .blockBytes(engineSettings.blockBytes())
             .region(REGION);
     sidecarOptions.accept(options);
     return options.build();
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/UpstreamLedger.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/UpstreamLedger.java
@@ -26,6 +26,7 @@
   private final Map<RequestId, List<ExpectedAnswer>> answers = new HashMap<>();
   private final Map<String, Integer> serviceRuns = new LinkedHashMap<>();
   private final Map<String, Pending> pending = new HashMap<>();
+  private final List<PromptChain> chains = new ArrayList<>();
   private final List<PromptSample> samples = new ArrayList<>();
 
   /**
@@ -62,9 +63,18 @@
     return Collections.unmodifiableList(samples);
   }
 
+  /** Returns the prompt of every request that reached an engine, in order. */
+  public List<PromptChain> chains() {
+    return Collections.unmodifiableList(chains);
+  }
+
   void started(
       String engine, SidecarCommand.StartAnswer start, EngineSettings settings, long startMicros) {
     RequestId request = start.attempt().request();
+    if (!executions.containsKey(request)) {
+      long promptTokens = settings.promptTokens(start.prompt());
+      chains.add(new PromptChain(start.identity(), start.keys(), promptTokens, startMicros));
+    }
     executions
         .computeIfAbsent(request, unused -> new ArrayList<>())
         .add(new Execution(start.attempt(), engine, startMicros));
@@ -84,7 +94,7 @@
       return;
     }
     long blockTokens = start.settings.blockTokens();
-    long promptTokens = start.command.prompt().length() / start.settings.tokenBytes();
+    long promptTokens = start.settings.promptTokens(start.command.prompt());
     long wasted = Math.max(0, start.matchedElsewhere - cachedBlocks) * blockTokens;
     samples.add(
         new PromptSample(
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/workload/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded traffic of both deployments for fleets in virtual time. */
+package org.shallothook.benchmarks.workload;
--- a/standins/src/main/java/org/shallothook/standins/StandinFactory.java
+++ b/standins/src/main/java/org/shallothook/standins/StandinFactory.java
@@ -69,7 +69,7 @@
     EngineSettings settings =
         new EngineSettings(
             section.smallNumber("block_tokens", defaults.blockTokens()),
-            section.smallNumber("token_bytes", defaults.tokenBytes()),
+            section.smallNumber("block_bytes", defaults.blockBytes()),
             section.number("prefill_tokens_per_second", defaults.prefillTokensPerSecond()),
             section.millisAsMicros("minimum_decode_millis", defaults.minimumDecodeMicros()),
             section.millisAsMicros("maximum_decode_millis", defaults.maximumDecodeMicros()),
--- a/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
@@ -164,18 +164,13 @@
     EngineRequest request = next.request;
     next.cachedBlocks = cache.match(request.identity(), request.keys());
     long cached = (long) next.cachedBlocks * settings.blockTokens();
-    long prompt = promptTokens(request);
+    long prompt = settings.promptTokens(request.prompt());
     tally.cachedTokens += Math.min(cached, prompt);
     prefillTokens = Math.max(1, prompt - cached + request.resumePosition());
     prefillStartMicros = nowMicros;
     prefillEndMicros = nowMicros + scaled(settings.prefillMicros(prefillTokens));
   }
 
-  /** Returns the tokens of a request's prompt. */
-  public long promptTokens(EngineRequest request) {
-    return (request.prompt().length() + settings.tokenBytes() - 1L) / settings.tokenBytes();
-  }
-
   private void abandonPrefill(long nowMicros) {
     long elapsed = Math.max(0, nowMicros - prefillStartMicros);
     long total = Math.max(1, prefillEndMicros - prefillStartMicros);
--- a/standins/src/main/java/org/shallothook/standins/engine/EngineSettings.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineSettings.java
@@ -6,7 +6,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param blockTokens tokens in a cached block
- * @param tokenBytes bytes of a prompt that count as one token
+ * @param blockBytes bytes of a prompt in a cached block
  * @param prefillTokensPerSecond prompt tokens computed in a second
  * @param minimumDecodeMicros time between tokens of a lone stream, in microseconds
  * @param maximumDecodeMicros time between tokens of a full batch, in microseconds
@@ -21,7 +21,7 @@
  */
 public record EngineSettings(
     int blockTokens,
-    int tokenBytes,
+    int blockBytes,
     long prefillTokensPerSecond,
     long minimumDecodeMicros,
     long maximumDecodeMicros,
@@ -36,7 +36,7 @@
   /** Settings of today's engines. */
   public static final EngineSettings DEFAULT =
       new EngineSettings(
-          1_000, 4, 20_000, 20_000, 40_000, 16, 400, 200_000, 500_000, 1_000_000, true, 16, 64);
+          1_000, 4_000, 20_000, 20_000, 40_000, 16, 400, 200_000, 500_000, 1_000_000, true, 16, 64);
 
   private static final long SECOND_MICROS = 1_000_000;
 
@@ -44,7 +44,7 @@
   public EngineSettings withCacheBlocks(int blocks) {
     return new EngineSettings(
         blockTokens,
-        tokenBytes,
+        blockBytes,
         prefillTokensPerSecond,
         minimumDecodeMicros,
         maximumDecodeMicros,
@@ -62,7 +62,7 @@
   public EngineSettings withChecksFencing(boolean checks) {
     return new EngineSettings(
         blockTokens,
-        tokenBytes,
+        blockBytes,
         prefillTokensPerSecond,
         minimumDecodeMicros,
         maximumDecodeMicros,
@@ -76,6 +76,29 @@
         maximumAnswerTokens);
   }
 
+  /** Returns the same settings with blocks of another size in bytes, and as many tokens. */
+  public EngineSettings withBlockBytes(int bytes) {
+    return new EngineSettings(
+        blockTokens,
+        bytes,
+        prefillTokensPerSecond,
+        minimumDecodeMicros,
+        maximumDecodeMicros,
+        maximumRunning,
+        cacheBlocks,
+        publishDelayMicros,
+        loadLagMicros,
+        restartMicros,
+        checksFencing,
+        minimumAnswerTokens,
+        maximumAnswerTokens);
+  }
+
+  /** Returns the tokens of a prompt. */
+  public long promptTokens(String prompt) {
+    return ((long) prompt.length() * blockTokens + blockBytes - 1) / blockBytes;
+  }
+
   /** Returns the time to compute prompt tokens, in microseconds. */
   public long prefillMicros(long tokens) {
     return tokens * SECOND_MICROS / prefillTokensPerSecond;
