--- a/coordination/src/main/java/org/shallothook/coordination/membership/SlownessDetector.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/SlownessDetector.java
@@ -20,7 +20,7 @@
   private static final int MINIMUM_SAMPLES = 4;
   private static final int MINIMUM_PEERS = 3;
   private static final double OUTLIER_FACTOR = 3.0;
-  private static final long OUTLIER_MARGIN_MICROS = 200_000;
+  private static final long OUTLIER_MARGIN_MICROS = 500_000;
 
   private final double maximumShare;
   private final long ejectionMicros;
--- a/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -30,6 +30,7 @@
   private long ejectedUntilMicros;
   private int outstanding;
   private int unansweredOffers;
+  private long heardAtMicros;
 
   Upstream(Instance instance) {
     this.name = instance.name();
@@ -117,6 +118,11 @@
     outstanding--;
   }
 
+  /** Returns when the sidecar last sent anything, in microseconds since the epoch. */
+  public long heardAtMicros() {
+    return heardAtMicros;
+  }
+
   /** Takes in that an offer was answered. */
   public void onAnswered() {
     unansweredOffers = 0;
@@ -147,6 +153,10 @@
     }
   }
 
+  void onHeard(long nowMicros) {
+    heardAtMicros = nowMicros;
+  }
+
   void onListed(Instance newInstance) {
     instance = newInstance;
     isListed = true;
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -85,6 +85,11 @@
     return addListed(listed.values());
   }
 
+  /** Takes in that an instance has sent something. */
+  public void onHeard(String name, long nowMicros) {
+    find(name).ifPresent(upstream -> upstream.onHeard(nowMicros));
+  }
+
   /** Takes in the state of an upstream, sent by its own sidecar. */
   public void onStatus(SidecarStatus status, long senderIncarnation) {
     find(status.upstream()).ifPresent(upstream -> upstream.onStatus(status, senderIncarnation));
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -355,13 +355,26 @@
     slowness.onSilence(exchange, attempt, nowMicros);
     long silence = nowMicros - attempt.lastFrameAtMicros();
     boolean hasReadAll = exchange.consumed() >= exchange.stream().position();
-    if (exchange.hasBegun() && hasReadAll && silence >= options.stallWaitMicros()) {
+    if (hasReadAll && isStalled(exchange, attempt, silence, nowMicros)) {
       giveUp(exchange, attempt, RetryReason.STREAM_STALLED, nowMicros);
     } else if (exchange.unreportedConsumed() > 0 && silence >= CONSUMED_QUIET_MICROS) {
       reportConsumed(exchange);
     }
   }
 
+  /**
+   * An upstream of which nothing at all is heard is given up sooner than one that still answers
+   * others, because that one may have a long queue or have set the stream aside.
+   */
+  private boolean isStalled(ChatExchange exchange, Attempt attempt, long silence, long nowMicros) {
+    long unheard = nowMicros - attempt.upstream().heardAtMicros();
+    boolean isLate = slowness.isLate(exchange, attempt, nowMicros);
+    if (isLate && unheard >= options.silenceWaitMicros()) {
+      return true;
+    }
+    return exchange.hasBegun() && silence >= options.stallWaitMicros();
+  }
+
   private void reportConsumed(ChatExchange exchange) {
     exchange
         .submitted()
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -245,6 +245,7 @@
 
   private void onEnvelope(Envelope envelope, long nowMicros) {
     configuration.onEnvelope(envelope, nowMicros);
+    directory.onHeard(envelope.sender(), nowMicros);
     PeerMessage message = envelope.message();
     if (message instanceof PeerMessage.Tokens tokens) {
       chats.onTokens(tokens, nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterOptions.java
@@ -24,6 +24,8 @@
  *     caller names none, in microseconds
  * @param callWaitMicros wait for the answer of a service that sets a call's deadline, in
  *     microseconds
+ * @param silenceWaitMicros lateness of a frame, and silence of its upstream, after which the
+ *     attempt is given up, in microseconds
  * @param stallWaitMicros longest silence of a stream that the caller has read up to, in
  *     microseconds
  * @param maximumAttempts greatest number of times that a prompt is sent to an upstream
@@ -51,6 +53,7 @@
     long offerWaitMicros,
     long firstTokenWaitMicros,
     long callWaitMicros,
+    long silenceWaitMicros,
     long stallWaitMicros,
     int maximumAttempts,
     double retryShare,
@@ -75,6 +78,7 @@
     requirePositive(offerWaitMicros, "offerWaitMicros");
     requirePositive(firstTokenWaitMicros, "firstTokenWaitMicros");
     requirePositive(callWaitMicros, "callWaitMicros");
+    requirePositive(silenceWaitMicros, "silenceWaitMicros");
     requirePositive(stallWaitMicros, "stallWaitMicros");
     requirePositive(maximumAttempts, "maximumAttempts");
     requirePositive(maximumOpenRequests, "maximumOpenRequests");
@@ -102,6 +106,7 @@
     private long offerWaitMicros = 60_000;
     private long firstTokenWaitMicros = 10_000_000;
     private long callWaitMicros = 10_000_000;
+    private long silenceWaitMicros = 2_000_000;
     private long stallWaitMicros = 10_000_000;
     private int maximumAttempts = 4;
     private double retryShare = 0.2;
@@ -110,7 +115,7 @@
     private long ejectionMicros = 10_000_000;
     private long quarantineMicros = 600_000_000;
     private long recomputeMicrosPerBlock = 20_000;
-    private long poorHintMicros = 30_000;
+    private long poorHintMicros = 100_000;
     private int maximumOpenRequests = 4_096;
     private int explanations = 512;
     private PlacementPolicy placement = PlacementStrategy.PREFIX_AFFINITY;
@@ -173,6 +178,15 @@
       return this;
     }
 
+    /**
+     * Sets the lateness of a frame, and silence of its upstream, after which the attempt is given
+     * up, in microseconds. Default: 2_000_000.
+     */
+    public Builder silenceWaitMicros(long value) {
+      silenceWaitMicros = value;
+      return this;
+    }
+
     /**
      * Sets the longest silence of a stream that the caller has read up to, in microseconds.
      * Default: 10_000_000.
@@ -232,7 +246,7 @@
 
     /**
      * Sets the avoidable time to the first token from which on another upstream is asked, in
-     * microseconds. Default: 30_000.
+     * microseconds. Default: 100_000.
      */
     public Builder poorHintMicros(long value) {
       poorHintMicros = value;
@@ -280,6 +294,7 @@
           offerWaitMicros,
           firstTokenWaitMicros,
           callWaitMicros,
+          silenceWaitMicros,
           stallWaitMicros,
           maximumAttempts,
           retryShare,
--- a/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
@@ -13,7 +13,6 @@
  * <p>Invariant: an attempt gives at most one sample of each kind. Not thread-safe.
  */
 final class SlownessWatch {
-  private static final long SILENCE_MICROS = 2_000_000;
   private static final int TOKENS_MEASURED = 100;
   private static final int MINIMUM_TOKENS = 16;
 
@@ -39,11 +38,20 @@
   /** Takes in that no frame has come yet. */
   void onSilence(ChatExchange exchange, Attempt attempt, long nowMicros) {
     boolean isSilent = attempt.firstFrameAtMicros() == 0 && !attempt.isSampled();
-    if (isSilent && excessOf(exchange, attempt, nowMicros) >= SILENCE_MICROS) {
+    if (isSilent && isLate(exchange, attempt, nowMicros)) {
       sampleFirstToken(exchange, attempt, nowMicros);
     }
   }
 
+  /** Returns whether the next frame should have come long ago, by the hint and the latest frame. */
+  boolean isLate(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    long late =
+        attempt.firstFrameAtMicros() == 0
+            ? excessOf(exchange, attempt, nowMicros)
+            : nowMicros - attempt.lastFrameAtMicros();
+    return late >= options.silenceWaitMicros();
+  }
+
   /** Takes in the end of a complete attempt. */
   void onEnded(ChatExchange exchange, Attempt attempt, long nowMicros) {
     boolean hasReadAll = exchange.consumed() + MINIMUM_TOKENS >= exchange.stream().position();
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
@@ -260,4 +260,30 @@
     assertThat(harness.refusal(second).get().reason()).isEqualTo(RefusalReason.RETRY_BUDGET_EMPTY);
     assertThat(harness.refusal(second).get().retryAtMicros()).isPresent();
   }
+
+  @ParameterizedTest
+  @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+  void attemptAtASilentUpstreamMovesOnUnlessTheUpstreamIsHeard(boolean hasBegun, boolean isHeard) {
+    RouterHarness harness = RouterHarness.ready(3);
+    RequestId request = harness.chat("hello");
+    AttemptId first = harness.acceptLatest(request);
+    if (hasBegun) {
+      harness.tokens(first, 0, "one ");
+      harness.send(new RouterEvent.CallerConsumed(request, 1));
+    }
+    for (int second = 0; second < 3; second++) {
+      harness.advance(1_000_000);
+      if (isHeard) {
+        harness.status(harness.upstreamOf(first), false, RouterHarness.VERSION);
+      }
+    }
+
+    assertThat(harness.counter("retries.stream-stalled")).isEqualTo(isHeard ? 0 : 1);
+    List<String> asked = harness.offers(request).stream().map(Sent::peer).toList();
+    assertThat(asked.get(0)).isEqualTo(harness.upstreamOf(first));
+    assertThat(asked.size() == 1).isEqualTo(isHeard);
+    if (!isHeard) {
+      assertThat(asked.get(1)).isNotEqualTo(asked.get(0));
+    }
+  }
 }
