Wire configuration, claims and orders into the sidecar

Cause: the sidecar refused calls that may not be repeated and followed no configuration. Measured: all tests of state and coordination pass.

--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -69,7 +69,7 @@
     SplittableRandom random = new SplittableRandom(options.seed());
     outbox = new RouterOutbox(commands);
     configuration = new ConfigurationReplica(outbox, ConfigurationOptions.ofRouter(options.name()));
-    outbox.setConfigurationOffset(() -> configuration.state().offset());
+    outbox.setConfigurationOffset(configuration::offset);
     directory = new UpstreamDirectory(options.region(), UNREACHABLE_MICROS);
     fleet = new FleetWatch(options, outbox, directory, random.split());
     poison =
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
@@ -0,0 +1,105 @@
+package org.shallothook.coordination.sidecar;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.shallothook.coordination.booking.CallDesk;
+import org.shallothook.coordination.configuration.ConfigurationOptions;
+import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.engine.EngineMonitor;
+import org.shallothook.coordination.lease.LoadSlots;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.order.EngineOrders;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.membership.InstanceRole;
+
+/**
+ * The parts of a sidecar that agree with other processes through the log: configuration, claims,
+ * and orders to the engine.
+ *
+ * <p>Invariant: the engine gets no orders from a configuration older than one that was heard of.
+ * Not thread-safe: used on the decision thread.
+ */
+final class Agreement {
+  private final SidecarOptions options;
+  private final ConfigurationReplica configuration;
+  private final CallDesk desk;
+  private final LoadSlots slots;
+  private final EngineOrders orders;
+
+  Agreement(SidecarOptions options, SidecarOutbox outbox, Counters counters) {
+    this.options = options;
+    configuration =
+        new ConfigurationReplica(outbox, ConfigurationOptions.ofSidecar(options.name()));
+    outbox.setConfigurationOffset(configuration::offset);
+    desk =
+        new CallDesk(
+            options.name(),
+            options.incarnation(),
+            outbox,
+            outbox::command,
+            options.bookings(),
+            counters);
+    slots = new LoadSlots(options.name(), options.incarnation(), outbox, counters);
+    orders =
+        new EngineOrders(
+            options.name(),
+            options.incarnation(),
+            options.versionsPerEngine(),
+            slots,
+            outbox::command,
+            counters);
+  }
+
+  CallDesk desk() {
+    return desk;
+  }
+
+  ConfigurationReplica configuration() {
+    return configuration;
+  }
+
+  void onInstances(InstanceList list) {
+    Set<String> names = new HashSet<>();
+    list.instances().stream().map(Instance::name).forEach(names::add);
+    configuration.retainPeers(names);
+    desk.onInstances(list);
+    orders.onInstances(list);
+  }
+
+  void onEnvelope(Envelope envelope, long nowMicros) {
+    configuration.onEnvelope(envelope, nowMicros);
+    desk.onEnvelope(envelope, nowMicros);
+  }
+
+  void onEvent(SidecarEvent event, long nowMicros) {
+    if (event instanceof SidecarEvent.LogRead read) {
+      configuration.onLogRead(read.page(), nowMicros);
+      desk.onLogRead(read.page(), nowMicros);
+      slots.onLogRead(read.page(), nowMicros);
+    } else if (event instanceof SidecarEvent.LogReadFailed failed) {
+      configuration.onLogReadFailed(failed.stream(), nowMicros);
+      desk.onLogReadFailed(failed.stream(), nowMicros);
+    } else if (event instanceof SidecarEvent.LogAppended appended) {
+      desk.onLogAppended(appended.token(), nowMicros);
+    } else if (event instanceof SidecarEvent.LogAppendFailed failed) {
+      desk.onLogAppendFailed(failed.token(), failed.mayHaveTakenEffect(), nowMicros);
+    } else if (event instanceof SidecarEvent.OrderAnswered answered) {
+      orders.onOrderAnswered(answered.accepted(), nowMicros);
+    }
+  }
+
+  void onTick(EngineMonitor engine, boolean isLeaving, long nowMicros) {
+    configuration.onTick(nowMicros);
+    desk.onTick(nowMicros);
+    boolean mayOrder =
+        options.role() == InstanceRole.MODEL_ENGINE
+            && engine.isReachable()
+            && !isLeaving
+            && !configuration.isBehind();
+    if (mayOrder) {
+      orders.onTick(configuration.state(), engine.ready(), nowMicros);
+    }
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/ServiceCalls.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/ServiceCalls.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.coordination.booking.CallDesk;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.request.AttemptId;
@@ -10,9 +11,9 @@
 import org.shallothook.state.request.RefusalReason;
 
 /**
- * Repeatable calls to the service beside the sidecar.
+ * Calls to the service beside the sidecar.
  *
- * <p>Calls that may not be repeated are refused here, because they need a claim first.
+ * <p>Calls that may not be repeated go to the desk that claims them first.
  *
  * <p>Invariant: a call is reported as not run only when no byte of it reached the service. Not
  * thread-safe: used on the decision thread.
@@ -21,16 +22,18 @@
   private final SidecarOptions options;
   private final SidecarOutbox outbox;
   private final Counters counters;
+  private final CallDesk desk;
   private final Map<AttemptId, String> routers = new LinkedHashMap<>();
 
-  ServiceCalls(SidecarOptions options, SidecarOutbox outbox, Counters counters) {
+  ServiceCalls(SidecarOptions options, SidecarOutbox outbox, Counters counters, CallDesk desk) {
+    this.desk = desk;
     this.options = options;
     this.outbox = outbox;
     this.counters = counters;
   }
 
   boolean isIdle() {
-    return routers.isEmpty();
+    return routers.isEmpty() && desk.isIdle();
   }
 
   void onCall(String router, PeerMessage.Call call, boolean isLeaving, long nowMicros) {
@@ -39,7 +42,9 @@
       fail(router, call.attempt(), refusal.get(), Outcome.NOT_RUN, "The call was not dispatched.");
       return;
     }
-    if (routers.putIfAbsent(call.attempt(), router) == null) {
+    if (!call.isRepeatable()) {
+      desk.onCall(router, call, nowMicros);
+    } else if (routers.putIfAbsent(call.attempt(), router) == null) {
       outbox.command(
           new SidecarCommand.CallService(
               call.attempt(),
@@ -51,7 +56,11 @@
     }
   }
 
-  void onAnswered(SidecarEvent.ServiceAnswered event) {
+  void onAnswered(SidecarEvent.ServiceAnswered event, long nowMicros) {
+    if (desk.onAnswered(
+        event.attempt(), event.status(), event.contentType(), event.body(), nowMicros)) {
+      return;
+    }
     String router = routers.remove(event.attempt());
     if (router == null) {
       counters.increment("calls.late-answers");
@@ -64,7 +73,10 @@
             event.attempt(), event.status(), event.contentType(), event.body()));
   }
 
-  void onFailed(SidecarEvent.ServiceFailed event) {
+  void onFailed(SidecarEvent.ServiceFailed event, long nowMicros) {
+    if (desk.onFailed(event.attempt(), event.hasReachedService(), nowMicros)) {
+      return;
+    }
     String router = routers.remove(event.attempt());
     if (router == null) {
       counters.increment("calls.late-answers");
@@ -87,6 +99,7 @@
 
   void onRouterGone(String router) {
     routers.values().removeIf(router::equals);
+    desk.onRouterGone(router);
   }
 
   private Optional<RefusalReason> refusal(
@@ -97,9 +110,6 @@
     if (!call.service().equals(options.service())) {
       return Optional.of(RefusalReason.UNKNOWN_SERVICE);
     }
-    if (!call.isRepeatable()) {
-      return Optional.of(RefusalReason.LOG_UNAVAILABLE);
-    }
     return call.deadlineMicros() <= nowMicros
         ? Optional.of(RefusalReason.DEADLINE_PASSED)
         : Optional.empty();
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -22,7 +22,7 @@
  * All decisions of a sidecar behind one entrance.
  *
  * <p>The core hands each event to the part that decides on it: the engine's monitor, the follower
- * of its cache, admission, hot prefixes, and calls to services.
+ * of its cache, admission, hot prefixes, calls to services, and what the fleet agrees on.
  *
  * <p>Invariant: the same events at the same times give the same commands. Not thread-safe: one
  * decision thread owns it.
@@ -44,6 +44,7 @@
   private final HotPrefixes hotPrefixes;
   private final Admission admission;
   private final ServiceCalls calls;
+  private final Agreement agreement;
   private final RouterSessions routers = new RouterSessions();
   private final LeavingSignals leaving = new LeavingSignals();
   private final InstanceWatch instances;
@@ -74,7 +75,8 @@
     cache = new CacheFollower(options, outbox, counters);
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
     admission = new Admission(options, outbox, counters, engine, hotPrefixes.gate());
-    calls = new ServiceCalls(options, outbox, counters);
+    agreement = new Agreement(options, outbox, counters);
+    calls = new ServiceCalls(options, outbox, counters, agreement.desk());
     instances = new InstanceWatch(options, outbox);
   }
 
@@ -155,15 +157,18 @@
     } else if (event instanceof SidecarEvent.PeerUnreachable unreachable) {
       onPeerGone(unreachable.peer(), nowMicros);
     } else if (event instanceof SidecarEvent.ServiceAnswered answered) {
-      calls.onAnswered(answered);
+      calls.onAnswered(answered, nowMicros);
     } else if (event instanceof SidecarEvent.ServiceFailed failed) {
-      calls.onFailed(failed);
+      calls.onFailed(failed, nowMicros);
     } else if (event instanceof SidecarEvent.InstancesRead read) {
       instances.onRead(read.list());
+      agreement.onInstances(read.list());
       hotPrefixes.setStore(instances.hasStore());
       setLeaving(LeavingSignals.Signal.INSTANCE_LIST, instances.isSelfLeaving(), nowMicros);
     } else if (event instanceof SidecarEvent.DrainRequested) {
       setLeaving(LeavingSignals.Signal.DRAIN, true, nowMicros);
+    } else {
+      agreement.onEvent(event, nowMicros);
     }
   }
 
@@ -179,6 +184,7 @@
       }
       case CURRENT -> {}
     }
+    agreement.onEnvelope(envelope, nowMicros);
     onMessage(envelope.sender(), envelope.message(), nowMicros);
   }
 
@@ -277,6 +283,7 @@
     instances.onTick(nowMicros);
     hotPrefixes.onTick(nowMicros);
     admission.onTick(nowMicros);
+    agreement.onTick(engine, leaving.isLeaving(), nowMicros);
   }
 
   private void setLeaving(LeavingSignals.Signal signal, boolean isRaised, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOutbox.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOutbox.java
@@ -1,26 +1,27 @@
 package org.shallothook.coordination.sidecar;
 
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.Outbox;
 
 /**
  * Way out of a sidecar's decisions: turns what they ask for into commands.
  *
- * <p>Invariant: every message carries the configuration offset set last, and tokens of appends
+ * <p>Invariant: every message carries the configuration offset of its time, and tokens of appends
  * grow. Not thread-safe: used on the decision thread.
  */
 public final class SidecarOutbox implements Outbox {
   private final Consumer<SidecarCommand> commands;
-  private long configurationOffset;
+  private LongSupplier configurationOffset = () -> 0;
   private long lastToken;
 
   SidecarOutbox(Consumer<SidecarCommand> commands) {
     this.commands = commands;
   }
 
-  /** Sets the configuration offset that messages carry from now on. */
-  void setConfigurationOffset(long offset) {
+  /** Sets where the configuration offset of messages comes from. */
+  void setConfigurationOffset(LongSupplier offset) {
     configurationOffset = offset;
   }
 
@@ -31,7 +32,7 @@
 
   @Override
   public void send(String peer, PeerMessage message) {
-    commands.accept(new SidecarCommand.SendToPeer(peer, message, configurationOffset));
+    commands.accept(new SidecarCommand.SendToPeer(peer, message, configurationOffset.getAsLong()));
   }
 
   @Override
