--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -1,6 +1,7 @@
 package org.shallothook.protocol.peer;
 
 import java.util.Optional;
+import org.shallothook.coordination.message.CrashRole;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.protocol.generated.CallAnswerFrame;
 import org.shallothook.protocol.generated.CallFrame;
@@ -134,7 +135,14 @@
         FieldMapping.toConstant(RefusalReason.class, "failed.reason", frame.getReason()),
         FieldMapping.toConstant(Outcome.class, "failed.outcome", frame.getOutcome()),
         frame.getDetail(),
-        FieldMapping.notNegative("failed.retry_at_micros", frame.getRetryAtMicros()));
+        FieldMapping.notNegative("failed.retry_at_micros", frame.getRetryAtMicros()),
+        crashRole(frame.getCrashRole()));
+  }
+
+  private static CrashRole crashRole(String name) {
+    return name.isEmpty()
+        ? CrashRole.NONE
+        : FieldMapping.toConstant(CrashRole.class, "failed.crash_role", name);
   }
 
   private static PeerMessage call(CallFrame frame) {
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -125,7 +125,8 @@
         .setReason(failed.reason().name())
         .setOutcome(failed.outcome().name())
         .setDetail(failed.detail())
-        .setRetryAtMicros(failed.retryAtMicros());
+        .setRetryAtMicros(failed.retryAtMicros())
+        .setCrashRole(failed.crashRole().name());
   }
 
   private static CallFrame.Builder call(PeerMessage.Call call) {
