--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -69,7 +69,7 @@
     SplittableRandom random = new SplittableRandom(options.seed());
     outbox = new RouterOutbox(commands);
     configuration = new ConfigurationReplica(outbox, ConfigurationOptions.ofRouter(options.name()));
-    outbox.setConfigurationOffset(() -> configuration.state().offset());
+    outbox.setConfigurationOffset(configuration::offset);
     directory = new UpstreamDirectory(options.region(), UNREACHABLE_MICROS);
     fleet = new FleetWatch(options, outbox, directory, random.split());
     poison =
@@ -245,6 +245,7 @@
 
   private void onEnvelope(Envelope envelope, long nowMicros) {
     configuration.onEnvelope(envelope, nowMicros);
+    directory.onHeard(envelope.sender(), nowMicros);
     PeerMessage message = envelope.message();
     if (message instanceof PeerMessage.Tokens tokens) {
       chats.onTokens(tokens, nowMicros);
