Let late answers to offers count, and silence be no proof of absence

Cause: on a loaded machine the demonstration refused 14 of 96 chats as no-upstream. explain and counters showed 47 offers unanswered within 60 ms and 48 replies that came later and were dropped; three in a row made an engine unreachable for a second, soon all of them. Ruled out: lost messages (every reply came), engines down (all ready), a longer wait alone (it delays the move to the next engine). Change: an overdue offer stays open while the next engine is asked, its late answer counts; a silent engine is used where there are no others, and is back as soon as anything is heard of it. Before: the two new tests fail.

--- a/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -27,6 +27,7 @@
   private boolean isLeavingBySidecar;
   private long queueDelayMicros;
   private long unreachableUntilMicros;
+  private long silentUntilMicros;
   private long ejectedUntilMicros;
   private int outstanding;
   private int unansweredOffers;
@@ -98,6 +99,11 @@
     return isDown || nowMicros < unreachableUntilMicros;
   }
 
+  /** Returns whether the upstream has left offers unanswered and was not heard of since. */
+  public boolean isSilent(long nowMicros) {
+    return nowMicros < silentUntilMicros;
+  }
+
   /** Returns whether new work may be sent. */
   public boolean isUsable(long nowMicros) {
     return !isLeaving() && !isUnreachable(nowMicros);
@@ -155,6 +161,12 @@
 
   void onHeard(long nowMicros) {
     heardAtMicros = nowMicros;
+    silentUntilMicros = 0;
+    unansweredOffers = 0;
+  }
+
+  void onSilent(long untilMicros) {
+    silentUntilMicros = untilMicros;
   }
 
   void onListed(Instance newInstance) {
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -105,12 +105,25 @@
     find(name).ifPresent(upstream -> upstream.onUnreachable(nowMicros + unreachableMicros));
   }
 
-  /** Returns the engines that can serve a model version now, those of the own region if any. */
+  /** Leaves an upstream alone for a while, or until it is heard of: it answers no offers. */
+  public void onSilent(String name, long nowMicros) {
+    find(name).ifPresent(upstream -> upstream.onSilent(nowMicros + unreachableMicros));
+  }
+
+  /**
+   * Returns the engines that can serve a model version now, those of the own region if any. Slow
+   * and silent engines are returned only where there are no others, since being late is no proof of
+   * being gone.
+   */
   public List<Upstream> candidates(ModelVersion modelVersion, long nowMicros) {
     List<Upstream> usable =
         select(upstream -> isEngine(upstream) && upstream.isReady(modelVersion), nowMicros);
-    List<Upstream> healthy = usable.stream().filter(one -> !one.isEjected(nowMicros)).toList();
-    return preferRegion(healthy.isEmpty() ? usable : healthy);
+    List<Upstream> answering = usable.stream().filter(one -> !one.isSilent(nowMicros)).toList();
+    List<Upstream> healthy = answering.stream().filter(one -> !one.isEjected(nowMicros)).toList();
+    if (!healthy.isEmpty()) {
+      return preferRegion(healthy);
+    }
+    return preferRegion(answering.isEmpty() ? usable : answering);
   }
 
   /** Returns the engines that can serve a model version, ejected or not. */
--- a/coordination/src/main/java/org/shallothook/coordination/router/Attempt.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/Attempt.java
@@ -37,6 +37,7 @@
   private long lastFrameAtMicros;
   private int toPosition;
   private boolean isSampled;
+  private boolean isOverdue;
   private long endedAtMicros;
   private String end = "open";
 
@@ -130,6 +131,20 @@
     isSampled = true;
   }
 
+  /** Returns whether the offer was not answered in time; a later answer still counts. */
+  boolean isOverdue() {
+    return isOverdue;
+  }
+
+  void setOverdue() {
+    isOverdue = true;
+  }
+
+  /** Returns whether an answer to the offer is still worth waiting for. */
+  boolean isAwaited() {
+    return phase == Phase.OFFERED && !isOverdue;
+  }
+
   int tokens() {
     return toPosition - fromPosition;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -37,6 +37,9 @@
   private static final long FAR_MICROS = 2_000;
   private static final int UNANSWERED_IN_A_ROW = 3;
 
+  /** Number of waits for an answer after which an offer is withdrawn. */
+  private static final int OVERDUE_WAITS = 16;
+
   /** How a step of a round has ended. Immutable and thread-safe. */
   enum Progress {
     /** The prompt was sent. */
@@ -114,24 +117,33 @@
     return advance(exchange, nowMicros);
   }
 
-  /** Gives up offers that were not answered in time, and goes on. */
+  /** Goes on without offers that were not answered in time; their answers still count. */
   Progress onTick(ChatExchange exchange, long nowMicros) {
     boolean hasChanged = false;
     for (Attempt attempt : exchange.round()) {
-      long latest = attempt.offeredAtMicros() + options.offerWaitMicros();
-      if (attempt.is(Attempt.Phase.OFFERED) && nowMicros >= latest) {
-        onUnanswered(attempt, nowMicros);
-        hasChanged = true;
-      }
+      hasChanged |= attempt.is(Attempt.Phase.OFFERED) && checkOffer(attempt, nowMicros);
     }
     return hasChanged ? advance(exchange, nowMicros) : Progress.WAITING;
   }
 
+  private boolean checkOffer(Attempt attempt, long nowMicros) {
+    long waitedMicros = nowMicros - attempt.offeredAtMicros();
+    if (waitedMicros >= OVERDUE_WAITS * options.offerWaitMicros()) {
+      cancel(attempt, "unanswered", nowMicros);
+      return true;
+    }
+    if (waitedMicros < options.offerWaitMicros() || attempt.isOverdue()) {
+      return false;
+    }
+    onUnanswered(attempt, nowMicros);
+    return true;
+  }
+
   /** Goes on after an attempt of the round has ended. */
   Progress advance(ChatExchange exchange, long nowMicros) {
     dropExpired(exchange, nowMicros);
     Optional<Attempt> best = bestOf(exchange);
-    boolean isAwaiting = exchange.round().stream().anyMatch(one -> one.is(Attempt.Phase.OFFERED));
+    boolean isAwaiting = exchange.round().stream().anyMatch(Attempt::isAwaited);
     if (best.isPresent() && isGoodEnough(exchange, best.get())) {
       submit(exchange, best.get(), nowMicros);
       return Progress.SUBMITTED;
@@ -146,7 +158,8 @@
       submit(exchange, best.get(), nowMicros);
       return Progress.SUBMITTED;
     }
-    return Progress.EXHAUSTED;
+    boolean isOverdue = exchange.round().stream().anyMatch(one -> one.is(Attempt.Phase.OFFERED));
+    return isOverdue ? Progress.WAITING : Progress.EXHAUSTED;
   }
 
   /** Returns whether any engine takes new work, whatever it has loaded. */
@@ -228,9 +241,9 @@
 
   private void onUnanswered(Attempt attempt, long nowMicros) {
     options.counters().increment("offers.unanswered");
-    cancel(attempt, "unanswered", nowMicros);
+    attempt.setOverdue();
     if (attempt.upstream().onUnanswered() >= UNANSWERED_IN_A_ROW) {
-      directory.onUnreachable(attempt.upstream().name(), nowMicros);
+      directory.onSilent(attempt.upstream().name(), nowMicros);
     }
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
@@ -118,6 +118,33 @@
     assertThat(harness.core.explain(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
   }
 
+  @Test
+  void lateAnswerToAnOfferStillCounts() {
+    RouterHarness harness = RouterHarness.ready(1);
+    RequestId request = harness.chat("hello");
+    Sent<PeerMessage.Offer> offer = harness.latestOffer(request);
+    harness.advance(300_000);
+    AttemptId attempt = harness.accept(offer);
+    harness.tokens(attempt, 0, "Maria's");
+    harness.ended(attempt, 1);
+
+    assertThat(harness.refusal(request)).isEmpty();
+    assertThat(harness.isComplete(request)).isTrue();
+  }
+
+  @Test
+  void lateEnginesAreStillOfferedWorkWhereThereAreNoOthers() {
+    RouterHarness harness = RouterHarness.ready(1);
+    for (int asked = 0; asked < 4; asked++) {
+      harness.chat("hello " + asked);
+    }
+    harness.advance(200_000);
+    RequestId request = harness.chat("hello");
+
+    assertThat(harness.refusal(request)).isEmpty();
+    assertThat(harness.offers(request)).isNotEmpty();
+  }
+
   @ParameterizedTest
   @CsvSource({"true, UNKNOWN", "false, NOT_RUN"})
   void outcomeAfterTheOnlyUpstreamIsGoneTellsWhetherItMayHaveRun(
