--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -5,15 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import org.shallothook.coordination.message.CrashRole;
-import org.shallothook.coordination.message.PeerMessage.Consumed;
-import org.shallothook.coordination.message.PeerMessage.Ended;
 import org.shallothook.coordination.message.PeerMessage.Failed;
 import org.shallothook.coordination.message.PeerMessage.OfferReply;
-import org.shallothook.coordination.message.PeerMessage.Tokens;
 import org.shallothook.coordination.quarantine.PoisonGuard;
 import org.shallothook.coordination.retry.RetryReason;
 import org.shallothook.state.configuration.TeamTemplate;
-import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -25,20 +21,16 @@
  * thread-safe.
  */
 final class ChatFlow {
-  private static final int CONSUMED_STEP_TOKENS = 128;
-  private static final long CONSUMED_QUIET_MICROS = 100_000;
   private static final long DEADLINE_GRACE_MICROS = 250_000;
   private static final long COME_BACK_MICROS = 1_000_000;
-  private static final int BYTES_PER_TOKEN = 4;
 
   private final RouterOptions options;
-  private final RouterOutbox outbox;
   private final RequestBook book;
   private final Admission admission;
   private final OfferRounds rounds;
   private final RetryDesk retries;
   private final PoisonGuard poison;
-  private final SlownessWatch slowness;
+  private final ChatStreams streams;
 
   ChatFlow(
       RouterOptions options,
@@ -50,13 +42,12 @@
       PoisonGuard poison,
       SlownessWatch slowness) {
     this.options = options;
-    this.outbox = outbox;
     this.book = book;
     this.admission = admission;
     this.rounds = rounds;
     this.retries = retries;
     this.poison = poison;
-    this.slowness = slowness;
+    this.streams = new ChatStreams(options, outbox, book, retries, poison, slowness, this::giveUp);
   }
 
   void onRequested(RouterEvent.ChatRequested request, long nowMicros) {
@@ -74,8 +65,13 @@
     begin(admitted.get(), nowMicros);
   }
 
+  /** Returns the part that takes frames of streams. */
+  ChatStreams streams() {
+    return streams;
+  }
+
   void onReply(OfferReply reply, long nowMicros) {
-    find(reply.attempt())
+    book.findAttempt(reply.attempt())
         .filter(open -> open.attempt().is(Attempt.Phase.OFFERED))
         .ifPresentOrElse(
             open -> {
@@ -91,53 +87,9 @@
             () -> options.counters().increment("replies.late"));
   }
 
-  void onTokens(Tokens tokens, long nowMicros) {
-    Optional<OpenAttempt> open = findSubmitted(tokens.attempt());
-    if (open.isEmpty()) {
-      options.counters().increment("frames.older-attempt");
-      return;
-    }
-    ChatExchange exchange = open.get().exchange();
-    Attempt attempt = open.get().attempt();
-    switch (exchange.stream().accept(tokens.position(), tokens.count(), tokens.text())) {
-      case NEXT -> {
-        slowness.onFrame(exchange, attempt, nowMicros);
-        attempt.onFrame(exchange.stream().position(), nowMicros);
-        outbox.emit(
-            new RouterCommand.SendTokens(
-                exchange.id(), tokens.position(), tokens.count(), tokens.text()));
-      }
-      case DUPLICATE -> options.counters().increment("frames.duplicate");
-      case GAP -> giveUp(exchange, attempt, RetryReason.STREAM_GAP, nowMicros);
-    }
-  }
-
-  void onEnded(Ended ended, long nowMicros) {
-    Optional<OpenAttempt> open = findSubmitted(ended.attempt());
-    if (open.isEmpty()) {
-      options.counters().increment("frames.older-attempt");
-      return;
-    }
-    ChatExchange exchange = open.get().exchange();
-    Attempt attempt = open.get().attempt();
-    if (!exchange.stream().isComplete(ended.position())) {
-      giveUp(exchange, attempt, RetryReason.STREAM_GAP, nowMicros);
-      return;
-    }
-    slowness.onEnded(exchange, attempt, nowMicros);
-    attempt.end("complete", nowMicros);
-    poison.onCompleted(exchange.fingerprint());
-    retries.onSuccess(nowMicros);
-    long cachedTokens = (long) ended.cachedBlocks() * options.blockBytes() / BYTES_PER_TOKEN;
-    book.complete(
-        exchange,
-        new RouterCommand.CompleteAnswer(
-            exchange.id(), ended.position(), ended.finishReason(), (int) cachedTokens),
-        nowMicros);
-  }
-
   void onFailed(Failed failed, long nowMicros) {
-    Optional<OpenAttempt> found = find(failed.attempt()).filter(one -> one.attempt().isOpen());
+    Optional<RequestBook.OpenAttempt> found =
+        book.findAttempt(failed.attempt()).filter(one -> one.attempt().isOpen());
     if (found.isEmpty()) {
       options.counters().increment("frames.older-attempt");
       return;
@@ -165,17 +117,6 @@
     retry(exchange, reason.get(), failed.reason(), nowMicros);
   }
 
-  void onConsumed(RouterEvent.CallerConsumed consumed) {
-    book.findChat(consumed.request())
-        .ifPresent(
-            exchange -> {
-              exchange.onConsumed(consumed.position());
-              if (exchange.unreportedConsumed() >= CONSUMED_STEP_TOKENS) {
-                reportConsumed(exchange);
-              }
-            });
-  }
-
   void onCallerGone(ChatExchange exchange, long nowMicros) {
     cancelAll(exchange, "caller gone", nowMicros);
     book.abandon(exchange, nowMicros);
@@ -204,9 +145,9 @@
   void onTick(ChatExchange exchange, long nowMicros) {
     Optional<Attempt> submitted = exchange.submitted();
     if (!exchange.hasBegun() && isPastDeadline(exchange, submitted, nowMicros)) {
-      onDeadline(exchange, submitted, nowMicros);
+      onDeadline(exchange, nowMicros);
     } else if (submitted.isPresent()) {
-      watch(exchange, submitted.get(), nowMicros);
+      streams.watch(exchange, submitted.get(), nowMicros);
     } else if (exchange.retryAtMicros() > 0) {
       if (nowMicros >= exchange.retryAtMicros()) {
         begin(exchange, nowMicros);
@@ -338,10 +279,7 @@
     return nowMicros >= exchange.deadlineMicros() + grace;
   }
 
-  private void onDeadline(ChatExchange exchange, Optional<Attempt> submitted, long nowMicros) {
-    if (submitted.isPresent()) {
-      exchange.setMayHaveRun();
-    }
+  private void onDeadline(ChatExchange exchange, long nowMicros) {
     cancelAll(exchange, "deadline passed", nowMicros);
     refuse(
         exchange,
@@ -351,43 +289,11 @@
         nowMicros);
   }
 
-  private void watch(ChatExchange exchange, Attempt attempt, long nowMicros) {
-    slowness.onSilence(exchange, attempt, nowMicros);
-    long silence = nowMicros - attempt.lastFrameAtMicros();
-    boolean hasReadAll = exchange.consumed() >= exchange.stream().position();
-    if (hasReadAll && isStalled(exchange, attempt, silence, nowMicros)) {
-      giveUp(exchange, attempt, RetryReason.STREAM_STALLED, nowMicros);
-    } else if (exchange.unreportedConsumed() > 0 && silence >= CONSUMED_QUIET_MICROS) {
-      reportConsumed(exchange);
-    }
-  }
-
-  /**
-   * An upstream of which nothing at all is heard is given up sooner than one that still answers
-   * others, because that one may have a long queue or have set the stream aside.
-   */
-  private boolean isStalled(ChatExchange exchange, Attempt attempt, long silence, long nowMicros) {
-    long unheard = nowMicros - attempt.upstream().heardAtMicros();
-    boolean isLate = slowness.isLate(exchange, attempt, nowMicros);
-    if (isLate && unheard >= options.silenceWaitMicros()) {
-      return true;
-    }
-    return exchange.hasBegun() && silence >= options.stallWaitMicros();
-  }
-
-  private void reportConsumed(ChatExchange exchange) {
-    exchange
-        .submitted()
-        .ifPresent(
-            attempt -> {
-              outbox.send(
-                  attempt.upstream().name(), new Consumed(attempt.id(), exchange.consumed()));
-              exchange.onConsumedReported();
-            });
-  }
-
   private void cancelAll(ChatExchange exchange, String why, long nowMicros) {
     for (Attempt attempt : exchange.openAttempts()) {
+      if (attempt.is(Attempt.Phase.SUBMITTED)) {
+        exchange.setMayHaveRun();
+      }
       rounds.cancel(attempt, why, nowMicros);
     }
   }
@@ -403,15 +309,4 @@
         comeBackAtMicros > nowMicros ? Optional.of(comeBackAtMicros) : Optional.empty();
     book.refuse(exchange, new Refusal(reason, detail, exchange.outcome(), retryAt), nowMicros);
   }
-
-  private Optional<OpenAttempt> find(AttemptId id) {
-    return book.findChat(id.request())
-        .flatMap(chat -> chat.find(id).map(attempt -> new OpenAttempt(chat, attempt)));
-  }
-
-  private Optional<OpenAttempt> findSubmitted(AttemptId id) {
-    return find(id).filter(open -> open.attempt().is(Attempt.Phase.SUBMITTED));
-  }
-
-  private record OpenAttempt(ChatExchange exchange, Attempt attempt) {}
 }
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatStreams.java
@@ -0,0 +1,143 @@
+package org.shallothook.coordination.router;
+
+import java.util.Optional;
+import org.shallothook.coordination.message.PeerMessage.Consumed;
+import org.shallothook.coordination.message.PeerMessage.Ended;
+import org.shallothook.coordination.message.PeerMessage.Tokens;
+import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.coordination.retry.RetryReason;
+
+/**
+ * Passes streams of upstreams on to callers, and notices streams that do not go on.
+ *
+ * <p>Invariant: a caller gets each token of one answer once and in order, and the end only after
+ * all of them. Not thread-safe.
+ */
+final class ChatStreams {
+  private static final int CONSUMED_STEP_TOKENS = 128;
+  private static final long CONSUMED_QUIET_MICROS = 100_000;
+  private static final int BYTES_PER_TOKEN = 4;
+
+  /** Takes over when a stream cannot go on. */
+  @FunctionalInterface
+  interface BrokenStreamPolicy {
+    /** Gives up the attempt and decides what becomes of the request. */
+    void giveUp(ChatExchange exchange, Attempt attempt, RetryReason reason, long nowMicros);
+  }
+
+  private final RouterOptions options;
+  private final RouterOutbox outbox;
+  private final RequestBook book;
+  private final RetryDesk retries;
+  private final PoisonGuard poison;
+  private final SlownessWatch slowness;
+  private final BrokenStreamPolicy broken;
+
+  ChatStreams(
+      RouterOptions options,
+      RouterOutbox outbox,
+      RequestBook book,
+      RetryDesk retries,
+      PoisonGuard poison,
+      SlownessWatch slowness,
+      BrokenStreamPolicy broken) {
+    this.options = options;
+    this.outbox = outbox;
+    this.book = book;
+    this.retries = retries;
+    this.poison = poison;
+    this.slowness = slowness;
+    this.broken = broken;
+  }
+
+  void onTokens(Tokens tokens, long nowMicros) {
+    Optional<RequestBook.OpenAttempt> open = book.findSubmitted(tokens.attempt());
+    if (open.isEmpty()) {
+      options.counters().increment("frames.older-attempt");
+      return;
+    }
+    ChatExchange exchange = open.get().exchange();
+    Attempt attempt = open.get().attempt();
+    switch (exchange.stream().accept(tokens.position(), tokens.count(), tokens.text())) {
+      case NEXT -> {
+        slowness.onFrame(exchange, attempt, nowMicros);
+        attempt.onFrame(exchange.stream().position(), nowMicros);
+        outbox.emit(
+            new RouterCommand.SendTokens(
+                exchange.id(), tokens.position(), tokens.count(), tokens.text()));
+      }
+      case DUPLICATE -> options.counters().increment("frames.duplicate");
+      case GAP -> broken.giveUp(exchange, attempt, RetryReason.STREAM_GAP, nowMicros);
+    }
+  }
+
+  void onEnded(Ended ended, long nowMicros) {
+    Optional<RequestBook.OpenAttempt> open = book.findSubmitted(ended.attempt());
+    if (open.isEmpty()) {
+      options.counters().increment("frames.older-attempt");
+      return;
+    }
+    ChatExchange exchange = open.get().exchange();
+    Attempt attempt = open.get().attempt();
+    if (!exchange.stream().isComplete(ended.position())) {
+      broken.giveUp(exchange, attempt, RetryReason.STREAM_GAP, nowMicros);
+      return;
+    }
+    slowness.onEnded(exchange, attempt, nowMicros);
+    attempt.end("complete", nowMicros);
+    poison.onCompleted(exchange.fingerprint());
+    retries.onSuccess(nowMicros);
+    long cachedTokens = (long) ended.cachedBlocks() * options.blockBytes() / BYTES_PER_TOKEN;
+    book.complete(
+        exchange,
+        new RouterCommand.CompleteAnswer(
+            exchange.id(), ended.position(), ended.finishReason(), (int) cachedTokens),
+        nowMicros);
+  }
+
+  void onConsumed(RouterEvent.CallerConsumed consumed) {
+    book.findChat(consumed.request())
+        .ifPresent(
+            exchange -> {
+              exchange.onConsumed(consumed.position());
+              if (exchange.unreportedConsumed() >= CONSUMED_STEP_TOKENS) {
+                reportConsumed(exchange);
+              }
+            });
+  }
+
+  void watch(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    slowness.onSilence(exchange, attempt, nowMicros);
+    long silence = nowMicros - attempt.lastFrameAtMicros();
+    boolean hasReadAll = exchange.consumed() >= exchange.stream().position();
+    if (hasReadAll && isStalled(exchange, attempt, silence, nowMicros)) {
+      broken.giveUp(exchange, attempt, RetryReason.STREAM_STALLED, nowMicros);
+    } else if (exchange.unreportedConsumed() > 0 && silence >= CONSUMED_QUIET_MICROS) {
+      reportConsumed(exchange);
+    }
+  }
+
+  /**
+   * An upstream of which nothing at all is heard is given up sooner than one that still answers
+   * others, because that one may have a long queue or have set the stream aside.
+   */
+  private boolean isStalled(ChatExchange exchange, Attempt attempt, long silence, long nowMicros) {
+    long unheard = nowMicros - attempt.upstream().heardAtMicros();
+    boolean isLate = slowness.isLate(exchange, attempt, nowMicros);
+    if (isLate && unheard >= options.silenceWaitMicros()) {
+      return true;
+    }
+    return exchange.hasBegun() && silence >= options.stallWaitMicros();
+  }
+
+  private void reportConsumed(ChatExchange exchange) {
+    exchange
+        .submitted()
+        .ifPresent(
+            attempt -> {
+              outbox.send(
+                  attempt.upstream().name(), new Consumed(attempt.id(), exchange.consumed()));
+              exchange.onConsumedReported();
+            });
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/router/FleetWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/FleetWatch.java
@@ -59,7 +59,7 @@
       peers = List.copyOf(newPeers);
       outbox.emit(new RouterCommand.PeersChanged(peers));
     }
-    added.forEach(upstream -> ungreeted.add(upstream.name()));
+    added.forEach(this::enqueue);
     greet();
     greetAtMicros = nowMicros + GREETING_INTERVAL_MICROS;
   }
@@ -90,11 +90,20 @@
     }
     for (Upstream upstream : directory.all()) {
       if (!upstream.isLeaving() && !upstream.hasStatus()) {
-        ungreeted.add(upstream.name());
+        enqueue(upstream);
       }
     }
   }
 
+  /** Puts upstreams of the own region first, since requests go there first. */
+  private void enqueue(Upstream upstream) {
+    if (upstream.instance().region().equals(options.region())) {
+      ungreeted.addFirst(upstream.name());
+    } else {
+      ungreeted.addLast(upstream.name());
+    }
+  }
+
   private void greet() {
     for (int sent = 0; sent < GREETINGS_PER_TICK && !ungreeted.isEmpty(); sent++) {
       outbox.send(ungreeted.poll(), new Hello(InstanceRole.ROUTER, options.failureDomain()));
--- a/coordination/src/main/java/org/shallothook/coordination/router/RequestBook.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RequestBook.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RequestId;
@@ -55,6 +56,17 @@
     return open.get(request) instanceof CallExchange call ? Optional.of(call) : Optional.empty();
   }
 
+  /** Returns an attempt at a model, open or ended, with its open request. */
+  Optional<OpenAttempt> findAttempt(AttemptId id) {
+    return findChat(id.request())
+        .flatMap(chat -> chat.find(id).map(attempt -> new OpenAttempt(chat, attempt)));
+  }
+
+  /** Returns an attempt at a model whose upstream has the prompt, with its open request. */
+  Optional<OpenAttempt> findSubmitted(AttemptId id) {
+    return findAttempt(id).filter(open -> open.attempt().is(Attempt.Phase.SUBMITTED));
+  }
+
   Optional<Explanation> explain(RequestId request) {
     Exchange exchange = open.get(request);
     if (exchange == null) {
@@ -126,4 +138,7 @@
   private static String endOf(Refusal refusal) {
     return "refused: " + refusal.reason().code();
   }
+
+  /** An attempt with the open request that it belongs to. Not thread-safe. */
+  record OpenAttempt(ChatExchange exchange, Attempt attempt) {}
 }
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -210,7 +210,7 @@
     } else if (event instanceof RouterEvent.Tick) {
       onTick(nowMicros);
     } else if (event instanceof RouterEvent.CallerConsumed consumed) {
-      chats.onConsumed(consumed);
+      chats.streams().onConsumed(consumed);
     } else if (event instanceof RouterEvent.CallerGone gone) {
       onCallerGone(gone.request(), nowMicros);
     } else if (event instanceof RouterEvent.PeerUnreachable unreachable) {
@@ -248,11 +248,11 @@
     directory.onHeard(envelope.sender(), nowMicros);
     PeerMessage message = envelope.message();
     if (message instanceof PeerMessage.Tokens tokens) {
-      chats.onTokens(tokens, nowMicros);
+      chats.streams().onTokens(tokens, nowMicros);
     } else if (message instanceof PeerMessage.OfferReply reply) {
       chats.onReply(reply, nowMicros);
     } else if (message instanceof PeerMessage.Ended ended) {
-      chats.onEnded(ended, nowMicros);
+      chats.streams().onEnded(ended, nowMicros);
     } else if (message instanceof PeerMessage.Failed failed) {
       onFailed(failed, nowMicros);
     } else if (message instanceof PeerMessage.CallAnswer answer) {
