--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -92,6 +92,7 @@
     exchange.startRound(plan);
     offerNext(exchange, nowMicros);
     if (plan.comparesHints() && isBelievedBusy(plan)) {
+      options.counters().increment("offers.probe.busy");
       offerNext(exchange, nowMicros);
     }
     return Progress.WAITING;
@@ -140,6 +141,7 @@
       return Progress.WAITING;
     }
     if (canProbe(exchange, best) && offerNext(exchange, nowMicros)) {
+      best.ifPresent(this::countProbe);
       return Progress.WAITING;
     }
     if (best.isPresent()) {
@@ -258,6 +260,11 @@
         || !score.isPoor(attempt.hint().orElse(Hint.NONE), exchange.prompt().expectedBlocks());
   }
 
+  private void countProbe(Attempt poor) {
+    boolean isQueue = poor.hint().orElse(Hint.NONE).queueDelayMicros() > options.poorHintMicros();
+    options.counters().increment(isQueue ? "offers.probe.queue" : "offers.probe.match");
+  }
+
   private static boolean canProbe(ChatExchange exchange, Optional<Attempt> best) {
     long places = exchange.round().stream().filter(one -> one.is(Attempt.Phase.ACCEPTED)).count();
     return best.isEmpty() || places < MAXIMUM_PROBES;
