Let priority work pass crash suspects, and run suspects one after the other

Priority work now passes a suspect of ordinary class, and up to four suspects run in a row once the engine is empty. Runs after a preemption keep the request's identifier and differ in the attempt number, so that engines and ledgers group them with their request.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -17,6 +17,8 @@
  * started after its deadline. Not thread-safe: used on the decision thread.
  */
 final class Dispatcher {
+  private static final int MAXIMUM_SUSPECTS_IN_A_ROW = 4;
+
   private final SidecarOptions options;
   private final SidecarOutbox outbox;
   private final Counters counters;
@@ -27,6 +29,7 @@
   private final AttemptEnds ends;
   private boolean isStalled;
   private long suspectSinceMicros = Long.MAX_VALUE;
+  private int suspectsInARow;
 
   Dispatcher(
       SidecarOptions options,
@@ -70,11 +73,15 @@
   }
 
   private Optional<Ticket> next(long nowMicros) {
-    if (table.running().stream().anyMatch(Ticket::isSuspect)) {
+    Optional<Ticket> candidate = candidate(nowMicros);
+    boolean isUrgent =
+        candidate
+            .filter(ticket -> ticket.priority() == PriorityClass.PRIORITY && !ticket.isSuspect())
+            .isPresent();
+    if (isHeldByRunningSuspect(isUrgent)) {
       return Optional.empty();
     }
-    Optional<Ticket> candidate = candidate(nowMicros);
-    if (isSuspectDue(candidate, nowMicros)) {
+    if (!isUrgent && isSuspectDue(candidate, nowMicros)) {
       return nextSuspect(nowMicros);
     }
     if (candidate.isEmpty() || table.running().size() < engine.maximumRunning()) {
@@ -83,6 +90,21 @@
     return candidate.filter(ticket -> hasMadeWayFor(ticket, nowMicros));
   }
 
+  /** Returns whether a suspect runs, after it has made way for urgent work where it may. */
+  private boolean isHeldByRunningSuspect(boolean isUrgent) {
+    Optional<Ticket> running = table.running().stream().filter(Ticket::isSuspect).findFirst();
+    boolean givesWay =
+        isUrgent
+            && running
+                .filter(suspect -> suspect.priority() == PriorityClass.ORDINARY)
+                .filter(suspect -> suspect.preemptions() < options.maximumPreemptions())
+                .isPresent();
+    if (givesWay) {
+      preempt(running.get(), "preemptions.priority");
+    }
+    return running.isPresent() && !givesWay;
+  }
+
   private Optional<Ticket> candidate(long nowMicros) {
     PriorityClass first = SlotPolicy.firstClass(table, options, engine.maximumRunning());
     Optional<Ticket> candidate = candidateOf(first, nowMicros);
@@ -107,14 +129,18 @@
   }
 
   private boolean isSuspectDue(Optional<Ticket> candidate, long nowMicros) {
-    if (candidate.filter(Ticket::isSuspect).isPresent()) {
+    boolean isNextInARow =
+        table.running().isEmpty()
+            && suspectsInARow > 0
+            && suspectsInARow < MAXIMUM_SUSPECTS_IN_A_ROW
+            && queuedSuspect(nowMicros).isPresent();
+    if (isNextInARow || candidate.filter(Ticket::isSuspect).isPresent()) {
       suspectSinceMicros = Math.min(suspectSinceMicros, nowMicros);
-      return true;
     }
     return suspectSinceMicros != Long.MAX_VALUE;
   }
 
-  /** Waits for the running streams, but no longer than the options allow. */
+  /** Waits for the running streams, but for ordinary ones no longer than the options allow. */
   private Optional<Ticket> nextSuspect(long nowMicros) {
     Optional<Ticket> suspect = queuedSuspect(nowMicros);
     if (suspect.isEmpty()) {
@@ -122,7 +148,7 @@
       return next(nowMicros);
     }
     if (nowMicros - suspectSinceMicros >= options.suspectDrainMicros()) {
-      List.copyOf(table.running()).forEach(ticket -> preempt(ticket, "preemptions.suspect"));
+      preemptOrdinary();
     }
     if (!table.running().isEmpty()) {
       return Optional.empty();
@@ -131,6 +157,14 @@
     return suspect;
   }
 
+  private void preemptOrdinary() {
+    for (Ticket ticket : List.copyOf(table.running())) {
+      if (ticket.priority() == PriorityClass.ORDINARY) {
+        preempt(ticket, "preemptions.suspect");
+      }
+    }
+  }
+
   private Optional<Ticket> queuedSuspect(long nowMicros) {
     for (PriorityClass priority : PriorityClass.values()) {
       Optional<Ticket> suspect =
@@ -209,6 +243,7 @@
   }
 
   private void start(Ticket ticket, int units, long nowMicros) {
+    suspectsInARow = ticket.isSuspect() ? suspectsInARow + 1 : 0;
     int unitsAhead = estimator.unitsInPrefill(ticket.priority());
     table.start(ticket, estimator.costOf(ticket, units), units, unitsAhead, nowMicros);
     ticket.record().noteStarted(nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Ticket.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Ticket.java
@@ -6,7 +6,6 @@
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
-import org.shallothook.state.request.RequestId;
 
 /**
  * One attempt at this sidecar, from its offer to its end.
@@ -30,6 +29,9 @@
     OVER
   }
 
+  /** Greater than the number of attempts that a router makes of one request. */
+  private static final int RUN_NUMBER_STEP = 1 << 16;
+
   private final String router;
   private final PeerMessage.Offer offer;
   private final AttemptRecord record;
@@ -230,10 +232,6 @@
   }
 
   private AttemptId nextRun() {
-    if (runs == 0) {
-      return attempt();
-    }
-    return new AttemptId(
-        new RequestId(attempt().request().value() + "~" + runs), attempt().number());
+    return new AttemptId(attempt().request(), attempt().number() + runs * RUN_NUMBER_STEP);
   }
 }
--- a/coordination/src/test/java/org/shallothook/coordination/admission/AdmissionTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/admission/AdmissionTest.java
@@ -339,6 +339,35 @@
         .isEqualTo(2);
   }
 
+  @Test
+  void suspectMakesWayForPriorityWorkAndRunsAfterIt() {
+    SidecarHarness sidecar = SidecarHarness.ready(2);
+    sidecar.send(offer("suspect").suspect());
+    sidecar.send(offer("urgent").priority());
+    assertThat(sidecar.started()).containsExactly(attempt("suspect"), attempt("urgent")).inOrder();
+
+    sidecar.send(offer("two"));
+    assertThat(sidecar.started()).hasSize(2);
+    sidecar.end(attempt("urgent"), 0);
+    assertThat(sidecar.started()).hasSize(3);
+    assertThat(sidecar.started().get(2).request()).isEqualTo(attempt("suspect").request());
+  }
+
+  @Test
+  void suspectsRunOneAfterTheOtherButNotForEver() {
+    SidecarHarness sidecar = SidecarHarness.ready(2);
+    sidecar.send(offer("suspect-0").suspect());
+    for (int request = 1; request < 6; request++) {
+      sidecar.send(offer("ordinary-" + request).team("other"));
+      sidecar.send(offer("suspect-" + request).suspect());
+    }
+    for (int ended = 0; ended < 4; ended++) {
+      assertThat(sidecar.started()).hasSize(ended + 1);
+      sidecar.end(sidecar.started().get(ended), 0);
+    }
+    assertThat(sidecar.started().get(4).request().value()).startsWith("ordinary-");
+  }
+
   @Test
   void quarantinedRequestIsRefusedUntilDeadline() {
     SidecarHarness sidecar = SidecarHarness.ready(1);
