--- a/coordination/src/main/java/org/shallothook/coordination/booking/BookingOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/BookingOptions.java
@@ -21,8 +21,7 @@
 
   /** Options of a fleet whose settings name none. */
   public static final BookingOptions DEFAULT =
-      new BookingOptions(
-          64, 60 * MINUTE_MICROS, 5 * MINUTE_MICROS, 24 * 60 * MINUTE_MICROS, 300_000);
+      new BookingOptions(64, 30 * MINUTE_MICROS, 5 * MINUTE_MICROS, 60 * MINUTE_MICROS, 300_000);
 
   public BookingOptions {
     if (partitions <= 0
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationOptions.java
@@ -9,7 +9,7 @@
  *
  * @param instance name of the instance; also seeds its jitter
  * @param pollIntervalMicros mean time between two reads of the log, in microseconds
- * @param retentionMicros time for which the log keeps a record, in microseconds
+ * @param retentionMicros time for which the log surely keeps a record, in microseconds
  * @param writesSnapshots whether this process re-appends the configuration before it expires
  */
 public record ConfigurationOptions(
@@ -18,7 +18,7 @@
   public static final long DEFAULT_POLL_INTERVAL_MICROS = 1_000_000;
 
   /** Time for which the log is expected to keep records unless settings name another. */
-  public static final long DEFAULT_RETENTION_MICROS = 24L * 3600 * 1_000_000;
+  public static final long DEFAULT_RETENTION_MICROS = 3_600_000_000L;
 
   public ConfigurationOptions {
     Objects.requireNonNull(instance, "instance");
@@ -33,6 +33,11 @@
         instance, DEFAULT_POLL_INTERVAL_MICROS, DEFAULT_RETENTION_MICROS, true);
   }
 
+  /** Returns the options of a router over a log of some retention. */
+  public static ConfigurationOptions ofRouter(String instance, long retentionMicros) {
+    return new ConfigurationOptions(instance, DEFAULT_POLL_INTERVAL_MICROS, retentionMicros, true);
+  }
+
   /** Returns the options of a sidecar. */
   public static ConfigurationOptions ofSidecar(String instance) {
     return new ConfigurationOptions(
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -68,7 +68,9 @@
     this.options = Objects.requireNonNull(options, "options");
     SplittableRandom random = new SplittableRandom(options.seed());
     outbox = new RouterOutbox(commands);
-    configuration = new ConfigurationReplica(outbox, ConfigurationOptions.ofRouter(options.name()));
+    configuration =
+        new ConfigurationReplica(
+            outbox, ConfigurationOptions.ofRouter(options.name(), options.logRetentionMicros()));
     outbox.setConfigurationOffset(configuration::offset);
     directory = new UpstreamDirectory(options.region(), UNREACHABLE_MICROS);
     fleet = new FleetWatch(options, outbox, directory, random.split());
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterOptions.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.router;
 
 import java.util.Objects;
+import org.shallothook.coordination.configuration.ConfigurationOptions;
 import org.shallothook.coordination.placement.PlacementPolicy;
 import org.shallothook.coordination.placement.PlacementStrategy;
 import org.shallothook.coordination.port.Counters;
@@ -32,6 +33,7 @@
  * @param ejectionShare greatest share of a model's servers that is ejected for slowness at once
  * @param ejectionMicros length of an ejection, in microseconds
  * @param quarantineMicros length of a quarantine, in microseconds
+ * @param logRetentionMicros time for which the log surely keeps a record, in microseconds
  * @param recomputeMicrosPerBlock time that an engine takes to compute a block that it has not
  *     cached, in microseconds
  * @param poorHintMicros avoidable time to the first token from which on another upstream is asked,
@@ -58,6 +60,7 @@
     double ejectionShare,
     long ejectionMicros,
     long quarantineMicros,
+    long logRetentionMicros,
     long recomputeMicrosPerBlock,
     long poorHintMicros,
     int maximumOpenRequests,
@@ -76,6 +79,7 @@
     requirePositive(firstTokenWaitMicros, "firstTokenWaitMicros");
     requirePositive(callWaitMicros, "callWaitMicros");
     requirePositive(stallWaitMicros, "stallWaitMicros");
+    requirePositive(logRetentionMicros, "logRetentionMicros");
     requirePositive(maximumAttempts, "maximumAttempts");
     requirePositive(maximumOpenRequests, "maximumOpenRequests");
     requirePositive(explanations, "explanations");
@@ -109,6 +113,7 @@
     private double ejectionShare = 0.34;
     private long ejectionMicros = 10_000_000;
     private long quarantineMicros = 600_000_000;
+    private long logRetentionMicros = ConfigurationOptions.DEFAULT_RETENTION_MICROS;
     private long recomputeMicrosPerBlock = 20_000;
     private long poorHintMicros = 30_000;
     private int maximumOpenRequests = 4_096;
@@ -221,6 +226,12 @@
       return this;
     }
 
+    /** Sets the time for which the log surely keeps a record, in microseconds. Default: an hour. */
+    public Builder logRetentionMicros(long value) {
+      logRetentionMicros = value;
+      return this;
+    }
+
     /**
      * Sets the time that an engine takes to compute a block that it has not cached, in
      * microseconds. Default: 20_000.
@@ -287,6 +298,7 @@
           ejectionShare,
           ejectionMicros,
           quarantineMicros,
+          logRetentionMicros,
           recomputeMicrosPerBlock,
           poorHintMicros,
           maximumOpenRequests,
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
@@ -28,7 +28,8 @@
   private final LoadSlots slots;
   private final EngineOrders orders;
 
-  Agreement(SidecarOptions options, SidecarOutbox outbox, Counters counters) {
+  Agreement(
+      SidecarOptions options, AgreementOptions agreement, SidecarOutbox outbox, Counters counters) {
     this.options = options;
     configuration =
         new ConfigurationReplica(outbox, ConfigurationOptions.ofSidecar(options.name()));
@@ -39,14 +40,14 @@
             options.incarnation(),
             outbox,
             outbox::command,
-            options.bookings(),
+            agreement.bookings(),
             counters);
     slots = new LoadSlots(options.name(), options.incarnation(), outbox, counters);
     orders =
         new EngineOrders(
             options.name(),
             options.incarnation(),
-            options.versionsPerEngine(),
+            agreement.versionsPerEngine(),
             slots,
             outbox::command,
             counters);
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -68,6 +68,22 @@
    * @param counters counters of refusals, failures and other happenings
    */
   public SidecarCore(SidecarOptions options, Consumer<SidecarCommand> commands, Counters counters) {
+    this(options, AgreementOptions.DEFAULT, commands, counters);
+  }
+
+  /**
+   * Creates a core.
+   *
+   * @param options options
+   * @param agreementOptions options of what sidecars agree on
+   * @param commands sink that takes each command in order
+   * @param counters counters of refusals, failures and other happenings
+   */
+  public SidecarCore(
+      SidecarOptions options,
+      AgreementOptions agreementOptions,
+      Consumer<SidecarCommand> commands,
+      Counters counters) {
     this.options = Objects.requireNonNull(options, "options");
     this.counters = Objects.requireNonNull(counters, "counters");
     outbox = new SidecarOutbox(Objects.requireNonNull(commands, "commands"));
@@ -75,7 +91,7 @@
     cache = new CacheFollower(options, outbox, counters);
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
     admission = new Admission(options, outbox, counters, engine, hotPrefixes.gate());
-    agreement = new Agreement(options, outbox, counters);
+    agreement = new Agreement(options, agreementOptions, outbox, counters);
     calls = new ServiceCalls(options, outbox, counters, agreement.desk());
     instances = new InstanceWatch(options, outbox);
   }
@@ -95,6 +111,11 @@
         admission.queueDelayMicros());
   }
 
+  /** Returns the configuration offset in force here. */
+  public long configurationOffset() {
+    return agreement.configuration().offset();
+  }
+
   /** Returns the load known here. */
   public SidecarLoad load() {
     return new SidecarLoad(admission.running(), admission.waiting(), cache.size());
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOptions.java
@@ -1,7 +1,6 @@
 package org.shallothook.coordination.sidecar;
 
 import java.util.Objects;
-import org.shallothook.coordination.booking.BookingOptions;
 import org.shallothook.state.membership.InstanceRole;
 
 /**
@@ -38,8 +37,6 @@
   private final long prefillMicrosPerBlock;
   private final long streamMicros;
   private final long transferMicrosPerBlock;
-  private final int versionsPerEngine;
-  private final BookingOptions bookings;
 
   private SidecarOptions(Builder builder) {
     this.name = builder.name;
@@ -65,8 +62,6 @@
     this.prefillMicrosPerBlock = builder.prefillMicrosPerBlock;
     this.streamMicros = builder.streamMicros;
     this.transferMicrosPerBlock = builder.transferMicrosPerBlock;
-    this.versionsPerEngine = builder.versionsPerEngine;
-    this.bookings = builder.bookings;
   }
 
   /**
@@ -197,16 +192,6 @@
     return transferMicrosPerBlock;
   }
 
-  /** Returns the number of model versions that an engine is to have at most. */
-  public int versionsPerEngine() {
-    return versionsPerEngine;
-  }
-
-  /** Returns the options of claims. */
-  public BookingOptions bookings() {
-    return bookings;
-  }
-
   /** Collects options. Not thread-safe. */
   public static final class Builder {
     private final String name;
@@ -232,8 +217,6 @@
     private long prefillMicrosPerBlock = 20_000;
     private long streamMicros = 2_000_000;
     private long transferMicrosPerBlock = 2_000;
-    private int versionsPerEngine = 4;
-    private BookingOptions bookings = BookingOptions.DEFAULT;
 
     private Builder(String name, long incarnation) {
       this.name = Objects.requireNonNull(name, "name");
@@ -390,18 +373,6 @@
       return this;
     }
 
-    /** Sets the number of model versions that an engine is to have at most. Default: 4. */
-    public Builder versionsPerEngine(int versionsPerEngine) {
-      this.versionsPerEngine = (int) requirePositive("versionsPerEngine", versionsPerEngine);
-      return this;
-    }
-
-    /** Sets the options of claims. Default: {@link BookingOptions#DEFAULT}. */
-    public Builder bookings(BookingOptions bookings) {
-      this.bookings = Objects.requireNonNull(bookings, "bookings");
-      return this;
-    }
-
     /** Returns the options. */
     public SidecarOptions build() {
       return new SidecarOptions(this);
--- a/coordination/src/test/java/org/shallothook/coordination/fake/FakeLog.java
+++ b/coordination/src/test/java/org/shallothook/coordination/fake/FakeLog.java
@@ -27,6 +27,11 @@
   public double lateAppends;
   public long delayMicros = 2_000;
 
+  /** Time that the log spends on one append; others wait meanwhile. */
+  public long appendMicros;
+
+  private long busyUntilMicros;
+
   public FakeLog(VirtualTime time, SplittableRandom random) {
     this.time = time;
     this.random = random;
@@ -38,7 +43,9 @@
   }
 
   public void append(String stream, String payload, LongConsumer answered, AppendAnswer failed) {
-    time.after(delay(), () -> arrive(stream, payload, answered, failed));
+    busyUntilMicros = Math.max(busyUntilMicros, time.now()) + appendMicros;
+    long wait = busyUntilMicros - time.now();
+    time.after(wait + delay(), () -> arrive(stream, payload, answered, failed));
   }
 
   public void read(String stream, long from, Consumer<LogPage> answered, Runnable failed) {
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -139,6 +139,8 @@
         .blockBytes(settings.number(CommonKeys.BLOCK_BYTES))
         .firstTokenWaitMicros(
             TimeUnit.MILLISECONDS.toMicros(settings.number(RouterSettings.FIRST_TOKEN_MILLIS)))
+        .logRetentionMicros(
+            TimeUnit.SECONDS.toMicros(settings.number(CommonKeys.LOG_RETENTION_SECONDS)))
         .retryShare(settings.share(RouterSettings.RETRY_SHARE))
         .ejectionShare(settings.share(RouterSettings.EJECTION_SHARE))
         .seed(incarnation)
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.shallothook.coordination.booking.BookingOptions;
+import org.shallothook.coordination.sidecar.AgreementOptions;
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarCore;
 import org.shallothook.coordination.sidecar.SidecarEvent;
@@ -75,7 +77,7 @@
             PLATFORM_TIMEOUT,
             list -> thread.deliver(new SidecarEvent.InstancesRead(list)),
             metrics);
-    core = new SidecarCore(options(), this::carryOut, metrics);
+    core = new SidecarCore(options(), agreementOptions(), this::carryOut, metrics);
     admin = new AdminServer(loops.internal(), metrics.registry(), isLeaving::get);
     new SidecarAdmin(core, thread).addTo(admin);
   }
@@ -120,6 +122,18 @@
         .build();
   }
 
+  private AgreementOptions agreementOptions() {
+    BookingOptions defaults = BookingOptions.DEFAULT;
+    BookingOptions bookings =
+        new BookingOptions(
+            settings.number(SidecarSettings.BOOKING_PARTITIONS),
+            TimeUnit.SECONDS.toMicros(settings.number(SidecarSettings.BOOKING_WINDOW_SECONDS)),
+            defaults.clockSkewMicros(),
+            TimeUnit.SECONDS.toMicros(settings.number(CommonKeys.LOG_RETENTION_SECONDS)),
+            defaults.appendIntervalMicros());
+    return new AgreementOptions(bookings, settings.number(SidecarSettings.VERSIONS_PER_ENGINE));
+  }
+
   private void carryOut(SidecarCommand command) {
     if (command instanceof SidecarCommand.SendToPeer send) {
       peers.send(send.peer(), send.message(), send.configurationOffset());
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
@@ -47,11 +47,42 @@
           "256",
           "Requests that wait for the engine at most.");
 
+  static final SettingKey BOOKING_WINDOW_SECONDS =
+      SettingKey.withDefault(
+          "bookings",
+          "window-seconds",
+          SettingType.POSITIVE,
+          "1800",
+          "Time for which an Idempotency-Key is remembered; the same in the whole fleet.");
+  static final SettingKey BOOKING_PARTITIONS =
+      SettingKey.withDefault(
+          "bookings",
+          "partitions",
+          SettingType.POSITIVE,
+          "64",
+          "Streams of the log that hold claims; the same in the whole fleet, never changed.");
+  static final SettingKey VERSIONS_PER_ENGINE =
+      SettingKey.withDefault(
+          "orders",
+          "versions-per-engine",
+          SettingType.POSITIVE,
+          "4",
+          "Model versions that an engine is to have at most.");
+
   /** Every setting of a sidecar's file. */
   static final List<SettingKey> KEYS =
       Stream.concat(
               CommonKeys.ALL.stream(),
-              Stream.of(ROLE, UPSTREAM, SERVICE, CHECKS_FENCING, CACHE_STORE, MAXIMUM_QUEUE))
+              Stream.of(
+                  ROLE,
+                  UPSTREAM,
+                  SERVICE,
+                  CHECKS_FENCING,
+                  CACHE_STORE,
+                  MAXIMUM_QUEUE,
+                  BOOKING_WINDOW_SECONDS,
+                  BOOKING_PARTITIONS,
+                  VERSIONS_PER_ENGINE))
           .toList();
 
   private SidecarSettings() {}
--- /dev/null
+++ b/state/src/test/java/org/shallothook/state/lease/LeaseTableTest.java
@@ -0,0 +1,52 @@
+package org.shallothook.state.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.shallothook.state.log.LogRecord;
+
+final class LeaseTableTest {
+  private final LeaseTable table = new LeaseTable();
+
+  private void fold(long micros, String payload) {
+    table.fold(new LogRecord(table.nextOffset(), micros, payload));
+  }
+
+  @Test
+  void placesFollowTheLogAndMoveUpWhenALeaseEndsOrExpires() {
+    fold(0, LeaseTable.leaseRecord("a", 10));
+    fold(1, LeaseTable.leaseRecord("b", 20));
+    fold(2, LeaseTable.leaseRecord("c", 30));
+    assertThat(table.positionAt("c", 5)).hasValue(2);
+    assertThat(table.positionAt("c", 10)).hasValue(1);
+    assertThat(table.positionAt("a", 10)).isEmpty();
+    fold(11, LeaseTable.endRecord("b"));
+    assertThat(table.positionAt("c", 11)).hasValue(0);
+  }
+
+  @Test
+  void aRenewalKeepsThePlaceUnlessTheLeaseHasExpired() {
+    fold(0, LeaseTable.leaseRecord("a", 10));
+    fold(1, LeaseTable.leaseRecord("b", 100));
+    fold(5, LeaseTable.leaseRecord("a", 20));
+    assertThat(table.positionAt("a", 15)).hasValue(0);
+    fold(25, LeaseTable.leaseRecord("a", 100));
+    assertThat(table.positionAt("a", 30)).hasValue(1);
+  }
+
+  @Test
+  void anEndedLeaseDoesNotComeBackWithALateRecord() {
+    fold(0, LeaseTable.endRecord("a"));
+    fold(1, LeaseTable.leaseRecord("a", 10));
+    assertThat(table.positionAt("a", 5)).isEmpty();
+  }
+
+  @Test
+  void deadlinesTooFarAwayAndFaultyRecordsAreIgnored() {
+    fold(0, LeaseTable.leaseRecord("a", LeaseTable.LONGEST_MICROS + 1));
+    fold(0, "lease b");
+    fold(0, "nonsense c 5");
+    assertThat(table.countAt(0)).isEqualTo(0);
+    assertThat(table.faultyRecords()).isEqualTo(2);
+  }
+}
--- a/transport/src/main/java/org/shallothook/transport/settings/CommonKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/CommonKeys.java
@@ -27,6 +27,13 @@
   public static final SettingKey INSTANCES =
       SettingKey.required(
           "platform", "instances", SettingType.ADDRESS, "The platform's list of instances.");
+  public static final SettingKey LOG_RETENTION_SECONDS =
+      SettingKey.withDefault(
+          "platform",
+          "log-retention-seconds",
+          SettingType.POSITIVE,
+          "3600",
+          "Time for which the platform's log surely keeps a record.");
   public static final SettingKey BLOCK_BYTES =
       SettingKey.withDefault(
           "cache",
@@ -58,6 +65,7 @@
           LISTEN_ADMIN,
           LOG,
           INSTANCES,
+          LOG_RETENTION_SECONDS,
           BLOCK_BYTES,
           RING_SIZE,
           LOG_FORM,
