Test the transport over sockets and mend what the tests found

Cause: the transport had no tests. Found by tests that failed first: the silence timeout closed connections before the peer's Hello; counters by reason were missing from the Prometheus text after their names had changed; a connection cut for slowness was counted again for each token after it; retry reasons had no counters at zero.

--- a/transport/src/main/java/org/shallothook/transport/Addresses.java
+++ b/transport/src/main/java/org/shallothook/transport/Addresses.java
@@ -6,7 +6,7 @@
 import java.net.UnknownHostException;
 
 /**
- * Reads addresses given as {@code IP:port}, without asking any name service.
+ * Reads and writes addresses as {@code IP:port}, without asking any name service.
  *
  * <p>Stateless and thread-safe.
  */
@@ -34,6 +34,11 @@
     }
   }
 
+  /** Returns the form that {@link #parse} reads. */
+  public static String text(InetSocketAddress address) {
+    return NetUtil.toSocketAddressString(address);
+  }
+
   private static String host(String text, int colon) {
     String host = text.substring(0, colon);
     boolean isBracketed = host.startsWith("[") && host.endsWith("]");
--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -6,7 +6,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * Actions on connections whose failures need no decision of the one who asks for them.
@@ -23,7 +23,7 @@
         .addListener(
             done -> {
               if (!done.isSuccess()) {
-                Logger.debug("channel: closing failed: {}", done.cause().getMessage());
+                Part.PROCESS.debug("Closing failed: {}.", done.cause().getMessage());
               }
             });
   }
@@ -43,8 +43,8 @@
     ScheduledFuture<?> scheduled = loop.schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     scheduled.addListener(
         done -> {
-          if (done.cause() != null) {
-            Logger.error(done.cause(), "channel: a delayed task failed");
+          if (!done.isSuccess() && !done.isCancelled()) {
+            Part.PROCESS.error(done.cause(), "A delayed task failed.");
           }
         });
   }
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
@@ -25,7 +25,7 @@
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RequestId;
 import org.shallothook.transport.Channels;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * Writes the answer to one request of a caller.
@@ -96,7 +96,7 @@
   }
 
   void sendTokens(RouterCommand.SendTokens tokens) {
-    if (hasEnded) {
+    if (hasEnded || !channel.isActive()) {
       return;
     }
     if (tokens.position() != position) {
@@ -120,7 +120,7 @@
       return;
     }
     if (answer.tokens() != position) {
-      Logger.error("caller: {} has {} of {} tokens", id, position, answer.tokens());
+      Part.CALLER.warn("{} has {} of {} tokens.", id, position, answer.tokens());
       context.metrics().increment("caller.incomplete");
       Channels.close(channel);
       return;
@@ -169,14 +169,14 @@
   }
 
   private void failOrder(RouterCommand.SendTokens tokens) {
-    Logger.error("caller: {} expected token {}, got {}", id, position, tokens.position());
+    Part.CALLER.warn("{} expected token {}, got {}.", id, position, tokens.position());
     context.metrics().increment("caller.out-of-order");
     Channels.close(channel);
   }
 
   private void stream(String text) {
     if (channel.bytesBeforeUnwritable() == 0) {
-      Logger.debug("caller: {} does not read; its connection is closed", id);
+      Part.CALLER.debug("{} does not read; its connection is closed.", id);
       context.metrics().increment("caller.write-buffer-full");
       Channels.close(channel);
       return;
--- a/transport/src/main/java/org/shallothook/transport/decision/DecisionThread.java
+++ b/transport/src/main/java/org/shallothook/transport/decision/DecisionThread.java
@@ -15,7 +15,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.shallothook.coordination.port.Counters;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * The one thread on which a process makes its decisions, fed through a ring of bounded size.
@@ -119,7 +119,7 @@
     try {
       disruptor.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
     } catch (TimeoutException e) {
-      Logger.warn("decision: events were left when thread '{}' ended", settings.name());
+      Part.DECISION.warn("Events were left when thread '{}' ended.", settings.name());
       disruptor.halt();
     }
   }
@@ -223,7 +223,7 @@
         }
       } catch (RuntimeException | Error e) {
         counters.increment("decision.handler-failed");
-        Logger.error(e, "decision: an event failed on thread '{}'", settings.name());
+        Part.DECISION.error(e, "An event failed on thread '{}'.", settings.name());
       }
     }
 
--- a/transport/src/main/java/org/shallothook/transport/metrics/PrometheusText.java
+++ b/transport/src/main/java/org/shallothook/transport/metrics/PrometheusText.java
@@ -26,8 +26,8 @@
   /** Returns all metrics of a registry. */
   public static String of(MetricRegistry registry) {
     StringBuilder text = new StringBuilder();
-    addReasons(text, registry, "refusal");
-    addReasons(text, registry, "retry");
+    addReasons(text, registry, "refusals");
+    addReasons(text, registry, "retries");
     registry
         .getCounters((name, metric) -> !isByReason(name))
         .forEach((name, counter) -> addCounter(text, metricName(name), counter.getCount()));
--- a/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
+++ b/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.retry.RetryReason;
 import org.shallothook.state.request.RefusalReason;
 
 /**
@@ -28,7 +29,9 @@
   public TransportMetrics() {
     for (RefusalReason reason : RefusalReason.values()) {
       registry.counter("refusals." + reason.code());
-      registry.counter("retries." + reason.code());
+    }
+    for (RetryReason reason : RetryReason.values()) {
+      registry.counter(reason.counter());
     }
     timeToFirstToken = registry.timer(TIME_TO_FIRST_TOKEN, TransportMetrics::newTimer);
   }
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -17,7 +17,7 @@
 import org.shallothook.protocol.peer.EnvelopeCodec;
 import org.shallothook.protocol.peer.PeerProtocolError;
 import org.shallothook.transport.Channels;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * One connection to a peer, opened by either side.
@@ -88,7 +88,7 @@
   void send(PeerMessage message, long configurationOffset) {
     if (!channel.channel().isWritable()) {
       context.counters().increment("peer.write-buffer-full");
-      Logger.warn("peer: '{}' does not read; its connection is closed", peerName());
+      Part.PEER.warn("'{}' does not read; its connection is closed.", peerName());
       close();
       return;
     }
@@ -136,11 +136,12 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext idle, Object event) {
-    if (event instanceof IdleStateEvent silence) {
+    // Until the peer's Hello, the timeout of the connect alone counts.
+    if (event instanceof IdleStateEvent silence && peerHello.isPresent()) {
       if (silence.state() == IdleState.READER_IDLE) {
         if (channel.channel().config().isAutoRead()) {
           context.counters().increment("peer.silent");
-          Logger.warn("peer: '{}' is silent; its connection is closed", peerName());
+          Part.PEER.warn("'{}' is silent; its connection is closed.", peerName());
           close();
         }
       } else if (isUnused()) {
@@ -156,7 +157,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
     context.counters().increment("peer.connection-failed");
-    Logger.debug("peer: the connection to '{}' failed: {}", peerName(), cause.getMessage());
+    Part.PEER.debug("The connection to '{}' failed: {}.", peerName(), cause.getMessage());
     Channels.close(failed);
   }
 
@@ -169,7 +170,7 @@
       owner.received(this, envelope);
     } else {
       context.counters().increment("peer.sender-changed");
-      Logger.warn("peer: '{}' sent a message as '{}'", peerName(), envelope.sender());
+      Part.PEER.warn("'{}' sent a message as '{}'.", peerName(), envelope.sender());
       close();
     }
   }
@@ -178,7 +179,7 @@
     helloTimeout.cancel(false);
     if (!(envelope.message() instanceof PeerMessage.Hello)) {
       context.counters().increment("peer.no-hello");
-      Logger.warn("peer: '{}' did not say Hello first", envelope.sender());
+      Part.PEER.warn("'{}' did not say Hello first.", envelope.sender());
       close();
       return;
     }
@@ -196,7 +197,7 @@
 
   private void reject(PeerProtocolError error) {
     context.counters().increment("peer.malformed-frame");
-    Logger.warn("peer: a frame of '{}' was rejected: {}", peerName(), error.message());
+    Part.PEER.warn("A frame of '{}' was rejected: {}.", peerName(), error.message());
     close();
   }
 
@@ -239,7 +240,7 @@
     byte[] bytes = EnvelopeCodec.encode(envelope);
     if (bytes.length > context.settings().maximumFrameBytes()) {
       context.counters().increment("peer.frame-too-large");
-      Logger.error("peer: a message to '{}' has {} bytes", peerName(), bytes.length);
+      Part.PEER.warn("A message to '{}' has {} bytes.", peerName(), bytes.length);
       close();
       return;
     }
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerNetwork.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerNetwork.java
@@ -12,7 +12,7 @@
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.transport.Addresses;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * All connections of a process to its peers, in both directions.
@@ -105,8 +105,7 @@
       Try.of(() -> Addresses.parse(peer.address()))
           .onSuccess(address -> addresses.put(peer.name(), address))
           .onFailure(
-              failure ->
-                  Logger.warn("peer: address of '{}': {}", peer.name(), failure.getMessage()));
+              failure -> Part.PEER.warn("Address of '{}': {}.", peer.name(), failure.getMessage()));
     }
     addresses.keySet().forEach(this::link);
     for (String name : List.copyOf(links.keySet())) {
--- a/transport/src/main/java/org/shallothook/transport/platform/LogClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/LogClient.java
@@ -10,7 +10,7 @@
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.protocol.json.JsonError;
 import org.shallothook.protocol.platform.LogForm;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * Reads and appends records of the platform's log.
@@ -92,7 +92,7 @@
 
   private void readFailed(String stream, String detail) {
     counters.increment("log.read-failed");
-    Logger.debug("log: a read of '{}' failed: {}", stream, detail);
+    Part.PLATFORM.debug("A read of '{}' failed: {}.", stream, detail);
     listener.logReadFailed(stream);
   }
 
@@ -108,7 +108,7 @@
 
   private void appendFailed(long token, boolean mayHaveTakenEffect, String detail) {
     counters.increment(mayHaveTakenEffect ? "log.append-unknown" : "log.append-failed");
-    Logger.debug("log: an append failed: {}", detail);
+    Part.PLATFORM.debug("An append failed: {}.", detail);
     listener.logAppendFailed(token, mayHaveTakenEffect);
   }
 
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/caller/CallerServerTest.java
@@ -0,0 +1,297 @@
+package org.shallothook.transport.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.shallothook.coordination.router.RouterCommand;
+import org.shallothook.coordination.router.RouterEvent;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.request.RequestId;
+import org.shallothook.transport.Addresses;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.metrics.TransportMetrics;
+
+@Timeout(60)
+final class CallerServerTest {
+  private static final int LARGEST_BODY = 10_000;
+  private static final int PENDING_BYTES = 32_768;
+  private static final String CHAT = "/v1/chat/completions";
+  private static final String STREAM =
+      "{\"model\":\"m\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hej\"}]}";
+  private static final String WHOLE = STREAM.replace("true", "false");
+  private static final String END = "\r\n0\r\n\r\n";
+
+  private final EventLoops loops = EventLoops.create(2);
+  private final TransportMetrics metrics = new TransportMetrics();
+  private final ScriptedRouter router = new ScriptedRouter();
+  private final AtomicInteger ids = new AtomicInteger();
+  private final CallerServer server =
+      new CallerServer(
+          new CallerSettings(
+              LARGEST_BODY,
+              PENDING_BYTES,
+              10,
+              Duration.ofSeconds(20),
+              Duration.ofSeconds(20),
+              Duration.ofSeconds(20)),
+          loops.callers(),
+          () -> new RequestId("r-" + ids.incrementAndGet()),
+          router,
+          metrics,
+          () -> 7_000_000);
+  private final InetSocketAddress address = server.listen(Addresses.parse("127.0.0.1:0")).get();
+
+  @AfterEach
+  void close() {
+    loops.close();
+  }
+
+  @Test
+  void aStreamArrivesTokenByTokenAndEndsWithItsMarker() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId id = openChat(caller, STREAM);
+      tokens(id, 0, "a");
+      String opening = caller.readUntil("\"finish_reason\":null}]}\n\n");
+      assertThat(caller.readUntil("null}]}\n\n")).contains("\"delta\":{\"content\":\"a\"}");
+      assertThat(router.nextDelivered()).isEqualTo(new RouterEvent.CallerConsumed(id, 1));
+      tokens(id, 1, "b");
+      server.carryOut(new RouterCommand.CompleteAnswer(id, 2, "stop", 5));
+      String rest = caller.readUntil(END);
+
+      assertThat(opening).contains("shallothook-request-id: " + id.value());
+      assertThat(opening).contains("\"role\":\"assistant\"");
+      assertThat(rest).contains("\"finish_reason\":\"stop\"");
+      assertThat(rest).contains("data: [DONE]\n\n");
+    }
+  }
+
+  @Test
+  void aStreamThatFailsEndsWithAnErrorEventAndNoMarker() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId id = openChat(caller, STREAM);
+      tokens(id, 0, "a");
+      Refusal refusal =
+          new Refusal(RefusalReason.ENGINE_LOST, "", Outcome.UNKNOWN, Optional.empty());
+      server.carryOut(new RouterCommand.Refuse(id, refusal));
+      String all = caller.readUntil(END);
+
+      assertThat(all).contains("event: error\ndata: {\"error\":{\"code\":\"engine-lost\"");
+      assertThat(all).doesNotContain("[DONE]");
+    }
+  }
+
+  @Test
+  void aWholeAnswerIsOneBodyAndTheConnectionIsKept() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      for (int round = 0; round < 2; round++) {
+        RequestId id = openChat(caller, WHOLE);
+        tokens(id, 0, "a");
+        tokens(id, 1, "b");
+        server.carryOut(new RouterCommand.CompleteAnswer(id, 2, "length", 0));
+
+        assertThat(caller.readUntil("\"cached_tokens\":0}}}")).contains("\"content\":\"ab\"");
+      }
+    }
+  }
+
+  @Test
+  void answersOfRowedUpRequestsKeepTheirOrder() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      String get = "GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n";
+      caller.send(get + get + "GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n");
+      for (int request = 1; request <= 2; request++) {
+        RequestId id = ((RouterEvent.ModelsRequested) router.nextRequest()).request();
+        server.carryOut(new RouterCommand.AnswerModels(id, List.of("m" + request)));
+
+        assertThat(caller.readUntil("]}")).contains("\"id\":\"m" + request + "\"");
+      }
+      assertThat(caller.readUntil("}}")).startsWith("HTTP/1.1 404 ");
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "POST|/v1/chat/completions|{|400|malformed-request",
+        "POST|/v1/chat/completions|{}|400|malformed-request",
+        "GET|/v1/chat/completions||404|not-found",
+        "POST|/v1/services/bookings||404|not-found",
+        "PUT|/v1/services/bookings/book||404|not-found",
+      })
+  void aRequestThatCannotBeReadIsRefusedAsNotRun(
+      String method, String path, String body, int status, String code) throws Exception {
+    String text = body == null ? "" : body;
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.send(
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\ncontent-length: "
+              + text.length()
+              + "\r\n\r\n"
+              + text);
+      String answer = caller.readUntil("}}");
+
+      assertThat(answer).startsWith("HTTP/1.1 " + status + " ");
+      assertThat(answer).contains("shallothook-outcome: not-run\r\n");
+      assertThat(answer).contains("{\"error\":{\"code\":\"" + code + "\",\"message\":\"");
+      assertThat(metrics.count("refusals." + code)).isEqualTo(1);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'content-length: 10001\r\n\r\n'",
+    "'transfer-encoding: chunked\r\n\r\n2711\r\n'",
+  })
+  void aBodyOverTheLimitIsRefusedAndTheRestIsReadSoThatTheAnswerArrives(String head)
+      throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.send("POST " + CHAT + " HTTP/1.1\r\n" + head + "x".repeat(LARGEST_BODY + 1));
+      caller.send(head.contains("chunked") ? "\r\n0\r\n\r\n" : "");
+      String answer = caller.readToEnd();
+
+      assertThat(answer).startsWith("HTTP/1.1 413 ");
+      assertThat(answer).contains("\"code\":\"body-too-large\"");
+      assertThat(answer).doesNotContain("(reset)");
+    }
+  }
+
+  @Test
+  void bytesThatAreNotHttpAreRefused() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.send("\u0001\u0002 nothing\r\n\r\n");
+
+      assertThat(caller.readToEnd()).startsWith("HTTP/1.1 400 ");
+    }
+  }
+
+  @Test
+  void aFullRingIsARefusalWithATimeToComeBack() throws Exception {
+    router.setFull(true);
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.post(CHAT, STREAM);
+      String answer = caller.readUntil("}}");
+
+      assertThat(answer).startsWith("HTTP/1.1 503 ");
+      assertThat(answer).contains("retry-after: 1\r\n");
+      assertThat(answer).contains("\"code\":\"router-overloaded\"");
+      assertThat(server.openRequests()).isEqualTo(0);
+    }
+  }
+
+  @Test
+  void aServiceCallKeepsTheAnswerOfTheService() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.send(
+          "POST /v1/services/bookings/book HTTP/1.1\r\nauthorization: Bearer k\r\n"
+              + "Idempotency-Key: i\r\ncontent-type: text/plain\r\ncontent-length: 2\r\n\r\nhi");
+      RouterEvent.CallRequested call = (RouterEvent.CallRequested) router.nextRequest();
+      server.carryOut(
+          new RouterCommand.AnswerCall(call.request(), 409, "text/x\r\nbad: 1", "taken"));
+      String answer = caller.readUntil("taken");
+
+      assertThat(call)
+          .isEqualTo(
+              new RouterEvent.CallRequested(
+                  call.request(), "k", "bookings", "book", Optional.of("i"), "text/plain", "hi"));
+      assertThat(answer).startsWith("HTTP/1.1 409 ");
+      assertThat(answer).contains("shallothook-outcome: done");
+      assertThat(answer).doesNotContain("bad: 1");
+    }
+  }
+
+  @Test
+  void aCallerThatLeavesIsReported() throws Exception {
+    RawCaller caller = new RawCaller(address);
+    RequestId id = openChat(caller, STREAM);
+    caller.close();
+
+    assertThat(router.nextDelivered()).isEqualTo(new RouterEvent.CallerGone(id));
+    assertThat(server.openRequests()).isEqualTo(0);
+  }
+
+  @Test
+  void aCallerThatDoesNotReadIsReportedAsFarAsItHasReadAndIsBounded() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId id = openChat(caller, STREAM);
+      int sent = 20_000;
+      for (int token = 0; token < sent; token++) {
+        tokens(id, token, "x".repeat(1_000));
+      }
+      RouterEvent last = router.nextDelivered();
+      while (last instanceof RouterEvent.CallerConsumed consumed) {
+        assertThat(consumed.position()).isLessThan(sent);
+        last = router.nextDelivered();
+      }
+
+      assertThat(last).isEqualTo(new RouterEvent.CallerGone(id));
+      assertThat(metrics.count("caller.write-buffer-full")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void tokensOutOfOrderAreNeverWritten() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId id = openChat(caller, STREAM);
+      tokens(id, 0, "a");
+      tokens(id, 2, "c");
+      String all = caller.readToEnd();
+
+      assertThat(all).doesNotContain("\"c\"");
+      assertThat(all).doesNotContain("[DONE]");
+    }
+  }
+
+  @Test
+  void anAnswerThatLacksTokensDoesNotEndAsComplete() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId id = openChat(caller, STREAM);
+      tokens(id, 0, "a");
+      server.carryOut(new RouterCommand.CompleteAnswer(id, 2, "stop", 0));
+
+      assertThat(caller.readToEnd()).doesNotContain("[DONE]");
+    }
+  }
+
+  @Test
+  void closingCutsNoRunningStreamAndClosesUnusedConnections() throws Exception {
+    try (RawCaller running = new RawCaller(address);
+        RawCaller unused = new RawCaller(address)) {
+      RequestId id = openChat(running, STREAM);
+      tokens(id, 0, "a");
+      running.readUntil("\"a\"}");
+      CompletableFuture<Void> closed = server.close();
+      assertThat(unused.readToEnd()).isEmpty();
+      assertThat(closed.isDone()).isFalse();
+      tokens(id, 1, "b");
+      server.carryOut(new RouterCommand.CompleteAnswer(id, 2, "stop", 0));
+
+      assertThat(running.readToEnd()).endsWith("data: [DONE]\n\n" + END);
+      closed.get(20, TimeUnit.SECONDS);
+    }
+  }
+
+  private RequestId openChat(RawCaller caller, String body) throws Exception {
+    caller.post(CHAT, body);
+    return ((RouterEvent.ChatRequested) router.nextRequest()).request();
+  }
+
+  private void tokens(RequestId id, int position, String text) {
+    server.carryOut(new RouterCommand.SendTokens(id, position, 1, text));
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/caller/RawCaller.java
@@ -0,0 +1,64 @@
+package org.shallothook.transport.caller;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+
+/** A caller whose every byte the test decides. Not thread-safe. */
+final class RawCaller implements AutoCloseable {
+  private static final int SMALL_BUFFER = 4_096;
+  private static final int LONGEST_WAIT_MILLIS = 20_000;
+
+  private final Socket socket = new Socket();
+  private final InputStream in;
+
+  RawCaller(InetSocketAddress address) throws IOException {
+    socket.setReceiveBufferSize(SMALL_BUFFER);
+    socket.setSoTimeout(LONGEST_WAIT_MILLIS);
+    socket.connect(new InetSocketAddress(address.getAddress(), address.getPort()));
+    in = new BufferedInputStream(socket.getInputStream());
+  }
+
+  void send(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  void post(String path, String body) throws IOException {
+    int length = body.getBytes(StandardCharsets.UTF_8).length;
+    send("POST " + path + " HTTP/1.1\r\nhost: x\r\ncontent-length: " + length + "\r\n\r\n" + body);
+  }
+
+  /** Reads up to and including a text. */
+  String readUntil(String end) throws IOException {
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    while (!read.toString(StandardCharsets.UTF_8).endsWith(end)) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("The connection ended after: " + read);
+      }
+      read.write(next);
+    }
+    return read.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Reads until the server closes, or resets the connection. */
+  String readToEnd() throws IOException {
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    try {
+      in.transferTo(read);
+    } catch (SocketException e) {
+      read.writeBytes("(reset)".getBytes(StandardCharsets.UTF_8));
+    }
+    return read.toString(StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/decision/DecisionThreadTest.java
@@ -0,0 +1,120 @@
+package org.shallothook.transport.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.shallothook.transport.metrics.TransportMetrics;
+
+@Timeout(30)
+final class DecisionThreadTest {
+  private static final int TICK = -1;
+  private static final int RING = 16;
+
+  private final TransportMetrics metrics = new TransportMetrics();
+  private final AtomicLong clock = new AtomicLong();
+  private final List<Integer> handled = Collections.synchronizedList(new ArrayList<>());
+  private final List<Long> times = Collections.synchronizedList(new ArrayList<>());
+  private final CountDownLatch gate = new CountDownLatch(1);
+  private final DecisionThread<Integer> thread =
+      new DecisionThread<>(
+          new DecisionSettings("test", RING, 1_000), () -> TICK, clock::get, metrics);
+
+  @AfterEach
+  void close() {
+    gate.countDown();
+    thread.close();
+  }
+
+  @Test
+  void aFullRingRefusesNewWorkAndKeepsOpenWorkInOrder() throws Exception {
+    thread.start((event, now) -> waitAndAdd(event));
+    int taken = 0;
+    while (thread.offer(taken)) {
+      taken++;
+    }
+    List<Integer> open = IntStream.range(1_000, 1_100).boxed().toList();
+    open.forEach(thread::deliver);
+    assertThat(thread.isCongested()).isTrue();
+    gate.countDown();
+    thread.ask(() -> true).get();
+
+    assertThat(taken).isLessThan(RING);
+    assertThat(handled.stream().filter(event -> event >= 1_000).toList()).isEqualTo(open);
+    assertThat(thread.isCongested()).isFalse();
+    assertThat(metrics.count("decision.ring-full")).isEqualTo(1);
+  }
+
+  @Test
+  void anExceptionOfTheHandlerIsCountedAndTheThreadGoesOn() throws Exception {
+    thread.start(
+        (event, now) -> {
+          if (event == 1) {
+            throw new IllegalStateException("expected by the test");
+          }
+          handled.add(event);
+        });
+    thread.deliver(1);
+    thread.deliver(2);
+    thread.ask(() -> true).get();
+
+    assertThat(handled).contains(2);
+    assertThat(metrics.count("decision.handler-failed")).isEqualTo(1);
+  }
+
+  @Test
+  void theClockNeverDecreases() throws Exception {
+    clock.set(10);
+    thread.start((event, now) -> times.add(now));
+    thread.deliver(1);
+    thread.ask(() -> true).get();
+    clock.set(5);
+    thread.deliver(2);
+    thread.ask(() -> true).get();
+
+    assertThat(times).isInOrder();
+    assertThat(times.get(0)).isEqualTo(10);
+  }
+
+  @Test
+  void ticksComeWithoutEvents() throws Exception {
+    CountDownLatch ticks = new CountDownLatch(2);
+    thread.start(
+        (event, now) -> {
+          clock.addAndGet(1_000);
+          ticks.countDown();
+        });
+
+    assertThat(ticks.await(20, TimeUnit.SECONDS)).isTrue();
+  }
+
+  @Test
+  void ticksComeBetweenEventsThatLeaveNoPause() throws Exception {
+    thread.start(
+        (event, now) -> {
+          handled.add(event);
+          clock.addAndGet(1_000);
+        });
+    IntStream.range(0, 10).forEach(thread::deliver);
+    thread.ask(() -> true).get();
+
+    assertThat(Collections.frequency(handled, TICK)).isAtLeast(9);
+  }
+
+  private void waitAndAdd(int event) {
+    try {
+      gate.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+    handled.add(event);
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
@@ -0,0 +1,279 @@
+package org.shallothook.transport.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceRole;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.RequestId;
+import org.shallothook.transport.Addresses;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.metrics.TransportMetrics;
+import org.shallothook.transport.peer.RecordingListener.Heard;
+
+@Timeout(60)
+final class PeerNetworkTest {
+  private static final PeerMessage HELLO = new PeerMessage.Hello(InstanceRole.ROUTER, "a");
+  private static final AttemptId ATTEMPT = new AttemptId(new RequestId("r-1"), 1);
+  private static final PeerMessage CANCEL = new PeerMessage.Cancel(ATTEMPT);
+  private static final PeerMessage CALL =
+      new PeerMessage.Call(
+          ATTEMPT, "team", "bookings", "book", Optional.empty(), "", "", false, false, 0);
+  private static final PeerMessage ENDED = new PeerMessage.Ended(ATTEMPT, 3, "stop", 0);
+
+  private final EventLoops loops = EventLoops.create(1);
+  private final TransportMetrics metrics = new TransportMetrics();
+  private final RecordingListener router = new RecordingListener();
+  private final RecordingListener sidecar = new RecordingListener();
+  private final PeerNetwork routerPeers = network("router-1", 1, settings(), router);
+  private final PeerNetwork sidecarPeers = network("engine-1", 1, settings(), sidecar);
+
+  @AfterEach
+  void close() {
+    loops.close();
+  }
+
+  @Test
+  void aSidecarAnswersOverTheConnectionThatTheRouterOpened() throws Exception {
+    connectRouterToSidecar();
+    routerPeers.send("engine-1", CANCEL, 7);
+    assertThat(sidecar.nextMessage()).isEqualTo(new Envelope("router-1", 1, 7, HELLO));
+    assertThat(sidecar.nextMessage()).isEqualTo(new Envelope("router-1", 1, 7, CANCEL));
+    sidecarPeers.send("router-1", ENDED, 8);
+
+    assertThat(router.nextMessage().sender()).isEqualTo("engine-1");
+    assertThat(router.nextMessage()).isEqualTo(new Envelope("engine-1", 1, 8, ENDED));
+  }
+
+  @Test
+  void aPeerWithoutAnAddressIsUnreachable() throws Exception {
+    routerPeers.send("engine-9", CANCEL, 0);
+
+    assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-9"));
+  }
+
+  @Test
+  void aRefusedConnectionIsUnreachableAndFurtherMessagesWaitForNothing() throws Exception {
+    RawPeer gone = new RawPeer();
+    gone.close();
+    know("engine-1", gone.address());
+    routerPeers.send("engine-1", CANCEL, 0);
+    assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+    routerPeers.send("engine-1", CANCEL, 0);
+
+    assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+  }
+
+  @Test
+  void aPeerThatAcceptsAndNeverSaysHelloIsUnreachableBecauseNothingWasSent() throws Exception {
+    try (RawPeer frozen = new RawPeer()) {
+      know("engine-1", frozen.address());
+      routerPeers.send("engine-1", CANCEL, 0);
+      assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+      frozen.accept();
+
+      assertThat(frozen.read().message()).isEqualTo(HELLO);
+      frozen.readToEnd();
+    }
+  }
+
+  @Test
+  void aConnectionThatEndsAfterHelloIsLost() throws Exception {
+    try (RawPeer raw = new RawPeer()) {
+      know("engine-1", raw.address());
+      routerPeers.send("engine-1", CANCEL, 0);
+      raw.accept();
+      raw.sayHello("engine-1", 1);
+      raw.read();
+      assertThat(raw.read().message()).isEqualTo(CANCEL);
+      raw.closeConnection();
+
+      assertThat(router.nextMessage().sender()).isEqualTo("engine-1");
+      assertThat(router.next()).isEqualTo(new Heard.Lost("engine-1"));
+    }
+  }
+
+  @Test
+  void anotherInstanceAtAnOldAddressGetsNothing() throws Exception {
+    try (RawPeer raw = new RawPeer()) {
+      know("engine-1", raw.address());
+      routerPeers.send("engine-1", CANCEL, 0);
+      raw.accept();
+      raw.sayHello("engine-2", 1);
+
+      assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+      assertThat(raw.read().message()).isEqualTo(HELLO);
+      raw.readToEnd();
+    }
+  }
+
+  @Test
+  void aPeerThatDoesNotReadIsLostAndCounted() throws Exception {
+    PeerMessage large = new PeerMessage.Submit(ATTEMPT, "x".repeat(60_000), "");
+    try (RawPeer raw = new RawPeer()) {
+      know("engine-1", raw.address());
+      routerPeers.send("engine-1", CANCEL, 0);
+      raw.accept();
+      raw.sayHello("engine-1", 1);
+      router.nextMessage();
+      for (int count = 0; count < 2_000 && metrics.count("peer.write-buffer-full") == 0; count++) {
+        routerPeers.send("engine-1", large, 0);
+        loops.internal().submit(() -> {}).sync();
+      }
+
+      assertThat(router.next()).isEqualTo(new Heard.Lost("engine-1"));
+      assertThat(metrics.count("peer.write-buffer-full")).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void aSilentPeerIsLost() throws Exception {
+    PeerNetwork impatient = network("router-2", 1, impatientSettings(), router);
+    try (RawPeer raw = new RawPeer()) {
+      impatient.peersChanged(List.of(instance("engine-1", raw.address())));
+      impatient.send("engine-1", CALL, 0);
+      raw.accept();
+      raw.sayHello("engine-1", 1);
+      router.nextMessage();
+
+      assertThat(router.next()).isEqualTo(new Heard.Lost("engine-1"));
+    }
+  }
+
+  @Test
+  void aNewIncarnationTakesThePlaceOfTheOldAndTheOldIsTurnedAway() throws Exception {
+    InetSocketAddress address = listen(sidecarPeers);
+    try (RawPeer old = new RawPeer();
+        RawPeer fresh = new RawPeer();
+        RawPeer late = new RawPeer()) {
+      old.connect(address);
+      old.sayHello("router-1", 1);
+      sidecar.nextMessage();
+      fresh.connect(address);
+      fresh.sayHello("router-1", 2);
+      assertThat(sidecar.next()).isEqualTo(new Heard.Lost("router-1"));
+      assertThat(sidecar.nextMessage().senderIncarnation()).isEqualTo(2);
+      old.readToEnd();
+      late.connect(address);
+      late.sayHello("router-1", 1);
+      late.readToEnd();
+      sidecarPeers.send("router-1", ENDED, 0);
+
+      assertThat(fresh.read().message()).isInstanceOf(PeerMessage.Hello.class);
+      assertThat(fresh.read().message()).isEqualTo(ENDED);
+    }
+  }
+
+  @Test
+  void framesThatAreMalformedTooLongOrOfAnotherSenderCloseTheConnectionAlone() throws Exception {
+    InetSocketAddress address = listen(sidecarPeers);
+    List<Fault> faults =
+        List.of(
+            peer -> peer.send(new byte[] {1, 2, 3}),
+            peer -> peer.sendLength(Integer.MAX_VALUE),
+            peer -> peer.sendLength(-1),
+            peer -> peer.sayHello("router-9", 1));
+    for (Fault fault : faults) {
+      try (RawPeer raw = new RawPeer()) {
+        raw.connect(address);
+        raw.sayHello("router-1", 1);
+        sidecar.nextMessage();
+        fault.accept(raw);
+        raw.readToEnd();
+
+        assertThat(sidecar.next()).isEqualTo(new Heard.Lost("router-1"));
+      }
+    }
+  }
+
+  @Test
+  void theOpenerClosesAnIdleConnectionWithoutReportingALoss() throws Exception {
+    PeerNetwork impatient = network("router-2", 1, impatientSettings(), router);
+    PeerNetwork upstream = network("engine-1", 1, impatientSettings(), sidecar);
+    impatient.peersChanged(List.of(instance("engine-1", Addresses.text(listen(upstream)))));
+    impatient.send("engine-1", CANCEL, 0);
+    sidecar.nextMessage();
+    sidecar.nextMessage();
+
+    assertThat(sidecar.next()).isEqualTo(new Heard.Lost("router-2"));
+    assertThat(router.nextMessage().sender()).isEqualTo("engine-1");
+    assertThat(metrics.count("peer.idle-closed")).isEqualTo(1);
+  }
+
+  @Test
+  void aConnectionWithAnOpenAttemptIsKeptUntilTheAnswer() throws Exception {
+    PeerNetwork impatient = network("router-2", 1, impatientSettings(), router);
+    PeerNetwork upstream = network("engine-1", 1, impatientSettings(), sidecar);
+    impatient.peersChanged(List.of(instance("engine-1", Addresses.text(listen(upstream)))));
+    impatient.send("engine-1", CALL, 0);
+    sidecar.nextMessage();
+    sidecar.nextMessage();
+    router.nextMessage();
+    loops.internal().schedule(() -> {}, 400, TimeUnit.MILLISECONDS).sync();
+    assertThat(metrics.count("peer.idle-closed")).isEqualTo(0);
+    upstream.send("router-2", new PeerMessage.CallAnswer(ATTEMPT, 200, "", ""), 0);
+
+    assertThat(sidecar.next()).isEqualTo(new Heard.Lost("router-2"));
+  }
+
+  /** Something done to a raw peer. */
+  private interface Fault {
+    void accept(RawPeer peer) throws Exception;
+  }
+
+  private void connectRouterToSidecar() {
+    know("engine-1", Addresses.text(listen(sidecarPeers)));
+  }
+
+  private void know(String name, String address) {
+    routerPeers.peersChanged(List.of(instance(name, address)));
+  }
+
+  private static Instance instance(String name, String address) {
+    return new Instance(name, InstanceRole.MODEL_ENGINE, address, "a", "r", "", false);
+  }
+
+  private static InetSocketAddress listen(PeerNetwork network) {
+    return network.listen(Addresses.parse("127.0.0.1:0")).get();
+  }
+
+  private PeerNetwork network(
+      String name, long incarnation, PeerSettings settings, PeerListener listener) {
+    PeerIdentity identity = new PeerIdentity(name, incarnation, InstanceRole.ROUTER, "a");
+    return new PeerNetwork(identity, settings, loops.internal(), listener, metrics);
+  }
+
+  private static PeerSettings settings() {
+    return new PeerSettings(
+        Duration.ofMillis(500),
+        Duration.ofSeconds(30),
+        Duration.ofSeconds(60),
+        Duration.ofSeconds(20),
+        Duration.ofSeconds(20),
+        1 << 20,
+        256 << 10,
+        100);
+  }
+
+  private static PeerSettings impatientSettings() {
+    return new PeerSettings(
+        Duration.ofSeconds(10),
+        Duration.ofMillis(100),
+        Duration.ofMillis(50),
+        Duration.ofSeconds(20),
+        Duration.ofSeconds(20),
+        1 << 20,
+        256 << 10,
+        100);
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/peer/RawPeer.java
@@ -0,0 +1,83 @@
+package org.shallothook.transport.peer;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.protocol.peer.EnvelopeCodec;
+import org.shallothook.state.membership.InstanceRole;
+
+/** A peer whose every byte the test decides. Not thread-safe. */
+final class RawPeer implements AutoCloseable {
+  private final ServerSocket server;
+  private Socket socket;
+
+  RawPeer() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  void accept() throws IOException {
+    socket = server.accept();
+  }
+
+  void connect(InetSocketAddress address) throws IOException {
+    socket = new Socket(address.getAddress(), address.getPort());
+  }
+
+  void sayHello(String name, long incarnation) throws IOException {
+    PeerMessage hello = new PeerMessage.Hello(InstanceRole.MODEL_ENGINE, "a");
+    send(EnvelopeCodec.encode(new Envelope(name, incarnation, 0, hello)));
+  }
+
+  void send(byte[] frame) throws IOException {
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    out.writeInt(frame.length);
+    out.write(frame);
+  }
+
+  void sendLength(int length) throws IOException {
+    new DataOutputStream(socket.getOutputStream()).writeInt(length);
+  }
+
+  Envelope read() throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    int length = in.readInt();
+    while (length == 0) {
+      length = in.readInt();
+    }
+    byte[] frame = in.readNBytes(length);
+    return EnvelopeCodec.decode(ByteBuffer.wrap(frame)).get();
+  }
+
+  /** Reads until the other side has closed. */
+  void readToEnd() {
+    try {
+      socket.getInputStream().readAllBytes();
+    } catch (IOException e) {
+      // A reset ends the connection as well.
+      return;
+    }
+  }
+
+  void closeConnection() throws IOException {
+    socket.close();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    if (socket != null) {
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -0,0 +1,117 @@
+package org.shallothook.transport.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.transport.EventLoops;
+
+@Timeout(60)
+final class HttpClientTest {
+  private static final int LARGEST_ANSWER = 1_000;
+  private static final Duration LONG = Duration.ofSeconds(30);
+
+  private final EventLoops loops = EventLoops.create(1);
+  private final HttpClient client =
+      new HttpClient(
+          loops.internal(),
+          new HttpSettings(Duration.ofSeconds(5), Duration.ofSeconds(30), 2, LARGEST_ANSWER));
+  private ScriptedServer server;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new ScriptedServer();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    server.close();
+    loops.close();
+  }
+
+  @Test
+  void aWholeAnswerIsReadAndItsConnectionUsedAgain() throws Exception {
+    server.then(ScriptedServer.answer(200, "å")).then(ScriptedServer.answer(404, ""));
+
+    assertThat(get()).isEqualTo(new HttpResult.Answered(200, "", "å"));
+    assertThat(get()).isEqualTo(new HttpResult.Answered(404, "", ""));
+    assertThat(server.connections()).isEqualTo(1);
+  }
+
+  @Test
+  void aCallThatMayNotBeRepeatedGetsAConnectionOfItsOwn() throws Exception {
+    server.then(ScriptedServer.answer(200, "")).then(ScriptedServer.answer(200, ""));
+    get();
+    send(HttpCall.postJson(server.address(), "/", "{}", LONG));
+
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
+  @Test
+  void aRefusedConnectionIsNotSent() throws Exception {
+    server.close();
+
+    assertThat(get()).isInstanceOf(HttpResult.NotSent.class);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        ScriptedServer.CLOSE,
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc" + ScriptedServer.THEN_CLOSE,
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
+            + ScriptedServer.THEN_CLOSE,
+        "no answer at all\r\n\r\n",
+      })
+  void anAnswerThatIsNotWholeIsLost(String step) throws Exception {
+    server.then(step);
+
+    assertThat(get()).isInstanceOf(HttpResult.Lost.class);
+  }
+
+  @Test
+  void aSilentServerIsLostAfterTheTimeout() throws Exception {
+    server.then(ScriptedServer.SILENCE);
+    HttpCall call = HttpCall.get(server.address(), "/", Duration.ofMillis(50));
+
+    assertThat(send(call)).isEqualTo(new HttpResult.Lost("no answer in time", false));
+  }
+
+  @Test
+  void anAnswerOverTheLimitIsLostAndSaysSo() throws Exception {
+    server.then(ScriptedServer.answer(200, "x".repeat(LARGEST_ANSWER + 1)));
+
+    assertThat(((HttpResult.Lost) get()).isTooLarge()).isTrue();
+  }
+
+  @Test
+  void aHeaderThatWouldBreakTheRequestIsNotSent() throws Exception {
+    Map<String, String> headers = Map.of("Idempotency-Key", "a\r\nx: y");
+    HttpCall call =
+        new HttpCall(server.address(), HttpMethod.POST, "/", headers, Optional.of(""), LONG, false);
+
+    assertThat(send(call)).isInstanceOf(HttpResult.NotSent.class);
+  }
+
+  private HttpResult get() throws Exception {
+    InetSocketAddress address = server.address();
+    return send(HttpCall.get(address, "/", LONG));
+  }
+
+  private HttpResult send(HttpCall call) throws Exception {
+    CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    client.send(call, result::complete);
+    return result.get(20, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/platform/ScriptedServer.java
@@ -0,0 +1,146 @@
+package org.shallothook.transport.platform;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * HTTP server that answers each request with the next text of a script, byte for byte.
+ *
+ * <p>Thread-safe.
+ */
+final class ScriptedServer implements AutoCloseable {
+  /** Step that closes the connection without an answer. */
+  static final String CLOSE = "close";
+
+  /** Step that never answers. */
+  static final String SILENCE = "silence";
+
+  /** End of a step after which the connection is closed. */
+  static final String THEN_CLOSE = "\0close";
+
+  private final ServerSocket server;
+  private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+  private final AtomicInteger connections = new AtomicInteger();
+
+  ScriptedServer() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    start(this::acceptAll);
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  ScriptedServer then(String answer) {
+    script.add(answer);
+    return this;
+  }
+
+  static String answer(int status, String body) {
+    int length = body.getBytes(StandardCharsets.UTF_8).length;
+    return "HTTP/1.1 " + status + " X\r\ncontent-length: " + length + "\r\n\r\n" + body;
+  }
+
+  static String stream(String events) {
+    return "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n"
+        + events
+        + THEN_CLOSE;
+  }
+
+  int connections() {
+    return connections.get();
+  }
+
+  /** Waits for the next request and returns its first line and its body. */
+  String nextRequest() throws InterruptedException {
+    return requests.poll(20, TimeUnit.SECONDS);
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+
+  private void acceptAll() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        connections.incrementAndGet();
+        start(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      BufferedReader in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      for (String request = read(in); request != null; request = read(in)) {
+        requests.add(request);
+        if (!answer(socket, in)) {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      // The client has closed the connection.
+      return;
+    }
+  }
+
+  private boolean answer(Socket socket, BufferedReader in) throws IOException {
+    String step = script.poll();
+    if (step == null || step.equals(CLOSE)) {
+      return false;
+    }
+    if (step.equals(SILENCE)) {
+      return in.read() >= 0;
+    }
+    boolean isLast = step.endsWith(THEN_CLOSE);
+    String text = step.replace(THEN_CLOSE, "");
+    OutputStream out = socket.getOutputStream();
+    out.write(text.getBytes(StandardCharsets.UTF_8));
+    out.flush();
+    return !isLast;
+  }
+
+  private static String read(BufferedReader in) throws IOException {
+    String first = in.readLine();
+    if (first == null) {
+      return null;
+    }
+    int length = 0;
+    for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+        length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+      }
+    }
+    char[] body = new char[length];
+    int read = 0;
+    while (read < length) {
+      read += in.read(body, read, length - read);
+    }
+    return first + "\n" + new String(body);
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
