Close connections so that everything written arrives

Cause: closing with unread bytes resets a connection, and the other side loses what it has not read: a sidecar that drains could lose the end of an answer. Change: say that nothing more will be written, read and drop what still comes, close once the other side has closed or after 2 s; the peers' close waits. Before: with a plain close the new test fails with 'Broken pipe'. After: passes. Verified: PeerNetworkTest and CallerServerTest, 32 tests, none failed.

--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -1,7 +1,9 @@
 package org.shallothook.transport;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOutboundInvoker;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
@@ -14,6 +16,8 @@
  * <p>Stateless and thread-safe.
  */
 public final class Channels {
+  private static final Duration LINGER = Duration.ofSeconds(2);
+
   private Channels() {}
 
   /** Closes a connection. */
@@ -28,6 +32,23 @@
             });
   }
 
+  /**
+   * Ends a connection so that everything written arrives: says that nothing more will be written,
+   * and closes once the other side has closed too, or after a while. What still arrives must be
+   * read and dropped until then, because closing with unread bytes resets the connection and the
+   * other side would lose what it has not read yet.
+   */
+  public static void closeAfterWrites(SocketChannel connection) {
+    connection
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(done -> connection.shutdownOutput().addListener(ended -> linger(connection)));
+  }
+
+  private static void linger(SocketChannel connection) {
+    connection.config().setAutoRead(true);
+    after(connection.eventLoop(), LINGER, () -> close(connection));
+  }
+
   /** Hands a message over for the next flush; closes the connection where it cannot be written. */
   public static void write(ChannelOutboundInvoker connection, Object message) {
     connection.write(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -46,6 +47,7 @@
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private long discardedBytes;
   private boolean isDiscarding;
+  private boolean isEnding;
 
   CallerConnection(CallerContext context) {
     this.context = context;
@@ -54,7 +56,8 @@
   /** Closes the connection now, or after the answer that is being made. */
   void closeWhenUnused() {
     if (current.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
-      Channels.close(channel);
+      isEnding = true;
+      Channels.closeAfterWrites(socket());
     }
   }
 
@@ -70,6 +73,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext received, HttpObject part) {
+    if (isEnding) {
+      return;
+    }
     if (part instanceof HttpRequest newHead) {
       startRequest(newHead);
     }
@@ -164,7 +170,7 @@
     Either<Refusal, RouterEvent> event = CallerRouting.eventOf(id, request);
     CallerExchange exchange =
         new CallerExchange(
-            context, channel.channel(), id, request, event.toJavaOptional(), () -> ended(id));
+            context, socket(), id, request, event.toJavaOptional(), isLast -> ended(id, isLast));
     current = Optional.of(exchange);
     event.peekLeft(refusal -> refuse(exchange, refusal)).peek(open -> offer(exchange, open));
   }
@@ -186,19 +192,24 @@
     exchange.refuse(refusal);
   }
 
-  private void ended(RequestId id) {
+  private void ended(RequestId id, boolean isLast) {
     context.open().remove(id);
+    isEnding = isLast;
     current = Optional.empty();
     // The next request starts in a turn of its own, so that a long row of them needs no deep stack.
     channel.executor().execute(this::runNextUnlessBusy);
   }
 
   private void runNextUnlessBusy() {
-    if (current.isEmpty() && channel.channel().isActive() && !isDiscarding) {
+    if (current.isEmpty() && channel.channel().isActive() && !isDiscarding && !isEnding) {
       runNext();
     }
   }
 
+  private SocketChannel socket() {
+    return (SocketChannel) channel.channel();
+  }
+
   private void abandon(CallerExchange exchange) {
     exchange.abandon();
     if (context.open().remove(exchange.id()) != null) {
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
@@ -2,9 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -16,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.shallothook.coordination.router.RouterCommand;
 import org.shallothook.coordination.router.RouterEvent;
 import org.shallothook.protocol.caller.CallerHeaders;
@@ -37,12 +36,12 @@
   private static final long MICROS_PER_SECOND = 1_000_000;
 
   private final CallerContext context;
-  private final Channel channel;
+  private final SocketChannel channel;
   private final RequestId id;
   private final CallerRequest request;
   private final Optional<RouterEvent.ChatRequested> chat;
   private final ChatAnswerForm form;
-  private final Runnable onEnd;
+  private final Consumer<Boolean> onEnd;
   private final StringBuilder whole = new StringBuilder();
   private int position;
   private boolean hasHead;
@@ -56,15 +55,16 @@
    * @param id identifier of the request
    * @param request the request
    * @param event event that the request became, if it could be read
-   * @param onEnd called once the last byte is handed to the connection
+   * @param onEnd called once the last byte is handed to the connection, with whether the connection
+   *     ends with it
    */
   CallerExchange(
       CallerContext context,
-      Channel channel,
+      SocketChannel channel,
       RequestId id,
       CallerRequest request,
       Optional<RouterEvent> event,
-      Runnable onEnd) {
+      Consumer<Boolean> onEnd) {
     this.context = context;
     this.channel = channel;
     this.id = id;
@@ -82,7 +82,7 @@
     return id;
   }
 
-  Channel channel() {
+  SocketChannel channel() {
     return channel;
   }
 
@@ -223,7 +223,8 @@
   }
 
   private void endStream() {
-    finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), endsConnection());
+    Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
+    finish(endsConnection());
   }
 
   private void answerWhole(WholeResponse response, Optional<Long> retryAtMicros) {
@@ -234,19 +235,20 @@
     FullHttpResponse answer = response.toHttp(id, isLast, channel.alloc());
     retryAtMicros.ifPresent(
         at -> answer.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfter(at)));
-    finish(channel.writeAndFlush(answer), isLast);
+    Channels.writeAndFlush(channel, answer);
+    finish(isLast);
   }
 
   private long retryAfter(long retryAtMicros) {
     return ErrorForm.retryAfterSeconds(retryAtMicros, context.nowMicros());
   }
 
-  private void finish(ChannelFuture lastWrite, boolean isLast) {
+  private void finish(boolean isLast) {
     hasEnded = true;
     if (isLast) {
-      lastWrite.addListener(ChannelFutureListener.CLOSE);
+      Channels.closeAfterWrites(channel);
     }
-    onEnd.run();
+    onEnd.accept(isLast);
   }
 
   private boolean endsConnection() {
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -39,6 +39,7 @@
   private ScheduledFuture<?> helloTimeout;
   private Optional<Envelope> peerHello = Optional.empty();
   private boolean isClosedAsUnused;
+  private boolean isEnding;
   private long lastMessageNanos = System.nanoTime();
 
   /** Takes what happens on the connection. */
@@ -102,7 +103,8 @@
 
   /** Closes the connection once everything written has left. */
   void closeAfterWrites() {
-    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    isEnding = true;
+    Channels.closeAfterWrites((SocketChannel) channel.channel());
   }
 
   @Override
@@ -121,7 +123,7 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext received, ByteBuf frame) {
-    if (!frame.isReadable()) {
+    if (!frame.isReadable() || isEnding) {
       return;
     }
     EnvelopeCodec.decode(frame.nioBuffer()).peekLeft(this::reject).peek(this::accept);
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerContext.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerContext.java
@@ -4,10 +4,13 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.shallothook.coordination.port.Counters;
@@ -24,6 +27,7 @@
   private final EventLoop loop;
   private final PeerListener listener;
   private final Counters counters;
+  private final ChannelGroup sockets = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private long configurationOffset;
 
   PeerContext(
@@ -64,6 +68,11 @@
     return configurationOffset;
   }
 
+  /** Returns all open connections, with those whose peer has not said Hello. */
+  ChannelGroup sockets() {
+    return sockets;
+  }
+
   void noteConfigurationOffset(long offset) {
     configurationOffset = Math.max(configurationOffset, offset);
   }
@@ -78,6 +87,7 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        sockets.add(channel);
         fill(channel.pipeline(), connections.get());
       }
     };
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerNetwork.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerNetwork.java
@@ -1,8 +1,10 @@
 package org.shallothook.transport.peer;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +33,8 @@
  * be lost, the listener hears that the peer is unreachable or lost. Thread-safe.
  */
 public final class PeerNetwork implements AutoCloseable {
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
+
   private final PeerContext context;
   private final PeerClient client;
   private final PeerServer server;
@@ -87,16 +91,20 @@
     context.loop().execute(() -> setAddresses(peers));
   }
 
-  /** Stops to listen and closes all connections once what was written has left. */
+  /**
+   * Stops to listen and closes all connections once what was written has arrived. Waits for that,
+   * though not for a peer that does not read; must not be called on the loop of the peers.
+   */
   @Override
   public void close() {
-    context
-        .loop()
-        .execute(
-            () -> {
-              server.close();
-              List.copyOf(links.values()).forEach(PeerLink::closeConnections);
-            });
+    Future<?> closing = context.loop().submit(this::closeConnections);
+    closing.awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
+    context.sockets().newCloseFuture().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
+  }
+
+  private void closeConnections() {
+    server.close();
+    List.copyOf(links.values()).forEach(PeerLink::closeConnections);
   }
 
   private void setAddresses(List<Instance> peers) {
--- a/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.protocol.peer.EnvelopeCodec;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.AttemptId;
@@ -226,6 +227,30 @@
     assertThat(sidecar.next()).isEqualTo(new Heard.Lost("router-2"));
   }
 
+  @Test
+  void closingLosesNothingThatWasWrittenEvenWithUnreadBytes() throws Exception {
+    InetSocketAddress address = listen(sidecarPeers);
+    try (RawPeer raw = new RawPeer()) {
+      raw.connect(address);
+      raw.sayHello("router-1", 1);
+      sidecar.nextMessage();
+      raw.read();
+      for (int position = 0; position < 1_000; position++) {
+        sidecarPeers.send("router-1", new PeerMessage.Tokens(ATTEMPT, position, 1, "x"), 0);
+        raw.send(EnvelopeCodec.encode(new Envelope("router-1", 1, 0, CANCEL)));
+      }
+      Thread closing = new Thread(sidecarPeers::close);
+      closing.start();
+      for (int position = 0; position < 1_000; position++) {
+        raw.send(EnvelopeCodec.encode(new Envelope("router-1", 1, 0, CANCEL)));
+        assertThat(raw.read().message())
+            .isEqualTo(new PeerMessage.Tokens(ATTEMPT, position, 1, "x"));
+      }
+      raw.closeConnection();
+      closing.join();
+    }
+  }
+
   /** Something done to a raw peer. */
   private interface Fault {
     void accept(RawPeer peer) throws Exception;
