Refuse a message that is too large for a frame instead of closing the connection

Cause: one caller's prompt over the frame's limit closed the connection and cut the streams of all others on it. Found by reading the limits against each other: the body's limit was 4,000,000 bytes and the frame's 4 MiB, rulebook included. Change: the prompt or call is refused in place of the peer as not run; frames up to 8 MiB, answers of upstreams up to 6 MiB.

--- a/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -85,7 +85,10 @@
     return peerHello;
   }
 
-  /** Writes a message, or closes the connection where the peer does not keep up. */
+  /**
+   * Writes a message. Closes the connection where the peer does not keep up. A message that is too
+   * large is not written; the listener hears of it as if the peer had refused it.
+   */
   void send(PeerMessage message, long configurationOffset) {
     if (!channel.channel().isWritable()) {
       context.counters().increment("peer.write-buffer-full");
@@ -93,8 +96,14 @@
       close();
       return;
     }
+    byte[] frame = EnvelopeCodec.encode(context.identity().envelope(message, configurationOffset));
+    if (frame.length > context.settings().maximumFrameBytes()) {
+      refuseTooLarge(message, frame.length);
+      return;
+    }
+    lastMessageNanos = System.nanoTime();
     openAttempts.sent(message);
-    write(context.identity().envelope(message, configurationOffset));
+    write(frame);
   }
 
   void close() {
@@ -118,7 +127,7 @@
                 context.settings().connectTimeout().toMillis(),
                 TimeUnit.MILLISECONDS);
     owner.openedSocket(this);
-    write(context.identity().hello(context.configurationOffset()));
+    write(EnvelopeCodec.encode(context.identity().hello(context.configurationOffset())));
   }
 
   @Override
@@ -235,20 +244,23 @@
     }
   }
 
-  private void write(Envelope envelope) {
-    if (!(envelope.message() instanceof PeerMessage.Hello)) {
-      lastMessageNanos = System.nanoTime();
-    }
-    byte[] bytes = EnvelopeCodec.encode(envelope);
-    if (bytes.length > context.settings().maximumFrameBytes()) {
-      context.counters().increment("peer.frame-too-large");
-      Part.PEER.warn("A message to '{}' has {} bytes.", peerName(), bytes.length);
-      close();
-      return;
-    }
-    ByteBuf length = channel.alloc().buffer(Integer.BYTES).writeInt(bytes.length);
-    Channels.write(channel, length);
-    Channels.writeAndFlush(channel, Unpooled.wrappedBuffer(bytes));
+  private void refuseTooLarge(PeerMessage message, int bytes) {
+    context.counters().increment("peer.frame-too-large");
+    Part.PEER.warn("A message of {} bytes to '{}' was not sent.", bytes, peerName());
+    OversizedMessage.refusal(message)
+        .map(this::asFromPeer)
+        .ifPresent(context.listener()::messageReceived);
+  }
+
+  private Envelope asFromPeer(PeerMessage message) {
+    Envelope hello = peerHello.orElseThrow();
+    return new Envelope(
+        hello.sender(), hello.senderIncarnation(), hello.configurationOffset(), message);
+  }
+
+  private void write(byte[] frame) {
+    Channels.write(channel, channel.alloc().buffer(Integer.BYTES).writeInt(frame.length));
+    Channels.writeAndFlush(channel, Unpooled.wrappedBuffer(frame));
   }
 
   private String peerName() {
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerSettings.java
@@ -33,8 +33,8 @@
           Duration.ofSeconds(15),
           Duration.ofMillis(50),
           Duration.ofSeconds(2),
-          4 << 20,
           8 << 20,
+          16 << 20,
           4_096);
 
   private static final int SILENT_INTERVALS = 3;
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
@@ -19,5 +19,5 @@
     int maximumAnswerBytes) {
   /** Settings of a process whose file names none. */
   public static final HttpSettings DEFAULT =
-      new HttpSettings(Duration.ofMillis(500), Duration.ofSeconds(5), 2, 8 << 20);
+      new HttpSettings(Duration.ofMillis(500), Duration.ofSeconds(5), 2, 6 << 20);
 }
--- a/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
@@ -16,6 +16,7 @@
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.RequestId;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.EventLoops;
@@ -251,6 +252,20 @@
     }
   }
 
+  @Test
+  void aPromptThatIsTooLargeIsRefusedAndTheConnectionGoesOn() throws Exception {
+    connectRouterToSidecar();
+    routerPeers.send("engine-1", new PeerMessage.Submit(ATTEMPT, "x".repeat(1 << 20), ""), 0);
+    routerPeers.send("engine-1", CANCEL, 0);
+
+    assertThat(sidecar.nextMessage().message()).isEqualTo(HELLO);
+    assertThat(sidecar.nextMessage().message()).isEqualTo(CANCEL);
+    assertThat(router.nextMessage().message()).isEqualTo(HELLO);
+    PeerMessage.Failed failed = (PeerMessage.Failed) router.nextMessage().message();
+    assertThat(failed.attempt()).isEqualTo(ATTEMPT);
+    assertThat(failed.outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
   /** Something done to a raw peer. */
   private interface Fault {
     void accept(RawPeer peer) throws Exception;
