--- a/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -17,7 +17,7 @@
 import org.shallothook.protocol.peer.EnvelopeCodec;
 import org.shallothook.protocol.peer.PeerProtocolError;
 import org.shallothook.transport.Channels;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * One connection to a peer, opened by either side.
@@ -39,6 +39,7 @@
   private ScheduledFuture<?> helloTimeout;
   private Optional<Envelope> peerHello = Optional.empty();
   private boolean isClosedAsUnused;
+  private boolean isEnding;
   private long lastMessageNanos = System.nanoTime();
 
   /** Takes what happens on the connection. */
@@ -84,16 +85,25 @@
     return peerHello;
   }
 
-  /** Writes a message, or closes the connection where the peer does not keep up. */
+  /**
+   * Writes a message. Closes the connection where the peer does not keep up. A message that is too
+   * large is not written; the listener hears of it as if the peer had refused it.
+   */
   void send(PeerMessage message, long configurationOffset) {
     if (!channel.channel().isWritable()) {
       context.counters().increment("peer.write-buffer-full");
-      Logger.warn("peer: '{}' does not read; its connection is closed", peerName());
+      Part.PEER.warn("'{}' does not read; its connection is closed.", peerName());
       close();
       return;
     }
+    byte[] frame = EnvelopeCodec.encode(context.identity().envelope(message, configurationOffset));
+    if (frame.length > context.settings().maximumFrameBytes()) {
+      refuseTooLarge(message, frame.length);
+      return;
+    }
+    lastMessageNanos = System.nanoTime();
     openAttempts.sent(message);
-    write(context.identity().envelope(message, configurationOffset));
+    write(frame);
   }
 
   void close() {
@@ -102,7 +112,8 @@
 
   /** Closes the connection once everything written has left. */
   void closeAfterWrites() {
-    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    isEnding = true;
+    Channels.closeAfterWrites((SocketChannel) channel.channel());
   }
 
   @Override
@@ -116,12 +127,12 @@
                 context.settings().connectTimeout().toMillis(),
                 TimeUnit.MILLISECONDS);
     owner.openedSocket(this);
-    write(context.identity().hello(context.configurationOffset()));
+    write(EnvelopeCodec.encode(context.identity().hello(context.configurationOffset())));
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext received, ByteBuf frame) {
-    if (!frame.isReadable()) {
+    if (!frame.isReadable() || isEnding) {
       return;
     }
     EnvelopeCodec.decode(frame.nioBuffer()).peekLeft(this::reject).peek(this::accept);
@@ -136,11 +147,12 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext idle, Object event) {
-    if (event instanceof IdleStateEvent silence) {
+    // Until the peer's Hello, the timeout of the connect alone counts.
+    if (event instanceof IdleStateEvent silence && peerHello.isPresent()) {
       if (silence.state() == IdleState.READER_IDLE) {
         if (channel.channel().config().isAutoRead()) {
           context.counters().increment("peer.silent");
-          Logger.warn("peer: '{}' is silent; its connection is closed", peerName());
+          Part.PEER.warn("'{}' is silent; its connection is closed.", peerName());
           close();
         }
       } else if (isUnused()) {
@@ -156,7 +168,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
     context.counters().increment("peer.connection-failed");
-    Logger.debug("peer: the connection to '{}' failed: {}", peerName(), cause.getMessage());
+    Part.PEER.debug("The connection to '{}' failed: {}.", peerName(), cause.getMessage());
     Channels.close(failed);
   }
 
@@ -169,7 +181,7 @@
       owner.received(this, envelope);
     } else {
       context.counters().increment("peer.sender-changed");
-      Logger.warn("peer: '{}' sent a message as '{}'", peerName(), envelope.sender());
+      Part.PEER.warn("'{}' sent a message as '{}'.", peerName(), envelope.sender());
       close();
     }
   }
@@ -178,7 +190,7 @@
     helloTimeout.cancel(false);
     if (!(envelope.message() instanceof PeerMessage.Hello)) {
       context.counters().increment("peer.no-hello");
-      Logger.warn("peer: '{}' did not say Hello first", envelope.sender());
+      Part.PEER.warn("'{}' did not say Hello first.", envelope.sender());
       close();
       return;
     }
@@ -196,7 +208,7 @@
 
   private void reject(PeerProtocolError error) {
     context.counters().increment("peer.malformed-frame");
-    Logger.warn("peer: a frame of '{}' was rejected: {}", peerName(), error.message());
+    Part.PEER.warn("A frame of '{}' was rejected: {}.", peerName(), error.message());
     close();
   }
 
@@ -232,20 +244,23 @@
     }
   }
 
-  private void write(Envelope envelope) {
-    if (!(envelope.message() instanceof PeerMessage.Hello)) {
-      lastMessageNanos = System.nanoTime();
-    }
-    byte[] bytes = EnvelopeCodec.encode(envelope);
-    if (bytes.length > context.settings().maximumFrameBytes()) {
-      context.counters().increment("peer.frame-too-large");
-      Logger.error("peer: a message to '{}' has {} bytes", peerName(), bytes.length);
-      close();
-      return;
-    }
-    ByteBuf length = channel.alloc().buffer(Integer.BYTES).writeInt(bytes.length);
-    Channels.write(channel, length);
-    Channels.writeAndFlush(channel, Unpooled.wrappedBuffer(bytes));
+  private void refuseTooLarge(PeerMessage message, int bytes) {
+    context.counters().increment("peer.frame-too-large");
+    Part.PEER.warn("A message of {} bytes to '{}' was not sent.", bytes, peerName());
+    OversizedMessage.refusal(message)
+        .map(this::asFromPeer)
+        .ifPresent(context.listener()::messageReceived);
+  }
+
+  private Envelope asFromPeer(PeerMessage message) {
+    Envelope hello = peerHello.orElseThrow();
+    return new Envelope(
+        hello.sender(), hello.senderIncarnation(), hello.configurationOffset(), message);
+  }
+
+  private void write(byte[] frame) {
+    Channels.write(channel, channel.alloc().buffer(Integer.BYTES).writeInt(frame.length));
+    Channels.writeAndFlush(channel, Unpooled.wrappedBuffer(frame));
   }
 
   private String peerName() {
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerNetwork.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerNetwork.java
@@ -1,8 +1,10 @@
 package org.shallothook.transport.peer;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +14,7 @@
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.transport.Addresses;
-import org.tinylog.Logger;
+import org.shallothook.transport.logging.Part;
 
 /**
  * All connections of a process to its peers, in both directions.
@@ -31,6 +33,8 @@
  * be lost, the listener hears that the peer is unreachable or lost. Thread-safe.
  */
 public final class PeerNetwork implements AutoCloseable {
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
+
   private final PeerContext context;
   private final PeerClient client;
   private final PeerServer server;
@@ -87,16 +91,20 @@
     context.loop().execute(() -> setAddresses(peers));
   }
 
-  /** Stops to listen and closes all connections once what was written has left. */
+  /**
+   * Stops to listen and closes all connections once what was written has arrived. Waits for that,
+   * though not for a peer that does not read; must not be called on the loop of the peers.
+   */
   @Override
   public void close() {
-    context
-        .loop()
-        .execute(
-            () -> {
-              server.close();
-              List.copyOf(links.values()).forEach(PeerLink::closeConnections);
-            });
+    Future<?> closing = context.loop().submit(this::closeConnections);
+    closing.awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
+    context.sockets().newCloseFuture().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
+  }
+
+  private void closeConnections() {
+    server.close();
+    List.copyOf(links.values()).forEach(PeerLink::closeConnections);
   }
 
   private void setAddresses(List<Instance> peers) {
@@ -105,8 +113,7 @@
       Try.of(() -> Addresses.parse(peer.address()))
           .onSuccess(address -> addresses.put(peer.name(), address))
           .onFailure(
-              failure ->
-                  Logger.warn("peer: address of '{}': {}", peer.name(), failure.getMessage()));
+              failure -> Part.PEER.warn("Address of '{}': {}.", peer.name(), failure.getMessage()));
     }
     addresses.keySet().forEach(this::link);
     for (String name : List.copyOf(links.keySet())) {
