Keep upstreams that the list omits while their sidecar is connected

Cause: a gap in the list closed connections and so cut running streams; all routers of a restarted fleet read the list at their first tick. Change: an upstream is gone when neither the list nor a connected sidecar knows it; peers stay while anything is open there; first reads are jittered.

--- a/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -81,7 +81,15 @@
 
   /** Returns whether any signal says that the upstream takes no new work. */
   public boolean isLeaving() {
-    return !isListed || instance.isLeaving() || isLeavingBySidecar;
+    return isGone() || instance.isLeaving() || isLeavingBySidecar;
+  }
+
+  /**
+   * Returns whether neither the list nor a connected sidecar knows of the upstream. A gap in the
+   * list alone does not end it, because the list can be wrong where the sidecar cannot.
+   */
+  public boolean isGone() {
+    return !isListed && !hasStatus;
   }
 
   /** Returns when an ejection ends, in microseconds since the epoch; 0 if there was none. */
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -20,8 +20,8 @@
  * <p>Signals add up: an upstream is offered no new work as soon as one of them says that it is
  * leaving, and the list cannot take back what the sidecar said.
  *
- * <p>Invariant: an instance of the list is known under its name until the list drops it and nothing
- * is open at it. Not thread-safe.
+ * <p>Invariant: an instance of the list is known under its name until the list has dropped it, its
+ * sidecar is not connected and nothing is open at it. Not thread-safe.
  */
 public final class UpstreamDirectory {
   private final String region;
@@ -184,7 +184,7 @@
         upstream.onUnlisted();
       }
     }
-    upstreams.values().removeIf(one -> !listed.containsKey(one.name()) && one.outstanding() == 0);
+    upstreams.values().removeIf(one -> one.isGone() && one.outstanding() == 0);
   }
 
   private List<Upstream> addListed(Collection<Instance> listed) {
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/PoisonGuard.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/PoisonGuard.java
@@ -23,6 +23,7 @@
  */
 public final class PoisonGuard {
   private static final int GOSSIP_PEERS = 4;
+  private static final long FIRST_READ_MICROS = 500_000;
   private static final long READ_INTERVAL_MICROS = 5_000_000;
   private static final long APPEND_RETRY_MICROS = 5_000_000;
 
@@ -146,6 +147,9 @@
 
   /** Reads the log and repeats failed appends when it is time to. */
   public void onTick(long nowMicros) {
+    if (readAtMicros == 0) {
+      readAtMicros = nowMicros + random.nextLong(FIRST_READ_MICROS);
+    }
     if (nowMicros >= readAtMicros) {
       outbox.readLog(QuarantineRecord.STREAM, nextOffset);
       readAtMicros = nowMicros + READ_INTERVAL_MICROS / 2 + random.nextLong(READ_INTERVAL_MICROS);
--- a/coordination/src/main/java/org/shallothook/coordination/router/FleetWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/FleetWatch.java
@@ -23,7 +23,7 @@
  */
 final class FleetWatch {
   private static final long READ_INTERVAL_MICROS = 2_000_000;
-  private static final long FIRST_READ_MICROS = 200_000;
+  private static final long FIRST_READ_MICROS = 100_000;
   private static final long GREETING_INTERVAL_MICROS = 1_000_000;
   private static final int GREETINGS_PER_TICK = 16;
 
@@ -50,11 +50,12 @@
   void onInstances(InstanceList list, long nowMicros) {
     List<Upstream> added = directory.onInstances(list);
     List<Instance> newPeers = new ArrayList<>();
-    for (Instance instance : list.instances()) {
-      if (!instance.name().equals(options.name()) && instance.role() != InstanceRole.CACHE_STORE) {
-        newPeers.add(instance);
+    for (Instance router : directory.routers()) {
+      if (!router.name().equals(options.name())) {
+        newPeers.add(router);
       }
     }
+    directory.all().forEach(upstream -> newPeers.add(upstream.instance()));
     if (!newPeers.equals(peers)) {
       peers = List.copyOf(newPeers);
       outbox.emit(new RouterCommand.PeersChanged(peers));
@@ -64,14 +65,14 @@
     greetAtMicros = nowMicros + GREETING_INTERVAL_MICROS;
   }
 
-  /** Returns the names of all routers and upstreams of the list, without this router. */
+  /** Returns the names of all known routers and upstreams, without this router. */
   Set<String> peerNames() {
     return peers.stream().map(Instance::name).collect(Collectors.toSet());
   }
 
   void onTick(long nowMicros) {
     if (readAtMicros == 0) {
-      readAtMicros = nowMicros + (directory.listVersion() < 0 ? 0 : FIRST_READ_MICROS);
+      readAtMicros = nowMicros + random.nextLong(FIRST_READ_MICROS);
     }
     if (nowMicros >= readAtMicros) {
       outbox.emit(new RouterCommand.ReadInstances(directory.listVersion()));
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -73,6 +73,27 @@
     assertThat(offers.stream().map(Sent::peer).toList()).doesNotContain("engine-2");
   }
 
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void gapInTheListEndsAnUpstreamOnlyWithoutItsSidecar(boolean isConnected) {
+    RouterHarness harness = RouterHarness.ready(1);
+    RequestId running = harness.chat("running");
+    AttemptId attempt = harness.acceptLatest(running);
+    harness.unlist("engine-1");
+    if (!isConnected) {
+      harness.send(new RouterEvent.PeerLost("engine-1"));
+    }
+    RequestId request = harness.chat("hello");
+
+    assertThat(harness.offers(request)).hasSize(isConnected ? 1 : 0);
+    if (isConnected) {
+      harness.tokens(attempt, 0, "Maria");
+      harness.ended(attempt, 1);
+      assertThat(harness.isComplete(running)).isTrue();
+    }
+    assertThat(harness.commands(RouterCommand.PeersChanged.class)).isEmpty();
+  }
+
   @Test
   void sidecarThatReportsAgainIsTakenBack() {
     RouterHarness harness = RouterHarness.ready(1);
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterHarness.java
@@ -138,6 +138,11 @@
     listInstances();
   }
 
+  void unlist(String name) {
+    instances.removeIf(instance -> instance.name().equals(name));
+    listInstances();
+  }
+
   void listInstances() {
     listVersion++;
     send(new RouterEvent.InstancesRead(new InstanceList(listVersion, instances)));
