Export shared prefixes at their own depth, and import more of them

Exports were bound to a rate and to depths of powers of two, so the tenant part of a 14-block prefix and the prefix of a rare priority team never reached the store. A prefix is now followed at the depth that two prompts share, exported once it was asked for again or by priority work, and imported also at home for priority work or where 8 blocks or more are missing. The transfer time is measured.

--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarEvent;
@@ -14,13 +15,14 @@
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.configuration.PriorityClass;
 
 /**
  * Transfers of blocks between the engine and the cache store.
  *
  * <p>Blocks are imported where that is cheaper than computing them and they are likely to be in the
- * store: another upstream is the prompt's home, or this one has exported them. Hot prefixes are
- * exported once.
+ * store: another upstream is the prompt's home, this one has exported them, the request is priority
+ * work, or much is missing. Shared prefixes, and those of priority work, are exported once.
  *
  * <p>Invariants: a transfer carries the whole identity; only keys that were asked for are taken as
  * imported; transfers of an earlier incarnation of the engine change nothing. Not thread-safe: used
@@ -28,60 +30,81 @@
  */
 final class BlockTransfers {
   private static final int MINIMUM_BLOCKS = 2;
+  private static final int MANY_BLOCKS = 8;
+  private static final double WEIGHT_OF_LATEST = 0.1;
+  private static final double WEIGHT_OF_SETTING = 0.01;
   private static final int MAXIMUM_IMPORTS = 4;
   private static final int MAXIMUM_KNOWN_KEYS = 8_192;
   private static final long ABSENT_MICROS = 2_000_000;
   private static final long TIMEOUT_MICROS = 2_000_000;
 
-  private record Transfer(List<BlockKey> keys, boolean isImport, long deadlineMicros) {}
+  private record Transfer(
+      List<BlockKey> keys, boolean isImport, long startedMicros, long deadlineMicros) {}
 
-  private final SidecarOptions options;
   private final SidecarOutbox outbox;
   private final Counters counters;
   private final PrefixGate gate;
   private final Map<Long, Transfer> open = new LinkedHashMap<>();
   private final Set<BlockKey> stored = new LinkedHashSet<>();
   private final Map<BlockKey, Long> absentUntil = new LinkedHashMap<>();
+  private final double expectedMicrosPerBlock;
+  private double microsPerBlock;
 
   BlockTransfers(SidecarOptions options, SidecarOutbox outbox, Counters counters, PrefixGate gate) {
-    this.options = options;
+    this.expectedMicrosPerBlock = options.transferMicrosPerBlock();
+    this.microsPerBlock = options.transferMicrosPerBlock();
     this.outbox = outbox;
     this.counters = counters;
     this.gate = gate;
   }
 
-  /** Imports the missing blocks of a chain if that is worth it. */
-  void considerImport(
-      CacheIdentity identity,
-      List<BlockKey> chain,
-      boolean isHome,
-      long prefillMicrosPerBlock,
-      long nowMicros) {
+  /** Imports the missing blocks of an accepted offer if that is worth it. */
+  void considerImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+    List<BlockKey> chain = offer.keys();
     int matched = gate.matchedBlocks(chain);
     int missing = chain.size() - matched;
     boolean isWorthIt =
         missing >= MINIMUM_BLOCKS
-            && options.transferMicrosPerBlock() < prefillMicrosPerBlock
+            && isCheaperThan(prefillMicrosPerBlock)
             && openImports() < MAXIMUM_IMPORTS;
     if (!isWorthIt || gate.isAwaited(chain, nowMicros)) {
       return;
     }
-    BlockKey next = chain.get(matched);
-    if (stored.contains(next) || (!isHome && !absentUntil.containsKey(next))) {
+    if (isLikelyStored(offer, chain.get(matched), missing)) {
       List<BlockKey> wanted = List.copyOf(chain.subList(matched, chain.size()));
-      long token = start(identity, wanted, true, nowMicros);
-      gate.begin(token, chain, missing * options.transferMicrosPerBlock(), nowMicros);
+      long token = start(offer.identity(), wanted, true, nowMicros);
+      gate.begin(token, chain, (long) (missing * microsPerBlock), nowMicros);
     }
   }
 
+  /** Forgets a slow transfer little by little, so that it is tried again some time. */
+  private boolean isCheaperThan(long prefillMicrosPerBlock) {
+    if (microsPerBlock < prefillMicrosPerBlock) {
+      return true;
+    }
+    microsPerBlock += WEIGHT_OF_SETTING * (expectedMicrosPerBlock - microsPerBlock);
+    return false;
+  }
+
+  private boolean isLikelyStored(PeerMessage.Offer offer, BlockKey next, int missing) {
+    if (stored.contains(next)) {
+      return true;
+    }
+    boolean mayBe =
+        offer.rank() > 0 || offer.priority() == PriorityClass.PRIORITY || missing >= MANY_BLOCKS;
+    return mayBe && !absentUntil.containsKey(next);
+  }
+
   /** Exports the blocks of a prefix that the store is not known to have. */
   void considerExport(Prefix prefix, long nowMicros) {
-    List<BlockKey> keys = new ArrayList<>(prefix.keys());
-    keys.removeIf(stored::contains);
     boolean isExporting = open.values().stream().anyMatch(transfer -> !transfer.isImport());
-    if (keys.isEmpty() || isExporting || gate.matchedBlocks(prefix.keys()) < prefix.depth()) {
+    if (isExporting
+        || stored.contains(prefix.key())
+        || gate.matchedBlocks(prefix.keys()) < prefix.depth()) {
       return;
     }
+    List<BlockKey> keys = new ArrayList<>(prefix.keys());
+    keys.removeIf(stored::contains);
     start(prefix.identity(), keys, false, nowMicros);
   }
 
@@ -122,6 +145,7 @@
     gate.end(token);
     gate.noteAvailable(keys, nowMicros);
     counters.add("transfers.imported-blocks", keys.size());
+    learnTime(transfer, keys.size(), nowMicros);
     BlockKey first = transfer.keys().get(0);
     if (!keys.contains(first)) {
       stored.remove(first);
@@ -130,10 +154,17 @@
     }
   }
 
+  private void learnTime(Transfer transfer, int blocks, long nowMicros) {
+    if (blocks > 0) {
+      double latest = (double) (nowMicros - transfer.startedMicros()) / blocks;
+      microsPerBlock += WEIGHT_OF_LATEST * (latest - microsPerBlock);
+    }
+  }
+
   private long start(
       CacheIdentity identity, List<BlockKey> keys, boolean isImport, long nowMicros) {
     long token = outbox.nextToken();
-    open.put(token, new Transfer(keys, isImport, nowMicros + TIMEOUT_MICROS));
+    open.put(token, new Transfer(keys, isImport, nowMicros, nowMicros + TIMEOUT_MICROS));
     outbox.command(new SidecarCommand.TransferBlocks(token, identity, keys, isImport));
     return token;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/DemandSketch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/DemandSketch.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.hotprefix;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,9 @@
   private static final double MICROS_PER_SECOND = 1_000_000;
 
   private static final class Entry {
-    private final Prefix prefix;
+    private Prefix prefix;
+    private int requests;
+    private boolean isPriority;
     private double count;
     private double error;
     private long updatedMicros;
@@ -53,14 +56,28 @@
     this.maximumPrefixes = maximumPrefixes;
   }
 
-  /** Counts one request for a prefix. */
-  void record(Prefix prefix, long nowMicros) {
+  /**
+   * Counts one request for a prefix.
+   *
+   * @param prefix the prefix
+   * @param isPriority whether the request was priority work
+   * @param nowMicros time of the request
+   */
+  void record(Prefix prefix, boolean isPriority, long nowMicros) {
     Entry entry = entries.get(prefix.key());
     if (entry == null) {
       entry = track(prefix, nowMicros);
     }
     entry.decayTo(nowMicros);
     entry.count++;
+    entry.requests++;
+    entry.isPriority |= isPriority;
+    entry.prefix = prefix;
+  }
+
+  /** Returns the prefix with the given key as it was asked for last, if it is tracked. */
+  Optional<Prefix> find(BlockKey key) {
+    return Optional.ofNullable(entries.get(key)).map(entry -> entry.prefix);
   }
 
   /** Returns the requests a second for a prefix, at least; 0 where it is not tracked. */
@@ -82,16 +99,16 @@
     }
   }
 
-  /** Returns the prefixes wanted at least at a rate. */
-  List<Prefix> wantedAtLeast(double ratePerSecond, long nowMicros) {
-    List<Prefix> wanted = new ArrayList<>();
+  /** Returns the prefixes that were asked for again, or by priority work, deepest first. */
+  List<Prefix> worthKeeping() {
+    List<Prefix> kept = new ArrayList<>();
     for (Entry entry : entries.values()) {
-      entry.decayTo(nowMicros);
-      if (entry.ratePerSecond() >= ratePerSecond) {
-        wanted.add(entry.prefix);
+      if (entry.requests > 1 || entry.isPriority) {
+        kept.add(entry.prefix);
       }
     }
-    return wanted;
+    kept.sort(Comparator.comparingInt(Prefix::depth).reversed());
+    return kept;
   }
 
   /** Returns the number of prefixes tracked. */
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -1,5 +1,6 @@
 package org.shallothook.coordination.hotprefix;
 
+import java.util.List;
 import org.shallothook.coordination.admission.PrefixSpread;
 import org.shallothook.coordination.engine.CacheFollower;
 import org.shallothook.coordination.message.PeerMessage;
@@ -8,6 +9,7 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.configuration.PriorityClass;
 
 /**
  * Follows the demand for prefixes at this engine, and acts on those that are hot.
@@ -19,7 +21,6 @@
  */
 public final class HotPrefixes {
   private static final int MAXIMUM_PREFIXES = 256;
-  private static final double EXPORT_RATE_PER_SECOND = 1.5;
   private static final long REVIEW_INTERVAL_MICROS = 500_000;
   private static final double MICROS_PER_SECOND = 1_000_000;
 
@@ -50,24 +51,22 @@
 
   /** Returns the spread of the offer's deepest hot prefix. */
   public PrefixSpread spread(PeerMessage.Offer offer) {
-    PrefixSpread deepest = PrefixSpread.UNSPECIFIED;
     if (offer.rank() > 0) {
-      return deepest;
+      return PrefixSpread.UNSPECIFIED;
     }
-    for (Prefix prefix : Prefix.of(offer.identity(), offer.keys())) {
-      int ranks = spreads.ranks(prefix.key());
+    for (int depth = offer.keys().size(); depth > 0; depth--) {
+      int ranks = spreads.ranks(offer.keys().get(depth - 1));
       if (ranks > 1) {
-        deepest = new PrefixSpread(ranks, prefix.depth());
+        return new PrefixSpread(ranks, depth);
       }
     }
-    return deepest;
+    return PrefixSpread.UNSPECIFIED;
   }
 
   /** Fetches what an accepted offer misses, where that is worth it. */
   public void onAccepted(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
     if (hasStore) {
-      transfers.considerImport(
-          offer.identity(), offer.keys(), offer.rank() == 0, prefillMicrosPerBlock, nowMicros);
+      transfers.considerImport(offer, prefillMicrosPerBlock, nowMicros);
     }
   }
 
@@ -82,8 +81,9 @@
   public void onSubmitted(
       PeerMessage.Offer offer, int maximumRunning, long streamMicros, long nowMicros) {
     engineSecondsPerRequest = streamMicros / MICROS_PER_SECOND / Math.max(1, maximumRunning);
-    for (Prefix prefix : Prefix.of(offer.identity(), offer.keys())) {
-      demand.record(prefix, nowMicros);
+    boolean isPriority = offer.priority() == PriorityClass.PRIORITY;
+    for (Prefix prefix : prefixesOf(offer)) {
+      demand.record(prefix, isPriority, nowMicros);
       if (offer.rank() == 0) {
         raise(prefix.key(), nowMicros);
       }
@@ -111,10 +111,20 @@
     nextReviewMicros = nowMicros + REVIEW_INTERVAL_MICROS;
     spreads.spreadKeys().forEach(key -> lower(key, nowMicros));
     if (hasStore) {
+      demand.worthKeeping().forEach(prefix -> transfers.considerExport(prefix, nowMicros));
+    }
+  }
+
+  private List<Prefix> prefixesOf(PeerMessage.Offer offer) {
+    List<Prefix> prefixes = Prefix.of(offer.identity(), offer.keys());
+    if (!prefixes.isEmpty()) {
+      Prefix deepest = prefixes.get(prefixes.size() - 1);
       demand
-          .wantedAtLeast(EXPORT_RATE_PER_SECOND, nowMicros)
-          .forEach(prefix -> transfers.considerExport(prefix, nowMicros));
+          .find(deepest.key())
+          .flatMap(known -> known.sharedBeyond(offer.keys()))
+          .ifPresent(prefixes::add);
     }
+    return prefixes;
   }
 
   /** Raises a spread where its share is high, and expects the demand here to halve. */
--- a/coordination/src/test/java/org/shallothook/coordination/hotprefix/HotPrefixesTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/hotprefix/HotPrefixesTest.java
@@ -200,6 +200,36 @@
     assertThat(transfers.get(exports).isImport()).isTrue();
   }
 
+  @Test
+  void prefixOfPriorityWorkIsExportedAfterOneRequest() {
+    SidecarHarness sidecar = withStore();
+    sidecar.send(offer("rare").keys(RULEBOOK).priority());
+    sidecar.handle(new SidecarEvent.TransferEnded(onlyTransfer(sidecar).token(), List.of()));
+    sidecar.tokens(attempt("rare"), 0, 1);
+    sidecar.pass(500_000);
+
+    SidecarCommand.TransferBlocks export =
+        sidecar.commands(SidecarCommand.TransferBlocks.class).get(1);
+    assertThat(export.isImport()).isFalse();
+    assertThat(export.keys()).containsExactlyElementsIn(RULEBOOK);
+  }
+
+  @Test
+  void sharedPartIsExportedAtItsOwnDepth() {
+    SidecarHarness sidecar = withStore();
+    List<BlockKey> shared = keys("tenant", 6);
+    for (int request = 0; request < 3; request++) {
+      List<BlockKey> chain = new ArrayList<>(shared);
+      chain.addAll(keys("own-" + request, 1));
+      sidecar.send(offer("one-" + request).keys(chain));
+      sidecar.tokens(attempt("one-" + request), 0, 1);
+      sidecar.end(attempt("one-" + request), 1);
+    }
+    sidecar.pass(500_000);
+
+    assertThat(onlyTransfer(sidecar).keys()).containsExactlyElementsIn(shared);
+  }
+
   private static void exportRest(SidecarHarness sidecar) {
     for (int review = 0; review < 4; review++) {
       load(sidecar, "more-" + review, RULEBOOK, 10, 500_000);
