Test faults of whole processes: stops, kills, freezes and a log outage

Change: six tests that start routers, sidecars and stand-ins as processes of their own and wait for states: SIGTERM of router and sidecar during streams, SIGKILL of an engine mid-stream, a frozen sidecar, a router's restart in an outage of the log, bookings around a frozen sidecar.

--- /dev/null
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
@@ -0,0 +1,257 @@
+package org.shallothook.benchmarks.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A small deployment on loopback, every process on its own: two routers, two engines and two
+ * booking services with their sidecars, and the platform.
+ *
+ * <p>Invariant: ends every process that it has started. Not thread-safe.
+ */
+final class Fleet implements AutoCloseable {
+  static final String KEY = "key-of-the-team";
+  static final List<String> ROUTERS = List.of("router-1", "router-2");
+  static final List<String> ENGINES = List.of("engine-1", "engine-2");
+  static final List<String> SERVICES = List.of("rota-1", "rota-2");
+
+  private static final String SIDECAR = "org.shallothook.sidecar.SidecarMain";
+  private static final String ROUTER = "org.shallothook.router.RouterMain";
+  private static final String STANDINS = "org.shallothook.standins.StandinsMain";
+
+  private final Path folder;
+  private final Map<String, Integer> ports = new HashMap<>();
+  private final Map<String, Process> processes = new LinkedHashMap<>();
+
+  Fleet(Path folder) throws Exception {
+    this.folder = folder;
+    Files.writeString(folder.resolve("standins.ini"), standins());
+    Files.writeString(folder.resolve("team.ini"), template());
+    start("platform", STANDINS, "--settings", "standins.ini", "--only", "log,instances");
+    for (String upstream : upstreams()) {
+      startStandin(upstream);
+      startSidecar(upstream);
+    }
+    for (String router : ROUTERS) {
+      startRouter(router);
+    }
+    for (String name : concat(ROUTERS, upstreams())) {
+      waitUntilServing(name);
+    }
+    publish();
+    for (String router : ROUTERS) {
+      waitUntilAnswering(router);
+    }
+  }
+
+  int port(String use) {
+    return ports.computeIfAbsent(use, name -> freePort());
+  }
+
+  int callers(String router) {
+    return port(router + "-callers");
+  }
+
+  int admin(String name) {
+    return port(name + "-admin");
+  }
+
+  Process process(String name) {
+    return processes.get(name);
+  }
+
+  void startRouter(String name) throws IOException {
+    Files.writeString(
+        folder.resolve(name + ".ini"),
+        common(name) + "callers = " + address(name + "-callers") + "\n");
+    start(name, ROUTER, "serve", "--settings", name + ".ini");
+  }
+
+  void startSidecar(String name) throws IOException {
+    String role =
+        ENGINES.contains(name) ? "role = model-engine\n" : "role = service\nservice = rota\n";
+    String upstream = "[upstream]\n" + role + "address = " + address(name + "-upstream") + "\n";
+    Files.writeString(folder.resolve(name + ".ini"), upstream + common(name));
+    start(name, SIDECAR, "serve", "--settings", name + ".ini");
+  }
+
+  void startStandin(String name) throws IOException {
+    start("standin-" + name, STANDINS, "--settings", "standins.ini", "--only", name);
+  }
+
+  void waitUntilServing(String name) {
+    Until.yes(name + " serves", () -> Http.get(admin(name), "/healthz").statusCode() == 200);
+  }
+
+  /** Waits until a router answers chats, whichever engine runs them. */
+  void waitUntilAnswering(String router) {
+    Until.yes(
+        router + " answers",
+        () -> ChatStream.open(callers(router), KEY, "ready", 1).end().equals("done"));
+  }
+
+  /** Tells a stand-in to show a fault. */
+  void fault(String standin, String fault, String parameters) throws Exception {
+    int status = Http.post(port(standin), "/control/" + fault, parameters).statusCode();
+    if (status >= 300) {
+      throw new AssertionError("Fault " + fault + " was answered with " + status);
+    }
+  }
+
+  /** Returns the engine that runs a stream now. */
+  String runningEngine() {
+    List<String> found = new ArrayList<>();
+    Until.yes(
+        "an engine runs the stream",
+        () -> {
+          found.clear();
+          for (String engine : ENGINES) {
+            if (Http.json(port(engine + "-upstream"), "/control/state").get("running").getAsInt()
+                > 0) {
+              found.add(engine);
+            }
+          }
+          return found.size() == 1;
+        });
+    return found.get(0);
+  }
+
+  void signal(String name, String signal) throws Exception {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process(name).pid())).start().waitFor();
+  }
+
+  /** Returns what a process has written. */
+  String output(String name) throws IOException {
+    return Files.readString(folder.resolve(name + ".log"));
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(Process::destroyForcibly);
+    processes.values().forEach(Fleet::await);
+  }
+
+  private static void await(Process process) {
+    try {
+      process.waitFor(20, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void publish() throws Exception {
+    start("publish", ROUTER, "publish", "--settings", "router-1.ini", "--wait", "team.ini");
+    if (process("publish").waitFor() != 0) {
+      throw new AssertionError("Publishing failed: " + output("publish"));
+    }
+  }
+
+  private void start(String name, String main, String... arguments) throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-Xmx64m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+    command.addAll(List.of("-cp", classPath(), main));
+    command.addAll(List.of(arguments));
+    File log = folder.resolve(name + ".log").toFile();
+    Process process =
+        new ProcessBuilder(command)
+            .directory(folder.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            .start();
+    processes.put(name, process);
+  }
+
+  private static String classPath() {
+    return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+  }
+
+  private String common(String name) {
+    return "[instance]\nname = "
+        + name
+        + "\nfailure-domain = a\nregion = r\n[platform]\nlog = "
+        + address("log")
+        + "\ninstances = "
+        + address("instances")
+        + "\n[listen]\npeers = "
+        + address(name + "-peers")
+        + "\nadmin = "
+        + address(name + "-admin")
+        + "\n";
+  }
+
+  private String standins() {
+    StringBuilder text = new StringBuilder();
+    text.append("[log]\ntype = log\nlisten = ").append(address("log"));
+    text.append("\n[instances]\ntype = instance-list\nlag_millis = 0\nlisten = ")
+        .append(address("instances"));
+    for (String engine : ENGINES) {
+      text.append("\n[").append(engine).append("]\ntype = model-engine\nmodels = m@1\nlisten = ");
+      text.append(address(engine + "-upstream"));
+    }
+    for (String service : SERVICES) {
+      text.append("\n[").append(service).append("]\ntype = service\nlisten = ");
+      text.append(address(service + "-upstream"));
+    }
+    ROUTERS.forEach(name -> text.append(instance(name, "router", "")));
+    ENGINES.forEach(name -> text.append(instance(name, "model-engine", "")));
+    SERVICES.forEach(name -> text.append(instance(name, "service", "rota")));
+    return text.append('\n').toString();
+  }
+
+  private String instance(String name, String role, String service) {
+    return "\n[instance:"
+        + name
+        + "]\nrole = "
+        + role
+        + "\naddress = "
+        + address(name + "-peers")
+        + "\nfailure_domain = a\nregion = r\nservice = "
+        + service;
+  }
+
+  private static String template() throws Exception {
+    byte[] digest =
+        MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(StandardCharsets.UTF_8));
+    return "[team]\nname = team\nkey-sha256 = "
+        + HexFormat.of().formatHex(digest)
+        + "\nmodel = m\nversion = 1\npriority = ordinary\n[limits]\nmaximum-output-tokens = 2000\n"
+        + "[rulebook]\ntext = Rules of the parish.\n[service rota]\n"
+        + "repeatable-paths = availability\nchecks-fencing = false\n";
+  }
+
+  private String address(String use) {
+    return "127.0.0.1:" + port(use);
+  }
+
+  private static int freePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new IllegalStateException("No port is free", e);
+    }
+  }
+
+  private static List<String> upstreams() {
+    return concat(ENGINES, SERVICES);
+  }
+
+  private static List<String> concat(List<String> first, List<String> second) {
+    List<String> all = new ArrayList<>(first);
+    all.addAll(second);
+    return all;
+  }
+}
