--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -68,7 +68,9 @@
     this.options = Objects.requireNonNull(options, "options");
     SplittableRandom random = new SplittableRandom(options.seed());
     outbox = new RouterOutbox(commands);
-    configuration = new ConfigurationReplica(outbox, ConfigurationOptions.ofRouter(options.name()));
+    configuration =
+        new ConfigurationReplica(
+            outbox, ConfigurationOptions.ofRouter(options.name(), options.logRetentionMicros()));
     outbox.setConfigurationOffset(configuration::offset);
     directory = new UpstreamDirectory(options.region(), UNREACHABLE_MICROS);
     fleet = new FleetWatch(options, outbox, directory, random.split());
@@ -210,7 +212,7 @@
     } else if (event instanceof RouterEvent.Tick) {
       onTick(nowMicros);
     } else if (event instanceof RouterEvent.CallerConsumed consumed) {
-      chats.onConsumed(consumed);
+      chats.streams().onConsumed(consumed);
     } else if (event instanceof RouterEvent.CallerGone gone) {
       onCallerGone(gone.request(), nowMicros);
     } else if (event instanceof RouterEvent.PeerUnreachable unreachable) {
@@ -248,11 +250,11 @@
     directory.onHeard(envelope.sender(), nowMicros);
     PeerMessage message = envelope.message();
     if (message instanceof PeerMessage.Tokens tokens) {
-      chats.onTokens(tokens, nowMicros);
+      chats.streams().onTokens(tokens, nowMicros);
     } else if (message instanceof PeerMessage.OfferReply reply) {
       chats.onReply(reply, nowMicros);
     } else if (message instanceof PeerMessage.Ended ended) {
-      chats.onEnded(ended, nowMicros);
+      chats.streams().onEnded(ended, nowMicros);
     } else if (message instanceof PeerMessage.Failed failed) {
       onFailed(failed, nowMicros);
     } else if (message instanceof PeerMessage.CallAnswer answer) {
