--- a/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -27,6 +27,7 @@
   private boolean isLeavingBySidecar;
   private long queueDelayMicros;
   private long unreachableUntilMicros;
+  private long silentUntilMicros;
   private long ejectedUntilMicros;
   private int outstanding;
   private int unansweredOffers;
@@ -80,7 +81,15 @@
 
   /** Returns whether any signal says that the upstream takes no new work. */
   public boolean isLeaving() {
-    return !isListed || instance.isLeaving() || isLeavingBySidecar;
+    return isGone() || instance.isLeaving() || isLeavingBySidecar;
+  }
+
+  /**
+   * Returns whether neither the list nor a connected sidecar knows of the upstream. A gap in the
+   * list alone does not end it, because the list can be wrong where the sidecar cannot.
+   */
+  public boolean isGone() {
+    return !isListed && !hasStatus;
   }
 
   /** Returns when an ejection ends, in microseconds since the epoch; 0 if there was none. */
@@ -98,6 +107,11 @@
     return isDown || nowMicros < unreachableUntilMicros;
   }
 
+  /** Returns whether the upstream has left offers unanswered and was not heard of since. */
+  public boolean isSilent(long nowMicros) {
+    return nowMicros < silentUntilMicros;
+  }
+
   /** Returns whether new work may be sent. */
   public boolean isUsable(long nowMicros) {
     return !isLeaving() && !isUnreachable(nowMicros);
@@ -155,6 +169,12 @@
 
   void onHeard(long nowMicros) {
     heardAtMicros = nowMicros;
+    silentUntilMicros = 0;
+    unansweredOffers = 0;
+  }
+
+  void onSilent(long untilMicros) {
+    silentUntilMicros = untilMicros;
   }
 
   void onListed(Instance newInstance) {
