Run every fault at every step on the real decisions

Ruled out: a cluster simulator; the matrix uses the virtual fleet of the measures with its small fakes. Two findings on the way were faults of the checks: offsets announced by processes are those of the latest change with an effect, so the check folds the log anew and compares with that; the step "apply" also happens by records from a peer. Change: 16 faults x 14 steps once and twice, and every pair of faults, as parameterised tests; bin/matrix prints the table and writes docs/FAULTS.md.

--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/MatrixTable.java
@@ -0,0 +1,115 @@
+package org.shallothook.benchmarks.matrix;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Outcome of the whole matrix, faults down and steps across.
+ *
+ * <p>Immutable once run. Thread-safe.
+ */
+final class MatrixTable {
+  private final Map<Fault, Map<Step, Boolean>> singles = new EnumMap<>(Fault.class);
+  private final Map<String, List<String>> red = new LinkedHashMap<>();
+  private int repeated;
+  private int repeatedHeld;
+  private int pairs;
+  private int pairsHeld;
+
+  private MatrixTable() {}
+
+  /** Runs every cell. */
+  static MatrixTable run() {
+    MatrixTable table = new MatrixTable();
+    for (Strike single : FaultMatrix.singles()) {
+      boolean isHeld = table.holds(List.of(single));
+      table.singles.computeIfAbsent(single.fault(), fault -> new EnumMap<>(Step.class));
+      table.singles.get(single.fault()).put(single.step(), isHeld);
+      table.repeated++;
+      table.repeatedHeld += table.holds(FaultMatrix.repeated(single)) ? 1 : 0;
+    }
+    for (List<Strike> pair : FaultMatrix.pairs()) {
+      table.pairs++;
+      table.pairsHeld += table.holds(pair) ? 1 : 0;
+    }
+    return table;
+  }
+
+  /** Returns the red cells by their names. */
+  List<String> redCells() {
+    return List.copyOf(red.keySet());
+  }
+
+  /** Returns the page. */
+  String markdown() {
+    StringBuilder page = new StringBuilder(heading());
+    page.append("| fault |");
+    for (Step step : Step.values()) {
+      page.append(' ').append(step.title()).append(" |");
+    }
+    page.append("\n|---|").append("---|".repeat(Step.values().length)).append('\n');
+    List<String> reasons = new ArrayList<>();
+    for (Fault fault : Fault.values()) {
+      page.append("| ").append(fault.title()).append(" |");
+      for (Step step : Step.values()) {
+        page.append(' ').append(cell(fault, step, reasons)).append(" |");
+      }
+      page.append('\n');
+    }
+    page.append('\n');
+    reasons.forEach(reason -> page.append("- not applicable: ").append(reason).append('\n'));
+    page.append("- each fault twice in a row: ")
+        .append(repeatedHeld + " of " + repeated + " held\n");
+    page.append("- every pair of faults: ").append(pairsHeld + " of " + pairs + " held\n");
+    appendRed(page);
+    return page.toString();
+  }
+
+  private static String heading() {
+    return """
+        # Fault matrix
+
+        Written by `bin/matrix`. Every cell runs the real decisions of 3 routers, 6 engine sidecars
+        and 3 service sidecars in virtual time, injects the fault when the step first occurs, and
+        checks: every caller gets a final answer; streams are whole and in order; "not run" is true;
+        a non-idempotent call runs at most once and repeats get the same answer; configuration never
+        goes back and an accepted change is in force everywhere at the end; a leaving upstream gets
+        no new work after 3 s; requests after the fault are served.
+
+        """;
+  }
+
+  private String cell(Fault fault, Step step, List<String> reasons) {
+    Optional<String> reason = fault.notApplicable(step);
+    if (reason.isPresent()) {
+      reasons.add(fault.title() + " at " + step.title() + ": " + reason.get());
+      return "n/a";
+    }
+    return singles.get(fault).get(step) ? "held" : "**red**";
+  }
+
+  private void appendRed(StringBuilder page) {
+    if (red.isEmpty()) {
+      page.append("\nNo cell is red.\n");
+      return;
+    }
+    page.append("\n## Red cells\n\n");
+    red.forEach(
+        (name, violations) ->
+            page.append("- ").append(name).append(": ").append(violations.get(0)).append('\n'));
+  }
+
+  private boolean holds(List<Strike> strikes) {
+    SceneResult result = new Scene(strikes, FaultMatrix.SEED).run();
+    if (!result.isHeld()) {
+      List<String> found = new ArrayList<>(result.violations());
+      result.pending().forEach(strike -> found.add("did not strike: " + strike));
+      red.put(strikes.toString(), found);
+    }
+    return result.isHeld();
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/Occurrence.java
@@ -0,0 +1,12 @@
+package org.shallothook.benchmarks.matrix;
+
+/**
+ * An event or command of one process, as it happens.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param process name of the router or sidecar
+ * @param isRouter whether the process is a router
+ * @param subject the event or command
+ */
+record Occurrence(String process, boolean isRouter, Object subject) {}
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/Scene.java
@@ -0,0 +1,337 @@
+package org.shallothook.benchmarks.matrix;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.shallothook.benchmarks.virtual.CallerRecord;
+import org.shallothook.benchmarks.virtual.ChatCall;
+import org.shallothook.benchmarks.virtual.ChatRecord;
+import org.shallothook.benchmarks.virtual.FleetInvariants;
+import org.shallothook.benchmarks.virtual.RouterProcess;
+import org.shallothook.benchmarks.virtual.ServiceCall;
+import org.shallothook.benchmarks.virtual.SidecarProcess;
+import org.shallothook.benchmarks.virtual.TeamSpec;
+import org.shallothook.benchmarks.virtual.VirtualFleet;
+import org.shallothook.benchmarks.virtual.VirtualProcess;
+import org.shallothook.coordination.configuration.ChangeRequest;
+import org.shallothook.coordination.configuration.PublicationResult;
+import org.shallothook.coordination.router.ChatMessage;
+import org.shallothook.coordination.router.RouterEvent;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.standins.engine.EngineRequest;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.ConfigurationState;
+import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.log.LogPage;
+import org.shallothook.state.log.LogRecord;
+
+/**
+ * One run of a small fleet through every step, with faults on the way and all promises checked.
+ *
+ * <pre>{@code
+ * SceneResult result = new Scene(List.of(new Strike(fault, step, 1)), seed).run();
+ * }</pre>
+ *
+ * <p>Invariant: the same strikes and seed give the same result. Not thread-safe; used once.
+ */
+final class Scene {
+  private static final long SECOND_MICROS = 1_000_000;
+  private static final long WARM_UP_MICROS = 3 * SECOND_MICROS;
+  private static final long PUBLISH_MICROS = WARM_UP_MICROS + 800_000;
+  private static final long DRAIN_SIDECAR_MICROS = WARM_UP_MICROS + 2_500_000;
+  private static final long DRAIN_ROUTER_MICROS = WARM_UP_MICROS + 2_800_000;
+  private static final long RECOVERED_MICROS = 30 * SECOND_MICROS;
+  private static final long CONVERGED_MICROS = 50 * SECOND_MICROS;
+  private static final long END_MICROS = 52 * SECOND_MICROS;
+  private static final int CHATS = 30;
+  private static final long CHAT_INTERVAL_MICROS = 90_000;
+  private static final int BOOKINGS = 10;
+  private static final long BOOKING_INTERVAL_MICROS = 250_000;
+  private static final long REPEAT_MICROS = 350_000;
+  private static final int LATE_CHATS = 6;
+  private static final String DRAINED_SIDECAR = "engine-3";
+  private static final String DRAINED_ROUTER = "router-2";
+  private static final String SERVICE = "booking";
+  private static final String CONFIGURATION = "configuration";
+  private static final String TEXT = "one two three four five six seven eight nine ten ";
+
+  private static final TeamSpec ORDINARY = team("guild", PriorityClass.ORDINARY);
+  private static final TeamSpec URGENT = team("desk", PriorityClass.PRIORITY);
+
+  private final VirtualFleet fleet;
+  private final ScenePromises promises;
+  private final StrikeWatch watch;
+  private final List<String> violations = new ArrayList<>();
+  private final List<ChatRecord> lateChats = new ArrayList<>();
+  private Optional<PublicationResult> publication = Optional.empty();
+  private boolean hasPublished;
+  private boolean isWatching;
+  private boolean hasLostDomain;
+  private int repeats;
+  private long repeatDelayMicros;
+  private int changes;
+
+  Scene(List<Strike> strikes, long seed) {
+    boolean checksFencing =
+        strikes.stream().allMatch(strike -> strike.fault().upstreamsCheckFencing());
+    fleet =
+        VirtualFleet.builder()
+            .seed(seed)
+            .engines(6)
+            .services(SERVICE, 3, checksFencing)
+            .team(ORDINARY)
+            .team(URGENT)
+            .build();
+    promises = new ScenePromises(fleet);
+    watch = new StrikeWatch(this, strikes, promises);
+    fleet.observe(watch);
+  }
+
+  /** Runs the scene and checks every promise. */
+  SceneResult run() {
+    long start = fleet.nowMicros();
+    schedule(start);
+    fleet.runUntil(start + END_MICROS);
+    checkCallers();
+    violations.addAll(FleetInvariants.violations(fleet, Set.of(TeamSpec.REPEATABLE_PATH)));
+    violations.addAll(promises.violations());
+    checkPublication();
+    return new SceneResult(List.copyOf(violations), watch.pending());
+  }
+
+  VirtualFleet fleet() {
+    return fleet;
+  }
+
+  boolean isWatching() {
+    return isWatching;
+  }
+
+  long inMicros(long micros) {
+    return fleet.nowMicros() + micros;
+  }
+
+  VirtualProcess processOf(Occurrence at) {
+    return at.isRouter() ? fleet.router(at.process()) : fleet.sidecar(at.process());
+  }
+
+  RouterProcess routerOf(Occurrence at) {
+    return fleet.router(at.isRouter() ? at.process() : "router-1");
+  }
+
+  SidecarProcess sidecarOf(Occurrence at) {
+    return fleet.sidecar(at.isRouter() ? "engine-1" : at.process());
+  }
+
+  String engineOf(Occurrence at) {
+    return fleet.engines().containsKey(at.process()) ? at.process() : "engine-1";
+  }
+
+  void crashEngine(String engine) {
+    fleet.crashUpstream(engine);
+  }
+
+  void loseDomain() {
+    if (!hasLostDomain) {
+      hasLostDomain = true;
+      fleet.loseDomain(fleet.sidecar("engine-1").failureDomain());
+    }
+  }
+
+  void sendPoison() {
+    fleet.chat(chatOf(ORDINARY, EngineRequest.POISON_MARKER));
+  }
+
+  void publishConflict() {
+    anyRouter()
+        .ifPresent(
+            router -> publish(router, ORDINARY.withModelVersion(version("v3")), result -> {}));
+  }
+
+  void leaveOldestCaller() {
+    fleet.callers().chats().stream()
+        .filter(chat -> chat.state() == CallerRecord.State.OPEN)
+        .findFirst()
+        .ifPresent(chat -> fleet.callers().leave(fleet.router(chat.router()), chat));
+  }
+
+  void repeatEventsLate(int count, long delayMicros) {
+    repeats = count;
+    repeatDelayMicros = delayMicros;
+  }
+
+  void noteRouterEvent(String router, RouterEvent event) {
+    boolean isRepeatable =
+        event instanceof RouterEvent.PeerMessageReceived || event instanceof RouterEvent.LogRead;
+    if (repeats > 0 && isRepeatable) {
+      repeats--;
+      fleet.repeat(fleet.router(router), event, repeatDelayMicros);
+    }
+  }
+
+  void noteSidecarEvent(String sidecar, SidecarEvent event) {
+    boolean isRepeatable =
+        event instanceof SidecarEvent.PeerMessageReceived
+            || event instanceof SidecarEvent.EngineTokens
+            || event instanceof SidecarEvent.EngineEnded
+            || event instanceof SidecarEvent.LogRead;
+    if (repeats > 0 && isRepeatable) {
+      repeats--;
+      fleet.repeat(fleet.sidecar(sidecar), event, repeatDelayMicros);
+    }
+  }
+
+  private void schedule(long start) {
+    fleet.at(start + WARM_UP_MICROS, () -> isWatching = true);
+    for (int index = 0; index < CHATS; index++) {
+      TeamSpec team = index % 5 == 0 ? URGENT : ORDINARY;
+      String question = "question " + index + " answer-tokens:24";
+      long at = start + WARM_UP_MICROS + 10_000 + index * CHAT_INTERVAL_MICROS;
+      fleet.at(at, () -> fleet.chat(chatOf(team, question)));
+    }
+    for (int index = 0; index < BOOKINGS; index++) {
+      String key = "booking-key-" + index;
+      long at = start + WARM_UP_MICROS + 20_000 + index * BOOKING_INTERVAL_MICROS;
+      fleet.at(at, () -> fleet.call(bookingOf(key)));
+      fleet.at(at + REPEAT_MICROS, () -> fleet.call(bookingOf(key)));
+    }
+    fleet.at(start + PUBLISH_MICROS, this::publishNewVersion);
+    fleet.at(start + DRAIN_SIDECAR_MICROS, this::drainSidecar);
+    fleet.at(start + DRAIN_ROUTER_MICROS, () -> fleet.drain(fleet.router(DRAINED_ROUTER)));
+    for (int index = 0; index < LATE_CHATS; index++) {
+      TeamSpec team = index % 2 == 0 ? URGENT : ORDINARY;
+      String question = "late question " + index + " answer-tokens:8";
+      long at = start + RECOVERED_MICROS + index * CHAT_INTERVAL_MICROS;
+      fleet.at(at, () -> lateChats.add(fleet.chat(chatOf(team, question))));
+    }
+    fleet.at(start + CONVERGED_MICROS, this::askWhoIsInForce);
+    fleet.at(start + END_MICROS - 1, this::checkConverged);
+  }
+
+  private void publishNewVersion() {
+    anyRouter()
+        .ifPresent(
+            router -> {
+              hasPublished = true;
+              publish(
+                  router,
+                  ORDINARY.withModelVersion(version("v2")),
+                  result -> publication = Optional.of(result));
+            });
+  }
+
+  private void publish(RouterProcess router, TeamSpec team, Consumer<PublicationResult> onResult) {
+    ChangeRequest change =
+        new ChangeRequest(
+            "scene-change-" + changes++,
+            team.name(),
+            Optional.of(team.template()),
+            Optional.empty());
+    router.core().publish(change, onResult, fleet.nowMicros());
+  }
+
+  private void drainSidecar() {
+    promises.onLeaving(DRAINED_SIDECAR, fleet.nowMicros());
+    fleet.drain(fleet.sidecar(DRAINED_SIDECAR));
+  }
+
+  private Optional<RouterProcess> anyRouter() {
+    return fleet.routers().stream().filter(VirtualProcess::isUp).findFirst();
+  }
+
+  private void askWhoIsInForce() {
+    anyRouter().ifPresent(router -> router.core().configurationInForce());
+  }
+
+  private void checkConverged() {
+    long end = effectiveOffset();
+    Optional<RouterProcess> asked = anyRouter();
+    if (asked.isEmpty()) {
+      return;
+    }
+    Map<String, Long> inForce = asked.get().core().configurationInForce();
+    Set<String> live = new TreeSet<>();
+    fleet.routers().stream().filter(VirtualProcess::isUp).forEach(one -> live.add(one.name()));
+    fleet.sidecars().stream().filter(VirtualProcess::isUp).forEach(one -> live.add(one.name()));
+    for (String name : live) {
+      long offset = inForce.getOrDefault(name, -1L);
+      if (offset < end) {
+        violations.add(name + ": has " + offset + " in force, not " + end);
+      }
+    }
+  }
+
+  /** Returns the offset just above the latest accepted change in the log, by folding it anew. */
+  private long effectiveOffset() {
+    fleet.platform().log().disturbances().clear();
+    ConfigurationState state = ConfigurationState.EMPTY;
+    LogPage page =
+        fleet
+            .platform()
+            .log()
+            .read(CONFIGURATION, 0, Integer.MAX_VALUE, fleet.nowMicros())
+            .orElseThrow();
+    for (LogRecord record : page.records()) {
+      state = state.fold(record).state();
+    }
+    return state.effectiveOffset();
+  }
+
+  private void checkCallers() {
+    List<CallerRecord> records = new ArrayList<>(fleet.callers().chats());
+    records.addAll(fleet.callers().calls());
+    for (CallerRecord record : records) {
+      if (record.state() == CallerRecord.State.OPEN) {
+        violations.add(record.request() + ": never answered");
+      }
+    }
+    for (ChatRecord chat : lateChats) {
+      if (chat.state() != CallerRecord.State.COMPLETE) {
+        violations.add(chat.request() + ": not served after recovery: " + chat.refusal());
+      }
+    }
+  }
+
+  private void checkPublication() {
+    Optional<RouterProcess> router = anyRouter();
+    if (!hasPublished || publication.isEmpty() || router.isEmpty()) {
+      return;
+    }
+    boolean isAccepted = publication.get() instanceof PublicationResult.Accepted;
+    String source = router.get().core().templateSource(ORDINARY.name()).orElse("");
+    if (isAccepted && source.equals(ORDINARY.template())) {
+      violations.add("an accepted publication is not in force");
+    }
+  }
+
+  private static ChatCall chatOf(TeamSpec team, String question) {
+    return ChatCall.of(
+        team.key(),
+        team.modelVersion().model(),
+        Optional.of("register"),
+        List.of(new ChatMessage("user", question)));
+  }
+
+  private static ServiceCall bookingOf(String key) {
+    return new ServiceCall(ORDINARY.key(), SERVICE, "bookings", Optional.of(key), "{}");
+  }
+
+  private static ModelVersion version(String version) {
+    return ModelVersion.of("linen", version);
+  }
+
+  private static TeamSpec team(String name, PriorityClass priority) {
+    return new TeamSpec(
+        name,
+        version("v1"),
+        priority,
+        TEXT.repeat(200),
+        Map.of("register", TEXT.repeat(100)),
+        SERVICE,
+        true);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/ScenePromises.java
@@ -0,0 +1,76 @@
+package org.shallothook.benchmarks.matrix;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.shallothook.benchmarks.virtual.VirtualFleet;
+import org.shallothook.coordination.router.RouterCommand;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+
+/**
+ * Promises that are checked while a scene runs: configuration never goes back, and a leaving
+ * upstream gets no new work.
+ *
+ * <p>Not thread-safe.
+ */
+final class ScenePromises {
+  /** Time after which a leaving upstream gets no new work, in microseconds. */
+  static final long LEAVING_MICROS = 3_000_000;
+
+  private final VirtualFleet fleet;
+  private final Map<String, Long> offsets = new HashMap<>();
+  private final Map<String, Long> leavingSinceMicros = new HashMap<>();
+  private final List<String> violations = new ArrayList<>();
+
+  ScenePromises(VirtualFleet fleet) {
+    this.fleet = fleet;
+  }
+
+  List<String> violations() {
+    return List.copyOf(violations);
+  }
+
+  /** Returns the offset that a process was last seen with; -1 where it has sent nothing. */
+  long lastOffset(String process, long incarnation) {
+    return offsets.getOrDefault(key(process, incarnation), -1L);
+  }
+
+  void onLeaving(String upstream, long nowMicros) {
+    leavingSinceMicros.putIfAbsent(upstream, nowMicros);
+  }
+
+  void onRouterCommand(String router, RouterCommand command) {
+    if (command instanceof RouterCommand.SendToPeer send) {
+      noteOffset(router, fleet.router(router).incarnation(), send.configurationOffset());
+    }
+  }
+
+  void onSidecarCommand(String sidecar, SidecarCommand command, long nowMicros) {
+    if (command instanceof SidecarCommand.SendToPeer send) {
+      noteOffset(sidecar, fleet.sidecar(sidecar).incarnation(), send.configurationOffset());
+    } else if (command instanceof SidecarCommand.StartAnswer start && start.resumePosition() == 0) {
+      checkLeaving(sidecar, start.attempt().toString(), nowMicros);
+    } else if (command instanceof SidecarCommand.CallService call) {
+      checkLeaving(sidecar, call.attempt().toString(), nowMicros);
+    }
+  }
+
+  private void checkLeaving(String sidecar, String work, long nowMicros) {
+    Long since = leavingSinceMicros.get(sidecar);
+    if (since != null && nowMicros > since + LEAVING_MICROS) {
+      violations.add(work + ": started at leaving upstream " + sidecar);
+    }
+  }
+
+  private void noteOffset(String process, long incarnation, long offset) {
+    Long earlier = offsets.put(key(process, incarnation), offset);
+    if (earlier != null && earlier > offset) {
+      violations.add(process + ": configuration went back from " + earlier + " to " + offset);
+    }
+  }
+
+  private static String key(String process, long incarnation) {
+    return process + "#" + incarnation;
+  }
+}
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/VirtualFleet.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/VirtualFleet.java
@@ -273,6 +273,16 @@
         });
   }
 
+  /** Hands an event to a router once more, after a while. */
+  public void repeat(RouterProcess router, RouterEvent event, long delayMicros) {
+    router.after(delayMicros, () -> router.handle(event));
+  }
+
+  /** Hands an event to a sidecar once more, after a while. */
+  public void repeat(SidecarProcess sidecar, SidecarEvent event, long delayMicros) {
+    sidecar.after(delayMicros, () -> sidecar.handle(event));
+  }
+
   /** Asks a router to drain. */
   public void drain(RouterProcess router) {
     router.after(0, () -> router.handle(new RouterEvent.DrainRequested()));
