--- a/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
@@ -1,9 +1,5 @@
 package org.shallothook.coordination.booking;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +10,6 @@
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.coordination.sidecar.SidecarCommand;
-import org.shallothook.state.booking.KeyAge;
 import org.shallothook.state.booking.ServiceOutcome;
 import org.shallothook.state.log.LogPage;
 import org.shallothook.state.membership.InstanceList;
@@ -41,14 +36,12 @@
   /** Questions without an answer after which the next sidecar in rank is asked. */
   private static final int QUESTIONS_PER_KEEPER = 2;
 
-  private static final int LONGEST_KEY = 256;
-
   private final String self;
   private final long incarnation;
   private final Outbox outbox;
   private final Consumer<SidecarCommand.CallService> dispatcher;
-  private final BookingOptions options;
   private final Counters counters;
+  private final CallScreening screening;
   private final ClaimPartitions partitions;
   private final ClaimKeeping keeping;
   private final ClaimEnds ends = new ClaimEnds(this::sendEnd);
@@ -79,8 +72,8 @@
     this.incarnation = incarnation;
     this.outbox = outbox;
     this.dispatcher = dispatcher;
-    this.options = options;
     this.counters = counters;
+    this.screening = new CallScreening(options);
     this.partitions = new ClaimPartitions(options.partitions(), self);
     this.keeping = new ClaimKeeping(self, outbox, options, counters, this::reply, partitions);
   }
@@ -103,13 +96,13 @@
   /** Takes a call that may not be repeated. The sidecar has checked that it may take work. */
   public void onCall(String router, PeerMessage.Call call, long now) {
     nowMicros = now;
-    Optional<RefusalReason> refusal = refusal(call);
+    Optional<RefusalReason> refusal = screening.refusal(call, now);
     if (refusal.isPresent()) {
       fail(router, call.attempt(), refusal.get(), Outcome.NOT_RUN, "The call was not dispatched.");
       return;
     }
     String scope = call.team() + '|' + call.service() + '|' + call.idempotencyKey().orElseThrow();
-    String digest = digest(call);
+    String digest = CallScreening.digest(call);
     BookedCall open = callsByScope.get(scope);
     if (open == null) {
       open(router, call, scope, digest);
@@ -223,24 +216,6 @@
     keeping.onTick(now);
   }
 
-  private Optional<RefusalReason> refusal(PeerMessage.Call call) {
-    String key = call.idempotencyKey().orElse("");
-    if (key.isBlank()) {
-      return Optional.of(RefusalReason.IDEMPOTENCY_KEY_MISSING);
-    }
-    if (key.length() > LONGEST_KEY) {
-      return Optional.of(RefusalReason.MALFORMED_REQUEST);
-    }
-    if (call.deadlineMicros() <= nowMicros) {
-      return Optional.of(RefusalReason.DEADLINE_PASSED);
-    }
-    boolean isExpired =
-        KeyAge.createdAtMicros(key)
-            .filter(made -> made < nowMicros - options.windowMicros())
-            .isPresent();
-    return isExpired ? Optional.of(RefusalReason.IDEMPOTENCY_KEY_EXPIRED) : Optional.empty();
-  }
-
   private void open(String router, PeerMessage.Call call, String scope, String digest) {
     String claim = self + '/' + incarnation + '/' + claims++;
     long giveUpMicros = Math.min(call.deadlineMicros(), nowMicros + CLAIM_PATIENCE_MICROS);
@@ -264,9 +239,7 @@
   }
 
   private PeerMessage.ClaimRequest question(BookedCall call) {
-    Optional<Long> created =
-        KeyAge.createdAtMicros(call.call.idempotencyKey().orElseThrow())
-            .filter(made -> made <= nowMicros + options.clockSkewMicros());
+    Optional<Long> created = screening.provenCreation(call.call, nowMicros);
     return new PeerMessage.ClaimRequest(
         call.scope, call.digest, call.claim, created, call.giveUpMicros);
   }
@@ -403,15 +376,4 @@
       outbox.send(peer, message);
     }
   }
-
-  private static String digest(PeerMessage.Call call) {
-    try {
-      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-      String payload = call.path() + '\n' + call.contentType() + '\n' + call.body();
-      byte[] digest = sha256.digest(payload.getBytes(StandardCharsets.UTF_8));
-      return HexFormat.of().formatHex(digest, 0, 16);
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("Every Java runtime has SHA-256.", e);
-    }
-  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/order/EngineOrders.java
+++ b/coordination/src/main/java/org/shallothook/coordination/order/EngineOrders.java
@@ -32,9 +32,12 @@
   static final long SETTLE_MICROS = 30_000_000;
 
   /** Time given to a load to be read back, in microseconds. */
-  static final long LOAD_PATIENCE_MICROS = 20_000_000;
+  static final long LOAD_PATIENCE_MICROS = 10_000_000;
 
-  private static final long BACK_OFF_MICROS = 4_000_000;
+  /** Longest wait before a version that could not be loaded is tried again, in microseconds. */
+  static final long LONGEST_BACK_OFF_MICROS = 600_000_000;
+
+  private static final long FIRST_BACK_OFF_MICROS = 4_000_000;
   private static final long UNLOAD_INTERVAL_MICROS = 5_000_000;
 
   private final String self;
@@ -44,13 +47,21 @@
   private final Counters counters;
   private final SplittableRandom random;
   private final Map<ModelVersion, Long> unloadAgainMicros = new HashMap<>();
+  private final Map<ModelVersion, BackOff> backOffs = new HashMap<>();
   private Set<String> engines;
   private Optional<ModelVersion> loading = Optional.empty();
   private boolean isOrdered;
   private long orderedMicros;
-  private long waitUntilMicros;
   private long completeSinceMicros = Long.MAX_VALUE;
 
+  /**
+   * Wait after loads of a version that failed.
+   *
+   * @param micros length of the last wait, in microseconds
+   * @param untilMicros when the version may be tried again, in microseconds since the epoch
+   */
+  private record BackOff(long micros, long untilMicros) {}
+
   /**
    * Creates the orders of one engine.
    *
@@ -91,8 +102,7 @@
   public void onOrderAnswered(Optional<Boolean> accepted, long nowMicros) {
     if (accepted.isPresent() && !accepted.get()) {
       counters.increment("orders.refused");
-      isOrdered = false;
-      waitUntilMicros = nowMicros + jittered();
+      loading.ifPresent(version -> backOff(version, nowMicros));
     }
   }
 
@@ -105,14 +115,20 @@
   public void onTick(ConfigurationState configuration, Set<ModelVersion> ready, long nowMicros) {
     Set<ModelVersion> inUse = VersionAssignment.versionsInUse(configuration);
     Set<ModelVersion> wanted = VersionAssignment.of(inUse, engines, versionsPerEngine, self);
-    Optional<ModelVersion> missing =
-        wanted.stream().filter(version -> !ready.contains(version)).findFirst();
-    if (!missing.equals(loading)) {
-      startOver(missing);
+    backOffs.keySet().retainAll(wanted);
+    backOffs.keySet().removeAll(ready);
+    Optional<ModelVersion> next =
+        wanted.stream()
+            .filter(version -> !ready.contains(version) && mayTry(version, nowMicros))
+            .findFirst();
+    if (!next.equals(loading)) {
+      startOver(next);
     }
-    if (missing.isPresent()) {
+    if (next.isPresent()) {
+      load(next.get(), configuration.effectiveOffset(), nowMicros);
+    }
+    if (!ready.containsAll(wanted)) {
       completeSinceMicros = Long.MAX_VALUE;
-      load(missing.get(), configuration.effectiveOffset(), nowMicros);
     } else if (!wanted.isEmpty()) {
       completeSinceMicros = Math.min(completeSinceMicros, nowMicros);
       unload(inUse, ready, configuration.effectiveOffset(), nowMicros);
@@ -130,11 +146,7 @@
   private void load(ModelVersion version, long fencing, long nowMicros) {
     if (isOrdered && nowMicros >= orderedMicros + LOAD_PATIENCE_MICROS) {
       counters.increment("orders.not-read-back");
-      slots.release();
-      isOrdered = false;
-      waitUntilMicros = nowMicros + jittered();
-    }
-    if (nowMicros < waitUntilMicros) {
+      backOff(version, nowMicros);
       return;
     }
     slots.want();
@@ -162,7 +174,18 @@
     }
   }
 
-  private long jittered() {
-    return BACK_OFF_MICROS / 2 + random.nextLong(BACK_OFF_MICROS);
+  private boolean mayTry(ModelVersion version, long nowMicros) {
+    BackOff backOff = backOffs.get(version);
+    return backOff == null || nowMicros >= backOff.untilMicros();
+  }
+
+  /** Gives the slot to others and doubles the wait for the version, with jitter. */
+  private void backOff(ModelVersion version, long nowMicros) {
+    BackOff last = backOffs.get(version);
+    long micros =
+        last == null ? FIRST_BACK_OFF_MICROS : Math.min(LONGEST_BACK_OFF_MICROS, 2 * last.micros());
+    long wait = micros / 2 + random.nextLong(micros);
+    backOffs.put(version, new BackOff(micros, nowMicros + wait));
+    startOver(Optional.empty());
   }
 }
--- a/coordination/src/test/java/org/shallothook/coordination/order/EngineOrdersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/order/EngineOrdersTest.java
@@ -86,6 +86,19 @@
     fleet.engines.forEach(engine -> assertThat(engine.ready).containsExactly(OTHER, NEW));
   }
 
+  @Test
+  void aVersionThatCannotBeLoadedDoesNotKeepOthersFromLoading() {
+    RolloutFleet fleet = new RolloutFleet(1, 4, Set.of(OLD));
+    fleet.missingWeights = ModelVersion.of("a", "9");
+    fleet.configuration = configuration(1, OTHER, fleet.missingWeights);
+    run(fleet, 90 * SECOND_MICROS);
+    assertThat(fleet.allHave(OTHER)).isTrue();
+    assertThat(fleet.allHave(OLD)).isTrue();
+    int before = fleet.failedLoads;
+    run(fleet, 600 * SECOND_MICROS);
+    assertThat(fleet.failedLoads - before).isAtMost(24);
+  }
+
   @Test
   void nothingIsLoadedOrUnloadedWithoutALease() {
     RolloutFleet fleet = new RolloutFleet(1, 4, Set.of(OLD));
--- a/coordination/src/test/java/org/shallothook/coordination/order/RolloutFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/order/RolloutFleet.java
@@ -30,6 +30,8 @@
   final List<Engine> engines = new ArrayList<>();
   ConfigurationState configuration = ConfigurationState.EMPTY;
   boolean checksFencing = true;
+  ModelVersion missingWeights;
+  int failedLoads;
   int loadsNow;
   int greatestLoads;
 
@@ -112,7 +114,11 @@
           () -> {
             loadsNow--;
             loading = Optional.empty();
-            ready.add(version);
+            if (version.equals(missingWeights)) {
+              failedLoads++;
+            } else {
+              ready.add(version);
+            }
           });
     }
 
--- a/protocol/src/test/java/org/shallothook/protocol/peer/RecordArbitraries.java
+++ b/protocol/src/test/java/org/shallothook/protocol/peer/RecordArbitraries.java
@@ -42,13 +42,13 @@
           ? inner.optional().asGeneric()
           : inner.list().ofMaxSize(LONGEST_LIST).asGeneric();
     }
-    if (type == int.class) {
+    if (type == int.class || type == Integer.class) {
       return Arbitraries.integers().greaterOrEqual(0).asGeneric();
     }
-    if (type == long.class) {
+    if (type == long.class || type == Long.class) {
       return Arbitraries.longs().greaterOrEqual(0).asGeneric();
     }
-    if (type == boolean.class) {
+    if (type == boolean.class || type == Boolean.class) {
       return Arbitraries.of(true, false).asGeneric();
     }
     if (type == String.class) {
