Tell routers of prefixes being computed; check random histories

A hint now counts blocks that a run or an import is obtaining, with the expected time until they are there, so that routers do not have the same prefix computed on another engine meanwhile.

SidecarHistoriesTest plays random histories of offers, answers and faults and checks positions, single ends, truth of not-run, and that nothing stays open.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -112,8 +112,12 @@
       counters.increment("offers.repeated");
       return false;
     }
-    int matched = prefixes.matchedBlocks(offer.keys());
-    long delay = estimator.queueDelayMicros(offer.identity().team(), offer.priority());
+    PrefixForecast forecast = prefixes.forecast(offer.keys(), nowMicros);
+    int matched = forecast.blocks();
+    long delay =
+        Math.max(
+            forecast.waitMicros(),
+            estimator.queueDelayMicros(offer.identity().team(), offer.priority()));
     Hint hint = new Hint(matched, delay, spread.ranks(), spread.blocks());
     AttemptRecord record = new AttemptRecord(router, offer, matched, delay, nowMicros);
     history.add(record);
--- a/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
@@ -14,6 +14,9 @@
   /** Returns the number of leading blocks of the chain that the engine need not compute. */
   int matchedBlocks(List<BlockKey> chain);
 
+  /** Returns what a request for the chain would find, with what is being obtained for others. */
+  PrefixForecast forecast(List<BlockKey> chain, long nowMicros);
+
   /** Returns whether a request should wait because its next missing block is being obtained. */
   boolean isAwaited(List<BlockKey> chain, long nowMicros);
 
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.shallothook.coordination.admission.PrefixForecast;
 import org.shallothook.coordination.admission.PrefixSupply;
 import org.shallothook.coordination.engine.CacheFollower;
 import org.shallothook.coordination.port.Counters;
@@ -23,7 +24,7 @@
   private static final long MINIMUM_WAIT_MICROS = 20_000;
   private static final long RECENT_MICROS = 1_000_000;
 
-  private record Computation(Object owner, long waitUntilMicros) {}
+  private record Computation(Object owner, long expectedAtMicros, long waitUntilMicros) {}
 
   private final CacheFollower cache;
   private final Counters counters;
@@ -46,6 +47,23 @@
     return matched;
   }
 
+  @Override
+  public PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
+    int blocks = matchedBlocks(chain);
+    long waitMicros = 0;
+    while (blocks < chain.size()) {
+      Computation computation = computations.get(chain.get(blocks));
+      boolean isComing = computation != null && nowMicros < computation.waitUntilMicros();
+      if (!isComing && !isAvailable(chain.get(blocks))) {
+        break;
+      }
+      waitMicros =
+          isComing ? Math.max(waitMicros, computation.expectedAtMicros() - nowMicros) : waitMicros;
+      blocks++;
+    }
+    return new PrefixForecast(blocks, waitMicros);
+  }
+
   @Override
   public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
     int matched = matchedBlocks(chain);
@@ -89,7 +107,7 @@
       return;
     }
     long wait = Math.max(MINIMUM_WAIT_MICROS, Math.min(MAXIMUM_WAIT_MICROS, 2 * expectedMicros));
-    Computation computation = new Computation(owner, nowMicros + wait);
+    Computation computation = new Computation(owner, nowMicros + expectedMicros, nowMicros + wait);
     chains.put(owner, chain);
     for (BlockKey key : chain.subList(matched, chain.size())) {
       computations.merge(
--- a/coordination/src/main/java/org/shallothook/coordination/message/Hint.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/Hint.java
@@ -9,7 +9,8 @@
  *
  * <p>Immutable and thread-safe.
  *
- * @param matchedBlocks leading blocks of the offered chain that the engine has cached
+ * @param matchedBlocks leading blocks of the offered chain that the engine has cached or is
+ *     obtaining
  * @param queueDelayMicros expected time until the request would start, in microseconds
  * @param spread number of rendezvous ranks over which the deepest hot prefix may be spread
  * @param spreadBlocks number of leading blocks that the spread applies to
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarHistoriesTest.java
@@ -0,0 +1,219 @@
+package org.shallothook.coordination.sidecar;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.state.membership.InstanceRole;
+import org.shallothook.state.request.AttemptId;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RequestId;
+
+/** Random histories of offers, answers and faults, with the invariants of streams and outcomes. */
+final class SidecarHistoriesTest {
+  private static final int SLOTS = 3;
+
+  /** What may happen next. */
+  private enum Step {
+    OFFER_ORDINARY,
+    OFFER_PRIORITY,
+    OFFER_SUSPECT,
+    OFFER_WITHOUT_SUBMIT,
+    TOKEN,
+    END,
+    LATE_TOKEN,
+    BREAK_STREAM,
+    REFUSE_RUN,
+    CANCEL,
+    RESTART_ENGINE,
+    LOSE_ENGINE,
+    RESTART_ROUTER,
+    SHORT_TIME,
+    LONG_TIME,
+    LIST_SAYS_LEAVING,
+    LIST_SAYS_STAYING
+  }
+
+  /** Drives a sidecar and plays its engine. */
+  private static final class History {
+    private final SidecarHarness sidecar =
+        SidecarHarness.ready(SLOTS, SidecarHarness.options().maximumPrefills(2));
+    private final Map<AttemptId, Integer> running = new LinkedHashMap<>();
+    private final Set<AttemptId> untaken = new HashSet<>();
+    private final Set<AttemptId> givenUp = new HashSet<>();
+    private final Set<AttemptId> submitted = new HashSet<>();
+    private AttemptId latest = SidecarHarness.attempt("none");
+    private AttemptId lastRun = latest;
+    private int seen;
+    private int requests;
+    private int engines = 1;
+    private int listVersion = 1;
+    private long routerIncarnation = 1;
+
+    void take(Step step) {
+      switch (step) {
+        case OFFER_ORDINARY -> offer(next(), true);
+        case OFFER_PRIORITY -> offer(next().priority(), true);
+        case OFFER_SUSPECT -> offer(next().suspect(), true);
+        case OFFER_WITHOUT_SUBMIT -> offer(next(), false);
+        case TOKEN -> running.keySet().stream().findFirst().ifPresent(this::token);
+        case END -> running.keySet().stream().findFirst().ifPresent(this::end);
+        case LATE_TOKEN -> sidecar.tokens(lastRun, 0, 1);
+        case BREAK_STREAM -> running.keySet().stream().findFirst().ifPresent(this::breakOff);
+        case REFUSE_RUN -> running.keySet().stream().findFirst().ifPresent(this::refuse);
+        case CANCEL -> cancel();
+        case RESTART_ENGINE -> sidecar.status("e-" + ++engines);
+        case LOSE_ENGINE -> sidecar.handle(new SidecarEvent.EngineUnreachable());
+        case RESTART_ROUTER -> restartRouter();
+        case SHORT_TIME -> sidecar.pass(50_000);
+        case LONG_TIME -> sidecar.pass(1_200_000);
+        case LIST_SAYS_LEAVING -> sidecar.instances(++listVersion, true, false);
+        case LIST_SAYS_STAYING -> sidecar.instances(++listVersion, false, false);
+      }
+      playEngine();
+    }
+
+    private SidecarHarness.OfferBuilder next() {
+      latest = SidecarHarness.attempt("r" + requests++);
+      return SidecarHarness.offer(latest.request().value()).team("team-" + requests % 3);
+    }
+
+    private void offer(SidecarHarness.OfferBuilder offer, boolean submits) {
+      sidecar.receive(SidecarHarness.ROUTER, routerIncarnation, offer.build());
+      if (submits && sidecar.reply(latest).refusal().isEmpty()) {
+        submitted.add(latest);
+        sidecar.receive(
+            SidecarHarness.ROUTER, routerIncarnation, new PeerMessage.Submit(latest, "prompt", ""));
+      }
+    }
+
+    private void token(AttemptId run) {
+      int position = running.get(run);
+      running.put(run, position + 1);
+      sidecar.tokens(run, position, 1);
+    }
+
+    private void end(AttemptId run) {
+      sidecar.end(run, running.remove(run));
+    }
+
+    private void breakOff(AttemptId run) {
+      running.remove(run);
+      sidecar.fail(run, true);
+    }
+
+    private void refuse(AttemptId run) {
+      running.remove(run);
+      untaken.add(run);
+      sidecar.fail(run, false);
+      sidecar.status("e-" + engines);
+    }
+
+    private void cancel() {
+      givenUp.add(latest);
+      sidecar.receive(SidecarHarness.ROUTER, routerIncarnation, new PeerMessage.Cancel(latest));
+    }
+
+    private void restartRouter() {
+      givenUp.addAll(submitted);
+      sidecar.receive(
+          SidecarHarness.ROUTER,
+          ++routerIncarnation,
+          new PeerMessage.Hello(InstanceRole.ROUTER, "a"));
+    }
+
+    private void playEngine() {
+      for (SidecarCommand command : sidecar.commands.subList(seen, sidecar.commands.size())) {
+        if (command instanceof SidecarCommand.StartAnswer start) {
+          running.put(start.attempt(), start.resumePosition());
+          lastRun = start.attempt();
+        } else if (command instanceof SidecarCommand.CancelAnswer cancel) {
+          running.remove(cancel.attempt());
+        }
+      }
+      seen = sidecar.commands.size();
+    }
+
+    /** Lets the engine answer everything until nothing is open. */
+    void finish() {
+      sidecar.instances(++listVersion, false, false);
+      for (int round = 0; round < 400 && sidecar.core.load().running() > 0; round++) {
+        sidecar.status("e-" + engines);
+        playEngine();
+        List.copyOf(running.keySet()).forEach(this::end);
+        playEngine();
+        sidecar.pass(50_000);
+        playEngine();
+      }
+      sidecar.pass(70_000_000);
+      playEngine();
+    }
+
+    void check() {
+      assertThat(sidecar.core.load().running()).isAtMost(SLOTS);
+      Map<AttemptId, Integer> positions = new HashMap<>();
+      Set<AttemptId> over = new HashSet<>();
+      Set<RequestId> run = new HashSet<>();
+      for (SidecarCommand command : sidecar.commands) {
+        if (command instanceof SidecarCommand.StartAnswer start
+            && !untaken.contains(start.attempt())) {
+          run.add(start.attempt().request());
+        } else if (command instanceof SidecarCommand.SendToPeer send) {
+          checkMessage(send.message(), positions, over, run);
+        }
+      }
+    }
+
+    private static void checkMessage(
+        PeerMessage message,
+        Map<AttemptId, Integer> positions,
+        Set<AttemptId> over,
+        Set<RequestId> run) {
+      if (message instanceof PeerMessage.Tokens tokens) {
+        assertThat(over).doesNotContain(tokens.attempt());
+        assertThat(tokens.position()).isEqualTo(positions.getOrDefault(tokens.attempt(), 0));
+        positions.merge(tokens.attempt(), tokens.count(), Integer::sum);
+      } else if (message instanceof PeerMessage.Ended ended) {
+        assertThat(over.add(ended.attempt())).isTrue();
+        assertThat(ended.position()).isEqualTo(positions.getOrDefault(ended.attempt(), 0));
+      } else if (message instanceof PeerMessage.Failed failed) {
+        assertThat(over.add(failed.attempt())).isTrue();
+        if (failed.outcome() == Outcome.NOT_RUN) {
+          assertThat(run).doesNotContain(failed.attempt().request());
+        }
+      }
+    }
+
+    void checkAllAnswered() {
+      Set<AttemptId> answered = new HashSet<>(givenUp);
+      sidecar.sent(PeerMessage.Ended.class).forEach(ended -> answered.add(ended.attempt()));
+      sidecar.sent(PeerMessage.Failed.class).forEach(failed -> answered.add(failed.attempt()));
+      assertThat(answered).containsAtLeastElementsIn(submitted);
+      assertWithMessage("open attempts")
+          .that(sidecar.core.load().running() + sidecar.core.load().waiting())
+          .isEqualTo(0);
+    }
+  }
+
+  @Property(seed = "44", tries = 400)
+  void everyHistoryKeepsStreamsInOrderAndOutcomesTruthful(
+      @ForAll @Size(min = 10, max = 120) List<@IntRange(min = 0, max = 16) Integer> steps) {
+    History history = new History();
+    for (int step : steps) {
+      history.take(Step.values()[step]);
+    }
+    history.finish();
+    history.check();
+    history.checkAllAnswered();
+  }
+}
