Wake an idle decision thread once in an interval, and measure sockets

Cause: with the library's timeouts, which start anew with each event, keeping the interval took a wake-up every half interval. Change: a wait strategy that parks until the next event or the next tick; a command 'sockets' of the benchmarks for costs of connections and threads.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -2,6 +2,7 @@
 
 import org.shallothook.benchmarks.bench.BenchCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
+import org.shallothook.benchmarks.sockets.SocketsCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -25,6 +26,7 @@
   private static CommandLine commandLine() {
     return new CommandLine(new BenchmarksMain())
         .addSubcommand(new BenchCommand())
-        .addSubcommand(new DemoCommand());
+        .addSubcommand(new DemoCommand())
+        .addSubcommand(new SocketsCommand());
   }
 }
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
@@ -40,9 +40,17 @@
     this.folder = folder;
     Files.writeString(folder.resolve("standins.ini"), standins());
     Files.writeString(folder.resolve("team.ini"), template());
-    start("platform", STANDINS, "--settings", "standins.ini", "--only", "log,instances");
+    start(
+        "platform",
+        STANDINS,
+        "--settings",
+        "standins.ini",
+        "--only",
+        "log,instances,rota-1,rota-2");
     for (String upstream : upstreams()) {
-      startStandin(upstream);
+      if (ENGINES.contains(upstream)) {
+        startStandin(upstream);
+      }
       startSidecar(upstream);
     }
     for (String router : ROUTERS) {
--- a/transport/src/main/java/org/shallothook/transport/decision/DecisionThread.java
+++ b/transport/src/main/java/org/shallothook/transport/decision/DecisionThread.java
@@ -2,7 +2,6 @@
 
 import com.lmax.disruptor.EventHandler;
 import com.lmax.disruptor.RingBuffer;
-import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
 import com.lmax.disruptor.TimeoutException;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
@@ -44,6 +43,7 @@
   private final Supplier<E> tick;
   private final LongSupplier clockMicros;
   private final Counters counters;
+  private final TickWaitStrategy waitStrategy;
   private final Disruptor<Slot<E>> disruptor;
   private final RingBuffer<Slot<E>> ring;
   private final Queue<Waiting<E>> waiting = new ConcurrentLinkedQueue<>();
@@ -64,13 +64,14 @@
     this.tick = Objects.requireNonNull(tick, "tick");
     this.clockMicros = Objects.requireNonNull(clockMicros, "clockMicros");
     this.counters = Objects.requireNonNull(counters, "counters");
+    this.waitStrategy = new TickWaitStrategy(settings.tickIntervalMicros());
     this.disruptor =
         new Disruptor<>(
             Slot::new,
             settings.ringSize(),
             task -> new Thread(task, settings.name()),
             ProducerType.MULTI,
-            new TimeoutBlockingWaitStrategy(halfInterval(), TimeUnit.MICROSECONDS));
+            waitStrategy);
     this.ring = disruptor.getRingBuffer();
   }
 
@@ -124,10 +125,6 @@
     }
   }
 
-  private long halfInterval() {
-    return Math.max(1, settings.tickIntervalMicros() / 2);
-  }
-
   private void enqueue(E event, Runnable question) {
     if (isClosed) {
       counters.increment("decision.after-close");
@@ -192,7 +189,8 @@
     @Override
     public void onTimeout(long sequence) {
       takeWaiting();
-      tickWhenDue();
+      advanceClock();
+      tick();
     }
 
     private void takeWaiting() {
@@ -208,11 +206,16 @@
     private void tickWhenDue() {
       advanceClock();
       if (nowMicros >= nextTickMicros) {
-        nextTickMicros = nowMicros + halfInterval();
-        take(tick.get(), null);
+        tick();
       }
     }
 
+    private void tick() {
+      nextTickMicros = nowMicros + settings.tickIntervalMicros();
+      waitStrategy.ticked();
+      take(tick.get(), null);
+    }
+
     private void take(E event, Runnable question) {
       advanceClock();
       try {
