--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -3,6 +3,7 @@
 import org.shallothook.benchmarks.bench.BenchCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
 import org.shallothook.benchmarks.matrix.MatrixCommand;
+import org.shallothook.benchmarks.sockets.SocketsCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -27,6 +28,7 @@
     return new CommandLine(new BenchmarksMain())
         .addSubcommand(new BenchCommand())
         .addSubcommand(new DemoCommand())
-        .addSubcommand(new MatrixCommand());
+        .addSubcommand(new MatrixCommand())
+        .addSubcommand(new SocketsCommand());
   }
 }
