--- a/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
@@ -33,6 +33,9 @@
 
   private static final long ASK_INTERVAL_MICROS = 400_000;
 
+  /** Time after which to come back where the log did not decide, in microseconds. */
+  private static final long COME_BACK_MICROS = 2_000_000;
+
   /** Questions without an answer after which the next sidecar in rank is asked. */
   private static final int QUESTIONS_PER_KEEPER = 2;
 
@@ -345,7 +348,10 @@
   private void fail(
       String router, AttemptId attempt, RefusalReason reason, Outcome outcome, String detail) {
     counters.increment("failures." + reason.code());
-    outbox.send(router, new PeerMessage.Failed(attempt, reason, outcome, detail, 0));
+    boolean isLater =
+        reason == RefusalReason.LOG_UNAVAILABLE || reason == RefusalReason.CLAIM_UNDECIDED;
+    long retryAtMicros = isLater ? nowMicros + COME_BACK_MICROS : 0;
+    outbox.send(router, new PeerMessage.Failed(attempt, reason, outcome, detail, retryAtMicros));
   }
 
   private void giveBack(BookedCall call) {
--- a/coordination/src/test/java/org/shallothook/coordination/booking/BookingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/booking/BookingFleet.java
@@ -1,5 +1,7 @@
 package org.shallothook.coordination.booking;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -99,6 +101,8 @@
     if (message instanceof PeerMessage.CallAnswer answer) {
       add(answer.attempt(), Outcome.DONE, Optional.empty(), answer.body());
     } else if (message instanceof PeerMessage.Failed failed) {
+      boolean isLater = failed.reason() == RefusalReason.LOG_UNAVAILABLE;
+      assertThat(failed.retryAtMicros() > 0 || !isLater).isTrue();
       add(failed.attempt(), failed.outcome(), Optional.of(failed.reason()), "");
     }
   }
