--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -2,6 +2,8 @@
 
 import org.shallothook.benchmarks.bench.BenchCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
+import org.shallothook.benchmarks.matrix.MatrixCommand;
+import org.shallothook.benchmarks.sockets.SocketsCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -25,6 +27,8 @@
   private static CommandLine commandLine() {
     return new CommandLine(new BenchmarksMain())
         .addSubcommand(new BenchCommand())
-        .addSubcommand(new DemoCommand());
+        .addSubcommand(new DemoCommand())
+        .addSubcommand(new MatrixCommand())
+        .addSubcommand(new SocketsCommand());
   }
 }
