Bound the memory of bodies being received, and end malformed requests at once

Change: 16 MiB for all bodies together, refused beyond as router-overloaded and not run; a broken head is answered with 400 and its connection ended. Touched beside the transport: one line in RouterProcess for the new setting.

--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -115,6 +115,7 @@
     CallerSettings defaults = CallerSettings.DEFAULT;
     return new CallerSettings(
         settings.number(RouterSettings.BODY_LIMIT_BYTES),
+        Math.max(defaults.maximumGatheredBytes(), settings.number(RouterSettings.BODY_LIMIT_BYTES)),
         defaults.maximumPendingBytes(),
         defaults.maximumConnections(),
         defaults.requestTimeout(),
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
@@ -46,6 +46,7 @@
   private Optional<HttpRequest> head = Optional.empty();
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private long discardedBytes;
+  private int reservedBytes;
   private boolean isDiscarding;
   private boolean isEnding;
 
@@ -79,7 +80,7 @@
     if (part instanceof HttpRequest newHead) {
       startRequest(newHead);
     }
-    if (part instanceof HttpContent content) {
+    if (part instanceof HttpContent content && !isEnding) {
       if (isDiscarding) {
         discard(content);
       } else {
@@ -93,6 +94,7 @@
     context.connections().decrementAndGet();
     stopRequestTimeout();
     waiting.clear();
+    release(reservedBytes);
     current.ifPresent(this::abandon);
     current = Optional.empty();
   }
@@ -120,7 +122,7 @@
     head = Optional.of(newHead);
     startRequestTimeout();
     if (newHead.decoderResult().isFailure()) {
-      refuseAndDiscard(RefusalReason.MALFORMED_REQUEST, "The request is not valid HTTP.");
+      refuseAndEnd("The request is not valid HTTP.");
     } else if (HttpUtil.getContentLength(newHead, 0L) > context.settings().maximumBodyBytes()) {
       refuseTooLarge();
     } else if (HttpUtil.is100ContinueExpected(newHead)) {
@@ -132,10 +134,14 @@
   private void gather(HttpContent content) {
     ByteBuf bytes = content.content();
     if (content.decoderResult().isFailure()) {
-      refuseAndDiscard(RefusalReason.MALFORMED_REQUEST, "The body is not valid HTTP.");
+      refuseAndEnd("The body is not valid HTTP.");
     } else if (body.size() + bytes.readableBytes() > context.settings().maximumBodyBytes()) {
       refuseTooLarge();
+    } else if (!context.reserve(bytes.readableBytes())) {
+      refuseAndDiscard(
+          RefusalReason.ROUTER_OVERLOADED, "Too many requests are being received at once.");
     } else {
+      reservedBytes += bytes.readableBytes();
       byte[] copy = new byte[bytes.readableBytes()];
       bytes.readBytes(copy);
       body.writeBytes(copy);
@@ -167,7 +173,9 @@
       return;
     }
     RequestId id = context.nextRequestId();
+    int bodyBytes = request.body().remaining();
     Either<Refusal, RouterEvent> event = CallerRouting.eventOf(id, request);
+    release(bodyBytes);
     CallerExchange exchange =
         new CallerExchange(
             context, socket(), id, request, event.toJavaOptional(), isLast -> ended(id, isLast));
@@ -206,6 +214,11 @@
     }
   }
 
+  private void release(int bytes) {
+    reservedBytes -= bytes;
+    context.release(bytes);
+  }
+
   private SocketChannel socket() {
     return (SocketChannel) channel.channel();
   }
@@ -226,6 +239,7 @@
   /** Answers at once, then reads the rest so that the caller can read the answer. */
   private void refuseAndDiscard(RefusalReason reason, String detail) {
     isDiscarding = true;
+    release(body.size());
     body = new ByteArrayOutputStream(0);
     if (current.isPresent()) {
       // An earlier answer is being written; a refusal cannot go before its end.
@@ -238,6 +252,14 @@
     Channels.writeAndFlush(channel, response.toHttp(id, true, channel.alloc()));
   }
 
+  /** Answers and ends the connection, because no end of the request can be found in its bytes. */
+  private void refuseAndEnd(String detail) {
+    refuseAndDiscard(RefusalReason.MALFORMED_REQUEST, detail);
+    stopRequestTimeout();
+    isEnding = true;
+    Channels.closeAfterWrites(socket());
+  }
+
   private void discard(HttpContent content) {
     discardedBytes += content.content().readableBytes();
     long most = (long) DISCARDED_BODIES * context.settings().maximumBodyBytes();
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerContext.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerContext.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.shallothook.coordination.router.RouterEvent;
@@ -23,6 +24,7 @@
   private final TransportMetrics metrics;
   private final LongSupplier clockMicros;
   private final Map<RequestId, CallerExchange> open = new ConcurrentHashMap<>();
+  private final AtomicLong gatheredBytes = new AtomicLong();
   private final AtomicInteger connections = new AtomicInteger();
   private volatile boolean isClosing;
 
@@ -67,6 +69,20 @@
     return connections;
   }
 
+  /** Reserves memory for a part of a body. Returns whether there was room. */
+  boolean reserve(int bytes) {
+    if (gatheredBytes.addAndGet(bytes) > settings.maximumGatheredBytes()) {
+      gatheredBytes.addAndGet(-bytes);
+      return false;
+    }
+    return true;
+  }
+
+  /** Gives back memory that was reserved. */
+  void release(int bytes) {
+    gatheredBytes.addAndGet(-bytes);
+  }
+
   /** Returns whether connections end with their current answer. */
   boolean isClosing() {
     return isClosing;
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerSettings.java
@@ -8,6 +8,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param maximumBodyBytes greatest size of a request's body
+ * @param maximumGatheredBytes greatest size of all bodies that are not whole or wait, together
  * @param maximumPendingBytes greatest number of bytes waiting to be written to one caller
  * @param maximumConnections greatest number of open connections
  * @param requestTimeout longest time from the first byte of a request to its last
@@ -16,6 +17,7 @@
  */
 public record CallerSettings(
     int maximumBodyBytes,
+    long maximumGatheredBytes,
     int maximumPendingBytes,
     int maximumConnections,
     Duration requestTimeout,
@@ -25,6 +27,7 @@
   public static final CallerSettings DEFAULT =
       new CallerSettings(
           1 << 20,
+          16 << 20,
           256 << 10,
           4_096,
           Duration.ofSeconds(30),
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -31,6 +32,7 @@
   private boolean hasEnded;
   private boolean isPaused;
   private boolean mayReuse;
+  private boolean isInformational;
 
   /**
    * Creates an exchange without a connection.
@@ -102,6 +104,12 @@
       fail(true, "the answer is not HTTP");
       return;
     }
+    if (part instanceof HttpResponse head) {
+      isInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+    if (isInformational) {
+      return;
+    }
     if (part instanceof HttpResponse head) {
       mayReuse = HttpUtil.isKeepAlive(head);
       String contentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
--- a/transport/src/test/java/org/shallothook/transport/caller/CallerServerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/caller/CallerServerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.router.RouterCommand;
 import org.shallothook.coordination.router.RouterEvent;
 import org.shallothook.state.request.Outcome;
@@ -42,6 +43,7 @@
       new CallerServer(
           new CallerSettings(
               LARGEST_BODY,
+              2 * LARGEST_BODY,
               PENDING_BYTES,
               10,
               Duration.ofSeconds(20),
@@ -171,6 +173,55 @@
     }
   }
 
+  @Test
+  void bodiesThatAreNotWholeTakeBoundedMemoryTogether() throws Exception {
+    String head = "POST " + CHAT + " HTTP/1.1\r\ncontent-length: " + LARGEST_BODY + "\r\n\r\n";
+    String part = head + "x".repeat(LARGEST_BODY - 1);
+    RawCaller first = new RawCaller(address);
+    RawCaller second = new RawCaller(address);
+    try (RawCaller third = new RawCaller(address)) {
+      first.send(part);
+      second.send(part);
+      third.send(part);
+      while (metrics.count("refusals.router-overloaded") == 0) {
+        Thread.onSpinWait();
+      }
+      third.send("x");
+      second.send("x");
+      first.send("x");
+      String answers = third.readUntil("}}") + second.readUntil("}}") + first.readUntil("}}");
+
+      assertThat(answers).contains("\"code\":\"router-overloaded\"");
+      assertThat(answers).contains("\"code\":\"malformed-request\"");
+    }
+    first.close();
+    second.close();
+    try (RawCaller later = new RawCaller(address)) {
+      assertThat(openChat(later, STREAM)).isNotNull();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /v1/chat/completions HTTP/1.1\r\ncontent-length: abc\r\n\r\n",
+        "POST /v1/chat/completions HTTP/1.1\r\ncontent-length: -1\r\n\r\n",
+        "POST /v1/chat/completions HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        "POST /v1/chat/completions HTTP/1.1\r\nx: \u0000\r\n\r\n",
+        "POST /v1/chat/completions HTTP/9.9.9\r\n\r\n",
+        "GET \u0000\r\n\r\n",
+        "\r\n\r\n\r\n\r\nX\r\n\r\n",
+      })
+  void aMalformedHeadEndsItsOwnConnectionAlone(String bytes) throws Exception {
+    try (RawCaller caller = new RawCaller(address);
+        RawCaller other = new RawCaller(address)) {
+      caller.send(bytes);
+
+      assertThat(caller.readToEnd()).startsWith("HTTP/1.1 400 ");
+      assertThat(openChat(other, STREAM)).isNotNull();
+    }
+  }
+
   @Test
   void bytesThatAreNotHttpAreRefused() throws Exception {
     try (RawCaller caller = new RawCaller(address)) {
--- a/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -80,6 +80,13 @@
     assertThat(get()).isInstanceOf(HttpResult.Lost.class);
   }
 
+  @Test
+  void aPreliminaryAnswerIsNotTheAnswer() throws Exception {
+    server.then("HTTP/1.1 100 Continue\r\n\r\n" + ScriptedServer.answer(200, "a"));
+
+    assertThat(get()).isEqualTo(new HttpResult.Answered(200, "", "a"));
+  }
+
   @Test
   void aSilentServerIsLostAfterTheTimeout() throws Exception {
     server.then(ScriptedServer.SILENCE);
