Import blocks for requests that are sent, not for offers

Cause: at 80% load Altar Linen collapsed for good. A request was offered to up to three upstreams, and each accepted offer started an import of the missing opening; every import evicted other teams' openings, which were then computed anew at 2.4 s each while requests with cached blocks waited. Change: the import starts when the prompt is submitted.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -13,6 +13,7 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.RefusalReason;
 
@@ -133,6 +134,14 @@
     return true;
   }
 
+  /** Returns the offer of an attempt that has a reservation, if there is one. */
+  public Optional<PeerMessage.Offer> reservedOffer(AttemptId attempt) {
+    return table
+        .find(attempt)
+        .filter(ticket -> ticket.is(Ticket.Stage.RESERVED))
+        .map(Ticket::offer);
+  }
+
   /**
    * Queues an attempt that has a reservation.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -63,8 +63,11 @@
     return PrefixSpread.UNSPECIFIED;
   }
 
-  /** Fetches what an accepted offer misses, where that is worth it. */
-  public void onAccepted(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+  /**
+   * Fetches what a request misses, where that is worth it. Offers alone fetch nothing: several
+   * upstreams are offered a request that one of them gets, and each import evicts other blocks.
+   */
+  public void onSubmitting(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
     if (hasStore) {
       transfers.considerImport(offer, prefillMicrosPerBlock, nowMicros);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -228,13 +228,14 @@
   }
 
   private void onOffer(String router, PeerMessage.Offer offer, long nowMicros) {
-    boolean hasPlace = admission.onOffer(router, offer, hotPrefixes.spread(offer), nowMicros);
-    if (hasPlace) {
-      hotPrefixes.onAccepted(offer, admission.prefillMicrosPerBlock(), nowMicros);
-    }
+    admission.onOffer(router, offer, hotPrefixes.spread(offer), nowMicros);
   }
 
   private void onSubmit(String router, PeerMessage.Submit submit, long nowMicros) {
+    admission
+        .reservedOffer(submit.attempt())
+        .ifPresent(
+            offer -> hotPrefixes.onSubmitting(offer, admission.prefillMicrosPerBlock(), nowMicros));
     admission
         .onSubmit(router, submit, nowMicros)
         .ifPresent(
