Give processes under test ports that outgoing connections never take

Cause: one of 15 starts of the fleet failed ('Not reached: engine-1 serves', in aSidecarThatIsToldToStopCutsNoStream); its port came from the range that the system also gives to outgoing connections. The cause is inferred, the log of the process was not kept; a process that ends early now fails with its output. Change: ports from 22000 to 31999; answers compared side by side.

--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
@@ -15,6 +15,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tinylog.Logger;
 
 /**
  * A small deployment on loopback, every process on its own: two routers, two engines and two
@@ -32,6 +34,11 @@
   private static final String ROUTER = "org.shallothook.router.RouterMain";
   private static final String STANDINS = "org.shallothook.standins.StandinsMain";
 
+  private static final int FIRST_PORT = 22_000;
+  private static final int PORT_COUNT = 10_000;
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * 199 % PORT_COUNT));
+
   private final Path folder;
   private final Map<String, Integer> ports = new HashMap<>();
   private final Map<String, Process> processes = new LinkedHashMap<>();
@@ -101,7 +108,14 @@
   }
 
   void waitUntilServing(String name) {
-    Until.yes(name + " serves", () -> Http.get(admin(name), "/healthz").statusCode() == 200);
+    Until.yes(name + " serves", () -> isServing(name));
+  }
+
+  private boolean isServing(String name) throws Exception {
+    if (!process(name).isAlive()) {
+      throw new AssertionError(name + " has ended: " + output(name));
+    }
+    return Http.get(admin(name), "/healthz").statusCode() == 200;
   }
 
   /** Waits until a router answers chats, whichever engine runs them. */
@@ -245,12 +259,17 @@
     return "127.0.0.1:" + port(use);
   }
 
+  /** Returns a port below those that the system gives to outgoing connections. */
   private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException("No port is free", e);
+    for (int tried = 0; tried < PORT_COUNT; tried++) {
+      int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORT_COUNT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        Logger.debug("fleet: port {} is taken", port);
+      }
     }
+    throw new IllegalStateException("No port is free");
   }
 
   private static List<String> upstreams() {
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/FleetProcessTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/FleetProcessTest.java
@@ -134,13 +134,7 @@
   }
 
   private List<ChatStream> openStreams(String router, int count) {
-    List<ChatStream> streams =
-        IntStream.range(0, count)
-            .mapToObj(
-                number ->
-                    ChatStream.open(
-                        fleet.callers(router), Fleet.KEY, "question " + number, LONG_ANSWER))
-            .toList();
+    List<ChatStream> streams = ask(router, count);
     for (ChatStream stream : streams) {
       Until.yes("a stream has begun", () -> stream.parts() > 0);
     }
@@ -149,13 +143,22 @@
 
   /** Answers depend on the prompt alone, so a second asking shows what the first must hold. */
   private void assertThatAllEndWhole(List<ChatStream> streams) throws Exception {
-    for (int number = 0; number < streams.size(); number++) {
-      ChatStream stream = streams.get(number);
+    for (ChatStream stream : streams) {
       assertThat(stream.end()).isEqualTo("done");
-      ChatStream again =
-          ChatStream.open(fleet.callers("router-2"), Fleet.KEY, "question " + number, LONG_ANSWER);
-      assertThat(again.end()).isEqualTo("done");
-      assertThat(stream.text()).isEqualTo(again.text());
     }
+    List<ChatStream> again = ask("router-2", streams.size());
+    for (int number = 0; number < streams.size(); number++) {
+      assertThat(again.get(number).end()).isEqualTo("done");
+      assertThat(streams.get(number).text()).isEqualTo(again.get(number).text());
+    }
+  }
+
+  private List<ChatStream> ask(String router, int count) {
+    return IntStream.range(0, count)
+        .mapToObj(
+            number ->
+                ChatStream.open(
+                    fleet.callers(router), Fleet.KEY, "question " + number, LONG_ANSWER))
+        .toList();
   }
 }
