--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -28,7 +28,7 @@
     return new CommandLine(new BenchmarksMain())
         .addSubcommand(new BenchCommand())
         .addSubcommand(new DemoCommand())
-        .addSubcommand(new SocketsCommand())
-        .addSubcommand(new MatrixCommand());
+        .addSubcommand(new MatrixCommand())
+        .addSubcommand(new SocketsCommand());
   }
 }
