--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -3,6 +3,7 @@
 import org.shallothook.benchmarks.bench.BenchCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
 import org.shallothook.benchmarks.matrix.MatrixCommand;
+import org.shallothook.benchmarks.slopes.SlopesCommand;
 import org.shallothook.benchmarks.sockets.SocketsCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -29,6 +30,7 @@
         .addSubcommand(new BenchCommand())
         .addSubcommand(new DemoCommand())
         .addSubcommand(new MatrixCommand())
-        .addSubcommand(new SocketsCommand());
+        .addSubcommand(new SocketsCommand())
+        .addSubcommand(new SlopesCommand());
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/placement/PlacementStrategy.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/PlacementStrategy.java
@@ -34,7 +34,7 @@
       addShallowerHomes(order, query, home);
       order.addAll(ranks);
       addLeastLoaded(order, query.candidates());
-      return planOf(order, ranks, homes, true);
+      return planOf(order, ranks, true);
     }
   },
 
@@ -61,8 +61,7 @@
       int start = Math.floorMod(query.sequence(), divisor(query));
       List<PlacementCandidate> order = rotate(query.candidates(), start);
       order.sort(Comparator.comparingInt(PlacementCandidate::outstanding));
-      return planOf(
-          order.subList(0, Math.min(BASELINE_OFFERS, order.size())), order, BASELINE_OFFERS, false);
+      return planOf(order.subList(0, Math.min(BASELINE_OFFERS, order.size())), order, false);
     }
   },
 
@@ -73,7 +72,7 @@
       PrefixLevel shallowest = query.levels().get(query.levels().size() - 1);
       List<PlacementCandidate> ranks =
           RendezvousHash.ranks(query.candidates(), shallowest.hash(), BASELINE_OFFERS);
-      return planOf(ranks, ranks, BASELINE_OFFERS, false);
+      return planOf(ranks, ranks, false);
     }
   };
 
@@ -133,8 +132,7 @@
 
   private static PlacementPlan rotated(PlacementQuery query, int start) {
     List<PlacementCandidate> order = rotate(query.candidates(), start);
-    return planOf(
-        order.subList(0, Math.min(BASELINE_OFFERS, order.size())), order, BASELINE_OFFERS, false);
+    return planOf(order.subList(0, Math.min(BASELINE_OFFERS, order.size())), order, false);
   }
 
   private static List<PlacementCandidate> rotate(
@@ -145,15 +143,11 @@
   }
 
   private static PlacementPlan planOf(
-      Iterable<PlacementCandidate> order,
-      List<PlacementCandidate> ranks,
-      int homes,
-      boolean comparesHints) {
+      Iterable<PlacementCandidate> order, List<PlacementCandidate> ranks, boolean comparesHints) {
     List<PlannedOffer> offers = new ArrayList<>();
     for (PlacementCandidate candidate : order) {
       int rank = ranks.indexOf(candidate);
-      boolean isHome = rank >= 0 && rank < homes;
-      offers.add(new PlannedOffer(candidate, isHome, rank < 0 ? ranks.size() : rank));
+      offers.add(new PlannedOffer(candidate, rank < 0 ? ranks.size() : rank));
     }
     return new PlacementPlan(offers, comparesHints);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/placement/PlannedOffer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/PlannedOffer.java
@@ -6,7 +6,6 @@
  * <p>Immutable and thread-safe, but for the state of the candidate.
  *
  * @param candidate the upstream
- * @param isHome whether it belongs to the home set, where the shared opening is kept
  * @param rank its rendezvous rank for the prompt's shared opening, 0 for the home
  */
-public record PlannedOffer(PlacementCandidate candidate, boolean isHome, int rank) {}
+public record PlannedOffer(PlacementCandidate candidate, int rank) {}
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -202,37 +202,14 @@
     return true;
   }
 
-  private Optional<PlannedOffer> pollUsable(ChatExchange exchange, long nowMicros) {
+  private static Optional<PlannedOffer> pollUsable(ChatExchange exchange, long nowMicros) {
     PlannedOffer next = exchange.remaining().poll();
-    while (next != null && !isWorthAsking(exchange, next, nowMicros)) {
+    while (next != null && !((Upstream) next.candidate()).isUsable(nowMicros)) {
       next = exchange.remaining().poll();
     }
     return Optional.ofNullable(next);
   }
 
-  /**
-   * An upstream outside the home set would have to compute the shared opening. While the home set
-   * only has a queue, that is worse for all than waiting; the home widens the set when it must.
-   */
-  private boolean isWorthAsking(ChatExchange exchange, PlannedOffer offer, long nowMicros) {
-    if (!((Upstream) offer.candidate()).isUsable(nowMicros)) {
-      return false;
-    }
-    if (offer.isHome() || !exchange.plan().comparesHints()) {
-      return true;
-    }
-    long shortest = Long.MAX_VALUE;
-    for (Attempt attempt : exchange.round()) {
-      boolean isQueued =
-          attempt.is(Attempt.Phase.ACCEPTED)
-              || attempt.refusal().filter(RetryDesk::isOverload).isPresent();
-      if (isQueued) {
-        shortest = Math.min(shortest, attempt.hint().orElse(Hint.NONE).queueDelayMicros());
-      }
-    }
-    return score.isSpillWorthwhile(shortest, exchange.prompt().expectedBlocks());
-  }
-
   private Offer messageOf(ChatExchange exchange, Attempt attempt, long nowMicros) {
     long deadline =
         exchange.hasBegun()
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterOptions.java
@@ -110,7 +110,7 @@
     private long offerWaitMicros = 60_000;
     private long firstTokenWaitMicros = 10_000_000;
     private long callWaitMicros = 10_000_000;
-    private long silenceWaitMicros = 5_000_000;
+    private long silenceWaitMicros = 2_000_000;
     private long stallWaitMicros = 10_000_000;
     private int maximumAttempts = 4;
     private double retryShare = 0.2;
@@ -119,7 +119,7 @@
     private long ejectionMicros = 10_000_000;
     private long quarantineMicros = 600_000_000;
     private long logRetentionMicros = ConfigurationOptions.DEFAULT_RETENTION_MICROS;
-    private long recomputeMicrosPerBlock = 50_000;
+    private long recomputeMicrosPerBlock = 20_000;
     private long poorHintMicros = 100_000;
     private int maximumOpenRequests = 4_096;
     private int explanations = 512;
@@ -185,7 +185,7 @@
 
     /**
      * Sets the lateness of a frame, and silence of its upstream, after which the attempt is given
-     * up, in microseconds. Default: 5_000_000.
+     * up, in microseconds. Default: 2_000_000.
      */
     public Builder silenceWaitMicros(long value) {
       silenceWaitMicros = value;
@@ -248,7 +248,7 @@
 
     /**
      * Sets the time that an engine takes to compute a block that it has not cached, in
-     * microseconds. Default: 50_000.
+     * microseconds. Default: 20_000.
      */
     public Builder recomputeMicrosPerBlock(long value) {
       recomputeMicrosPerBlock = value;
--- a/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
@@ -10,12 +10,9 @@
  * <p>Two things are measured: how much later than promised the first token comes, and how long a
  * fixed number of tokens takes after it.
  *
- * <p>A long promise is a rough one, as in an overload, and gives no sample.
- *
  * <p>Invariant: an attempt gives at most one sample of each kind. Not thread-safe.
  */
 final class SlownessWatch {
-  private static final long MAXIMUM_PROMISE_MICROS = 500_000;
   private static final int TOKENS_MEASURED = 100;
   private static final int MINIMUM_TOKENS = 16;
 
@@ -67,20 +64,14 @@
 
   private void sampleFirstToken(ChatExchange exchange, Attempt attempt, long nowMicros) {
     attempt.setSampled();
-    if (promisedMicros(exchange, attempt) > MAXIMUM_PROMISE_MICROS) {
-      return;
-    }
     sample(firstTokens, exchange, attempt, excessOf(exchange, attempt, nowMicros), nowMicros);
   }
 
   private long excessOf(ChatExchange exchange, Attempt attempt, long nowMicros) {
-    return nowMicros - attempt.submittedAtMicros() - promisedMicros(exchange, attempt);
-  }
-
-  private long promisedMicros(ChatExchange exchange, Attempt attempt) {
     Hint hint = attempt.hint().orElse(Hint.NONE);
     int missing = Math.max(0, exchange.prompt().keys().size() - hint.matchedBlocks());
-    return hint.queueDelayMicros() + missing * options.recomputeMicrosPerBlock();
+    long promised = hint.queueDelayMicros() + missing * options.recomputeMicrosPerBlock();
+    return nowMicros - attempt.submittedAtMicros() - promised;
   }
 
   private void sample(
