--- a/benchmarks/src/main/java/org/shallothook/benchmarks/slopes/SlopesCommand.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/slopes/SlopesCommand.java
@@ -45,7 +45,7 @@
 
   @Override
   public Integer call() {
-    retainedBytes(() -> configuration(TEAMS[0]));
+    print("warm-up: %.1f MB", retainedBytes(() -> configuration(TEAMS[0])) / 1e6);
     for (int servers : SERVERS) {
       print("placement, %d servers: %.1f us a decision", servers, planMicros(servers));
     }
@@ -123,18 +123,22 @@
     PrefixIndex index = new PrefixIndex(blocks);
     index.follow("engine-1");
     SplittableRandom random = new SplittableRandom(SEED);
+    List<BlockKey> keys = new ArrayList<>();
     for (int block = 0; block < blocks; block++) {
-      index.apply("engine-1", block, new BlockKey(random.nextLong(), random.nextLong()), true);
+      keys.add(new BlockKey(random.nextLong(), random.nextLong()));
     }
+    index.replace("engine-1", 0, keys);
     return index;
   }
 
   private static long retainedBytes(Supplier<Object> state) {
     long before = usedBytes();
     Object held = state.get();
-    long after = usedBytes();
-    Reference.reachabilityFence(held);
-    return after - before;
+    try {
+      return usedBytes() - before;
+    } finally {
+      Reference.reachabilityFence(held);
+    }
   }
 
   private static long usedBytes() {
