Share listening and pausing between the processes and command lines

Cause: both processes had the same code to listen and log, and two command lines the same way to wait between questions. Ruled out: one base class for both processes; what they wire differs. Change: Listening and Pause in transport.process, called by all four.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/demo/DeploymentWatch.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/demo/DeploymentWatch.java
@@ -4,9 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.shallothook.transport.process.Pause;
 
 /**
  * Waits for the processes of a deployment.
@@ -36,7 +36,7 @@
       if (System.nanoTime() > deadlineNanos) {
         throw new TimeoutException("Not serving: " + waiting);
       }
-      pause();
+      Pause.ofMillis(POLL_MILLIS);
     }
   }
 
@@ -58,11 +58,4 @@
       return false;
     }
   }
-
-  private static void pause() throws InterruptedException {
-    CountDownLatch never = new CountDownLatch(1);
-    if (never.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
-      throw new IllegalStateException("The latch is never released.");
-    }
-  }
 }
--- a/router/src/main/java/org/shallothook/router/PublishCommand.java
+++ b/router/src/main/java/org/shallothook/router/PublishCommand.java
@@ -6,10 +6,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.shallothook.transport.admin.AdminJson;
 import org.shallothook.transport.command.ExitCode;
+import org.shallothook.transport.process.Pause;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -101,7 +101,7 @@
     long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(waitSeconds);
     InForce inForce = read(client);
     while (!inForce.waiting(offset).isEmpty() && System.nanoTime() < deadlineNanos) {
-      pause();
+      Pause.ofMillis(POLL_MILLIS);
       inForce = read(client);
     }
     inForce.offsets().forEach((name, seen) -> output().println("  " + line(name, seen, offset)));
@@ -128,11 +128,4 @@
       default -> ExitCode.FAILURE;
     };
   }
-
-  private static void pause() throws InterruptedException {
-    CountDownLatch never = new CountDownLatch(1);
-    if (never.await(POLL_MILLIS, TimeUnit.MILLISECONDS)) {
-      throw new IllegalStateException("The latch is never released.");
-    }
-  }
 }
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -1,7 +1,6 @@
 package org.shallothook.router;
 
 import io.vavr.control.Try;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +18,6 @@
 import org.shallothook.transport.caller.CallerSettings;
 import org.shallothook.transport.decision.DecisionSettings;
 import org.shallothook.transport.decision.DecisionThread;
-import org.shallothook.transport.logging.Part;
 import org.shallothook.transport.metrics.TransportMetrics;
 import org.shallothook.transport.peer.PeerIdentity;
 import org.shallothook.transport.peer.PeerNetwork;
@@ -30,6 +28,7 @@
 import org.shallothook.transport.platform.LogClient;
 import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
+import org.shallothook.transport.process.Listening;
 import org.shallothook.transport.settings.CommonKeys;
 import org.shallothook.transport.settings.Settings;
 
@@ -96,21 +95,17 @@
   /** Starts to serve; returns the failure where an address cannot be listened on. */
   Try<Void> start() {
     thread.start(core::handle);
-    return listen("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
+    return Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
         .flatMap(
             done ->
-                listen("callers", callers::listen, settings.address(RouterSettings.LISTEN_CALLERS)))
-        .flatMap(done -> listen("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
+                Listening.start(
+                    "callers", callers::listen, settings.address(RouterSettings.LISTEN_CALLERS)))
+        .flatMap(
+            done ->
+                Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
         .onSuccess(done -> stop.arm());
   }
 
-  private static Try<Void> listen(String use, Listener listener, InetSocketAddress address) {
-    return listener
-        .listen(address)
-        .peek(bound -> Part.PROCESS.info("Listening for {} on {}.", use, bound))
-        .map(bound -> null);
-  }
-
   private CallerSettings callerSettings() {
     CallerSettings defaults = CallerSettings.DEFAULT;
     return new CallerSettings(
@@ -184,10 +179,4 @@
     thread.close();
     loops.close();
   }
-
-  /** Starts to listen on an address. */
-  @FunctionalInterface
-  private interface Listener {
-    Try<InetSocketAddress> listen(InetSocketAddress address);
-  }
 }
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -1,7 +1,6 @@
 package org.shallothook.sidecar;
 
 import io.vavr.control.Try;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +16,6 @@
 import org.shallothook.transport.admin.AdminServer;
 import org.shallothook.transport.decision.DecisionSettings;
 import org.shallothook.transport.decision.DecisionThread;
-import org.shallothook.transport.logging.Part;
 import org.shallothook.transport.metrics.TransportMetrics;
 import org.shallothook.transport.peer.PeerIdentity;
 import org.shallothook.transport.peer.PeerNetwork;
@@ -28,6 +26,7 @@
 import org.shallothook.transport.platform.LogClient;
 import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
+import org.shallothook.transport.process.Listening;
 import org.shallothook.transport.settings.CommonKeys;
 import org.shallothook.transport.settings.Settings;
 
@@ -85,18 +84,13 @@
   /** Starts to serve; returns the failure where an address cannot be listened on. */
   Try<Void> start() {
     thread.start(core::handle);
-    return listen("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
-        .flatMap(done -> listen("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
+    return Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
+        .flatMap(
+            done ->
+                Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
         .onSuccess(done -> stop.arm());
   }
 
-  private static Try<Void> listen(String use, Listener listener, InetSocketAddress address) {
-    return listener
-        .listen(address)
-        .peek(bound -> Part.PROCESS.info("Listening for {} on {}.", use, bound))
-        .map(bound -> null);
-  }
-
   private InstanceRole role() {
     String name = settings.text(SidecarSettings.ROLE).toUpperCase(Locale.ROOT).replace('-', '_');
     return InstanceRole.valueOf(name);
@@ -163,10 +157,4 @@
     thread.close();
     loops.close();
   }
-
-  /** Starts to listen on an address. */
-  @FunctionalInterface
-  private interface Listener {
-    Try<InetSocketAddress> listen(InetSocketAddress address);
-  }
 }
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/process/Listening.java
@@ -0,0 +1,35 @@
+package org.shallothook.transport.process;
+
+import io.vavr.control.Try;
+import java.net.InetSocketAddress;
+import org.shallothook.transport.logging.Part;
+
+/**
+ * Starts to listen on the addresses of a process and logs each of them.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class Listening {
+  private Listening() {}
+
+  /** Something that listens on one address. */
+  @FunctionalInterface
+  public interface Listener {
+    /** Starts to listen and returns the address bound. */
+    Try<InetSocketAddress> listen(InetSocketAddress address);
+  }
+
+  /**
+   * Starts to listen; returns the failure where the address is taken.
+   *
+   * @param use who connects to the address, for the log
+   * @param listener what listens
+   * @param address address to listen on
+   */
+  public static Try<Void> start(String use, Listener listener, InetSocketAddress address) {
+    return listener
+        .listen(address)
+        .peek(bound -> Part.PROCESS.info("Listening for {} on {}.", use, bound))
+        .map(bound -> null);
+  }
+}
