--- a/benchmarks/src/main/java/org/shallothook/benchmarks/bench/BenchCommand.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/bench/BenchCommand.java
@@ -3,11 +3,15 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import org.shallothook.benchmarks.measure.Experiment;
 import org.shallothook.benchmarks.measure.Measure;
 import org.shallothook.benchmarks.measure.MeasureSuite;
+import org.shallothook.benchmarks.workload.Deployment;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -25,6 +29,7 @@
       "Examples:",
       "  bin/bench",
       "  bin/bench --compare old/measures.json",
+      "  bin/bench --experiment OVERLOAD --deployment ALTAR_LINEN",
       "Exit codes: 0 every bound is held or listed as known red, 1 another is missed, 2 usage."
     })
 public final class BenchCommand implements Callable<Integer> {
@@ -42,12 +47,23 @@
   @Option(names = "--threads", description = "Runs side by side; default ${DEFAULT-VALUE}.")
   private int threads = 4;
 
+  @Option(
+      names = "--experiment",
+      description = "Experiment to run, may be repeated; default all: ${COMPLETION-CANDIDATES}.")
+  private Set<Experiment> experiments = EnumSet.allOf(Experiment.class);
+
+  @Option(
+      names = "--deployment",
+      description =
+          "Deployment to run under, may be repeated; default all: ${COMPLETION-CANDIDATES}.")
+  private Set<Deployment> deployments = EnumSet.allOf(Deployment.class);
+
   @Option(names = "--known-red", description = "List of known red cases; default ${DEFAULT-VALUE}.")
   private Path knownRed = Path.of("KNOWN-RED.txt");
 
   @Override
   public Integer call() throws IOException, InterruptedException {
-    List<Measure> measures = MeasureSuite.run(seed, threads);
+    List<Measure> measures = MeasureSuite.run(seed, threads, experiments, deployments);
     KnownRedMeasures known = KnownRedMeasures.read(knownRed);
     measures.forEach(measure -> System.out.print(BenchTable.rowsOf(measure, known)));
     Files.createDirectories(output);
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/MeasureSuite.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/MeasureSuite.java
@@ -1,7 +1,9 @@
 package org.shallothook.benchmarks.measure;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -27,12 +29,26 @@
    * @param threads experiments that run side by side
    */
   public static List<Measure> run(long seed, int threads) throws InterruptedException {
+    return run(seed, threads, EnumSet.allOf(Experiment.class), EnumSet.allOf(Deployment.class));
+  }
+
+  /**
+   * Returns the measures of some experiments under some deployments, in order of both.
+   *
+   * @param seed seed of every run
+   * @param threads experiments that run side by side
+   * @param experiments experiments to run
+   * @param deployments deployments to run them under
+   */
+  public static List<Measure> run(
+      long seed, int threads, Set<Experiment> experiments, Set<Deployment> deployments)
+      throws InterruptedException {
     ExecutorService pool = Executors.newFixedThreadPool(threads);
     Peaks peaks = new Peaks(seed);
     try {
       List<Future<List<Measure>>> runs = new ArrayList<>();
-      for (Experiment experiment : Experiment.values()) {
-        for (Deployment deployment : Deployment.values()) {
+      for (Experiment experiment : experiments) {
+        for (Deployment deployment : deployments) {
           runs.add(pool.submit(() -> experiment.run(deployment, peaks)));
         }
       }
