Check settings that depend on others, and name addresses that cannot be opened

Cause: bin/demo beside another deployment ended with "A process ended early" and a folder; the logs named no address ("Cannot listen: Address already in use"). A sidecar file with role = service and no service passed the check and served a service called "none". [upstream] checks-fencing was read by nothing: the team's template says whether a service checks fencing numbers, and after an order to an engine its status is read back in any case. An address such as 1.2.3.400:1 was looked up as a name.

Ruled out: Netty's parser of IP numbers, which writes debug lines into the output of check.

--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarSettings.java
@@ -20,18 +20,12 @@
           "upstream", "address", SettingType.ADDRESS, "Where the upstream listens.");
   static final SettingKey SERVICE =
       SettingKey.withDefault(
-          "upstream",
-          "service",
-          SettingType.NAME,
-          "none",
-          "Name of the service; none where the upstream is no service.");
-  static final SettingKey CHECKS_FENCING =
-      SettingKey.withDefault(
-          "upstream",
-          "checks-fencing",
-          SettingType.SWITCH,
-          "false",
-          "Whether the upstream refuses old fencing numbers.");
+              "upstream",
+              "service",
+              SettingType.NAME,
+              "none",
+              "Name of the service; none where the upstream is no service.")
+          .requiredWhere(ROLE, "service");
   static final SettingKey CACHE_STORE =
       SettingKey.withDefault(
           "upstream",
@@ -77,7 +71,6 @@
                   ROLE,
                   UPSTREAM,
                   SERVICE,
-                  CHECKS_FENCING,
                   CACHE_STORE,
                   MAXIMUM_QUEUE,
                   BOOKING_WINDOW_SECONDS,
--- a/sidecar/src/test/java/org/shallothook/sidecar/SidecarMainTest.java
+++ b/sidecar/src/test/java/org/shallothook/sidecar/SidecarMainTest.java
@@ -21,6 +21,8 @@
     "'[listen]|peers = host:1', '[listen] peers = host:1'",
     "'[decisions]|ring-size = 1000', 'Write a power of two'",
     "'[logging]|form = xml', 'Write one of text, json.'",
+    "'[upstream]|role = service', '[upstream] service - The setting is missing'",
+    "'[upstream]|checks-fencing = true', '[upstream] checks-fencing = true - The setting is unknown.'",
   })
   void checkNamesTheMistakeAndExitsWithTwo(String text, String expected) throws IOException {
     Path file = Files.writeString(folder.resolve("sidecar.ini"), text.replace("|", "\n"));
--- a/standins/src/main/java/org/shallothook/standins/StandinsMain.java
+++ b/standins/src/main/java/org/shallothook/standins/StandinsMain.java
@@ -67,7 +67,11 @@
       try {
         server.start();
       } catch (Exception e) {
-        Logger.error("standins: an address cannot be opened: {}", e.getMessage());
+        Logger.error(
+            "standins: {} cannot listen on {}: {}; free the address or change the settings",
+            server.name(),
+            server.address(),
+            e.getMessage());
         Runtime.getRuntime().halt(START_FAILED);
       }
     }
--- a/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
+++ b/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
@@ -66,6 +66,16 @@
     this.controlAddress = controlAddress;
   }
 
+  /** Returns the name of the stand-in. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the address that it serves at. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
   /**
    * Opens the addresses.
    *
--- a/transport/src/main/java/org/shallothook/transport/command/ServeCommand.java
+++ b/transport/src/main/java/org/shallothook/transport/command/ServeCommand.java
@@ -56,7 +56,9 @@
       specification
           .commandLine()
           .getErr()
-          .println("Cannot listen: " + started.getCause().getMessage() + ". Free the address.");
+          .println(
+              started.getCause().getMessage()
+                  + ". Free the address, or change it in section [listen].");
       return ExitCode.FAILURE;
     }
     new CountDownLatch(1).await();
--- a/transport/src/main/java/org/shallothook/transport/process/Listening.java
+++ b/transport/src/main/java/org/shallothook/transport/process/Listening.java
@@ -1,6 +1,7 @@
 package org.shallothook.transport.process;
 
 import io.vavr.control.Try;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.shallothook.transport.logging.Part;
 
@@ -20,7 +21,7 @@
   }
 
   /**
-   * Starts to listen; returns the failure where the address is taken.
+   * Starts to listen; returns a failure that names the address where it is taken.
    *
    * @param use who connects to the address, for the log
    * @param listener what listens
@@ -30,6 +31,12 @@
     return listener
         .listen(address)
         .peek(bound -> Part.PROCESS.info("Listening for {} on {}.", use, bound))
-        .map(bound -> null);
+        .<Void>map(bound -> null)
+        .recoverWith(cause -> Try.failure(failureOf(use, address, cause)));
+  }
+
+  private static IOException failureOf(String use, InetSocketAddress address, Throwable cause) {
+    return new IOException(
+        "Cannot listen for " + use + " on " + address + ": " + cause.getMessage(), cause);
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
@@ -84,22 +84,14 @@
       }
       return share;
     }
-  },
-  /** Either {@code true} or {@code false}. */
-  SWITCH("Write true or false.") {
-    @Override
-    Object parse(String text) {
-      return switch (text) {
-        case "true" -> true;
-        case "false" -> false;
-        default -> throw new IllegalArgumentException("neither true nor false");
-      };
-    }
   };
 
-  private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9._-]+");
+  /** Only what is certainly an IP number, since anything else would be looked up as a name. */
   private static final Pattern IP_PATTERN =
-      Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]+]");
+      Pattern.compile(
+          "(25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(25[0-5]|2[0-4]\\d|1?\\d?\\d)){3}|\\[[0-9A-Fa-f:.]+]");
+
+  private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9._-]+");
 
   private final String remedy;
 
--- a/transport/src/main/java/org/shallothook/transport/settings/Settings.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/Settings.java
@@ -42,11 +42,6 @@
     return (Double) value(key);
   }
 
-  /** Returns the value of a switch. */
-  public boolean isOn(SettingKey key) {
-    return (Boolean) value(key);
-  }
-
   private Object value(SettingKey key) {
     Object value = values.get(key);
     if (value == null) {
--- a/transport/src/main/java/org/shallothook/transport/settings/SettingsReader.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/SettingsReader.java
@@ -69,11 +69,11 @@
     Map<String, Map<String, String>> texts = collect(file, root, problems);
     Map<SettingKey, Object> values = new HashMap<>();
     for (SettingKey key : declared) {
-      Optional<String> text =
-          Optional.ofNullable(texts.getOrDefault(key.section(), Map.of()).get(key.key()))
-              .or(key::defaultText);
+      Optional<String> written =
+          Optional.ofNullable(texts.getOrDefault(key.section(), Map.of()).get(key.key()));
+      Optional<String> text = key.isRequiredBy(texts) ? written : written.or(key::defaultText);
       if (text.isEmpty()) {
-        problems.add(problem(file, key, "", "The setting is missing.", key.type().remedy()));
+        problems.add(problem(file, key, "", missingProblem(key), key.type().remedy()));
         continue;
       }
       checkValue(file, key, text.get(), problems).ifPresent(value -> values.put(key, value));
@@ -81,6 +81,18 @@
     return problems.isEmpty() ? Either.right(new Settings(values)) : Either.left(problems);
   }
 
+  private static String missingProblem(SettingKey key) {
+    return key.condition()
+        .map(
+            required ->
+                "The setting is missing, which "
+                    + required.key()
+                    + " = "
+                    + required.value()
+                    + " needs.")
+        .orElse("The setting is missing.");
+  }
+
   private static Optional<Object> checkValue(
       String file, SettingKey key, String text, List<SettingsProblem> problems) {
     if (!key.choices().isEmpty() && !key.choices().contains(text)) {
--- a/transport/src/test/java/org/shallothook/transport/settings/SettingsReaderTest.java
+++ b/transport/src/test/java/org/shallothook/transport/settings/SettingsReaderTest.java
@@ -19,6 +19,9 @@
   private static final SettingKey FORM =
       SettingKey.withDefault("logging", "form", SettingType.NAME, "text", "form")
           .oneOf(List.of("text", "json"));
+  private static final SettingKey FILE =
+      SettingKey.withDefault("logging", "file", SettingType.NAME, "none", "file")
+          .requiredWhere(FORM, "json");
 
   @TempDir private Path folder;
 
@@ -43,6 +46,9 @@
     "'[instance]|name = a|name = b', '[instance] name = b - The setting stands twice.'",
     "'[instance]|name = a|[listen]|peers = host:1', '[listen] peers = host:1'",
     "'[instance]|name = a|[listen]|peers = 1.2.3.4', '[listen] peers = 1.2.3.4'",
+    "'[instance]|name = a|[listen]|peers = 1.2.3.400:1', '[listen] peers = 1.2.3.400:1'",
+    "'[instance]|name = a|[listen]|peers = 1.2.3.4:70000', '[listen] peers = 1.2.3.4:70000'",
+    "'[instance]|name = a|[logging]|form = json', '[logging] file - The setting is missing, which form = json needs.'",
     "'[instance]|name = a|[logging]|form = xml', 'Write one of text, json.'",
     "'[instance]|name = a|[other]|key = 1', 'Remove the section'",
     "'name = a', 'The key stands before the first section.'",
@@ -55,6 +61,13 @@
     assertThat(messages.toString()).contains("router.ini: ");
   }
 
+  @Test
+  void aConditionThatIsNotMetLeavesTheDefault() throws IOException {
+    Settings settings = reader().read(write("[instance]|name = a|[logging]|form = text")).get();
+
+    assertThat(settings.text(FILE)).isEqualTo("none");
+  }
+
   @Test
   void reportsUnreadableFile() {
     List<SettingsProblem> problems = reader().read(folder.resolve("none.ini")).getLeft();
@@ -64,6 +77,6 @@
   }
 
   private static SettingsReader reader() {
-    return new SettingsReader(List.of(NAME, PEERS, FORM));
+    return new SettingsReader(List.of(NAME, PEERS, FORM, FILE));
   }
 }
