Let no test of the transport depend on who is faster

Cause, shown on a machine with a load of 22 to 25 on 10 cores, each class run again and again in one JVM: - DecisionThreadTest.aFullRing...: 213 of 800 rounds saw the ring congested after an answered question, and 1 a ConcurrentModificationException. A question that waited beside the ring was answered before it ceased to count as waiting; and the test went through a list that ticks were still added to (a locked list does not lock its iterator). - PlatformClientsTest.aServiceCallWithoutAnAnswer...: 7 of 40 rounds got an answer of the "closed" server: the system keeps a listening port open until the thread inside accept() has left it. - Read, not shown: a script step was taken after its request was shown, so that the next step could be taken in its place; a closed port could be taken by another process before it was connected to. Change: the thread counts a waiting event as taken before it handles it (nothing is published between, since the ring's later events are handled after this one); lists that are safe to go through; the scripted server takes its step first, and refuses connections by ending its thread and holding the port bound. No assertion was changed.

--- a/transport/src/main/java/org/shallothook/transport/decision/DecisionThread.java
+++ b/transport/src/main/java/org/shallothook/transport/decision/DecisionThread.java
@@ -197,8 +197,8 @@
       Waiting<E> next = waiting.peek();
       while (next != null && next.afterSequence() <= handledSequence) {
         waiting.remove();
-        take(next.event(), next.question());
         waitingCount.decrementAndGet();
+        take(next.event(), next.question());
         next = waiting.peek();
       }
     }
--- a/transport/src/test/java/org/shallothook/transport/decision/DecisionThreadTest.java
+++ b/transport/src/test/java/org/shallothook/transport/decision/DecisionThreadTest.java
@@ -2,9 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -21,8 +21,8 @@
 
   private final TransportMetrics metrics = new TransportMetrics();
   private final AtomicLong clock = new AtomicLong();
-  private final List<Integer> handled = Collections.synchronizedList(new ArrayList<>());
-  private final List<Long> times = Collections.synchronizedList(new ArrayList<>());
+  private final List<Integer> handled = new CopyOnWriteArrayList<>();
+  private final List<Long> times = new CopyOnWriteArrayList<>();
   private final CountDownLatch gate = new CountDownLatch(1);
   private final DecisionThread<Integer> thread =
       new DecisionThread<>(
--- a/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/PeerNetworkTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -66,14 +68,16 @@
 
   @Test
   void aRefusedConnectionIsUnreachableAndFurtherMessagesWaitForNothing() throws Exception {
-    RawPeer gone = new RawPeer();
-    gone.close();
-    know("engine-1", gone.address());
-    routerPeers.send("engine-1", CANCEL, 0);
-    assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
-    routerPeers.send("engine-1", CANCEL, 0);
+    try (Socket unheard = new Socket()) {
+      // A port that is bound and does not listen stays refused; a closed one may be taken again.
+      unheard.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      know("engine-1", "127.0.0.1:" + unheard.getLocalPort());
+      routerPeers.send("engine-1", CANCEL, 0);
+      assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+      routerPeers.send("engine-1", CANCEL, 0);
 
-    assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+      assertThat(router.next()).isEqualTo(new Heard.Unreachable("engine-1"));
+    }
   }
 
   @Test
--- a/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -60,7 +60,7 @@
 
   @Test
   void aRefusedConnectionIsNotSent() throws Exception {
-    server.close();
+    server.refuseConnections();
 
     assertThat(get()).isInstanceOf(HttpResult.NotSent.class);
   }
--- a/transport/src/test/java/org/shallothook/transport/platform/PlatformClientsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/PlatformClientsTest.java
@@ -87,7 +87,7 @@
 
   @Test
   void anAppendToALogThatIsDownHasNoEffect() throws Exception {
-    server.close();
+    server.refuseConnections();
     log.append(1, "leases", "x");
 
     assertThat(next()).isEqualTo("failed false");
@@ -187,7 +187,7 @@
     server.then(ScriptedServer.CLOSE);
     service.call(callCommand());
     assertThat(next()).isEqualTo(new SidecarEvent.ServiceFailed(ATTEMPT, true));
-    server.close();
+    server.refuseConnections();
     service.call(callCommand());
 
     assertThat(next()).isEqualTo(new SidecarEvent.ServiceFailed(ATTEMPT, false));
--- a/transport/src/test/java/org/shallothook/transport/platform/ScriptedServer.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/ScriptedServer.java
@@ -34,10 +34,12 @@
   private final BlockingQueue<String> script = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
   private final AtomicInteger connections = new AtomicInteger();
+  private final Socket portHolder = new Socket();
+  private final Thread accepting;
 
   ScriptedServer() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    start(this::acceptAll);
+    accepting = start(this::acceptAll);
   }
 
   InetSocketAddress address() {
@@ -69,9 +71,23 @@
     return requests.poll(20, TimeUnit.SECONDS);
   }
 
+  /**
+   * Stops to listen; from its return on, connections are refused. The port stays bound, so that no
+   * other process can listen at it meanwhile.
+   */
+  void refuseConnections() throws Exception {
+    InetSocketAddress address = address();
+    server.close();
+    // The system keeps the port open until the thread in accept() has left it.
+    accepting.join();
+    portHolder.setReuseAddress(true);
+    portHolder.bind(address);
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
+    portHolder.close();
   }
 
   private void acceptAll() {
@@ -92,8 +108,10 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
       for (String request = read(in); request != null; request = read(in)) {
+        // The step is taken first: who has seen the request may add the step of the next.
+        String step = script.poll();
         requests.add(request);
-        if (!answer(socket, in)) {
+        if (!answer(step, socket, in)) {
           return;
         }
       }
@@ -103,8 +121,7 @@
     }
   }
 
-  private boolean answer(Socket socket, BufferedReader in) throws IOException {
-    String step = script.poll();
+  private static boolean answer(String step, Socket socket, BufferedReader in) throws IOException {
     if (step == null || step.equals(CLOSE)) {
       return false;
     }
@@ -138,9 +155,10 @@
     return first + "\n" + new String(body);
   }
 
-  private static void start(Runnable task) {
+  private static Thread start(Runnable task) {
     Thread thread = new Thread(task, "scripted-server");
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 }
