--- a/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
+++ b/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
@@ -44,8 +44,8 @@
   private final StandinClock clock;
   private final Standin standin;
   private final String name;
-  private final InetSocketAddress address;
-  private final Optional<InetSocketAddress> controlAddress;
+  private InetSocketAddress address;
+  private Optional<InetSocketAddress> controlAddress;
   private final Set<Channel> connections = new HashSet<>();
   private Channel listener;
   private Future<?> timer;
@@ -67,19 +67,31 @@
   }
 
   /**
-   * Opens the addresses.
+   * Opens the addresses; with port 0, at a free port that is kept from then on.
    *
    * @throws InterruptedException if interrupted meanwhile
    */
   public void start() throws InterruptedException {
     listener = bootstrap(this::serve, true).bind(address).sync().channel();
+    address = (InetSocketAddress) listener.localAddress();
     if (controlAddress.isPresent()) {
-      bootstrap(this::control, false).bind(controlAddress.get()).sync();
+      Channel control = bootstrap(this::control, false).bind(controlAddress.get()).sync().channel();
+      controlAddress = Optional.of((InetSocketAddress) control.localAddress());
     }
     loop.execute(this::refresh);
     Logger.info("standins: {} listens at {}", name, address);
   }
 
+  /** Returns the address that is served. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Returns the address of the control paths alone, if there is one. */
+  public Optional<InetSocketAddress> controlAddress() {
+    return controlAddress;
+  }
+
   private ServerBootstrap bootstrap(ExchangeHandler handler, boolean isTracked) {
     return new ServerBootstrap()
         .group(loop)
