Abbreviate the keys in offers to 4 bytes

Weighed: 8 bytes a key with the full keys beside the prompt (443 bytes, 2.4 KB/s, and the full keys travel all the same); levels only (a hint loses the depth of the match); a dictionary on each connection (44 connections see one offer in 14 s each, so it would be empty). The sidecar finds the whole keys of cached blocks and of prompts seen lately; once the prompt is there it derives the keys itself, so what reaches the engine no longer depends on keys from a router. Two blocks with one abbreviation can make a hint wrong, which costs time only. Offers with whole keys are still read; both forms at once are a typed error.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -12,6 +12,7 @@
 import org.shallothook.coordination.sidecar.SidecarEvent;
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.coordination.sidecar.SidecarOutbox;
+import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
@@ -142,6 +143,14 @@
         .map(Ticket::offer);
   }
 
+  /** Replaces the keys that were offered for an attempt by those of its prompt. */
+  public void setKeys(AttemptId attempt, List<BlockKey> keys) {
+    table
+        .find(attempt)
+        .filter(ticket -> ticket.is(Ticket.Stage.RESERVED))
+        .ifPresent(ticket -> ticket.setKeys(keys));
+  }
+
   /**
    * Queues an attempt that has a reservation.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Ticket.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Ticket.java
@@ -33,7 +33,7 @@
   private static final int RUN_NUMBER_STEP = 1 << 16;
 
   private final String router;
-  private final PeerMessage.Offer offer;
+  private PeerMessage.Offer offer;
   private final AttemptRecord record;
   private final long reservedUntilMicros;
   private Stage stage = Stage.RESERVED;
@@ -91,6 +91,10 @@
     return offer.keys();
   }
 
+  void setKeys(List<BlockKey> keys) {
+    offer = offer.withKeys(keys);
+  }
+
   long reservedUntilMicros() {
     return reservedUntilMicros;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/engine/CacheFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/engine/CacheFollower.java
@@ -50,6 +50,11 @@
     return index.contains(key);
   }
 
+  /** Returns a cached block whose key has the abbreviation, if there is one. */
+  public Optional<BlockKey> find(BlockKey abbreviation) {
+    return index.find(abbreviation);
+  }
+
   /** Returns the number of blocks known to be cached. */
   public int size() {
     return index.size();
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -39,7 +39,7 @@
    * @param attempt attempt that the offer opens
    * @param identity scope of cache reuse, with the model version that must answer
    * @param priority class of service
-   * @param keys keys of the prompt's whole blocks
+   * @param keys keys of the prompt's whole blocks, whole or all abbreviated
    * @param promptBytes size of the prompt
    * @param maximumOutputTokens greatest number of tokens to generate
    * @param deadlineMicros when the first token is of no more use, in microseconds since the epoch
@@ -64,6 +64,22 @@
     public Offer {
       keys = List.copyOf(keys);
     }
+
+    /** Returns the same offer with other keys. */
+    public Offer withKeys(List<BlockKey> others) {
+      return new Offer(
+          attempt,
+          identity,
+          priority,
+          others,
+          promptBytes,
+          maximumOutputTokens,
+          deadlineMicros,
+          resumePosition,
+          fingerprint,
+          isSuspect,
+          rank);
+    }
   }
 
   /**
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -18,6 +18,7 @@
 import org.shallothook.coordination.placement.PrefixLevel;
 import org.shallothook.coordination.placement.SpreadCache;
 import org.shallothook.coordination.quarantine.PoisonGuard;
+import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.request.RefusalReason;
 
 /**
@@ -219,7 +220,7 @@
         attempt.id(),
         exchange.identity(),
         exchange.team().priority(),
-        exchange.prompt().keys(),
+        exchange.prompt().keys().stream().map(BlockKey::abbreviated).toList(),
         exchange.prompt().bytes().length,
         exchange.maximumOutputTokens(),
         deadline,
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -41,6 +41,7 @@
   private final Counters counters;
   private final EngineMonitor engine;
   private final CacheFollower cache;
+  private final OfferedKeys offeredKeys;
   private final HotPrefixes hotPrefixes;
   private final Admission admission;
   private final ServiceCalls calls;
@@ -89,6 +90,7 @@
     outbox = new SidecarOutbox(Objects.requireNonNull(commands, "commands"));
     engine = new EngineMonitor(options, outbox);
     cache = new CacheFollower(options, outbox, counters);
+    offeredKeys = new OfferedKeys(cache, options.blockBytes());
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
     admission = new Admission(options, outbox, counters, engine, hotPrefixes.gate());
     agreement = new Agreement(options, agreementOptions, outbox, counters);
@@ -233,11 +235,16 @@
 
   private void onOffer(String router, PeerMessage.Offer offer, long nowMicros) {
     engine.onWorkOffered(nowMicros);
-    admission.onOffer(router, offer, hotPrefixes.spread(offer), nowMicros);
+    PeerMessage.Offer resolved = offeredKeys.resolve(offer);
+    admission.onOffer(router, resolved, hotPrefixes.spread(resolved), nowMicros);
   }
 
   private void onSubmit(String router, PeerMessage.Submit submit, long nowMicros) {
     cache.onWork(nowMicros);
+    admission
+        .reservedOffer(submit.attempt())
+        .map(offer -> offeredKeys.derive(offer, submit.prompt()))
+        .ifPresent(keys -> admission.setKeys(submit.attempt(), keys));
     admission
         .reservedOffer(submit.attempt())
         .ifPresent(
--- a/protocol/src/main/java/org/shallothook/protocol/peer/FieldMapping.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/FieldMapping.java
@@ -113,6 +113,20 @@
     return keys;
   }
 
+  static boolean areAbbreviated(List<BlockKey> keys) {
+    return keys.stream().allMatch(BlockKey::isAbbreviated);
+  }
+
+  static List<Integer> toAbbreviations(List<BlockKey> keys) {
+    return keys.stream().map(key -> (int) key.low()).toList();
+  }
+
+  static List<BlockKey> toAbbreviatedKeys(List<Integer> abbreviations) {
+    return abbreviations.stream()
+        .map(bits -> new BlockKey(0, Integer.toUnsignedLong(bits)))
+        .toList();
+  }
+
   static <T extends Enum<T>> T toConstant(Class<T> type, String field, String name) {
     for (T constant : type.getEnumConstants()) {
       if (constant.name().equals(name)) {
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -1,5 +1,6 @@
 package org.shallothook.protocol.peer;
 
+import java.util.List;
 import java.util.Optional;
 import org.shallothook.coordination.message.CrashRole;
 import org.shallothook.coordination.message.PeerMessage;
@@ -14,6 +15,7 @@
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
 import org.shallothook.protocol.generated.TokensFrame;
+import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.membership.InstanceRole;
@@ -89,7 +91,7 @@
         FieldMapping.toAttempt(frame.getAttempt()),
         new CacheIdentity(frame.getTeam(), FieldMapping.toModelVersion(frame.getModelVersion())),
         FieldMapping.toConstant(PriorityClass.class, "offer.priority", frame.getPriority()),
-        FieldMapping.toKeys(frame.getKeys()),
+        offeredKeys(frame),
         FieldMapping.notNegative("offer.prompt_bytes", frame.getPromptBytes()),
         FieldMapping.notNegative("offer.maximum_output_tokens", frame.getMaximumOutputTokens()),
         FieldMapping.notNegative("offer.deadline_micros", frame.getDeadlineMicros()),
@@ -99,6 +101,16 @@
         FieldMapping.notNegative("offer.rank", frame.getRank()));
   }
 
+  private static List<BlockKey> offeredKeys(OfferFrame frame) {
+    if (frame.getAbbreviatedKeysCount() == 0) {
+      return FieldMapping.toKeys(frame.getKeys());
+    }
+    if (!frame.getKeys().isEmpty()) {
+      throw new InvalidFieldException("offer.keys", "whole and abbreviated keys");
+    }
+    return FieldMapping.toAbbreviatedKeys(frame.getAbbreviatedKeysList());
+  }
+
   private static PeerMessage offerReply(OfferReplyFrame frame) {
     Optional<RefusalReason> refusal =
         frame.getRefusal().isEmpty()
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -73,12 +73,17 @@
   }
 
   private static OfferFrame.Builder offer(PeerMessage.Offer offer) {
-    return OfferFrame.newBuilder()
+    OfferFrame.Builder frame = OfferFrame.newBuilder();
+    if (FieldMapping.areAbbreviated(offer.keys())) {
+      frame.addAllAbbreviatedKeys(FieldMapping.toAbbreviations(offer.keys()));
+    } else {
+      frame.setKeys(FieldMapping.toBytes(offer.keys()));
+    }
+    return frame
         .setAttempt(FieldMapping.toFrame(offer.attempt()))
         .setTeam(offer.identity().team())
         .setModelVersion(FieldMapping.toFrame(offer.identity().modelVersion()))
         .setPriority(offer.priority().name())
-        .setKeys(FieldMapping.toBytes(offer.keys()))
         .setPromptBytes(offer.promptBytes())
         .setMaximumOutputTokens(offer.maximumOutputTokens())
         .setDeadlineMicros(offer.deadlineMicros())
--- a/state/src/main/java/org/shallothook/state/cache/BlockKey.java
+++ b/state/src/main/java/org/shallothook/state/cache/BlockKey.java
@@ -15,6 +15,23 @@
   /** Number of hexadecimal digits in {@link #toHex()}. */
   public static final int HEX_DIGITS = 32;
 
+  private static final long ABBREVIATION_MASK = 0xFFFF_FFFFL;
+
+  /**
+   * Returns the key with its lowest 32 bits alone, which offers carry to save bytes.
+   *
+   * <p>Another block's key can have the same abbreviation, so it may decide on time, never on what
+   * is reused.
+   */
+  public BlockKey abbreviated() {
+    return new BlockKey(0, low & ABBREVIATION_MASK);
+  }
+
+  /** Returns whether this is an abbreviation and not a whole key. */
+  public boolean isAbbreviated() {
+    return high == 0 && (low & ~ABBREVIATION_MASK) == 0;
+  }
+
   /** Returns the key as 32 lower-case hexadecimal digits. */
   public String toHex() {
     HexFormat format = HexFormat.of();
--- a/state/src/main/java/org/shallothook/state/cache/BlockKeySet.java
+++ b/state/src/main/java/org/shallothook/state/cache/BlockKeySet.java
@@ -1,6 +1,7 @@
 package org.shallothook.state.cache;
 
 import java.util.Arrays;
+import java.util.Optional;
 
 /**
  * A set of block keys in two primitive arrays, with open addressing and linear probing.
@@ -50,6 +51,23 @@
     return isAt(slotOf(key), key);
   }
 
+  /**
+   * Returns a key with the same abbreviation, if there is one.
+   *
+   * <p>Its home slot depends on the bits of the abbreviation alone, so none is missed.
+   */
+  public Optional<BlockKey> find(BlockKey abbreviation) {
+    int slot = homeOf(abbreviation.low());
+    while (!isEmpty(slot)) {
+      BlockKey found = new BlockKey(slots[2 * slot], slots[2 * slot + 1]);
+      if (found.abbreviated().equals(abbreviation)) {
+        return Optional.of(found);
+      }
+      slot = slotAfter(slot);
+    }
+    return Optional.empty();
+  }
+
   /**
    * Adds a key.
    *
--- a/state/src/main/java/org/shallothook/state/cache/PrefixIndex.java
+++ b/state/src/main/java/org/shallothook/state/cache/PrefixIndex.java
@@ -80,6 +80,11 @@
     return keys.contains(key);
   }
 
+  /** Returns a held block whose key has the abbreviation, if there is one. */
+  public Optional<BlockKey> find(BlockKey abbreviation) {
+    return keys.find(abbreviation);
+  }
+
   /** Returns the number of leading blocks of the chain that are held without a hole. */
   public int matchedBlocks(List<BlockKey> chain) {
     int matched = 0;
--- /dev/null
+++ b/state/src/test/java/org/shallothook/state/cache/BlockKeySetFindTest.java
@@ -0,0 +1,50 @@
+package org.shallothook.state.cache;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Keys are found by their abbreviations, however the table has grown and lost keys. */
+final class BlockKeySetFindTest {
+  private static final int KEYS = 5_000;
+  private static final int SLOTS_OF_A_FEW = 64;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void everyHeldKeyIsFoundAndNoOther(long seed) {
+    Random random = new Random(seed);
+    BlockKeySet set = new BlockKeySet(2 * KEYS);
+    List<BlockKey> held = new ArrayList<>();
+    List<BlockKey> removed = new ArrayList<>();
+    for (int index = 0; index < KEYS; index++) {
+      // Few home slots, so that keys collide.
+      long low = random.nextLong() << 6 | random.nextInt(SLOTS_OF_A_FEW);
+      BlockKey key = new BlockKey(random.nextLong(), low);
+      set.add(key);
+      (index % 3 == 0 ? removed : held).add(key);
+    }
+    removed.forEach(set::remove);
+
+    for (BlockKey key : held) {
+      assertThat(set.find(key.abbreviated())).hasValue(key);
+    }
+    for (BlockKey key : removed) {
+      assertThat(set.find(key.abbreviated())).isEmpty();
+    }
+  }
+
+  @Test
+  void abbreviationOfTwoKeysFindsOneOfThem() {
+    BlockKeySet set = new BlockKeySet(4);
+    set.add(new BlockKey(1, 0x1_0000_0007L));
+    set.add(new BlockKey(2, 0x2_0000_0007L));
+    set.remove(new BlockKey(1, 0x1_0000_0007L));
+
+    assertThat(set.find(new BlockKey(0, 7))).hasValue(new BlockKey(2, 0x2_0000_0007L));
+  }
+}
