--- a/benchmarks/src/main/java/org/shallothook/benchmarks/bench/BenchTable.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/bench/BenchTable.java
@@ -1,7 +1,9 @@
 package org.shallothook.benchmarks.bench;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.shallothook.benchmarks.measure.Measure;
 
 /** Measures as text for people. Stateless and thread-safe. */
@@ -36,24 +38,37 @@
     return known.isListed(measure) ? "KNOWN-RED" : "MISSED";
   }
 
-  /** Returns the figures of another build beside those of this one. */
+  /** Returns the figures of another build beside those of this one, and those of one alone. */
   static String comparison(List<MeasuresJson.Entry> old, List<Measure> measures) {
+    Map<String, Double> before = new LinkedHashMap<>();
+    old.forEach(entry -> before.put(entry.name() + " " + entry.deployment(), entry.figure()));
     StringBuilder rows = new StringBuilder("\nCompared with the other build:\n");
     for (Measure measure : measures) {
       String name = KnownRedMeasures.nameOf(measure);
-      String before =
-          old.stream()
-              .filter(entry -> name.equals(entry.name() + " " + entry.deployment()))
-              .map(entry -> change(entry.figure(), measure.figure()))
-              .findFirst()
-              .orElse("new");
-      rows.append(String.format(Locale.ROOT, "%-56s %s%n", name, before));
+      Double figure = before.remove(name);
+      rows.append(row(name, figure == null ? "new" : change(figure, measure.figure())));
     }
+    before.forEach(
+        (name, figure) ->
+            rows.append(
+                row(
+                    name,
+                    String.format(Locale.ROOT, "not in this run, %.3f in the other", figure))));
     return rows.toString();
   }
 
+  private static String row(String name, String text) {
+    return String.format(Locale.ROOT, "%-56s %s%n", name, text);
+  }
+
   private static String change(double before, double after) {
-    double percent = before == 0 ? 0 : 100 * (after - before) / before;
-    return String.format(Locale.ROOT, "%12.3f -> %12.3f  %+.1f %%", before, after, percent);
+    String figures = String.format(Locale.ROOT, "%12.3f -> %12.3f  ", before, after);
+    if (Double.compare(before, after) == 0) {
+      return figures + "same";
+    }
+    if (before == 0) {
+      return figures + "from 0";
+    }
+    return figures + String.format(Locale.ROOT, "%+.1f %%", 100 * (after - before) / before);
   }
 }
