--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
@@ -1,6 +1,7 @@
 package org.shallothook.benchmarks.process;
 
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.File;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -13,19 +14,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
- * A small deployment on loopback, every process on its own: two routers, two engines and two
- * booking services with their sidecars, and the platform.
+ * A small deployment on loopback, every process on its own: two routers, engines and booking
+ * services with their sidecars, and the platform.
  *
  * <p>Invariant: ends every process that it has started. Not thread-safe.
  */
 final class Fleet implements AutoCloseable {
   static final String KEY = "key-of-the-team";
   static final List<String> ROUTERS = List.of("router-1", "router-2");
-  static final List<String> ENGINES = List.of("engine-1", "engine-2");
-  static final List<String> SERVICES = List.of("rota-1", "rota-2");
 
   private static final String SIDECAR = "org.shallothook.sidecar.SidecarMain";
   private static final String ROUTER = "org.shallothook.router.RouterMain";
@@ -34,23 +34,31 @@
   private static final int HELD_FACTOR = 50;
 
   private final Path folder;
+  private final FleetShape shape;
+  private final Map<String, TcpRelay> relays = new HashMap<>();
   private final PortBlock portBlock = PortBlock.reserve();
   private final Map<String, Integer> ports = new HashMap<>();
   private final Map<String, Process> processes = new LinkedHashMap<>();
 
-  Fleet(Path folder) throws Exception {
+  Fleet(Path folder, FleetShape shape) throws Exception {
     this.folder = folder;
+    this.shape = shape;
+    if (shape.isRelayed()) {
+      for (String engine : shape.engines()) {
+        relays.put(engine, new TcpRelay(port(engine + "-relay"), port(engine + "-peers")));
+      }
+    }
     Files.writeString(folder.resolve("standins.ini"), standins());
-    Files.writeString(folder.resolve("team.ini"), template());
+    Files.writeString(folder.resolve("team.ini"), template("1"));
     start(
         "platform",
         STANDINS,
         "--settings",
         "standins.ini",
         "--only",
-        "log,instances,rota-1,rota-2");
+        String.join(",", concat(List.of("log", "instances", "weights"), shape.services())));
     for (String upstream : upstreams()) {
-      if (ENGINES.contains(upstream)) {
+      if (shape.engines().contains(upstream)) {
         startStandin(upstream);
       }
       startSidecar(upstream);
@@ -67,6 +75,19 @@
     }
   }
 
+  List<String> engines() {
+    return shape.engines();
+  }
+
+  List<String> services() {
+    return shape.services();
+  }
+
+  /** Returns what forwards the connections from routers to the sidecar of an engine. */
+  TcpRelay relay(String engine) {
+    return relays.get(engine);
+  }
+
   int port(String use) {
     return ports.computeIfAbsent(use, name -> portBlock.next());
   }
@@ -92,7 +113,9 @@
 
   void startSidecar(String name) throws IOException {
     String role =
-        ENGINES.contains(name) ? "role = model-engine\n" : "role = service\nservice = rota\n";
+        shape.engines().contains(name)
+            ? "role = model-engine\n"
+            : "role = service\nservice = rota\n";
     String upstream = "[upstream]\n" + role + "address = " + address(name + "-upstream") + "\n";
     Files.writeString(folder.resolve(name + ".ini"), upstream + common(name));
     start(name, SIDECAR, "serve", "--settings", name + ".ini");
@@ -113,6 +136,17 @@
     return Http.get(admin(name), "/healthz").statusCode() == 200;
   }
 
+  /** Publishes through a router's admin port and returns the answer. */
+  CompletableFuture<JsonObject> publish(String router, String change, String source, long base) {
+    JsonObject form = new JsonObject();
+    form.addProperty("change", change);
+    form.addProperty("template", "team");
+    form.addProperty("source", source);
+    form.addProperty("base", base);
+    return Http.postAsync(admin(router), "/publish", form.toString())
+        .thenApply(answer -> JsonParser.parseString(answer.body()).getAsJsonObject());
+  }
+
   /** Waits until a router answers chats, whichever engine runs them. */
   void waitUntilAnswering(String router) {
     Until.yes(
@@ -130,7 +164,7 @@
 
   /** Slows every engine so far that no answer ends before {@link #releaseAnswers}. */
   void holdAnswers() throws Exception {
-    for (String engine : ENGINES) {
+    for (String engine : shape.engines()) {
       fault(engine + "-upstream", "slow", "{\"factor\":" + HELD_FACTOR + "}");
     }
   }
@@ -149,7 +183,7 @@
         "an engine runs a stream",
         () -> {
           found.clear();
-          for (String engine : ENGINES) {
+          for (String engine : shape.engines()) {
             if (isRunningStream(engine)) {
               found.add(engine);
             }
@@ -177,6 +211,7 @@
   public void close() {
     processes.values().forEach(Process::destroyForcibly);
     processes.values().forEach(Fleet::await);
+    relays.values().forEach(TcpRelay::close);
     portBlock.close();
   }
 
@@ -234,17 +269,22 @@
     text.append("[log]\ntype = log\nlisten = ").append(address("log"));
     text.append("\n[instances]\ntype = instance-list\nlag_millis = 0\nlisten = ")
         .append(address("instances"));
-    for (String engine : ENGINES) {
+    text.append("\n[weights]\ntype = weight-store\nfetch_millis = ")
+        .append(shape.fetchMillis())
+        .append("\nlisten = ")
+        .append(address("weights"));
+    for (String engine : shape.engines()) {
       text.append("\n[").append(engine).append("]\ntype = model-engine\nmodels = m@1\nlisten = ");
       text.append(address(engine + "-upstream"));
+      text.append("\nweight_store = ").append(address("weights"));
     }
-    for (String service : SERVICES) {
+    for (String service : shape.services()) {
       text.append("\n[").append(service).append("]\ntype = service\nlisten = ");
       text.append(address(service + "-upstream"));
     }
     ROUTERS.forEach(name -> text.append(instance(name, "router", "")));
-    ENGINES.forEach(name -> text.append(instance(name, "model-engine", "")));
-    SERVICES.forEach(name -> text.append(instance(name, "service", "rota")));
+    shape.engines().forEach(name -> text.append(instance(name, "model-engine", "")));
+    shape.services().forEach(name -> text.append(instance(name, "service", "rota")));
     return text.append('\n').toString();
   }
 
@@ -254,17 +294,20 @@
         + "]\nrole = "
         + role
         + "\naddress = "
-        + address(name + "-peers")
+        + address(name + (relays.containsKey(name) ? "-relay" : "-peers"))
         + "\nfailure_domain = a\nregion = r\nservice = "
         + service;
   }
 
-  private static String template() throws Exception {
+  /** Returns the team's template with a version of its model. */
+  static String template(String version) throws Exception {
     byte[] digest =
         MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(StandardCharsets.UTF_8));
     return "[team]\nname = team\nkey-sha256 = "
         + HexFormat.of().formatHex(digest)
-        + "\nmodel = m\nversion = 1\npriority = ordinary\n[limits]\nmaximum-output-tokens = 2000\n"
+        + "\nmodel = m\nversion = "
+        + version
+        + "\npriority = ordinary\n[limits]\nmaximum-output-tokens = 2000\n"
         + "[rulebook]\ntext = Rules of the parish.\n[service rota]\n"
         + "repeatable-paths = availability\nchecks-fencing = false\n";
   }
@@ -273,8 +316,8 @@
     return "127.0.0.1:" + port(use);
   }
 
-  private static List<String> upstreams() {
-    return concat(ENGINES, SERVICES);
+  private List<String> upstreams() {
+    return concat(shape.engines(), shape.services());
   }
 
   private static List<String> concat(List<String> first, List<String> second) {
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/FleetProcessTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/FleetProcessTest.java
@@ -24,7 +24,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    fleet = new Fleet(folder);
+    fleet = new Fleet(folder, FleetShape.SMALL.withRelays());
   }
 
   @AfterEach
@@ -39,7 +39,7 @@
     Until.yes(
         "the router says that it leaves",
         () -> Http.get(fleet.admin("router-1"), "/healthz").statusCode() == 503);
-    fleet.releaseAnswers(Fleet.ENGINES);
+    fleet.releaseAnswers(fleet.engines());
 
     assertThatAllEndWhole(streams);
     assertThat(fleet.process("router-1").waitFor(60, TimeUnit.SECONDS)).isTrue();
@@ -55,7 +55,7 @@
         "the sidecar says that it leaves",
         () -> Http.get(fleet.admin(engine), "/healthz").statusCode() == 503);
     ChatStream later = ChatStream.open(fleet.callers("router-2"), Fleet.KEY, "later", 5);
-    fleet.releaseAnswers(Fleet.ENGINES);
+    fleet.releaseAnswers(fleet.engines());
 
     assertThatAllEndWhole(streams);
     assertThat(later.end()).isEqualTo("done");
@@ -83,12 +83,27 @@
     int partsBefore = stream.parts();
     Until.yes("the stream has gone on", () -> stream.parts() > partsBefore);
     fleet.signal(engine, "CONT");
-    fleet.releaseAnswers(Fleet.ENGINES);
+    fleet.releaseAnswers(fleet.engines());
 
     assertThatAllEndWhole(List.of(stream));
     fleet.waitUntilServing(engine);
   }
 
+  @Test
+  void aStreamIsWholeThoughItsConnectionToTheSidecarWasCutTwice() throws Exception {
+    ChatStream stream = openStreams("router-1", 1).get(0);
+    for (int cut = 0; cut < 2; cut++) {
+      int partsBefore = stream.parts();
+      for (String engine : fleet.engines()) {
+        fleet.relay(engine).cut();
+      }
+      Until.yes("the stream has gone on", () -> stream.parts() > partsBefore + 1);
+    }
+    fleet.releaseAnswers(fleet.engines());
+
+    assertThatAllEndWhole(List.of(stream));
+  }
+
   @Test
   void aRouterThatRestartsInAnOutageOfTheLogServes() throws Exception {
     fleet.fault("log", "outage", "{\"for_millis\":600000}");
@@ -104,7 +119,7 @@
   @Test
   void aBookingRunsOnceThoughItsSidecarFrozeAndItsCallerAskedAgain() throws Exception {
     assertThat(book("router-1", "key-0").statusCode()).isEqualTo(200);
-    for (String frozen : Fleet.SERVICES) {
+    for (String frozen : fleet.services()) {
       fleet.signal(frozen, "STOP");
       String key = "key-of-" + frozen;
       Until.yes(
@@ -119,8 +134,8 @@
     assertThat(executions("key-0")).isEqualTo(1);
   }
 
-  private static List<String> othersThan(String engine) {
-    return Fleet.ENGINES.stream().filter(other -> !other.equals(engine)).toList();
+  private List<String> othersThan(String engine) {
+    return fleet.engines().stream().filter(other -> !other.equals(engine)).toList();
   }
 
   private HttpResponse<String> book(String router, String key) throws Exception {
@@ -136,7 +151,7 @@
 
   private int executions(String key) throws Exception {
     int sum = 0;
-    for (String service : Fleet.SERVICES) {
+    for (String service : fleet.services()) {
       JsonObject state = Http.json(fleet.port(service + "-upstream"), "/control/state");
       JsonObject executions = state.getAsJsonObject("executions");
       sum += executions.has(key) ? executions.get(key).getAsInt() : 0;
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/Http.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/Http.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 
 /** Requests to processes under test. Stateless and thread-safe. */
 final class Http {
@@ -37,6 +38,15 @@
     return send(request.build());
   }
 
+  static CompletableFuture<HttpResponse<String>> postAsync(int port, String path, String body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(uri(port, path))
+            .timeout(LONGEST_WAIT)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return CLIENT.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
   static URI uri(int port, String path) {
     return URI.create("http://127.0.0.1:" + port + path);
   }
--- a/standins/src/main/java/org/shallothook/standins/http/LogStandin.java
+++ b/standins/src/main/java/org/shallothook/standins/http/LogStandin.java
@@ -86,6 +86,7 @@
   public JsonObject state(long nowMicros) {
     JsonObject state = Json.state(model.disturbances());
     state.addProperty("over_rate", model.overRate());
-    return Json.with(state, "ends", model.endOffsets());
+    Json.with(state, "ends", model.endOffsets());
+    return Json.with(state, "last", model.lastPayloads());
   }
 }
--- a/standins/src/main/java/org/shallothook/standins/http/WeightStoreStandin.java
+++ b/standins/src/main/java/org/shallothook/standins/http/WeightStoreStandin.java
@@ -45,6 +45,7 @@
   public JsonObject state(long nowMicros) {
     JsonObject state = Json.state(model.disturbances());
     state.addProperty("fetches", model.fetches());
+    state.addProperty("running", model.running(nowMicros));
     state.addProperty("limited", model.limited());
     state.addProperty("greatest_concurrent", model.greatestConcurrent());
     return state;
--- a/standins/src/main/java/org/shallothook/standins/log/LogModel.java
+++ b/standins/src/main/java/org/shallothook/standins/log/LogModel.java
@@ -77,6 +77,18 @@
     return ends;
   }
 
+  /** Returns the payload of the last retained record of each stream by its name. */
+  public Map<String, String> lastPayloads() {
+    Map<String, String> payloads = new TreeMap<>();
+    streams.forEach(
+        (name, stream) -> {
+          if (!stream.records.isEmpty()) {
+            payloads.put(name, stream.records.getLast().payload());
+          }
+        });
+    return payloads;
+  }
+
   /** Returns the number of appends refused over the rate. */
   public long overRate() {
     return overRate;
--- a/standins/src/main/java/org/shallothook/standins/weights/WeightStoreModel.java
+++ b/standins/src/main/java/org/shallothook/standins/weights/WeightStoreModel.java
@@ -64,6 +64,11 @@
     return greatestConcurrent;
   }
 
+  /** Returns the number of fetches that run now. */
+  public long running(long nowMicros) {
+    return ends.stream().filter(end -> end > nowMicros).count();
+  }
+
   /** Returns the number of fetches refused over the rate limit. */
   public long limited() {
     return limited;
