--- /dev/null
+++ b/state/src/test/java/org/shallothook/state/lease/LeaseTablePropertyTest.java
@@ -0,0 +1,37 @@
+package org.shallothook.state.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.shallothook.state.log.LogRecord;
+
+/** No payload in the stream of leases throws, or holds a slot beyond the longest lease. */
+final class LeaseTablePropertyTest {
+  private static final long NOW = 1_000_000_000;
+
+  @Property(seed = "96", tries = 3_000)
+  void noPayloadThrowsOrHoldsASlotForLong(@ForAll("payloads") String payload) {
+    LeaseTable table = new LeaseTable();
+    table.fold(new LogRecord(0, NOW, payload));
+
+    assertThat(table.nextOffset()).isEqualTo(1);
+    assertThat(table.countAt(NOW + LeaseTable.LONGEST_MICROS + 1)).isEqualTo(0);
+  }
+
+  @Provide
+  Arbitrary<String> payloads() {
+    Arbitrary<String> words = Arbitraries.strings().ofMaxLength(12);
+    Arbitrary<String> leases =
+        Arbitraries.longs().map(deadline -> LeaseTable.leaseRecord("id", deadline));
+    Arbitrary<String> near =
+        Arbitraries.longs()
+            .between(NOW - 10, NOW + 2 * LeaseTable.LONGEST_MICROS)
+            .map(deadline -> LeaseTable.leaseRecord("id", deadline));
+    return Arbitraries.oneOf(
+        words, leases, near, words.map(word -> "lease " + word), words.map(LeaseTable::endRecord));
+  }
+}
