Compare chats through routers with chats straight to sidecars, in pairs

Cause: the added latency of a router over sockets was not measured at all. Endpoints of a demonstration name the sidecars' peer ports too.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -2,6 +2,7 @@
 
 import org.shallothook.benchmarks.bench.BenchCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
+import org.shallothook.benchmarks.load.LoadCommand;
 import org.shallothook.benchmarks.matrix.MatrixCommand;
 import org.shallothook.benchmarks.slopes.SlopesCommand;
 import org.shallothook.benchmarks.sockets.SocketsCommand;
@@ -29,8 +30,10 @@
     return new CommandLine(new BenchmarksMain())
         .addSubcommand(new BenchCommand())
         .addSubcommand(new DemoCommand())
+        .addSubcommand(new LoadCommand())
         .addSubcommand(new MatrixCommand())
         .addSubcommand(new SocketsCommand())
-        .addSubcommand(new SlopesCommand());
+        .addSubcommand(new SlopesCommand())
+        .setCaseInsensitiveEnumValuesAllowed(true);
   }
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/demo/Deployment.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/demo/Deployment.java
@@ -56,6 +56,7 @@
    * @param role role as in its sidecar's settings
    * @param admin address of its sidecar for operators, {@code IP:port}
    * @param control address of its stand-in, {@code IP:port}
+   * @param peers address of its sidecar for routers, {@code IP:port}
    */
-  public record Upstream(String name, String role, String admin, String control) {}
+  public record Upstream(String name, String role, String admin, String control, String peers) {}
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/demo/DeploymentReader.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/demo/DeploymentReader.java
@@ -47,7 +47,11 @@
       }
       upstreams.add(
           new Deployment.Upstream(
-              name, upstream.get("role"), listen.get("admin"), upstream.get("address")));
+              name,
+              upstream.get("role"),
+              listen.get("admin"),
+              upstream.get("address"),
+              listen.get("peers")));
       if (upstream.containsKey("service")) {
         services.add(upstream.get("service"));
       }
