--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/PortBlock.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/PortBlock.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.IntStream;
 
 /**
  * Ports for the processes of one test, below those that the system gives to outgoing connections.
@@ -28,16 +30,19 @@
   /** Reserves the first block that no other test holds, from a random one on. */
   static PortBlock reserve() {
     int first = ThreadLocalRandom.current().nextInt(BLOCKS);
-    for (int tried = 0; tried < BLOCKS; tried++) {
-      int port = FIRST_PORT + (first + tried) % BLOCKS * BLOCK_PORTS;
-      try {
-        return new PortBlock(listen(port));
-      } catch (IOException e) {
-        // Another test holds the block.
-        continue;
-      }
+    return IntStream.range(first, first + BLOCKS)
+        .mapToObj(block -> tryReserve(FIRST_PORT + block % BLOCKS * BLOCK_PORTS))
+        .flatMap(Optional::stream)
+        .findFirst()
+        .orElseThrow(() -> new IllegalStateException("No block of ports is free"));
+  }
+
+  private static Optional<PortBlock> tryReserve(int port) {
+    try {
+      return Optional.of(new PortBlock(listen(port)));
+    } catch (IOException e) {
+      return Optional.empty();
     }
-    throw new IllegalStateException("No block of ports is free");
   }
 
   /** Returns the next port of the block that no other program listens at. */
