Wire the platform's clients once, and refuse ring sizes that cannot be used

Cause: the two processes built log client and list client with the same lines, and check accepted [decisions] ring-size = 2 and 4, with which serve then failed.

Change: PlatformLinks creates both clients from the settings; the type of the setting knows the least size of a ring.

Figures: the new row of SidecarMainTest ('ring-size = 4') failed before and passes now; SettingsReader, SidecarMain and RouterMain tests pass.

Conclusion: the wiring that differs (events, callers, upstream) stays in the two processes.

--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -1,7 +1,6 @@
 package org.shallothook.router;
 
 import io.vavr.control.Try;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -24,8 +23,7 @@
 import org.shallothook.transport.peer.PeerSettings;
 import org.shallothook.transport.platform.HttpClient;
 import org.shallothook.transport.platform.HttpSettings;
-import org.shallothook.transport.platform.InstanceListClient;
-import org.shallothook.transport.platform.LogClient;
+import org.shallothook.transport.platform.PlatformLinks;
 import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
 import org.shallothook.transport.process.Listening;
@@ -39,7 +37,6 @@
  */
 final class RouterProcess {
   private static final int CALLER_THREADS = 2;
-  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
 
   private final Settings settings;
   private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
@@ -50,8 +47,7 @@
   private final DecisionThread<RouterEvent> thread;
   private final CallerServer callers;
   private final PeerNetwork peers;
-  private final LogClient log;
-  private final InstanceListClient instances;
+  private final PlatformLinks platform;
   private final RouterCore core;
   private final AdminServer admin;
   private final GracefulStop stop = new GracefulStop(this::drain, this::close);
@@ -78,13 +74,11 @@
     RouterEvents events = new RouterEvents(thread);
     peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), events, metrics);
     HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
-    log =
-        new LogClient(client, settings.address(CommonKeys.LOG), PLATFORM_TIMEOUT, events, metrics);
-    instances =
-        new InstanceListClient(
+    platform =
+        PlatformLinks.create(
+            settings,
             client,
-            settings.address(CommonKeys.INSTANCES),
-            PLATFORM_TIMEOUT,
+            events,
             list -> thread.deliver(new RouterEvent.InstancesRead(list)),
             metrics);
     core = new RouterCore(options(), this::carryOut);
@@ -157,11 +151,11 @@
     } else if (command instanceof RouterCommand.PeersChanged changed) {
       peers.peersChanged(changed.peers());
     } else if (command instanceof RouterCommand.ReadLog read) {
-      log.read(read.stream(), read.fromOffset());
+      platform.log().read(read.stream(), read.fromOffset());
     } else if (command instanceof RouterCommand.AppendLog append) {
-      log.append(append.token(), append.stream(), append.payload());
+      platform.log().append(append.token(), append.stream(), append.payload());
     } else if (command instanceof RouterCommand.ReadInstances read) {
-      instances.read(read.knownVersion());
+      platform.instances().read(read.knownVersion());
     } else if (command instanceof RouterCommand.Drained) {
       CompletableFuture<Void> unused = callers.close().thenRun(stop::drained);
     }
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -1,7 +1,6 @@
 package org.shallothook.sidecar;
 
 import io.vavr.control.Try;
-import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -22,8 +21,7 @@
 import org.shallothook.transport.peer.PeerSettings;
 import org.shallothook.transport.platform.HttpClient;
 import org.shallothook.transport.platform.HttpSettings;
-import org.shallothook.transport.platform.InstanceListClient;
-import org.shallothook.transport.platform.LogClient;
+import org.shallothook.transport.platform.PlatformLinks;
 import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
 import org.shallothook.transport.process.Listening;
@@ -36,7 +34,6 @@
  * <p>Invariant: the core is used on the decision thread alone. Thread-safe once started.
  */
 final class SidecarProcess {
-  private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
 
   private final Settings settings;
   private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
@@ -46,8 +43,7 @@
   private final DecisionThread<SidecarEvent> thread;
   private final PeerNetwork peers;
   private final UpstreamLink upstream;
-  private final LogClient log;
-  private final InstanceListClient instances;
+  private final PlatformLinks platform;
   private final SidecarCore core;
   private final AdminServer admin;
   private final GracefulStop stop = new GracefulStop(this::drain, this::close);
@@ -67,13 +63,11 @@
     peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), events, metrics);
     HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
     upstream = new UpstreamLink(settings, role(), client, thread::deliver);
-    log =
-        new LogClient(client, settings.address(CommonKeys.LOG), PLATFORM_TIMEOUT, events, metrics);
-    instances =
-        new InstanceListClient(
+    platform =
+        PlatformLinks.create(
+            settings,
             client,
-            settings.address(CommonKeys.INSTANCES),
-            PLATFORM_TIMEOUT,
+            events,
             list -> thread.deliver(new SidecarEvent.InstancesRead(list)),
             metrics);
     core = new SidecarCore(options(), agreementOptions(), this::carryOut, metrics);
@@ -134,11 +128,11 @@
     } else if (command instanceof SidecarCommand.PeersChanged changed) {
       peers.peersChanged(changed.peers());
     } else if (command instanceof SidecarCommand.ReadLog read) {
-      log.read(read.stream(), read.fromOffset());
+      platform.log().read(read.stream(), read.fromOffset());
     } else if (command instanceof SidecarCommand.AppendLog append) {
-      log.append(append.token(), append.stream(), append.payload());
+      platform.log().append(append.token(), append.stream(), append.payload());
     } else if (command instanceof SidecarCommand.ReadInstances read) {
-      instances.read(read.knownVersion());
+      platform.instances().read(read.knownVersion());
     } else if (command instanceof SidecarCommand.Drained) {
       stop.drained();
     } else {
--- a/sidecar/src/test/java/org/shallothook/sidecar/SidecarMainTest.java
+++ b/sidecar/src/test/java/org/shallothook/sidecar/SidecarMainTest.java
@@ -20,6 +20,7 @@
     "'[instance]|nome = one', '[instance] nome = one'",
     "'[listen]|peers = host:1', '[listen] peers = host:1'",
     "'[decisions]|ring-size = 1000', 'Write a power of two'",
+    "'[decisions]|ring-size = 4', 'Write a power of two from 8 on'",
     "'[logging]|form = xml', 'Write one of text, json.'",
     "'[upstream]|role = service', '[upstream] service - The setting is missing'",
     "'[upstream]|checks-fencing = true', '[upstream] checks-fencing = true - The setting is unknown.'",
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/platform/PlatformLinks.java
@@ -0,0 +1,46 @@
+package org.shallothook.transport.platform;
+
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.membership.InstanceList;
+import org.shallothook.transport.settings.CommonKeys;
+import org.shallothook.transport.settings.Settings;
+
+/**
+ * What every process uses of the platform: its log and its list of instances.
+ *
+ * <pre>{@code
+ * PlatformLinks platform = PlatformLinks.create(settings, client, events, lists, counters);
+ * platform.log().read("configuration", 0);
+ * }</pre>
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param log client of the log
+ * @param instances client of the list of instances
+ */
+public record PlatformLinks(LogClient log, InstanceListClient instances) {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  /**
+   * Creates the clients of the addresses that the settings name.
+   *
+   * @param settings settings of the process
+   * @param client sends the calls
+   * @param logListener takes what the log answers
+   * @param listListener takes each list that was read
+   * @param counters counts failures
+   */
+  public static PlatformLinks create(
+      Settings settings,
+      HttpClient client,
+      LogListener logListener,
+      Consumer<InstanceList> listListener,
+      Counters counters) {
+    return new PlatformLinks(
+        new LogClient(client, settings.address(CommonKeys.LOG), TIMEOUT, logListener, counters),
+        new InstanceListClient(
+            client, settings.address(CommonKeys.INSTANCES), TIMEOUT, listListener, counters));
+  }
+}
--- a/transport/src/main/java/org/shallothook/transport/settings/CommonKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/CommonKeys.java
@@ -45,7 +45,7 @@
       SettingKey.withDefault(
           "decisions",
           "ring-size",
-          SettingType.POWER_OF_TWO,
+          SettingType.RING_SIZE,
           "8192",
           "Events that wait for a decision at most; a power of two.");
   public static final SettingKey LOG_FORM =
--- a/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.shallothook.transport.decision.DecisionSettings;
 
 /**
  * Kind of value that a setting takes.
@@ -52,13 +53,13 @@
       return text.equals("none") ? Optional.empty() : Optional.of(ADDRESS.parse(text));
     }
   },
-  /** A power of two above one. */
-  POWER_OF_TWO("Write a power of two, such as 8192.") {
+  /** Size of the ring of a decision thread. */
+  RING_SIZE("Write a power of two from " + DecisionSettings.SMALLEST_RING + " on, such as 8192.") {
     @Override
     Object parse(String text) {
       int number = Integer.parseInt(text);
-      if (number < 2 || Integer.bitCount(number) != 1) {
-        throw new IllegalArgumentException("no power of two");
+      if (number < DecisionSettings.SMALLEST_RING || Integer.bitCount(number) != 1) {
+        throw new IllegalArgumentException("no size of a ring");
       }
       return number;
     }
