Fetch evicted blocks when a request is about to run

An import was only considered when the prompt came, from what was cached then; the blocks were evicted while the request waited.

Ruled out: the number of imports (at most 4 open) and misses in the store held back few (333 blocks were known to be missing); the priority opening was in the store before the hour began.

Change: the import is considered when the request is next to run, and others pass it meanwhile. An import that is late is not asked for twice. Only the first block that the store lacked is remembered as absent. Preempted requests fetch and wait like others.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -13,7 +13,6 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.configuration.PriorityClass;
-import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.RefusalReason;
 
@@ -83,11 +82,6 @@
     return estimator.queueDelayMicros("", PriorityClass.ORDINARY);
   }
 
-  /** Returns the expected prefill time of one block, in microseconds. */
-  public long prefillMicrosPerBlock() {
-    return estimator.prefillMicros(1);
-  }
-
   /** Returns the mean time of an answer on the engine, in microseconds. */
   public long streamMicros() {
     return estimator.streamMicros();
@@ -134,14 +128,6 @@
     return true;
   }
 
-  /** Returns the offer of an attempt that has a reservation, if there is one. */
-  public Optional<PeerMessage.Offer> reservedOffer(AttemptId attempt) {
-    return table
-        .find(attempt)
-        .filter(ticket -> ticket.is(Ticket.Stage.RESERVED))
-        .map(Ticket::offer);
-  }
-
   /**
    * Queues an attempt that has a reservation.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -120,12 +120,25 @@
     if (estimator.prefills(priority) >= options.maximumPrefills()) {
       return Optional.empty();
     }
+    Optional<Ticket> candidate = nextEligible(priority, nowMicros);
+    while (candidate.isPresent() && isFetching(candidate.get(), nowMicros)) {
+      candidate = nextEligible(priority, nowMicros);
+    }
+    return candidate;
+  }
+
+  private Optional<Ticket> nextEligible(PriorityClass priority, long nowMicros) {
     return table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
   }
 
+  /** Fetches what was evicted while the request waited, rather than have it computed. */
+  private boolean isFetching(Ticket ticket, long nowMicros) {
+    return prefixes.hasFetchedFor(ticket.offer(), estimator.prefillMicros(1), nowMicros);
+  }
+
   private boolean isEligible(Ticket ticket, long nowMicros) {
     return engine.ready().contains(ticket.offer().identity().modelVersion())
-        && (ticket.runs() > 0 || !prefixes.isAwaited(ticket.keys(), nowMicros));
+        && !prefixes.isAwaited(ticket.keys(), nowMicros);
   }
 
   private boolean isSuspectDue(Optional<Ticket> candidate, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.admission;
 
 import java.util.List;
+import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.request.AttemptId;
 
@@ -20,6 +21,16 @@
   /** Returns whether a request should wait because its next missing block is being obtained. */
   boolean isAwaited(List<BlockKey> chain, long nowMicros);
 
+  /**
+   * Fetches what a request misses that is about to run, where that is cheaper than computing it.
+   *
+   * @param offer offer of the request
+   * @param prefillMicrosPerBlock expected time to compute a block, in microseconds
+   * @param nowMicros time of the decision
+   * @return whether the request should wait for blocks that were asked for now
+   */
+  boolean hasFetchedFor(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
+
   /**
    * Notes that a run computes the missing blocks of its chain.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -58,8 +58,12 @@
     this.gate = gate;
   }
 
-  /** Imports the missing blocks of an accepted offer if that is worth it. */
-  void considerImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+  /**
+   * Imports the missing blocks of a request that is about to run, if that is worth it.
+   *
+   * @return whether an import was begun
+   */
+  boolean hasImportedFor(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
     List<BlockKey> chain = offer.keys();
     int matched = gate.matchedBlocks(chain);
     int missing = chain.size() - matched;
@@ -67,14 +71,22 @@
         missing >= MINIMUM_BLOCKS
             && isCheaperThan(prefillMicrosPerBlock)
             && openImports() < MAXIMUM_IMPORTS;
-    if (!isWorthIt || gate.isAwaited(chain, nowMicros)) {
-      return;
-    }
-    if (isLikelyStored(offer, chain.get(matched), missing)) {
-      List<BlockKey> wanted = List.copyOf(chain.subList(matched, chain.size()));
-      long token = start(offer.identity(), wanted, true, nowMicros);
-      gate.begin(token, chain, (long) (missing * microsPerBlock), nowMicros);
+    if (!isWorthIt
+        || gate.isAwaited(chain, nowMicros)
+        || isBeingImported(chain.get(matched))
+        || !isLikelyStored(offer, chain.get(matched), missing)) {
+      return false;
     }
+    List<BlockKey> wanted = List.copyOf(chain.subList(matched, chain.size()));
+    long token = start(offer.identity(), wanted, true, nowMicros);
+    gate.begin(token, chain, (long) (missing * microsPerBlock), nowMicros);
+    return true;
+  }
+
+  /** Returns whether an open import, which may be late, was asked for the block. */
+  private boolean isBeingImported(BlockKey key) {
+    return open.values().stream()
+        .anyMatch(transfer -> transfer.isImport() && transfer.keys().contains(key));
   }
 
   /** Forgets a slow transfer little by little, so that it is tried again some time. */
@@ -146,12 +158,12 @@
     gate.noteAvailable(keys, nowMicros);
     counters.add("transfers.imported-blocks", keys.size());
     learnTime(transfer, keys.size(), nowMicros);
-    BlockKey first = transfer.keys().get(0);
-    if (!keys.contains(first)) {
-      stored.remove(first);
-      absentUntil.put(first, nowMicros + ABSENT_MICROS);
+    if (keys.isEmpty()) {
       counters.increment("transfers.import-missed");
     }
+    if (keys.size() < transfer.keys().size()) {
+      noteAbsent(transfer.keys().get(keys.size()), nowMicros);
+    }
   }
 
   private void learnTime(Transfer transfer, int blocks, long nowMicros) {
@@ -173,6 +185,12 @@
     return open.values().stream().filter(Transfer::isImport).count();
   }
 
+  /** Remembers for a time what the store did not have, so that it is computed. */
+  private void noteAbsent(BlockKey key, long nowMicros) {
+    stored.remove(key);
+    absentUntil.put(key, nowMicros + ABSENT_MICROS);
+  }
+
   private void noteStored(BlockKey key) {
     if (stored.size() >= MAXIMUM_KNOWN_KEYS) {
       stored.remove(stored.iterator().next());
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import org.shallothook.coordination.admission.PrefixForecast;
-import org.shallothook.coordination.admission.PrefixSupply;
 import org.shallothook.coordination.engine.CacheFollower;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.cache.BlockKey;
@@ -19,7 +18,7 @@
  * <p>Invariants: nothing is held over an incarnation of the engine; every wait ends at a stored
  * deadline. Not thread-safe: used on the decision thread.
  */
-public final class PrefixGate implements PrefixSupply {
+final class PrefixGate {
   private static final long MAXIMUM_WAIT_MICROS = 2_000_000;
   private static final long MINIMUM_WAIT_MICROS = 20_000;
   private static final long RECENT_MICROS = 1_000_000;
@@ -33,13 +32,13 @@
   private final Map<BlockKey, Long> recentUntil = new HashMap<>();
 
   /** Creates a gate before an engine's cache. */
-  public PrefixGate(CacheFollower cache, Counters counters) {
+  PrefixGate(CacheFollower cache, Counters counters) {
     this.cache = cache;
     this.counters = counters;
   }
 
-  @Override
-  public int matchedBlocks(List<BlockKey> chain) {
+  /** Returns the number of leading blocks of the chain that the engine need not compute. */
+  int matchedBlocks(List<BlockKey> chain) {
     int matched = 0;
     while (matched < chain.size() && isAvailable(chain.get(matched))) {
       matched++;
@@ -47,8 +46,8 @@
     return matched;
   }
 
-  @Override
-  public PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
+  /** Returns what a request for the chain would find, with what is being obtained for others. */
+  PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
     int blocks = matchedBlocks(chain);
     long waitMicros = 0;
     while (blocks < chain.size()) {
@@ -64,8 +63,8 @@
     return new PrefixForecast(blocks, waitMicros);
   }
 
-  @Override
-  public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
+  /** Returns whether a request should wait because its next missing block is being obtained. */
+  boolean isAwaited(List<BlockKey> chain, long nowMicros) {
     int matched = matchedBlocks(chain);
     if (matched == chain.size()) {
       return false;
@@ -74,22 +73,12 @@
     return computation != null && nowMicros < computation.waitUntilMicros();
   }
 
-  @Override
-  public void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
-    begin(run, chain, expectedMicros, nowMicros);
-  }
-
-  @Override
-  public void onComputed(AttemptId run, long nowMicros) {
+  /** Notes that a run has computed its whole prompt. */
+  void onComputed(AttemptId run, long nowMicros) {
     List<BlockKey> chain = chains.get(run);
     if (chain != null) {
       noteAvailable(chain, nowMicros);
     }
-    onRunOver(run);
-  }
-
-  @Override
-  public void onRunOver(AttemptId run) {
     end(run);
   }
 
@@ -142,14 +131,14 @@
   }
 
   /** Forgets everything: the engine has started anew. */
-  public void onIncarnation() {
+  void onIncarnation() {
     computations.clear();
     chains.clear();
     recentUntil.clear();
   }
 
   /** Forgets what was computed too long ago to be unreported. */
-  public void onTick(long nowMicros) {
+  void onTick(long nowMicros) {
     recentUntil.values().removeIf(until -> until <= nowMicros);
   }
 
