--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -84,11 +84,6 @@
     return estimator.queueDelayMicros("", PriorityClass.ORDINARY);
   }
 
-  /** Returns the expected prefill time of one block, in microseconds. */
-  public long prefillMicrosPerBlock() {
-    return estimator.prefillMicros(1);
-  }
-
   /** Returns the mean time of an answer on the engine, in microseconds. */
   public long streamMicros() {
     return estimator.streamMicros();
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -92,7 +92,7 @@
     cache = new CacheFollower(options, outbox, counters);
     offeredKeys = new OfferedKeys(cache, options.blockBytes());
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
-    admission = new Admission(options, outbox, counters, engine, hotPrefixes.gate());
+    admission = new Admission(options, outbox, counters, engine, hotPrefixes);
     agreement = new Agreement(options, agreementOptions, outbox, counters);
     calls = new ServiceCalls(options, outbox, counters, agreement.desk());
     instances = new InstanceWatch(options, outbox);
@@ -245,10 +245,6 @@
         .reservedOffer(submit.attempt())
         .map(offer -> offeredKeys.derive(offer, submit.prompt()))
         .ifPresent(keys -> admission.setKeys(submit.attempt(), keys));
-    admission
-        .reservedOffer(submit.attempt())
-        .ifPresent(
-            offer -> hotPrefixes.onSubmitting(offer, admission.prefillMicrosPerBlock(), nowMicros));
     admission
         .onSubmit(router, submit, nowMicros)
         .ifPresent(
