Measure the roll of a model version; remember earlier versions in the fold

Cause: nothing measured a roll under load.

Change: Experiment VERSION_ROLL. The fold keeps up to 3 earlier model versions of a template until a record rolled-out, written by any router that sees the new version wherever an earlier one is served. Conversations move in step with the share of engines that have the new version.

Tests that failed on the earlier code: RouterCoreFleetTest routerThatStartsDuringARollServesTheEarlierVersion (no offer was made), conversationsMoveToANewVersionInStepWithTheEnginesAndStayThere, aVersionThatIsReadyEverywhereIsDeclaredRolledOutOnce. ConfigurationHistoriesTest now also appends rolled-out records, beside everything that it did before.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
@@ -99,6 +99,14 @@
     public List<Measure> run(Deployment deployment, Peaks peaks) {
       return new DomainLossScenario(deployment, peaks).measures();
     }
+  },
+
+  /** Every team is moved to a new model version under load. */
+  VERSION_ROLL {
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks) {
+      return new VersionRollScenario(deployment, peaks.seed()).measures();
+    }
   };
 
   static final double MAXIMUM_WASTE = 0.05;
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/VersionRollScenario.java
@@ -0,0 +1,124 @@
+package org.shallothook.benchmarks.measure;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.shallothook.benchmarks.virtual.ChatRecord;
+import org.shallothook.benchmarks.virtual.FleetInvariants;
+import org.shallothook.benchmarks.virtual.TeamSpec;
+import org.shallothook.benchmarks.virtual.VirtualFleet;
+import org.shallothook.benchmarks.workload.Deployment;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.request.RefusalReason;
+
+/**
+ * Every team is moved to a new model version under load: how long the engines take to load it, and
+ * what callers notice.
+ *
+ * <p>The roll lasts from publication until every engine has the new version.
+ *
+ * <p>Not thread-safe.
+ */
+final class VersionRollScenario {
+  private static final ModelVersion NEW_VERSION = ModelVersion.of(Deployment.MODEL.model(), "v2");
+  private static final int GREATEST_CONCURRENT_LOADS = 2;
+  private static final double IN_FORCE_SECONDS = 8;
+  private static final long BEFORE_MICROS = 10 * SteadyLoad.SECOND_MICROS;
+  private static final long AFTER_MICROS = 15 * SteadyLoad.SECOND_MICROS;
+  private static final long WATCH_INTERVAL_MICROS = 10_000;
+  private static final Set<RefusalReason> UNSERVED =
+      EnumSet.of(RefusalReason.WRONG_VERSION, RefusalReason.NO_UPSTREAM);
+
+  private final Deployment deployment;
+  private final SteadyLoad load;
+  private final VirtualFleet fleet;
+  private final long rollMicros;
+  private OptionalLong rolledMicros = OptionalLong.empty();
+
+  VersionRollScenario(Deployment deployment, long seed) {
+    this.deployment = deployment;
+    load = SteadyLoad.start(deployment, seed, SteadyLoad.BOUNDED_LOAD);
+    fleet = load.fleet();
+    rollMicros = load.windowStartMicros() + BEFORE_MICROS;
+  }
+
+  List<Measure> measures() {
+    long end = rollMicros + AFTER_MICROS;
+    fleet.at(rollMicros, this::publish);
+    fleet.at(rollMicros, () -> watch(end));
+    load.endAt(end);
+    load.runOut(end);
+    long rolled = rolledMicros.orElse(end);
+    RunMetrics before = RunMetrics.of(fleet, load.windowStartMicros(), rollMicros);
+    RunMetrics during = RunMetrics.of(fleet, rollMicros, rolled);
+    RunMetrics after = RunMetrics.of(fleet, rolled, end);
+    return List.of(
+        measure("version-roll-time", "s", rollSeconds(), Bound.atMost(IN_FORCE_SECONDS), Map.of()),
+        measure(
+            "version-roll-concurrent-loads",
+            "loads",
+            fleet.platform().weights().greatestConcurrent(),
+            Bound.atMost(GREATEST_CONCURRENT_LOADS),
+            Map.of("loads", (double) fleet.platform().weights().fetches())),
+        measure(
+            "version-roll-time-to-first-token-p95",
+            "ms",
+            during.timeToFirstTokenMillis(95),
+            Bound.atMost(SteadyStateMeasures.FIRST_TOKEN_MILLIS),
+            Map.of(
+                "before", before.timeToFirstTokenMillis(95),
+                "after", after.timeToFirstTokenMillis(95))),
+        measure(
+            "version-roll-unserved",
+            "requests",
+            refused(during, UNSERVED),
+            Bound.atMost(0),
+            Map.of(
+                "refused-for-any-reason",
+                refused(during, EnumSet.allOf(RefusalReason.class)),
+                "sent",
+                (double) during.requests())),
+        measure(
+            "version-roll-unsound-streams",
+            "violations",
+            FleetInvariants.violations(fleet, Set.of()).size(),
+            Bound.atMost(0),
+            Map.of()));
+  }
+
+  private void publish() {
+    for (TeamSpec team : List.copyOf(fleet.teams().values())) {
+      fleet.publish(team.withModelVersion(NEW_VERSION));
+    }
+  }
+
+  private void watch(long untilMicros) {
+    boolean isRolled =
+        fleet.engines().values().stream().allMatch(one -> one.loaded().contains(NEW_VERSION));
+    if (isRolled) {
+      rolledMicros = OptionalLong.of(fleet.nowMicros());
+    } else if (fleet.nowMicros() < untilMicros) {
+      fleet.at(fleet.nowMicros() + WATCH_INTERVAL_MICROS, () -> watch(untilMicros));
+    }
+  }
+
+  private double rollSeconds() {
+    return rolledMicros.isPresent()
+        ? (double) (rolledMicros.getAsLong() - rollMicros) / SteadyLoad.SECOND_MICROS
+        : Double.POSITIVE_INFINITY;
+  }
+
+  private static double refused(RunMetrics run, Set<RefusalReason> reasons) {
+    return run.chats().stream()
+        .map(ChatRecord::refusal)
+        .filter(refusal -> refusal.isPresent() && reasons.contains(refusal.get().reason()))
+        .count();
+  }
+
+  private Measure measure(
+      String name, String unit, double figure, Bound bound, Map<String, Double> others) {
+    return new Measure(name, deployment, unit, figure, bound, others);
+  }
+}
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
@@ -94,6 +94,36 @@
     assertHeld("restarted-router-time-to-first-token-p95", deployment);
   }
 
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void everyEngineHasANewVersionInTime(Deployment deployment) {
+    assertHeld("version-roll-time", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void atMostTwoEnginesLoadAtOnce(Deployment deployment) {
+    assertHeld("version-roll-concurrent-loads", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void firstTokensComeInTimeDuringARoll(Deployment deployment) {
+    assertHeld("version-roll-time-to-first-token-p95", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void noModelIsUnservedDuringARoll(Deployment deployment) {
+    assertHeld("version-roll-unserved", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void noStreamMixesVersionsDuringARoll(Deployment deployment) {
+    assertHeld("version-roll-unsound-streams", deployment);
+  }
+
   @ParameterizedTest
   @EnumSource(Deployment.class)
   void domainLossLosesNoRequestNotBegun(Deployment deployment) {
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
@@ -155,7 +155,8 @@
 
   private static PublicationResult resultOf(HistoryEntry entry) {
     return switch (entry.verdict()) {
-      case ACCEPTED, REPEATED, SNAPSHOT -> new PublicationResult.Accepted(entry.offset());
+      case ACCEPTED, REPEATED, SNAPSHOT, ROLLED_OUT ->
+          new PublicationResult.Accepted(entry.offset());
       case CONFLICT -> new PublicationResult.Conflict(entry.detail());
       case INVALID -> new PublicationResult.Invalid(entry.detail());
     };
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -137,6 +137,31 @@
         .anyMatch(one -> isEngine(one) && one.isUsable(nowMicros) && one.isReady(modelVersion));
   }
 
+  /**
+   * Returns the share of engines that can serve a model version, among those that can serve it or
+   * one of some others. Engines whose state is unknown count as those that cannot.
+   *
+   * @return share from 0 to 1; 0 where there is no such engine
+   */
+  public double readyShare(ModelVersion modelVersion, List<ModelVersion> others, long nowMicros) {
+    int ready = 0;
+    int all = 0;
+    for (Upstream upstream : upstreams.values()) {
+      if (!isEngine(upstream) || upstream.isLeaving()) {
+        continue;
+      }
+      boolean isUsable = upstream.isUsable(nowMicros);
+      if (isUsable && upstream.isReady(modelVersion)) {
+        ready++;
+        all++;
+      } else if (!upstream.hasStatus()
+          || (isUsable && others.stream().anyMatch(upstream::isReady))) {
+        all++;
+      }
+    }
+    return all == 0 ? 0 : (double) ready / all;
+  }
+
   /** Returns whether any engine takes new work, whatever it has loaded. */
   public boolean hasEngine(long nowMicros) {
     return upstreams.values().stream().anyMatch(one -> isEngine(one) && one.isUsable(nowMicros));
--- a/coordination/src/main/java/org/shallothook/coordination/router/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/Admission.java
@@ -7,6 +7,7 @@
 import org.shallothook.coordination.quarantine.Fingerprint;
 import org.shallothook.coordination.quarantine.PoisonGuard;
 import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.configuration.ServiceTemplate;
 import org.shallothook.state.configuration.TeamTemplate;
@@ -88,7 +89,10 @@
       return Either.left(fault.get());
     }
     String tenantText = request.tenant().flatMap(team::tenantText).orElse("");
-    CacheIdentity identity = new CacheIdentity(team.name(), versions.versionFor(team, nowMicros));
+    ModelVersion version =
+        versions.versionFor(
+            team, configuration.state(), request.tenant(), request.messages(), nowMicros);
+    CacheIdentity identity = new CacheIdentity(team.name(), version);
     RenderedPrompt prompt = renderer.render(team, identity, tenantText, request.messages());
     int limit = team.limits().maximumPromptBytes();
     if (prompt.bytes().length > limit) {
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
@@ -0,0 +1,100 @@
+package org.shallothook.coordination.router;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Outbox;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.ConfigurationRecord;
+import org.shallothook.state.configuration.ConfigurationRecordText;
+import org.shallothook.state.configuration.ConfigurationState;
+
+/**
+ * Tells the log when a new model version is loaded wherever earlier ones were served, so that no
+ * router falls back on them any more.
+ *
+ * <p>Any router may write the record; jitter lets one go first, and a repeat has no effect.
+ *
+ * <p>Invariant: at most one record in {@link #WAIT_MICROS} for each version. Not thread-safe: used
+ * on the decision thread.
+ */
+final class RolloutNotices {
+  /** Time for which a version must have been ready everywhere, in microseconds. */
+  static final long HOLD_MICROS = 5_000_000;
+
+  /** Time given to a record to be read back, in microseconds. */
+  static final long WAIT_MICROS = 30_000_000;
+
+  private static final long JITTER_MICROS = 5_000_000;
+  private static final long CHECK_INTERVAL_MICROS = 1_000_000;
+
+  private final Outbox outbox;
+  private final UpstreamDirectory directory;
+  private final Counters counters;
+  private final SplittableRandom random;
+  private final Map<ModelVersion, Long> dueMicros = new HashMap<>();
+  private long nextCheckMicros;
+
+  RolloutNotices(
+      Outbox outbox, UpstreamDirectory directory, Counters counters, SplittableRandom random) {
+    this.outbox = outbox;
+    this.directory = directory;
+    this.counters = counters;
+    this.random = random;
+  }
+
+  /** Writes what is due. To be called only while the configuration is not behind. */
+  void onTick(ConfigurationState configuration, long nowMicros) {
+    if (nowMicros < nextCheckMicros) {
+      return;
+    }
+    nextCheckMicros = nowMicros + CHECK_INTERVAL_MICROS;
+    Map<ModelVersion, Set<ModelVersion>> rolling = rollingOf(configuration);
+    dueMicros.keySet().retainAll(rolling.keySet());
+    rolling.forEach(
+        (version, earlier) -> {
+          boolean isEverywhere =
+              directory.readyShare(version, List.copyOf(earlier), nowMicros) == 1;
+          if (isEverywhere) {
+            tellIfDue(version, configuration.offset(), nowMicros);
+          } else {
+            dueMicros.remove(version);
+          }
+        });
+  }
+
+  private static Map<ModelVersion, Set<ModelVersion>> rollingOf(ConfigurationState configuration) {
+    Map<ModelVersion, Set<ModelVersion>> rolling = new HashMap<>();
+    new TreeMap<>(configuration.allTeams())
+        .forEach(
+            (name, team) -> {
+              List<ModelVersion> earlier = configuration.earlierVersions(name);
+              if (!earlier.isEmpty()) {
+                rolling
+                    .computeIfAbsent(team.modelVersion(), version -> new HashSet<>())
+                    .addAll(earlier);
+              }
+            });
+    return rolling;
+  }
+
+  private void tellIfDue(ModelVersion version, long base, long nowMicros) {
+    long due =
+        dueMicros.computeIfAbsent(
+            version, one -> nowMicros + HOLD_MICROS + random.nextLong(JITTER_MICROS));
+    if (nowMicros < due) {
+      return;
+    }
+    dueMicros.put(version, nowMicros + WAIT_MICROS + random.nextLong(JITTER_MICROS));
+    counters.increment("versions.rolled-out");
+    ConfigurationRecord record = new ConfigurationRecord.RolledOut(base, version);
+    outbox.appendLog(ConfigurationReplica.STREAM, ConfigurationRecordText.write(record));
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -54,6 +54,7 @@
   private final ChatFlow chats;
   private final CallFlow calls;
   private final PublicationDesk publications;
+  private final RolloutNotices rollouts;
   private final ParkedRequests parked = new ParkedRequests();
   private boolean isDrained;
   private long latestMicros;
@@ -94,6 +95,7 @@
     SlownessWatch slowness = new SlownessWatch(options, directory);
     chats = new ChatFlow(options, outbox, book, admission, rounds, retries, poison, slowness);
     publications = new PublicationDesk(outbox, configuration);
+    rollouts = new RolloutNotices(outbox, directory, options.counters(), random.split());
     calls = new CallFlow(options, retries, outbox, book, admission, directory, configuration);
   }
 
@@ -278,6 +280,9 @@
     configuration.onTick(nowMicros);
     publications.onTick(nowMicros);
     fleet.onTick(nowMicros);
+    if (!configuration.isBehind()) {
+      rollouts.onTick(configuration.state(), nowMicros);
+    }
     poison.onTick(nowMicros);
     for (Exchange exchange : book.all()) {
       if (exchange instanceof ChatExchange chat) {
--- a/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
@@ -1,47 +1,94 @@
 package org.shallothook.coordination.router;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.ConfigurationState;
 import org.shallothook.state.configuration.TeamTemplate;
 
 /**
  * Chooses the model version that a team's new requests run on while a new one is being loaded.
  *
- * <p>The version of the template is used as soon as any engine can serve it. Until then the version
- * that the team was last served with stays in use, if it is the same model.
+ * <p>Conversations move to the version of the template in step with the engines: the share of
+ * conversations that use it is the share of engines that have it. The others use the version that
+ * the template named before, as the configuration remembers it, so that a router which has just
+ * started chooses as the others do.
  *
- * <p>Invariant: once a team was served with a version, it is not served with an earlier one of its
- * own again. Not thread-safe.
+ * <p>Invariant: once a conversation was moved to a version, it is not served with an earlier one of
+ * its team again. Not thread-safe.
  */
 final class ServedVersions {
+  private static final int FRACTION_BITS = 53;
+
   private final UpstreamDirectory directory;
   private final Counters counters;
-  private final Map<String, ModelVersion> latest = new HashMap<>();
+  private final Map<String, Map<ModelVersion, Double>> greatestShares = new HashMap<>();
 
   ServedVersions(UpstreamDirectory directory, Counters counters) {
     this.directory = directory;
     this.counters = counters;
   }
 
-  /** Returns the version for a new request of the team. */
-  ModelVersion versionFor(TeamTemplate team, long nowMicros) {
+  /**
+   * Returns the version for a new request of a team.
+   *
+   * @param tenant tenant of the request
+   * @param messages conversation; its opening tells which conversations move first
+   */
+  ModelVersion versionFor(
+      TeamTemplate team,
+      ConfigurationState configuration,
+      Optional<String> tenant,
+      List<ChatMessage> messages,
+      long nowMicros) {
     ModelVersion wanted = team.modelVersion();
-    ModelVersion served = latest.get(team.name());
-    if (wanted.equals(served)) {
-      return wanted;
-    }
-    if (directory.hasReady(wanted, nowMicros)) {
-      latest.put(team.name(), wanted);
+    List<ModelVersion> candidates = new ArrayList<>();
+    candidates.add(wanted);
+    candidates.addAll(configuration.earlierVersions(team.name()));
+    if (candidates.size() == 1) {
+      greatestShares.remove(team.name());
       return wanted;
     }
-    boolean isSameModel = served != null && served.model().equals(wanted.model());
-    if (isSameModel && directory.hasReady(served, nowMicros)) {
+    double fraction = fractionOf(team.name() + '/' + tenant.orElse(""), messages);
+    ModelVersion chosen = choose(team.name(), candidates, fraction, nowMicros);
+    if (!chosen.equals(wanted)) {
       counters.increment("versions.earlier-served");
-      return served;
     }
-    return wanted;
+    return chosen;
+  }
+
+  private ModelVersion choose(
+      String team, List<ModelVersion> candidates, double fraction, long nowMicros) {
+    Map<ModelVersion, Double> greatest =
+        greatestShares.computeIfAbsent(team, name -> new HashMap<>());
+    greatest.keySet().retainAll(candidates);
+    for (int index = 0; index < candidates.size(); index++) {
+      ModelVersion candidate = candidates.get(index);
+      List<ModelVersion> older = candidates.subList(index + 1, candidates.size());
+      double share = directory.readyShare(candidate, older, nowMicros);
+      if (fraction < greatest.merge(candidate, share, Math::max)) {
+        return candidate;
+      }
+    }
+    return candidates.get(0);
+  }
+
+  /** Returns where a conversation stands in the order in which they move, from 0 to below 1. */
+  private static double fractionOf(String scope, List<ChatMessage> messages) {
+    String opening =
+        messages.stream()
+            .filter(message -> message.role().equals("user"))
+            .findFirst()
+            .map(ChatMessage::content)
+            .orElse("");
+    long hash =
+        RendezvousHash.combine(RendezvousHash.hashOf(scope), RendezvousHash.hashOf(opening));
+    return (hash >>> (Long.SIZE - FRACTION_BITS)) * 0x1.0p-53;
   }
 }
--- a/coordination/src/test/java/org/shallothook/coordination/configuration/ConfigurationHistoriesTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/configuration/ConfigurationHistoriesTest.java
@@ -14,6 +14,8 @@
 import org.shallothook.coordination.fake.VirtualTime;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.configuration.ConfigurationLog;
+import org.shallothook.state.configuration.ConfigurationRecord;
+import org.shallothook.state.configuration.ConfigurationRecordText;
 import org.shallothook.state.configuration.ConfigurationState;
 
 /**
@@ -56,6 +58,10 @@
       for (int step = 0; step < 25; step++) {
         time.after(random.nextLong(BUSY_MICROS), this::act);
       }
+      SplittableRandom rollouts = random.split();
+      for (int rollout = 0; rollout < 5; rollout++) {
+        time.after(rollouts.nextLong(BUSY_MICROS), () -> rollOut(rollouts));
+      }
       time.after(0, this::gossip);
       time.runUntil(START_MICROS + BUSY_MICROS);
       log.downUntilMicros = 0;
@@ -96,6 +102,19 @@
       }
     }
 
+    /**
+     * Declares the model version of some team rolled out, as a router would, now or from before.
+     */
+    private void rollOut(SplittableRandom rollouts) {
+      ConfigurationState state = node().replica().state();
+      state.allTeams().values().stream()
+          .skip(rollouts.nextInt(3))
+          .findFirst()
+          .map(team -> new ConfigurationRecord.RolledOut(state.offset(), team.modelVersion()))
+          .map(ConfigurationRecordText::write)
+          .ifPresent(text -> log.append("configuration", text, offset -> {}, may -> {}));
+    }
+
     private static String digest(String team) {
       return team.substring(5).repeat(64);
     }
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -19,6 +21,7 @@
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogPage;
 import org.shallothook.state.log.LogRecord;
+import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
@@ -140,6 +143,71 @@
     assertThat(harness.refusal(later).get().reason()).isEqualTo(RefusalReason.WRONG_VERSION);
   }
 
+  @Test
+  void routerThatStartsDuringARollServesTheEarlierVersion() {
+    RouterHarness harness = new RouterHarness(RouterOptions.builder());
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "3", ""));
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    harness.addInstance("engine-1", InstanceRole.MODEL_ENGINE, "a", "");
+    harness.listInstances();
+    harness.status("engine-1", false, RouterHarness.VERSION);
+    RequestId request = harness.chat("hello");
+
+    assertThat(harness.latestOffer(request).message().identity().modelVersion())
+        .isEqualTo(RouterHarness.VERSION);
+    assertThat(harness.counter("versions.earlier-served")).isEqualTo(1);
+  }
+
+  @Test
+  void conversationsMoveToANewVersionInStepWithTheEnginesAndStayThere() {
+    RouterHarness harness = RouterHarness.ready(8);
+    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    harness.status("engine-1", false, RouterHarness.VERSION, newer);
+    harness.status("engine-2", false, RouterHarness.VERSION, newer);
+    Set<Integer> moved = movedConversations(harness, newer);
+    harness.status("engine-2", false, RouterHarness.VERSION);
+    Set<Integer> afterwards = movedConversations(harness, newer);
+
+    assertThat(moved.size()).isAtLeast(15);
+    assertThat(moved.size()).isAtMost(35);
+    assertThat(afterwards).isEqualTo(moved);
+  }
+
+  private static Set<Integer> movedConversations(RouterHarness harness, ModelVersion version) {
+    Set<Integer> moved = new HashSet<>();
+    for (int index = 0; index < 100; index++) {
+      RequestId request = harness.chat("conversation " + index);
+      if (harness.latestOffer(request).message().identity().modelVersion().equals(version)) {
+        moved.add(index);
+      }
+      harness.send(new RouterEvent.CallerGone(request));
+    }
+    return moved;
+  }
+
+  @Test
+  void aVersionThatIsReadyEverywhereIsDeclaredRolledOutOnce() {
+    RouterHarness harness = RouterHarness.ready(2);
+    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    harness.status("engine-1", false, RouterHarness.VERSION, newer);
+    harness.advance(12_000_000);
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).isEmpty();
+
+    harness.status("engine-2", false, RouterHarness.VERSION, newer);
+    harness.advance(12_000_000);
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
+    harness.append(harness.commands(RouterCommand.AppendLog.class).get(0).payload());
+    harness.status("engine-1", false, RouterHarness.VERSION);
+    harness.status("engine-2", false, RouterHarness.VERSION);
+    RequestId request = harness.chat("hello");
+
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.WRONG_VERSION);
+    harness.advance(60_000_000);
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
+  }
+
   @Test
   void requestsWaitWhileTheConfigurationIsBehindAndAreRefusedAsNotRunAfterwards() {
     RouterHarness harness = RouterHarness.ready(2);
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterHarness.java
@@ -110,8 +110,11 @@
             configuration.size(),
             name.substring(name.indexOf('=') + 1).trim(),
             Optional.of(template));
-    configuration.add(
-        new LogRecord(configuration.size(), now, ConfigurationRecordText.write(change)));
+    append(ConfigurationRecordText.write(change));
+  }
+
+  void append(String payload) {
+    configuration.add(new LogRecord(configuration.size(), now, payload));
     send(
         new RouterEvent.LogRead(
             new LogPage("configuration", 0, configuration.size(), configuration)));
--- a/state/src/main/java/org/shallothook/state/configuration/ChangeVerdict.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ChangeVerdict.java
@@ -11,5 +11,7 @@
   /** The record or its template is faulty; it has no effect. */
   INVALID,
   /** The record belongs to a snapshot and changes nothing. */
-  SNAPSHOT
+  SNAPSHOT,
+  /** A model version is loaded wherever it is served, so earlier ones are no longer used. */
+  ROLLED_OUT
 }
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationRecord.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationRecord.java
@@ -1,6 +1,7 @@
 package org.shallothook.state.configuration;
 
 import java.util.Optional;
+import org.shallothook.state.cache.ModelVersion;
 
 /**
  * Content of a record of the configuration stream.
@@ -40,4 +41,21 @@
    */
   record SnapshotPart(long at, int part, int parts, String template, TemplateVersion version)
       implements ConfigurationRecord {}
+
+  /**
+   * Says that a model version is loaded wherever an earlier one was served, so that templates that
+   * name it no longer fall back on their earlier ones.
+   *
+   * <p>Applies only to templates that were last changed below the base, so that a late record never
+   * speaks of a later roll.
+   *
+   * @param base offset below which the writer knew the configuration
+   * @param modelVersion version that is loaded
+   */
+  record RolledOut(long base, ModelVersion modelVersion) implements ConfigurationRecord {
+    @Override
+    public String template() {
+      return "";
+    }
+  }
 }
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationRecordText.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationRecordText.java
@@ -1,8 +1,15 @@
 package org.shallothook.state.configuration;
 
 import io.vavr.control.Either;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.shallothook.state.cache.ModelVersion;
 
 /**
  * INI form of records of the configuration stream.
@@ -14,6 +21,8 @@
  */
 public final class ConfigurationRecordText {
   private static final String HEADER_END = "\n\n";
+  private static final String SEPARATOR = "/";
+  private static final int VERSION_PARTS = 3;
 
   private ConfigurationRecordText() {}
 
@@ -31,6 +40,13 @@
               + change.template();
       return header + HEADER_END + change.source().orElse("");
     }
+    if (record instanceof ConfigurationRecord.RolledOut rolledOut) {
+      return "[record]\ntype = rolled-out\nbase = "
+          + rolledOut.base()
+          + "\nmodel-version = "
+          + write(rolledOut.modelVersion())
+          + HEADER_END;
+    }
     ConfigurationRecord.SnapshotPart part = (ConfigurationRecord.SnapshotPart) record;
     String header =
         "[record]\ntype = snapshot\nat = "
@@ -52,10 +68,26 @@
         + String.join(" ", version.changes())
         + "\nremoved = "
         + version.source().isEmpty()
+        + writeEarlier(version.earlier())
         + HEADER_END
         + version.source().orElse("");
   }
 
+  private static String writeEarlier(List<ModelVersion> earlier) {
+    if (earlier.isEmpty()) {
+      return "";
+    }
+    return earlier.stream()
+        .map(ConfigurationRecordText::write)
+        .collect(Collectors.joining(" ", "\nearlier = ", ""));
+  }
+
+  private static String write(ModelVersion version) {
+    return Stream.of(version.model(), version.version(), version.adapter())
+        .map(part -> URLEncoder.encode(part, StandardCharsets.UTF_8))
+        .collect(Collectors.joining(SEPARATOR));
+  }
+
   /** Returns the record, or why the text is none. */
   public static Either<ConfigurationError, ConfigurationRecord> read(String text) {
     int headerEnd = text.indexOf(HEADER_END);
@@ -79,12 +111,16 @@
           case "template" -> change(header, Optional.of(body));
           case "removal" -> change(header, Optional.empty());
           case "snapshot" -> snapshotPart(header, body);
+          case "rolled-out" ->
+              new ConfigurationRecord.RolledOut(
+                  header.requiredNumber("base"),
+                  modelVersion(header, "model-version", header.required("model-version")));
           default ->
               throw header.fault(
                   ConfigurationError.Kind.INVALID_VALUE,
                   "type",
                   type,
-                  "Expected template, removal or snapshot.");
+                  "Expected template, removal, snapshot or rolled-out.");
         };
     header.requireAllRead();
     return record;
@@ -109,8 +145,37 @@
     Optional<String> source = header.flag("removed", false) ? Optional.empty() : Optional.of(body);
     List<String> changes = List.of(header.required("changes").split(" "));
     TemplateVersion version =
-        new TemplateVersion(header.requiredNumber("changed-at"), changes, source);
+        new TemplateVersion(header.requiredNumber("changed-at"), changes, source, earlier(header));
     return new ConfigurationRecord.SnapshotPart(
         at, (int) part, parts, header.name("template"), version);
   }
+
+  private static List<ModelVersion> earlier(IniSection header) {
+    String key = "earlier";
+    return header
+        .optional(key)
+        .map(
+            value ->
+                Arrays.stream(value.split(" "))
+                    .map(version -> modelVersion(header, key, version))
+                    .toList())
+        .orElse(List.of());
+  }
+
+  private static ModelVersion modelVersion(IniSection header, String key, String value) {
+    List<String> parts = Arrays.asList(value.split(SEPARATOR, -1));
+    try {
+      if (parts.size() == VERSION_PARTS) {
+        return new ModelVersion(decode(parts.get(0)), decode(parts.get(1)), decode(parts.get(2)));
+      }
+    } catch (IllegalArgumentException e) {
+      // Reported below together with a wrong number of parts.
+    }
+    throw header.fault(
+        ConfigurationError.Kind.INVALID_VALUE, key, value, "Expected model/version/adapter.");
+  }
+
+  private static String decode(String part) {
+    return URLDecoder.decode(part, StandardCharsets.UTF_8);
+  }
 }
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogRecord;
 
 /**
@@ -45,6 +46,14 @@
     return Optional.ofNullable(versions.get(template));
   }
 
+  /**
+   * Returns the model versions that a team may be served with while the one that its template names
+   * is being loaded, newest first.
+   */
+  public List<ModelVersion> earlierVersions(String team) {
+    return version(team).map(TemplateVersion::earlier).orElse(List.of());
+  }
+
   /**
    * Returns the offset just above the latest accepted change. States with equal ones hold the same
    * templates, whatever records without effect lie above.
@@ -71,6 +80,9 @@
     if (content.get() instanceof ConfigurationRecord.Change change) {
       return foldChange(change);
     }
+    if (content.get() instanceof ConfigurationRecord.RolledOut rolledOut) {
+      return foldRolledOut(rolledOut);
+    }
     return without(ChangeVerdict.SNAPSHOT, content.get().template(), "", Optional.empty());
   }
 
@@ -139,7 +151,38 @@
     if (fault.isPresent()) {
       return refuse(ChangeVerdict.INVALID, change, fault.get());
     }
-    return accept(change, teams.plus(change.template(), parsed.get()));
+    List<ModelVersion> earlier =
+        team(change.template())
+            .map(TeamTemplate::modelVersion)
+            .map(from -> earlierAfter(change.template(), from, parsed.get().modelVersion()))
+            .orElse(List.of());
+    return accept(change, teams.plus(change.template(), parsed.get()), earlier);
+  }
+
+  private List<ModelVersion> earlierAfter(String template, ModelVersion from, ModelVersion to) {
+    return version(template).map(version -> version.earlierAfter(from, to)).orElse(List.of());
+  }
+
+  private FoldedRecord foldRolledOut(ConfigurationRecord.RolledOut rolledOut) {
+    PMap<String, TemplateVersion> next = versions;
+    for (Map.Entry<String, TemplateVersion> entry : versions.entrySet()) {
+      if (isRolledOut(entry.getKey(), entry.getValue(), rolledOut)) {
+        next = next.plus(entry.getKey(), entry.getValue().rolledOut());
+      }
+    }
+    ChangeVerdict verdict =
+        next.equals(versions) ? ChangeVerdict.REPEATED : ChangeVerdict.ROLLED_OUT;
+    ConfigurationState state = new ConfigurationState(offset + 1, teams, next);
+    return new FoldedRecord(state, verdict, "", "", Optional.empty());
+  }
+
+  private boolean isRolledOut(
+      String template, TemplateVersion version, ConfigurationRecord.RolledOut rolledOut) {
+    return !version.earlier().isEmpty()
+        && version.changedAt() < rolledOut.base()
+        && team(template)
+            .filter(team -> team.modelVersion().equals(rolledOut.modelVersion()))
+            .isPresent();
   }
 
   private FoldedRecord foldRemoval(ConfigurationRecord.Change change) {
@@ -154,7 +197,7 @@
               change.template(),
               "There is no such template to remove."));
     }
-    return accept(change, teams.minus(change.template()));
+    return accept(change, teams.minus(change.template()), List.of());
   }
 
   /** Returns why a sound template cannot stand beside the templates of this state. */
@@ -182,9 +225,13 @@
                     "Team '" + other.name() + "' has the same key."));
   }
 
-  private FoldedRecord accept(ConfigurationRecord.Change change, PMap<String, TeamTemplate> next) {
+  private FoldedRecord accept(
+      ConfigurationRecord.Change change,
+      PMap<String, TeamTemplate> next,
+      List<ModelVersion> earlier) {
     TemplateVersion version =
-        TemplateVersion.after(version(change.template()), offset, change.change(), change.source());
+        TemplateVersion.after(
+            version(change.template()), offset, change.change(), change.source(), earlier);
     ConfigurationState state =
         new ConfigurationState(offset + 1, next, versions.plus(change.template(), version));
     return new FoldedRecord(
--- a/state/src/test/java/org/shallothook/state/configuration/ConfigurationLogTest.java
+++ b/state/src/test/java/org/shallothook/state/configuration/ConfigurationLogTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogRecord;
 
 final class ConfigurationLogTest {
@@ -96,6 +97,59 @@
     assertThat(log.oldestRetained().orElseThrow().offset()).isEqualTo(3);
   }
 
+  private List<String> earlierOf(String team) {
+    return log.state().earlierVersions(team).stream().map(ModelVersion::version).toList();
+  }
+
+  private LogRecord rolledOut(long offset, long base, String version) {
+    ConfigurationRecord record =
+        new ConfigurationRecord.RolledOut(base, ModelVersion.of("m", version));
+    return new LogRecord(offset, offset, ConfigurationRecordText.write(record));
+  }
+
+  @Test
+  void earlierModelVersionsAreRememberedUntilTheNewOneIsRolledOut() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    assertThat(earlierOf("a")).isEmpty();
+    take(change(1, "c2", 1, "a", source("a", "1", "2")));
+    take(change(2, "c3", 2, "a", source("a", "1", "2")));
+    assertThat(earlierOf("a")).containsExactly("1");
+    take(change(3, "c4", 3, "a", source("a", "1", "3")));
+    assertThat(earlierOf("a")).containsExactly("2", "1").inOrder();
+
+    assertThat(take(rolledOut(4, 4, "2"))).isEqualTo(ChangeVerdict.REPEATED);
+    assertThat(take(rolledOut(5, 5, "3"))).isEqualTo(ChangeVerdict.ROLLED_OUT);
+    assertThat(earlierOf("a")).isEmpty();
+    assertThat(log.state().effectiveOffset()).isEqualTo(4);
+  }
+
+  @Test
+  void aLateWordOfAnEarlierRollSaysNothingOfALaterOne() {
+    take(change(0, "c1", 0, "a", source("a", "1", "1")));
+    take(change(1, "c2", 1, "a", source("a", "1", "2")));
+    take(change(2, "c3", 2, "a", source("a", "1", "1")));
+    assertThat(earlierOf("a")).containsExactly("2");
+    take(change(3, "c4", 3, "a", source("a", "1", "2")));
+    assertThat(take(rolledOut(4, 2, "2"))).isEqualTo(ChangeVerdict.REPEATED);
+    assertThat(earlierOf("a")).containsExactly("1");
+  }
+
+  @Test
+  void aSnapshotCarriesEarlierModelVersionsWithAnyAdapter() {
+    String adapted = source("a", "1", "1") + "adapter = guild/linen 2;x\n";
+    take(change(0, "c1", 0, "a", adapted));
+    take(change(1, "c2", 1, "a", source("a", "1", "2")));
+    assertThat(log.state().earlierVersions("a").get(0).adapter()).isNotEmpty();
+
+    ConfigurationLog newcomer = new ConfigurationLog();
+    newcomer.take(
+        2,
+        log.state().snapshot().stream()
+            .map(part -> new LogRecord(2 + part.part(), 2, ConfigurationRecordText.write(part)))
+            .toList());
+    assertThat(newcomer.state().versions()).isEqualTo(log.state().versions());
+  }
+
   @Test
   void aGapInWhatASourceStillHasIsNotSkipped() {
     take(change(0, "c1", 0, "a", source("a", "1", "1")));
