Count appends to the log by kind

Cause: of the six kinds of appends only claims and leases had a counter, and appends.claims also counted records that hold ends or copies only; so nobody could say what the few hundred appends a second are spent on.

LoadSlots no longer counts by itself.

--- a/coordination/src/main/java/org/shallothook/coordination/booking/PartitionKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/PartitionKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.shallothook.coordination.message.ClaimVerdict;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.booking.ClaimEntry;
@@ -283,21 +284,23 @@
     if (isWhole()) {
       lines.addAll(carrier.linesDue(nowMicros));
     }
+    AppendKind kind = AppendKind.SNAPSHOTS;
     for (Waiting<PeerMessage.ClaimRequest> waiting : List.copyOf(claims.values())) {
       if (isProven(waiting.message())) {
         lines.add(claimLine(waiting.message()));
+        kind = AppendKind.CLAIMS;
       } else {
         refuse(waiting, ClaimVerdict.UNDECIDED);
       }
     }
     if (!lines.isEmpty() || isEndDue) {
+      kind = kind == AppendKind.SNAPSHOTS && !ends.isEmpty() ? AppendKind.OUTCOMES : kind;
       ends.values().forEach(waiting -> lines.add(endLine(waiting.message())));
     }
     if (!lines.isEmpty()) {
       nextAppendMicros = nowMicros + options.appendIntervalMicros();
       giveUpMicros = nowMicros + ANSWER_PATIENCE_MICROS;
-      openAppend = Optional.of(outbox.appendLog(stream, record(lines)));
-      counters.increment("appends.claims");
+      openAppend = Optional.of(outbox.appendLog(kind, stream, record(lines)));
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.configuration.ConfigurationError;
 import org.shallothook.state.configuration.ConfigurationRecord;
@@ -133,7 +134,9 @@
   private void proceed(long nowMicros) {
     if (nowMicros >= nextAppendMicros) {
       nextAppendMicros = nowMicros + REPEAT_AFTER_MICROS;
-      tokens.add(outbox.appendLog(ConfigurationReplica.STREAM, payload.orElseThrow()));
+      tokens.add(
+          outbox.appendLog(
+              AppendKind.CONFIGURATION, ConfigurationReplica.STREAM, payload.orElseThrow()));
     }
     if (nowMicros >= nextReadMicros) {
       nextReadMicros = nowMicros + READ_INTERVAL_MICROS;
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/SnapshotWriter.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/SnapshotWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.configuration.ConfigurationLog;
 import org.shallothook.state.configuration.ConfigurationRecord;
@@ -83,7 +84,8 @@
     int appended = 0;
     for (ConfigurationRecord.SnapshotPart part : state.snapshot()) {
       if (appended < PARTS_AT_ONCE && !log.hasSnapshotPart(part.at(), part.part())) {
-        outbox.appendLog(ConfigurationReplica.STREAM, ConfigurationRecordText.write(part));
+        outbox.appendLog(
+            AppendKind.SNAPSHOTS, ConfigurationReplica.STREAM, ConfigurationRecordText.write(part));
         appended++;
         appends++;
       }
--- a/coordination/src/main/java/org/shallothook/coordination/lease/LoadSlots.java
+++ b/coordination/src/main/java/org/shallothook/coordination/lease/LoadSlots.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import java.util.SplittableRandom;
-import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.lease.LeaseTable;
 import org.shallothook.state.log.LogPage;
@@ -44,7 +44,6 @@
   private final String self;
   private final long incarnation;
   private final Outbox outbox;
-  private final Counters counters;
   private final SplittableRandom random;
   private final LeaseTable table = new LeaseTable();
   private Optional<String> lease = Optional.empty();
@@ -58,11 +57,10 @@
   private long leases;
 
   /** Creates a share that wants no slot. */
-  public LoadSlots(String self, long incarnation, Outbox outbox, Counters counters) {
+  public LoadSlots(String self, long incarnation, Outbox outbox) {
     this.self = self;
     this.incarnation = incarnation;
     this.outbox = outbox;
-    this.counters = counters;
     this.random = new SplittableRandom(self.hashCode() + 31 * incarnation);
   }
 
@@ -163,7 +161,6 @@
   }
 
   private void append(String record) {
-    counters.increment("appends.leases");
-    outbox.appendLog(STREAM, record);
+    outbox.appendLog(AppendKind.LEASES, STREAM, record);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/port/Outbox.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Outbox.java
@@ -15,6 +15,10 @@
   /** Asks for a read of a stream of the log from an offset on. */
   void readLog(String stream, long fromOffset);
 
-  /** Asks for an append to a stream of the log and returns the token that its answer repeats. */
-  long appendLog(String stream, String payload);
+  /**
+   * Asks for an append to a stream of the log and counts it by its kind.
+   *
+   * @return token that the answer repeats
+   */
+  long appendLog(AppendKind kind, String stream, String payload);
 }
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/PoisonGuard.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/PoisonGuard.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import org.shallothook.coordination.message.PeerMessage.Quarantine;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.log.LogPage;
@@ -164,7 +165,9 @@
   }
 
   private void append(QuarantineRecord record) {
-    appends.put(outbox.appendLog(QuarantineRecord.STREAM, record.toPayload()), record);
+    long token =
+        outbox.appendLog(AppendKind.QUARANTINE, QuarantineRecord.STREAM, record.toPayload());
+    appends.put(token, record);
   }
 
   private void passOn(QuarantineRecord record) {
--- a/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import org.shallothook.coordination.configuration.ConfigurationReplica;
 import org.shallothook.coordination.membership.UpstreamDirectory;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.cache.ModelVersion;
@@ -95,6 +96,9 @@
     dueMicros.put(version, nowMicros + WAIT_MICROS + random.nextLong(JITTER_MICROS));
     counters.increment("versions.rolled-out");
     ConfigurationRecord record = new ConfigurationRecord.RolledOut(base, version);
-    outbox.appendLog(ConfigurationReplica.STREAM, ConfigurationRecordText.write(record));
+    outbox.appendLog(
+        AppendKind.CONFIGURATION,
+        ConfigurationReplica.STREAM,
+        ConfigurationRecordText.write(record));
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -68,7 +68,7 @@
   public RouterCore(RouterOptions options, Consumer<RouterCommand> commands) {
     this.options = Objects.requireNonNull(options, "options");
     SplittableRandom random = new SplittableRandom(options.seed());
-    outbox = new RouterOutbox(commands);
+    outbox = new RouterOutbox(commands, options.counters());
     configuration =
         new ConfigurationReplica(
             outbox, ConfigurationOptions.ofRouter(options.name(), options.logRetentionMicros()));
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterOutbox.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterOutbox.java
@@ -3,6 +3,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.AppendKind;
+import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RequestId;
@@ -15,12 +17,14 @@
  */
 final class RouterOutbox implements Outbox {
   private final Consumer<RouterCommand> commands;
+  private final Counters counters;
   private LongSupplier configurationOffset = () -> 0;
   private long nextToken = 1;
 
-  /** Creates an outbox before the given sink. */
-  RouterOutbox(Consumer<RouterCommand> commands) {
+  /** Creates an outbox before the given sink, which counts appends. */
+  RouterOutbox(Consumer<RouterCommand> commands, Counters counters) {
     this.commands = commands;
+    this.counters = counters;
   }
 
   /** Sets where the offset of messages comes from. */
@@ -39,7 +43,8 @@
   }
 
   @Override
-  public long appendLog(String stream, String payload) {
+  public long appendLog(AppendKind kind, String stream, String payload) {
+    counters.increment(kind.counter());
     long token = nextToken++;
     emit(new RouterCommand.AppendLog(token, stream, payload));
     return token;
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
@@ -42,7 +42,7 @@
             outbox::command,
             agreement.bookings(),
             counters);
-    slots = new LoadSlots(options.name(), options.incarnation(), outbox, counters);
+    slots = new LoadSlots(options.name(), options.incarnation(), outbox);
     orders =
         new EngineOrders(
             options.name(),
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -86,7 +86,7 @@
       Counters counters) {
     this.options = Objects.requireNonNull(options, "options");
     this.counters = Objects.requireNonNull(counters, "counters");
-    outbox = new SidecarOutbox(Objects.requireNonNull(commands, "commands"));
+    outbox = new SidecarOutbox(Objects.requireNonNull(commands, "commands"), counters);
     engine = new EngineMonitor(options, outbox);
     cache = new CacheFollower(options, outbox, counters);
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOutbox.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarOutbox.java
@@ -3,6 +3,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.AppendKind;
+import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 
 /**
@@ -13,11 +15,13 @@
  */
 public final class SidecarOutbox implements Outbox {
   private final Consumer<SidecarCommand> commands;
+  private final Counters counters;
   private LongSupplier configurationOffset = () -> 0;
   private long lastToken;
 
-  SidecarOutbox(Consumer<SidecarCommand> commands) {
+  SidecarOutbox(Consumer<SidecarCommand> commands, Counters counters) {
     this.commands = commands;
+    this.counters = counters;
   }
 
   /** Sets where the configuration offset of messages comes from. */
@@ -41,7 +45,8 @@
   }
 
   @Override
-  public long appendLog(String stream, String payload) {
+  public long appendLog(AppendKind kind, String stream, String payload) {
+    counters.increment(kind.counter());
     long token = nextToken();
     commands.accept(new SidecarCommand.AppendLog(token, stream, payload));
     return token;
--- a/coordination/src/test/java/org/shallothook/coordination/booking/BookingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/booking/BookingFleet.java
@@ -15,6 +15,7 @@
 import org.shallothook.coordination.fake.VirtualTime;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.coordination.sidecar.SidecarCommand;
@@ -249,7 +250,7 @@
       }
 
       @Override
-      public long appendLog(String stream, String payload) {
+      public long appendLog(AppendKind kind, String stream, String payload) {
         long token = tokens++;
         log.append(
             stream,
--- a/coordination/src/test/java/org/shallothook/coordination/configuration/ReplicaNode.java
+++ b/coordination/src/test/java/org/shallothook/coordination/configuration/ReplicaNode.java
@@ -8,6 +8,7 @@
 import org.shallothook.coordination.fake.VirtualTime;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.log.LogPage;
 
@@ -107,7 +108,7 @@
     }
 
     @Override
-    public long appendLog(String stream, String payload) {
+    public long appendLog(AppendKind kind, String stream, String payload) {
       long token = tokens++;
       log.append(
           stream,
--- a/coordination/src/test/java/org/shallothook/coordination/order/RolloutFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/order/RolloutFleet.java
@@ -10,6 +10,7 @@
 import org.shallothook.coordination.fake.VirtualTime;
 import org.shallothook.coordination.lease.LoadSlots;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.coordination.sidecar.SidecarCommand;
@@ -76,7 +77,7 @@
 
     void restartSidecar() {
       long current = ++incarnation;
-      slots = new LoadSlots(name, incarnation, this, Counters.NONE);
+      slots = new LoadSlots(name, incarnation, this);
       orders = new EngineOrders(name, incarnation, 2, slots, this::order, Counters.NONE);
       orders.onInstances(list());
       time.after(random.nextLong(TICK_MICROS), () -> tick(current));
@@ -134,7 +135,7 @@
     }
 
     @Override
-    public long appendLog(String stream, String payload) {
+    public long appendLog(AppendKind kind, String stream, String payload) {
       log.append(stream, payload, offset -> {}, may -> {});
       return tokens++;
     }
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -186,6 +186,18 @@
     return moved;
   }
 
+  @Test
+  void aConfigurationThatIsAboutToExpireIsAppendedAnewAndCounted() {
+    long retention = 20_000_000;
+    RouterHarness harness =
+        RouterHarness.ready(1, RouterOptions.builder().logRetentionMicros(retention));
+    harness.advance(retention);
+
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).isNotEmpty();
+    assertThat(harness.counter("appends.snapshots"))
+        .isEqualTo(harness.commands(RouterCommand.AppendLog.class).size());
+  }
+
   @Test
   void aVersionThatIsReadyEverywhereIsDeclaredRolledOutOnce() {
     RouterHarness harness = RouterHarness.ready(2);
@@ -198,6 +210,7 @@
     harness.status("engine-2", false, RouterHarness.VERSION, newer);
     harness.advance(12_000_000);
     assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
+    assertThat(harness.counter("appends.configuration")).isEqualTo(1);
     harness.append(harness.commands(RouterCommand.AppendLog.class).get(0).payload());
     harness.status("engine-1", false, RouterHarness.VERSION);
     harness.status("engine-2", false, RouterHarness.VERSION);
@@ -326,6 +339,7 @@
     List<RouterCommand.AppendLog> appends = harness.commands(RouterCommand.AppendLog.class);
     assertThat(appends).hasSize(2);
     assertThat(appends.get(1).payload()).isEqualTo(append.payload());
+    assertThat(harness.counter("appends.quarantine")).isEqualTo(2);
   }
 
   @Test
--- a/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarAgreementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarAgreementTest.java
@@ -90,6 +90,8 @@
     assertThat(harness.core.isDrained()).isFalse();
     run(harness, 3 * SECOND_MICROS);
     assertThat(harness.core.isDrained()).isTrue();
+    assertThat(harness.counters).containsEntry("appends.claims", 1);
+    assertThat(harness.counters).containsEntry("appends.outcomes", 1);
 
     SidecarHarness other =
         SidecarHarness.ready(
