Hold each template's text twice in routers and once in sidecars

Cause: a text was held three times, in the kept record, in the version and in the parsed template. Ruled out: the strings are Latin-1, one byte a character; the history keeps no text. Change: a kept record shares the version's text and gives its payload back to the character; sidecars leave out the parsed texts, which only routers render.

--- a/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationOptions.java
@@ -11,9 +11,14 @@
  * @param pollIntervalMicros mean time between two reads of the log, in microseconds
  * @param retentionMicros time for which the log surely keeps a record, in microseconds
  * @param writesSnapshots whether this process re-appends the configuration before it expires
+ * @param holdsTexts whether this process holds the texts of prompts, because it renders them
  */
 public record ConfigurationOptions(
-    String instance, long pollIntervalMicros, long retentionMicros, boolean writesSnapshots) {
+    String instance,
+    long pollIntervalMicros,
+    long retentionMicros,
+    boolean writesSnapshots,
+    boolean holdsTexts) {
   /** Mean time between two reads of the log unless settings name another. */
   public static final long DEFAULT_POLL_INTERVAL_MICROS = 1_000_000;
 
@@ -27,6 +32,12 @@
     }
   }
 
+  /** Creates options of a process that holds the texts of prompts. */
+  public ConfigurationOptions(
+      String instance, long pollIntervalMicros, long retentionMicros, boolean writesSnapshots) {
+    this(instance, pollIntervalMicros, retentionMicros, writesSnapshots, true);
+  }
+
   /** Returns the options of a router, which also writes snapshots. */
   public static ConfigurationOptions ofRouter(String instance) {
     return new ConfigurationOptions(
@@ -41,6 +52,6 @@
   /** Returns the options of a sidecar. */
   public static ConfigurationOptions ofSidecar(String instance) {
     return new ConfigurationOptions(
-        instance, DEFAULT_POLL_INTERVAL_MICROS, DEFAULT_RETENTION_MICROS, false);
+        instance, DEFAULT_POLL_INTERVAL_MICROS, DEFAULT_RETENTION_MICROS, false, false);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationReplica.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationReplica.java
@@ -49,7 +49,7 @@
   private final ConfigurationOptions options;
   private final SplittableRandom random;
   private final SnapshotWriter snapshots;
-  private final ConfigurationLog log = new ConfigurationLog();
+  private final ConfigurationLog log;
   private final Map<String, Peer> peers = new TreeMap<>();
   private long effectiveAtOffset;
   private long effectiveOffset;
@@ -71,6 +71,7 @@
   public ConfigurationReplica(Outbox outbox, ConfigurationOptions options) {
     this.outbox = Objects.requireNonNull(outbox, "outbox");
     this.options = Objects.requireNonNull(options, "options");
+    this.log = new ConfigurationLog(options.holdsTexts());
     this.random = new SplittableRandom(options.instance().hashCode());
     this.snapshots = new SnapshotWriter(outbox, options);
   }
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationLog.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationLog.java
@@ -19,7 +19,8 @@
 public final class ConfigurationLog {
   private static final int HISTORY_ENTRIES = 1_000;
 
-  private final ArrayList<LogRecord> retained = new ArrayList<>();
+  private final boolean holdsTexts;
+  private final ArrayList<RetainedRecord> retained = new ArrayList<>();
   private final ArrayList<LogRecord> collected = new ArrayList<>();
   private final SnapshotProgress progress = new SnapshotProgress();
   private final SnapshotProgress collectedProgress = new SnapshotProgress();
@@ -28,6 +29,20 @@
   private long faultyRecords;
   private long conflicts;
 
+  /** Creates a copy without records, whose templates hold their texts. */
+  public ConfigurationLog() {
+    this(true);
+  }
+
+  /**
+   * Creates a copy without records.
+   *
+   * @param holdsTexts whether the templates of the state hold the texts of their prompts
+   */
+  public ConfigurationLog(boolean holdsTexts) {
+    this.holdsTexts = holdsTexts;
+  }
+
   /** Returns the state in force. */
   public ConfigurationState state() {
     return state;
@@ -82,12 +97,14 @@
       return List.of();
     }
     int start = (int) Math.max(0, offset - retained.get(0).offset());
-    return List.copyOf(retained.subList(start, retained.size()));
+    return retained.subList(start, retained.size()).stream()
+        .map(RetainedRecord::toLogRecord)
+        .toList();
   }
 
   /** Returns the oldest record that a newcomer needs, if there is any record. */
   public Optional<LogRecord> oldestRetained() {
-    return retained.stream().findFirst();
+    return retained.stream().findFirst().map(RetainedRecord::toLogRecord);
   }
 
   /** Returns whether a part of a snapshot has been read. */
@@ -128,8 +145,9 @@
 
   private void fold(LogRecord record) {
     FoldedRecord folded = state.fold(record);
-    state = folded.state();
-    retained.add(record);
+    state = holdsTexts ? folded.state() : folded.state().withoutTexts(folded.template());
+    Optional<String> held = state.version(folded.template()).flatMap(TemplateVersion::source);
+    retained.add(RetainedRecord.of(record, held));
     remember(record, folded);
     if (folded.verdict() == ChangeVerdict.SNAPSHOT) {
       snapshotPart(record).ifPresent(this::noteSnapshotPart);
@@ -169,7 +187,7 @@
     stopCollecting();
     retained.clear();
     progress.clear();
-    state = restored.get();
+    state = holdsTexts ? restored.get() : restored.get().withoutTexts();
     above.forEach(this::fold);
   }
 
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationState.java
@@ -115,6 +115,23 @@
     return Optional.of(new ConfigurationState(at, teams, versions));
   }
 
+  /** Returns this state, with no team's texts of prompts. */
+  ConfigurationState withoutTexts() {
+    ConfigurationState state = this;
+    for (String team : teams.keySet()) {
+      state = state.withoutTexts(team);
+    }
+    return state;
+  }
+
+  /** Returns this state, without the texts of one team's prompts. */
+  ConfigurationState withoutTexts(String name) {
+    return team(name)
+        .map(
+            team -> new ConfigurationState(offset, teams.plus(name, team.withoutTexts()), versions))
+        .orElse(this);
+  }
+
   private FoldedRecord foldChange(ConfigurationRecord.Change change) {
     Optional<TemplateVersion> current = version(change.template());
     if (current.isPresent() && current.get().changes().contains(change.change())) {
--- a/state/src/main/java/org/shallothook/state/configuration/TeamTemplate.java
+++ b/state/src/main/java/org/shallothook/state/configuration/TeamTemplate.java
@@ -45,6 +45,12 @@
     return new CacheIdentity(name, modelVersion);
   }
 
+  /** Returns the template without the texts of its prompts, for a process that renders none. */
+  TeamTemplate withoutTexts() {
+    return new TeamTemplate(
+        name, keyDigest, modelVersion, "", Map.of(), priority, limits, services);
+  }
+
   /** Returns the text of a tenant, if the template has it. */
   public Optional<String> tenantText(String tenant) {
     return Optional.ofNullable(tenants.get(tenant));
