--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -1,8 +1,10 @@
 package org.shallothook.benchmarks;
 
 import org.shallothook.benchmarks.bench.BenchCommand;
+import org.shallothook.benchmarks.control.ControlCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
 import org.shallothook.benchmarks.matrix.MatrixCommand;
+import org.shallothook.benchmarks.processes.ProcessesCommand;
 import org.shallothook.benchmarks.slopes.SlopesCommand;
 import org.shallothook.benchmarks.sockets.SocketsCommand;
 import picocli.CommandLine;
@@ -31,6 +33,8 @@
         .addSubcommand(new DemoCommand())
         .addSubcommand(new MatrixCommand())
         .addSubcommand(new SocketsCommand())
+        .addSubcommand(new ProcessesCommand())
+        .addSubcommand(new ControlCommand())
         .addSubcommand(new SlopesCommand());
   }
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
@@ -93,6 +93,14 @@
     }
   },
 
+  /** What routers and sidecars say to each other beside prompts and answers. */
+  CONTROL_BYTES {
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks) {
+      return ControlScenario.measures(deployment, peaks.seed());
+    }
+  },
+
   /** Every process of one failure domain ends without warning. */
   DOMAIN_LOSS {
     @Override
--- /dev/null
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/processes/package-info.java
@@ -0,0 +1,2 @@
+/** Processor time and memory of running processes, read from outside. */
+package org.shallothook.benchmarks.processes;
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
@@ -94,6 +94,18 @@
     assertHeld("restarted-router-time-to-first-token-p95", deployment);
   }
 
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void routersKeepToTheControlBudget(Deployment deployment) {
+    assertHeld("control-bytes-router", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void sidecarsKeepToTheControlBudget(Deployment deployment) {
+    assertHeld("control-bytes-sidecar", deployment);
+  }
+
   @ParameterizedTest
   @EnumSource(Deployment.class)
   void domainLossLosesNoRequestNotBegun(Deployment deployment) {
