--- a/benchmarks/src/main/java/org/shallothook/benchmarks/control/ControlBytes.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/control/ControlBytes.java
@@ -14,8 +14,9 @@
 import org.shallothook.state.membership.InstanceRole;
 
 /**
- * Adds up the bytes of the messages between processes, as they are encoded for the wire, and of polls
- * of the platform, by process and kind. What a sidecar says to the engine beside it does not count.
+ * Adds up the bytes of the messages between processes, as they are encoded for the wire, and of
+ * polls of the platform, by process and kind. What a sidecar says to the engine beside it does not
+ * count.
  *
  * <p>Each byte counts once for its sender and once for its receiver. Connections are followed by
  * the times of their messages: Hello in both directions when one opens, heartbeats while an end is
