--- a/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/BenchmarksMain.java
@@ -1,9 +1,11 @@
 package org.shallothook.benchmarks;
 
 import org.shallothook.benchmarks.bench.BenchCommand;
+import org.shallothook.benchmarks.control.ControlCommand;
 import org.shallothook.benchmarks.demo.DemoCommand;
 import org.shallothook.benchmarks.load.LoadCommand;
 import org.shallothook.benchmarks.matrix.MatrixCommand;
+import org.shallothook.benchmarks.processes.ProcessesCommand;
 import org.shallothook.benchmarks.slopes.SlopesCommand;
 import org.shallothook.benchmarks.sockets.SocketsCommand;
 import picocli.CommandLine;
@@ -33,6 +35,8 @@
         .addSubcommand(new LoadCommand())
         .addSubcommand(new MatrixCommand())
         .addSubcommand(new SocketsCommand())
+        .addSubcommand(new ProcessesCommand())
+        .addSubcommand(new ControlCommand())
         .addSubcommand(new SlopesCommand())
         .setCaseInsensitiveEnumValuesAllowed(true);
   }
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
@@ -124,6 +124,18 @@
     assertHeld("version-roll-unsound-streams", deployment);
   }
 
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void routersKeepToTheControlBudget(Deployment deployment) {
+    assertHeld("control-bytes-router", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void sidecarsKeepToTheControlBudget(Deployment deployment) {
+    assertHeld("control-bytes-sidecar", deployment);
+  }
+
   @ParameterizedTest
   @EnumSource(Deployment.class)
   void domainLossLosesNoRequestNotBegun(Deployment deployment) {
