--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
@@ -107,6 +107,38 @@
     public List<Measure> run(Deployment deployment, Peaks peaks) {
       return new VersionRollScenario(deployment, peaks.seed()).measures();
     }
+  },
+
+  /** How long an accepted change takes to be in force everywhere, in quiet and in trouble. */
+  CONFIGURATION_SPREAD {
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks) {
+      return new ConfigurationSpreadScenario(deployment, peaks.seed()).measures();
+    }
+  },
+
+  /** Histories of racing publishers, lost answers, restarts, outages and expiring records. */
+  CONFIGURATION_HISTORIES {
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks) {
+      return new ConfigurationHistories(deployment, peaks.seed()).measures();
+    }
+  },
+
+  /** Histories of bookings sent twice, with crashes at each step, pauses, losses and outages. */
+  BOOKING_HISTORIES {
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks) {
+      return new BookingHistories(deployment, peaks.seed()).measures();
+    }
+  },
+
+  /** Bookings at the rate of the target size. */
+  BOOKING_RATE {
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks) {
+      return new BookingRateScenario(deployment, peaks.seed()).measures();
+    }
   };
 
   static final double MAXIMUM_WASTE = 0.05;
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/FleetBuilder.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/FleetBuilder.java
@@ -12,9 +12,11 @@
 import org.shallothook.coordination.placement.PlacementStrategy;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.router.RouterOptions;
+import org.shallothook.coordination.sidecar.AgreementOptions;
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.standins.engine.EngineModel;
 import org.shallothook.standins.engine.EngineSettings;
+import org.shallothook.standins.log.LogSettings;
 import org.shallothook.standins.service.ServiceModel;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.membership.Instance;
@@ -38,6 +40,8 @@
   private String service = "booking";
   private boolean servicesCheckFencing;
   private int storeBlocks = 4_000;
+  private LogSettings logSettings = LogSettings.DEFAULT;
+  private AgreementOptions agreement = AgreementOptions.DEFAULT;
   private boolean hasStore = true;
   private EngineSettings engineSettings = EngineSettings.DEFAULT;
   private final Set<ModelVersion> loaded = new LinkedHashSet<>();
@@ -93,6 +97,18 @@
     return this;
   }
 
+  /** Sets the settings of the platform's log. Default: {@link LogSettings#DEFAULT}. */
+  public FleetBuilder logSettings(LogSettings settings) {
+    logSettings = settings;
+    return this;
+  }
+
+  /** Sets what sidecars agree on. Default: {@link AgreementOptions#DEFAULT}. */
+  public FleetBuilder agreement(AgreementOptions options) {
+    agreement = options;
+    return this;
+  }
+
   /** Leaves the KV-cache store out of the list of instances. */
   public FleetBuilder withoutStore() {
     hasStore = false;
@@ -152,6 +168,10 @@
     return storeBlocks;
   }
 
+  LogSettings logSettings() {
+    return logSettings;
+  }
+
   List<TeamSpec> teams() {
     return teams;
   }
@@ -223,6 +243,7 @@
             name,
             domain,
             incarnation -> sidecarOptions(name, domain, InstanceRole.MODEL_ENGINE, incarnation),
+            agreement,
             counters(),
             sidecar -> new EngineLink(fleet, sidecar, model, fleet.storeModel())));
   }
@@ -236,6 +257,7 @@
             name,
             domain,
             incarnation -> sidecarOptions(name, domain, InstanceRole.SERVICE, incarnation),
+            agreement,
             counters(),
             sidecar -> new ServiceLink(fleet, sidecar, model)));
   }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/SidecarProcess.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/SidecarProcess.java
@@ -4,6 +4,7 @@
 import java.util.function.LongFunction;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.sidecar.AgreementOptions;
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarCore;
 import org.shallothook.coordination.sidecar.SidecarEvent;
@@ -13,6 +14,7 @@
 public final class SidecarProcess extends VirtualProcess {
   private final VirtualFleet fleet;
   private final LongFunction<SidecarOptions> options;
+  private final AgreementOptions agreement;
   private final Counters counters;
   private final UpstreamLink upstream;
   private SidecarCore core;
@@ -23,11 +25,13 @@
       String name,
       String failureDomain,
       LongFunction<SidecarOptions> options,
+      AgreementOptions agreement,
       Counters counters,
       Function<SidecarProcess, UpstreamLink> upstream) {
     super(name, failureDomain, fleet.queue());
     this.fleet = fleet;
     this.options = options;
+    this.agreement = agreement;
     this.counters = counters;
     this.upstream = upstream.apply(this);
   }
@@ -53,6 +57,7 @@
     core =
         new SidecarCore(
             options.apply(started),
+            agreement,
             command -> {
               if (isUp() && incarnation() == started) {
                 carryOut(command);
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/VirtualFleet.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/VirtualFleet.java
@@ -8,6 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.shallothook.coordination.configuration.ChangeRequest;
+import org.shallothook.coordination.configuration.PublicationResult;
 import org.shallothook.coordination.router.RouterEvent;
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarEvent;
@@ -63,7 +66,10 @@
     SplittableRandom random = new SplittableRandom(builder.seed());
     network = new VirtualNetwork(queue, builder.latencies(), random.split());
     platform =
-        new VirtualPlatform(network, new InstanceListModel(LIST_LAG_MICROS, builder.instances()));
+        new VirtualPlatform(
+            network,
+            new InstanceListModel(LIST_LAG_MICROS, builder.instances()),
+            builder.logSettings());
     callers = new CallerDesk(queue, builder.latencies().toCaller());
     ledger = new UpstreamLedger(this::matchedElsewhere);
     store = new CacheStoreModel("store-1", builder.storeBlocks(), LIST_LAG_MICROS);
@@ -167,6 +173,14 @@
         : Optional.empty();
   }
 
+  /**
+   * Publishes a change through a router, as its command line does. A router that is down does not.
+   */
+  public void publish(
+      RouterProcess router, ChangeRequest change, Consumer<PublicationResult> onEnd) {
+    router.after(0, () -> router.core().publish(change, onEnd, queue.nowMicros()));
+  }
+
   /** Returns the teams by name. */
   public Map<String, TeamSpec> teams() {
     return Collections.unmodifiableMap(teams);
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/VirtualPlatform.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/VirtualPlatform.java
@@ -34,10 +34,10 @@
   private final Map<String, Long> cutUntilMicros = new HashMap<>();
   private long appends;
 
-  VirtualPlatform(VirtualNetwork network, InstanceListModel instances) {
+  VirtualPlatform(VirtualNetwork network, InstanceListModel instances, LogSettings logSettings) {
     this.network = network;
     this.instances = instances;
-    log = new LogModel(LogSettings.DEFAULT);
+    log = new LogModel(logSettings);
     weights = new WeightStoreModel(600_000, 4);
   }
 
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/workload/Deployment.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/workload/Deployment.java
@@ -111,14 +111,14 @@
   /** Returns the share of requests that come in bursts. */
   abstract double burstShare();
 
+  /** Returns a builder of a fleet in the deployment's places, without teams. */
+  public FleetBuilder places(long seed) {
+    return VirtualFleet.builder().seed(seed).latencies(latencies()).domains(domains());
+  }
+
   /** Returns a builder of the deployment's fleet. */
   public FleetBuilder fleet(long seed) {
-    FleetBuilder builder =
-        VirtualFleet.builder()
-            .seed(seed)
-            .latencies(latencies())
-            .domains(domains())
-            .engineSettings(ENGINES);
+    FleetBuilder builder = places(seed).engineSettings(ENGINES);
     teams().forEach(builder::team);
     return builder;
   }
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
@@ -124,6 +124,66 @@
     assertHeld("version-roll-unsound-streams", deployment);
   }
 
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void aChangeIsInForceEverywhereInTime(Deployment deployment) {
+    assertHeld("configuration-in-force-none", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void aChangeIsInForceInTimeWithADomainCutFromTheLog(Deployment deployment) {
+    assertHeld("configuration-in-force-domain-cut", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void aChangeIsInForceInTimeWithTheLogDown(Deployment deployment) {
+    assertHeld("configuration-in-force-log-down", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void noConfigurationIsReverted(Deployment deployment) {
+    assertHeld("configuration-reversions", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void everyProcessHasTheConfigurationOfTheLog(Deployment deployment) {
+    assertHeld("configuration-states-unlike-the-log", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void noBookingRunsTwice(Deployment deployment) {
+    assertHeld("booking-double-runs", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void noNotRunIsFalse(Deployment deployment) {
+    assertHeld("booking-false-not-run", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void repeatsGetTheFirstAnswer(Deployment deployment) {
+    assertHeld("booking-violations", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void bookingsFitIntoTheLog(Deployment deployment) {
+    assertHeld("booking-appends", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void claimsAreReadBackInTime(Deployment deployment) {
+    assertHeld("booking-claim-p99", deployment);
+  }
+
   @ParameterizedTest
   @EnumSource(Deployment.class)
   void domainLossLosesNoRequestNotBegun(Deployment deployment) {
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationReplica.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/ConfigurationReplica.java
@@ -21,7 +21,8 @@
  *
  * <p>Every envelope names its sender's offset. A process that hears of a higher one than its own
  * asks that sender for the records between; a process that hears of a lower one sends them where
- * they are small, and otherwise only lets its own offset be heard. The log is polled besides.
+ * they are small, and otherwise only lets its own offset be heard. The log is polled besides; while
+ * it cannot be read, some peers are asked instead, so that a change also reaches idle processes.
  *
  * <p>Invariant: the state's offset never falls, and {@link #isBehind} holds while a higher one has
  * been heard of or nothing is known yet. Not thread-safe: used on the decision thread.
@@ -39,6 +40,12 @@
   /** Shortest time between two answers to requests of one peer, in microseconds. */
   static final long ANSWER_INTERVAL_MICROS = 20_000;
 
+  /** Mean time between two questions to peers while the log cannot be read, in microseconds. */
+  static final long PEER_POLL_INTERVAL_MICROS = 500_000;
+
+  /** Number of peers asked at once while the log cannot be read. */
+  static final int PEERS_POLLED = 2;
+
   /** Greatest size of records sent to a peer that did not ask, in characters. */
   static final int UNASKED_CHARACTERS = 4_096;
 
@@ -58,6 +65,8 @@
   private long firstInLog;
   private long nextPollMicros;
   private long nextRequestMicros;
+  private boolean isLogUnreadable;
+  private long nextPeerPollMicros;
 
   /** What is known of a peer, and when it may be sent records again. */
   private static final class Peer {
@@ -145,6 +154,7 @@
     if (!page.stream().equals(STREAM)) {
       return;
     }
+    isLogUnreadable = false;
     firstInLog = page.firstRetained();
     log.take(page.firstRetained(), page.records());
     boolean isAtEnd = page.nextOffset() >= page.end();
@@ -162,6 +172,7 @@
   /** Notes that a read failed; the next one follows at the usual interval. */
   public void onLogReadFailed(String stream, long nowMicros) {
     if (stream.equals(STREAM)) {
+      isLogUnreadable = true;
       log.stopCollecting();
       nextPollMicros = Math.max(nextPollMicros, nowMicros + jittered(options.pollIntervalMicros()));
     }
@@ -183,11 +194,14 @@
     }
   }
 
-  /** Polls the log, asks peers while behind, and writes snapshots when due. */
+  /** Polls the log or peers, asks peers while behind, and writes snapshots when due. */
   public void onTick(long nowMicros) {
     if (nowMicros >= nextPollMicros) {
       readNow(nowMicros);
     }
+    if (isLogUnreadable && nowMicros >= nextPeerPollMicros) {
+      pollPeers(nowMicros);
+    }
     if (heardOffset > state().offset() && nowMicros >= nextRequestMicros) {
       peersAtOrAbove(state().offset() + 1).stream()
           .skip(random.nextInt(Math.max(1, peersAtOrAbove(state().offset() + 1).size())))
@@ -235,6 +249,15 @@
     }
   }
 
+  private void pollPeers(long nowMicros) {
+    nextPeerPollMicros = nowMicros + jittered(PEER_POLL_INTERVAL_MICROS);
+    List<String> names = new ArrayList<>(peers.keySet());
+    for (int polled = 0; polled < PEERS_POLLED && !names.isEmpty(); polled++) {
+      String peer = names.remove(random.nextInt(names.size()));
+      outbox.send(peer, new PeerMessage.ConfigurationRequest(log.nextOffset()));
+    }
+  }
+
   private void answer(String name, long fromOffset, long nowMicros) {
     Peer peer = peers.get(name);
     if (nowMicros >= peer.nextAnswerMicros) {
--- a/coordination/src/test/java/org/shallothook/coordination/configuration/ConfigurationReplicaTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/configuration/ConfigurationReplicaTest.java
@@ -33,6 +33,8 @@
     return new ChangeRequest(change, "a", Optional.of(source(version)), Optional.empty());
   }
 
+  private boolean isIdle;
+
   private ReplicaNode node(ConfigurationOptions options) {
     return new ReplicaNode(options, time, log, nodes);
   }
@@ -50,6 +52,9 @@
 
   /** Any message stands for traffic: it carries the offset of its sender. */
   private void traffic() {
+    if (isIdle) {
+      return;
+    }
     String router = "router-" + random.nextInt(ROUTERS);
     String sidecar = "sidecar-" + random.nextInt(SIDECARS);
     nodes.get(router).tell(sidecar, new PeerMessage.ConfigurationRecords(List.of()));
@@ -77,6 +82,18 @@
   @EnumSource(Trouble.class)
   void anAcceptedChangeIsInForceEverywhereWithinItsBound(Trouble trouble) {
     startFleet();
+    assertInForceWithinBound(trouble);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Trouble.class)
+  void anAcceptedChangeReachesIdleProcessesWithinItsBound(Trouble trouble) {
+    startFleet();
+    isIdle = true;
+    assertInForceWithinBound(trouble);
+  }
+
+  private void assertInForceWithinBound(Trouble trouble) {
     if (trouble == Trouble.DOMAIN_CUT_FROM_LOG) {
       nodes.forEach((name, node) -> node.isCutFromLog = name.endsWith("2"));
     }
