--- a/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarAgreementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarAgreementTest.java
@@ -118,5 +118,6 @@
     assertThat(of(SidecarCommand.OrderEngine.class, run(harness, 5 * SECOND_MICROS)))
         .containsExactly(new SidecarCommand.OrderEngine(1, ModelVersion.of("linen", "v2"), true));
     assertThat(harness.core.configurationOffset()).isEqualTo(1);
+    assertThat(harness.counters.get("appends.leases")).isAtLeast(1);
   }
 }
