--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/PortBlock.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/PortBlock.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.ThreadLocalRandom;
+import org.tinylog.Logger;
 
 /**
  * Ports for the processes of one test, below those that the system gives to outgoing connections.
@@ -33,8 +34,7 @@
       try {
         return new PortBlock(listen(port));
       } catch (IOException e) {
-        // Another test holds the block.
-        continue;
+        Logger.debug("fleet: the block at port {} is taken", port);
       }
     }
     throw new IllegalStateException("No block of ports is free");
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/TcpRelay.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/TcpRelay.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.tinylog.Logger;
 
 /** Forwards connections from one port to another until they are cut. Thread-safe. */
 final class TcpRelay implements AutoCloseable {
@@ -43,7 +44,7 @@
         connect(server.accept());
       } catch (IOException e) {
         // Closed, or the sidecar does not listen; the next connection may reach it.
-        continue;
+        Logger.debug("relay: no connection to port {}: {}", target, e.getMessage());
       }
     }
   }
--- a/state/src/test/java/org/shallothook/state/configuration/ConfigurationPropertyTest.java
+++ b/state/src/test/java/org/shallothook/state/configuration/ConfigurationPropertyTest.java
@@ -74,7 +74,9 @@
     }
     List<ConfigurationRecord.SnapshotPart> parts = state.snapshot();
     Optional<ConfigurationState> restored =
-        parts.isEmpty() ? Optional.of(state) : ConfigurationState.ofSnapshot(state.effectiveOffset(), parts);
+        parts.isEmpty()
+            ? Optional.of(state)
+            : ConfigurationState.ofSnapshot(state.effectiveOffset(), parts);
 
     assertThat(restored.orElseThrow().allTeams()).isEqualTo(state.allTeams());
     assertThat(restored.orElseThrow().effectiveOffset()).isEqualTo(state.effectiveOffset());
