--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/TcpRelay.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/TcpRelay.java
@@ -43,6 +43,7 @@
       try {
         connect(server.accept());
       } catch (IOException e) {
+        // Closed, or the sidecar does not listen; the next connection may reach it.
         Logger.debug("relay: no connection to port {}: {}", target, e.getMessage());
       }
     }
