Eject no upstream for lateness behind a long queue

The first token of a request that was promised a wait of seconds, or an import, was late by the error of that promise, and the error was taken for the engine's slowness.

Ruled out: leaving and unreachable upstreams; none was at that time.

Change: a first token is a sample of slowness only where at most 50 ms were promised. Later tokens are compared as before.

--- a/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
@@ -14,6 +14,13 @@
  */
 final class SlownessWatch {
   private static final int TOKENS_MEASURED = 100;
+
+  /**
+   * Longest promised wait after which a late first token tells of the engine's speed. A long queue
+   * or an import that finds nothing makes it late on a sound engine too.
+   */
+  private static final long MAXIMUM_TELLING_MICROS = 50_000;
+
   private static final int MINIMUM_TOKENS = 16;
 
   private final RouterOptions options;
@@ -64,14 +71,19 @@
 
   private void sampleFirstToken(ChatExchange exchange, Attempt attempt, long nowMicros) {
     attempt.setSampled();
-    sample(firstTokens, exchange, attempt, excessOf(exchange, attempt, nowMicros), nowMicros);
+    if (promisedMicros(exchange, attempt) <= MAXIMUM_TELLING_MICROS) {
+      sample(firstTokens, exchange, attempt, excessOf(exchange, attempt, nowMicros), nowMicros);
+    }
   }
 
   private long excessOf(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    return nowMicros - attempt.submittedAtMicros() - promisedMicros(exchange, attempt);
+  }
+
+  private long promisedMicros(ChatExchange exchange, Attempt attempt) {
     Hint hint = attempt.hint().orElse(Hint.NONE);
     int missing = Math.max(0, exchange.prompt().keys().size() - hint.matchedBlocks());
-    long promised = hint.queueDelayMicros() + missing * options.recomputeMicrosPerBlock();
-    return nowMicros - attempt.submittedAtMicros() - promised;
+    return hint.queueDelayMicros() + missing * options.recomputeMicrosPerBlock();
   }
 
   private void sample(
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -280,6 +280,21 @@
     assertThat(stateOf(harness, "engine-1")).isEqualTo("ready");
   }
 
+  @Test
+  void lateFirstTokensBehindLongQueueEjectNobody() {
+    RouterHarness harness = RouterHarness.ready(4);
+    for (int sent = 0; sent < 100; sent++) {
+      Sent<PeerMessage.Offer> offer = spreadOffer(harness, harness.chat("question " + sent));
+      int blocks = offer.message().keys().size();
+      harness.reply(offer, Optional.empty(), new Hint(blocks, 60_000, 1, 0));
+      harness.now += offer.peer().equals("engine-1") ? 2_000_000 : 70_000;
+      harness.tokens(offer.message().attempt(), 0, "a");
+      harness.ended(offer.message().attempt(), 1);
+    }
+
+    assertThat(harness.counter("ejections")).isEqualTo(0);
+  }
+
   /** Refuses offers for as long as the request's number asks for, so that all engines get work. */
   private static Sent<PeerMessage.Offer> spreadOffer(RouterHarness harness, RequestId request) {
     int refusals = request.value().hashCode() & 3;
