Count every prompt ahead in the queue delay

Cause: while an engine reads long prompts its slots are free, but only as many prompts ahead as there are free slots counted, so offers were accepted that ended with deadline-passed after ten seconds.

Change: every prompt ahead has to be read first, and counts.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/ServiceEstimator.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/ServiceEstimator.java
@@ -92,8 +92,7 @@
   long queueDelayMicros(String team, PriorityClass priority) {
     int ahead = aheadOf(team, priority);
     int free = engine.maximumRunning() - slotsNotFor(priority);
-    int startable = Math.min(ahead, Math.max(0, free));
-    double units = unitsInPrefill(priority) + startable * unitsPerPrompt;
+    double units = unitsInPrefill(priority) + ahead * unitsPerPrompt;
     return (long) Math.max(slotDelayMicros(ahead, free), units * microsPerUnit);
   }
 
