Keep openings in use from being evicted by others

The belief was late: events come a quarter of a second after an eviction, four imports at once evict all that an engine has, and requests that waited for seconds found their blocks gone.

Change: what a request lacks is imported when it is next to start, not when it comes. The sidecar follows the uses of blocks and takes those beyond the cache's room for evicted at once. Another home's opening is refused while what it would evict was used in the last 5 s. A start that evicts blocks in use happens at most every 200 ms; requests whose blocks are cached pass. The hint counts what would be imported, and when, so that idle engines with room are chosen.

importOverRestartOfEngineClaimsNothing is replaced by a test as strict: the waiting request imports anew after the restart, and the late end of the first import still changes nothing.

--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -113,7 +113,7 @@
       counters.increment("offers.repeated");
       return false;
     }
-    PrefixForecast forecast = prefixes.forecast(offer.keys(), nowMicros);
+    PrefixForecast forecast = prefixes.forecast(offer, prefillMicrosPerBlock(), nowMicros);
     int matched = forecast.blocks();
     long delay =
         Math.max(
@@ -272,6 +272,10 @@
     }
     Optional<RefusalReason> refusal =
         policy.refusal(offer, hint.matchedBlocks(), hint.queueDelayMicros(), nowMicros);
+    if (refusal.isEmpty() && offer.rank() > 0 && prefixes.wouldEvictUsed(offer.keys(), nowMicros)) {
+      counters.increment("offers.refused-for-room");
+      return Optional.of(RefusalReason.QUEUE_FULL);
+    }
     if (refusal.isEmpty() && policy.isQueueFull(offer) && !hasDisplacedFor(offer, nowMicros)) {
       return Optional.of(RefusalReason.QUEUE_FULL);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -27,6 +27,8 @@
   private final ServiceEstimator estimator;
   private final PrefixSupply prefixes;
   private final AttemptEnds ends;
+  private static final long EVICTION_INTERVAL_MICROS = 200_000;
+  private long nextEvictionMicros = Long.MIN_VALUE;
   private boolean isStalled;
   private long suspectSinceMicros = Long.MAX_VALUE;
   private int suspectsInARow;
@@ -120,12 +122,37 @@
     if (estimator.prefills(priority) >= options.maximumPrefills()) {
       return Optional.empty();
     }
-    return table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
+    Optional<Ticket> next = table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
+    while (next.filter(ticket -> hasBegunImport(ticket, nowMicros)).isPresent()) {
+      next = table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
+    }
+    return next;
+  }
+
+  /** Fetches what a ticket misses by now; the ticket is not eligible while an import is open. */
+  private boolean hasBegunImport(Ticket ticket, long nowMicros) {
+    if (prefixes.wouldEvictUsed(ticket.keys(), nowMicros)) {
+      nextEvictionMicros = nowMicros + EVICTION_INTERVAL_MICROS;
+    }
+    return ticket.runs() == 0
+        && prefixes.hasBegunImport(ticket.offer(), estimator.prefillMicros(1), nowMicros);
   }
 
   private boolean isEligible(Ticket ticket, long nowMicros) {
     return engine.ready().contains(ticket.offer().identity().modelVersion())
-        && (ticket.runs() > 0 || !prefixes.isAwaited(ticket.keys(), nowMicros));
+        && (ticket.runs() > 0 || !prefixes.isAwaited(ticket.keys(), nowMicros))
+        && !isHeldForRoom(ticket, nowMicros);
+  }
+
+  /**
+   * Returns whether a ticket waits so that those whose blocks are cached are served before what it
+   * misses evicts them.
+   */
+  private boolean isHeldForRoom(Ticket ticket, long nowMicros) {
+    return nowMicros < nextEvictionMicros
+        && ticket.priority() == PriorityClass.ORDINARY
+        && !table.running().isEmpty()
+        && prefixes.wouldEvictUsed(ticket.keys(), nowMicros);
   }
 
   private boolean isSuspectDue(Optional<Ticket> candidate, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.admission;
 
 import java.util.List;
+import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.request.AttemptId;
 
@@ -14,12 +15,40 @@
   /** Returns the number of leading blocks of the chain that the engine need not compute. */
   int matchedBlocks(List<BlockKey> chain);
 
-  /** Returns what a request for the chain would find, with what is being obtained for others. */
-  PrefixForecast forecast(List<BlockKey> chain, long nowMicros);
+  /**
+   * Returns what the request of an offer would find, with what is being obtained for others and
+   * what would be imported for it.
+   *
+   * @param offer the offer
+   * @param prefillMicrosPerBlock expected time to compute a block, in microseconds
+   * @param nowMicros time of the offer
+   */
+  PrefixForecast forecast(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
 
   /** Returns whether a request should wait because its next missing block is being obtained. */
   boolean isAwaited(List<BlockKey> chain, long nowMicros);
 
+  /**
+   * Returns whether obtaining the missing blocks of a chain would evict much that is in use.
+   *
+   * @param chain keys of a prompt's whole blocks
+   * @param nowMicros time of the question
+   */
+  boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros);
+
+  /**
+   * Begins to import what a request that could start now misses, where that is cheaper than
+   * computing it.
+   *
+   * <p>Asked just before the start: what was cached when the request came may be evicted by then.
+   *
+   * @param offer offer of the request
+   * @param prefillMicrosPerBlock expected time to compute a block, in microseconds
+   * @param nowMicros time of the start
+   * @return whether an import has begun, which the request should wait for
+   */
+  boolean hasBegunImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
+
   /**
    * Notes that a run computes the missing blocks of its chain.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/engine/CacheFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/engine/CacheFollower.java
@@ -27,6 +27,7 @@
   private final SidecarOutbox outbox;
   private final Counters counters;
   private final PrefixIndex index;
+  private int room = Integer.MAX_VALUE;
   private long nextReadMicros = Long.MIN_VALUE;
   private long staleSinceMicros = Long.MAX_VALUE;
 
@@ -53,6 +54,14 @@
     return index.size();
   }
 
+  /**
+   * Returns the number of blocks that the engine's cache holds, as far as its evictions have shown;
+   * {@link Integer#MAX_VALUE} before the first.
+   */
+  public int room() {
+    return room;
+  }
+
   /** Follows the incarnation that the engine has reported. */
   public void onIncarnation(String incarnation, long nowMicros) {
     int dropped = index.follow(incarnation);
@@ -91,6 +100,7 @@
         return;
       }
     }
+    learnRoom(event.changes());
     if (event.changes().isEmpty() && isBehind(event)) {
       noteGap("cache.gap", nowMicros);
       ask(nowMicros);
@@ -108,6 +118,17 @@
     }
   }
 
+  /** Learns from the size after an eviction, and from a size that turns out greater. */
+  private void learnRoom(List<CacheChange> changes) {
+    boolean endsWithEviction =
+        !changes.isEmpty() && !changes.get(changes.size() - 1).isStored() && index.size() > 0;
+    if (endsWithEviction) {
+      room = index.size();
+    } else if (room != Integer.MAX_VALUE) {
+      room = Math.max(room, index.size());
+    }
+  }
+
   private boolean isContinued(PrefixIndex.Applied applied, long nowMicros) {
     switch (applied) {
       case GAP -> {
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.shallothook.coordination.admission.PrefixForecast;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.sidecar.SidecarCommand;
@@ -58,8 +59,12 @@
     this.gate = gate;
   }
 
-  /** Imports the missing blocks of an accepted offer if that is worth it. */
-  void considerImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+  /**
+   * Imports the missing blocks of a request if that is worth it.
+   *
+   * @return whether an import has begun
+   */
+  boolean hasBegunImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
     List<BlockKey> chain = offer.keys();
     int matched = gate.matchedBlocks(chain);
     int missing = chain.size() - matched;
@@ -67,14 +72,32 @@
         missing >= MINIMUM_BLOCKS
             && isCheaperThan(prefillMicrosPerBlock)
             && openImports() < MAXIMUM_IMPORTS;
-    if (!isWorthIt || gate.isAwaited(chain, nowMicros)) {
-      return;
+    if (!isWorthIt
+        || isBeingImported(chain.get(matched))
+        || gate.isAwaited(chain, nowMicros)
+        || !isLikelyStored(offer, chain.get(matched), missing)) {
+      return false;
     }
-    if (isLikelyStored(offer, chain.get(matched), missing)) {
-      List<BlockKey> wanted = List.copyOf(chain.subList(matched, chain.size()));
-      long token = start(offer.identity(), wanted, true, nowMicros);
-      gate.begin(token, chain, (long) (missing * microsPerBlock), nowMicros);
+    List<BlockKey> wanted = List.copyOf(chain.subList(matched, chain.size()));
+    long token = start(offer.identity(), wanted, true, nowMicros);
+    gate.begin(token, chain, (long) (missing * microsPerBlock), nowMicros);
+    return true;
+  }
+
+  /** Returns a forecast that counts what an import would bring, and when. */
+  PrefixForecast withImport(
+      PrefixForecast forecast, PeerMessage.Offer offer, long prefillMicrosPerBlock) {
+    List<BlockKey> chain = offer.keys();
+    int missing = chain.size() - forecast.blocks();
+    boolean isImported =
+        missing >= MANY_BLOCKS
+            && microsPerBlock < prefillMicrosPerBlock
+            && isLikelyStored(offer, chain.get(forecast.blocks()), missing);
+    if (!isImported) {
+      return forecast;
     }
+    long importMicros = (long) (missing * microsPerBlock);
+    return new PrefixForecast(chain.size(), forecast.waitMicros() + importMicros);
   }
 
   /** Forgets a slow transfer little by little, so that it is tried again some time. */
@@ -169,6 +192,12 @@
     return token;
   }
 
+  /** Returns whether an import of the block is open, although nobody may wait for it any more. */
+  private boolean isBeingImported(BlockKey key) {
+    return open.values().stream()
+        .anyMatch(transfer -> transfer.isImport() && transfer.keys().contains(key));
+  }
+
   private long openImports() {
     return open.values().stream().filter(Transfer::isImport).count();
   }
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -1,7 +1,9 @@
 package org.shallothook.coordination.hotprefix;
 
 import java.util.List;
+import org.shallothook.coordination.admission.PrefixForecast;
 import org.shallothook.coordination.admission.PrefixSpread;
+import org.shallothook.coordination.admission.PrefixSupply;
 import org.shallothook.coordination.engine.CacheFollower;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.Counters;
@@ -10,6 +12,7 @@
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.request.AttemptId;
 
 /**
  * Follows the demand for prefixes at this engine, and acts on those that are hot.
@@ -19,7 +22,7 @@
  *
  * <p>Not thread-safe: used on the decision thread.
  */
-public final class HotPrefixes {
+public final class HotPrefixes implements PrefixSupply {
   private static final int MAXIMUM_PREFIXES = 256;
   private static final long REVIEW_INTERVAL_MICROS = 500_000;
   private static final double MICROS_PER_SECOND = 1_000_000;
@@ -39,9 +42,47 @@
     transfers = new BlockTransfers(options, outbox, counters, gate);
   }
 
-  /** Returns the gate that lets a missing prefix be computed once. */
-  public PrefixGate gate() {
-    return gate;
+  @Override
+  public int matchedBlocks(List<BlockKey> chain) {
+    return gate.matchedBlocks(chain);
+  }
+
+  @Override
+  public PrefixForecast forecast(
+      PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+    PrefixForecast forecast = gate.forecast(offer.keys(), nowMicros);
+    return hasStore ? transfers.withImport(forecast, offer, prefillMicrosPerBlock) : forecast;
+  }
+
+  @Override
+  public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
+    return gate.isAwaited(chain, nowMicros);
+  }
+
+  @Override
+  public boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
+    return gate.wouldEvictUsed(chain, nowMicros);
+  }
+
+  @Override
+  public boolean hasBegunImport(
+      PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+    return hasStore && transfers.hasBegunImport(offer, prefillMicrosPerBlock, nowMicros);
+  }
+
+  @Override
+  public void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    gate.onStarted(run, chain, expectedMicros, nowMicros);
+  }
+
+  @Override
+  public void onComputed(AttemptId run, long nowMicros) {
+    gate.onComputed(run, nowMicros);
+  }
+
+  @Override
+  public void onRunOver(AttemptId run) {
+    gate.onRunOver(run);
   }
 
   /** Sets whether there is a cache store to transfer blocks to and from. */
@@ -63,16 +104,6 @@
     return PrefixSpread.UNSPECIFIED;
   }
 
-  /**
-   * Fetches what a request misses, where that is worth it. Offers alone fetch nothing: several
-   * upstreams are offered a request that one of them gets, and each import evicts other blocks.
-   */
-  public void onSubmitting(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
-    if (hasStore) {
-      transfers.considerImport(offer, prefillMicrosPerBlock, nowMicros);
-    }
-  }
-
   /**
    * Counts the demand of a request that was submitted.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import org.shallothook.coordination.admission.PrefixForecast;
-import org.shallothook.coordination.admission.PrefixSupply;
 import org.shallothook.coordination.engine.CacheFollower;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.cache.BlockKey;
@@ -19,10 +18,12 @@
  * <p>Invariants: nothing is held over an incarnation of the engine; every wait ends at a stored
  * deadline. Not thread-safe: used on the decision thread.
  */
-public final class PrefixGate implements PrefixSupply {
+public final class PrefixGate {
   private static final long MAXIMUM_WAIT_MICROS = 2_000_000;
   private static final long MINIMUM_WAIT_MICROS = 20_000;
   private static final long RECENT_MICROS = 1_000_000;
+  private static final long IN_USE_MICROS = 5_000_000;
+  private static final int MANY_BLOCKS = 8;
 
   private record Computation(Object owner, long expectedAtMicros, long waitUntilMicros) {}
 
@@ -31,6 +32,7 @@
   private final Map<BlockKey, Computation> computations = new HashMap<>();
   private final Map<Object, List<BlockKey>> chains = new HashMap<>();
   private final Map<BlockKey, Long> recentUntil = new HashMap<>();
+  private final ExpectedEvictions evictions = new ExpectedEvictions();
 
   /** Creates a gate before an engine's cache. */
   public PrefixGate(CacheFollower cache, Counters counters) {
@@ -38,7 +40,6 @@
     this.counters = counters;
   }
 
-  @Override
   public int matchedBlocks(List<BlockKey> chain) {
     int matched = 0;
     while (matched < chain.size() && isAvailable(chain.get(matched))) {
@@ -47,7 +48,6 @@
     return matched;
   }
 
-  @Override
   public PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
     int blocks = matchedBlocks(chain);
     long waitMicros = 0;
@@ -64,7 +64,6 @@
     return new PrefixForecast(blocks, waitMicros);
   }
 
-  @Override
   public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
     int matched = matchedBlocks(chain);
     if (matched == chain.size()) {
@@ -74,12 +73,11 @@
     return computation != null && nowMicros < computation.waitUntilMicros();
   }
 
-  @Override
   public void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    evictions.onUsed(chain.subList(0, matchedBlocks(chain)), cache.room(), nowMicros);
     begin(run, chain, expectedMicros, nowMicros);
   }
 
-  @Override
   public void onComputed(AttemptId run, long nowMicros) {
     List<BlockKey> chain = chains.get(run);
     if (chain != null) {
@@ -88,11 +86,16 @@
     onRunOver(run);
   }
 
-  @Override
   public void onRunOver(AttemptId run) {
     end(run);
   }
 
+  boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
+    int missing = chain.size() - forecast(chain, nowMicros).blocks();
+    return missing >= MANY_BLOCKS
+        && evictions.lastUseOfEvicted(missing, cache.room()) > nowMicros - IN_USE_MICROS;
+  }
+
   /**
    * Notes that the missing blocks of a chain are being obtained.
    *
@@ -102,13 +105,13 @@
    * @param nowMicros time of the start
    */
   void begin(Object owner, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    chains.put(owner, chain);
     int matched = matchedBlocks(chain);
     if (matched == chain.size()) {
       return;
     }
     long wait = Math.max(MINIMUM_WAIT_MICROS, Math.min(MAXIMUM_WAIT_MICROS, 2 * expectedMicros));
     Computation computation = new Computation(owner, nowMicros + expectedMicros, nowMicros + wait);
-    chains.put(owner, chain);
     for (BlockKey key : chain.subList(matched, chain.size())) {
       computations.merge(
           key, computation, (open, next) -> nowMicros < open.waitUntilMicros() ? open : next);
@@ -120,6 +123,7 @@
 
   /** Notes that blocks are in the engine's cache, ahead of its events. */
   void noteAvailable(List<BlockKey> keys, long nowMicros) {
+    evictions.onUsed(keys, cache.room(), nowMicros);
     for (BlockKey key : keys) {
       if (!cache.contains(key)) {
         recentUntil.put(key, nowMicros + RECENT_MICROS);
@@ -146,14 +150,17 @@
     computations.clear();
     chains.clear();
     recentUntil.clear();
+    evictions.onIncarnation();
   }
 
-  /** Forgets what was computed too long ago to be unreported. */
+  /** Forgets what the events have reported, or was computed too long ago to be unreported. */
   public void onTick(long nowMicros) {
     recentUntil.values().removeIf(until -> until <= nowMicros);
+    recentUntil.keySet().removeIf(cache::contains);
   }
 
   private boolean isAvailable(BlockKey key) {
-    return cache.contains(key) || recentUntil.containsKey(key);
+    return (cache.contains(key) || recentUntil.containsKey(key))
+        && !evictions.contains(key, cache.room());
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -90,7 +90,7 @@
     engine = new EngineMonitor(options, outbox);
     cache = new CacheFollower(options, outbox, counters);
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
-    admission = new Admission(options, outbox, counters, engine, hotPrefixes.gate());
+    admission = new Admission(options, outbox, counters, engine, hotPrefixes);
     agreement = new Agreement(options, agreementOptions, outbox, counters);
     calls = new ServiceCalls(options, outbox, counters, agreement.desk());
     instances = new InstanceWatch(options, outbox);
@@ -232,10 +232,6 @@
   }
 
   private void onSubmit(String router, PeerMessage.Submit submit, long nowMicros) {
-    admission
-        .reservedOffer(submit.attempt())
-        .ifPresent(
-            offer -> hotPrefixes.onSubmitting(offer, admission.prefillMicrosPerBlock(), nowMicros));
     admission
         .onSubmit(router, submit, nowMicros)
         .ifPresent(
--- a/coordination/src/test/java/org/shallothook/coordination/hotprefix/HotPrefixesTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/hotprefix/HotPrefixesTest.java
@@ -162,12 +162,18 @@
   void importOverRestartOfEngineClaimsNothing() {
     SidecarHarness sidecar = withStore();
     sidecar.send(offer("one").keys(RULEBOOK).rank(1));
+    long early = onlyTransfer(sidecar).token();
     sidecar.status("e-2");
-    sidecar.handle(new SidecarEvent.TransferEnded(onlyTransfer(sidecar).token(), RULEBOOK));
+    List<SidecarCommand.TransferBlocks> transfers =
+        sidecar.commands(SidecarCommand.TransferBlocks.class);
+    assertThat(transfers).hasSize(2);
+    sidecar.handle(new SidecarEvent.TransferEnded(early, RULEBOOK));
+    assertThat(sidecar.counters).containsEntry("transfers.late-ends", 1);
+    assertThat(sidecar.started()).isEmpty();
 
+    sidecar.handle(new SidecarEvent.TransferEnded(transfers.get(1).token(), List.of()));
     sidecar.send(offer("two").keys(RULEBOOK));
     assertThat(sidecar.started()).containsExactly(attempt("one"));
-    assertThat(sidecar.counters).containsEntry("transfers.late-ends", 1);
   }
 
   @Test
