--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -18,6 +18,7 @@
  */
 final class Dispatcher {
   private static final int MAXIMUM_SUSPECTS_IN_A_ROW = 4;
+  private static final long EVICTION_INTERVAL_MICROS = 200_000;
 
   private final SidecarOptions options;
   private final SidecarOutbox outbox;
@@ -27,7 +28,6 @@
   private final ServiceEstimator estimator;
   private final PrefixSupply prefixes;
   private final AttemptEnds ends;
-  private static final long EVICTION_INTERVAL_MICROS = 200_000;
   private long nextEvictionMicros = Long.MIN_VALUE;
   private boolean isStalled;
   private long suspectSinceMicros = Long.MAX_VALUE;
@@ -122,25 +122,28 @@
     if (estimator.prefills(priority) >= options.maximumPrefills()) {
       return Optional.empty();
     }
-    Optional<Ticket> next = table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
-    while (next.filter(ticket -> hasBegunImport(ticket, nowMicros)).isPresent()) {
-      next = table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
+    Optional<Ticket> candidate = nextEligible(priority, nowMicros);
+    while (candidate.isPresent() && isFetching(candidate.get(), nowMicros)) {
+      candidate = nextEligible(priority, nowMicros);
     }
-    return next;
+    return candidate;
+  }
+
+  private Optional<Ticket> nextEligible(PriorityClass priority, long nowMicros) {
+    return table.queue(priority).next(ticket -> isEligible(ticket, nowMicros));
   }
 
-  /** Fetches what a ticket misses by now; the ticket is not eligible while an import is open. */
-  private boolean hasBegunImport(Ticket ticket, long nowMicros) {
+  /** Fetches what was evicted while the request waited, rather than have it computed. */
+  private boolean isFetching(Ticket ticket, long nowMicros) {
     if (prefixes.wouldEvictUsed(ticket.keys(), nowMicros)) {
       nextEvictionMicros = nowMicros + EVICTION_INTERVAL_MICROS;
     }
-    return ticket.runs() == 0
-        && prefixes.hasBegunImport(ticket.offer(), estimator.prefillMicros(1), nowMicros);
+    return prefixes.hasFetchedFor(ticket.offer(), estimator.prefillMicros(1), nowMicros);
   }
 
   private boolean isEligible(Ticket ticket, long nowMicros) {
     return engine.ready().contains(ticket.offer().identity().modelVersion())
-        && (ticket.runs() > 0 || !prefixes.isAwaited(ticket.keys(), nowMicros))
+        && !prefixes.isAwaited(ticket.keys(), nowMicros)
         && !isHeldForRoom(ticket, nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
@@ -25,29 +25,26 @@
    */
   PrefixForecast forecast(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
 
-  /** Returns whether a request should wait because its next missing block is being obtained. */
-  boolean isAwaited(List<BlockKey> chain, long nowMicros);
-
   /**
-   * Returns whether obtaining the missing blocks of a chain would evict much that is in use.
+   * Returns whether obtaining the missing blocks of a chain would evict blocks that are in use.
    *
    * @param chain keys of a prompt's whole blocks
    * @param nowMicros time of the question
    */
   boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros);
 
+  /** Returns whether a request should wait because its next missing block is being obtained. */
+  boolean isAwaited(List<BlockKey> chain, long nowMicros);
+
   /**
-   * Begins to import what a request that could start now misses, where that is cheaper than
-   * computing it.
-   *
-   * <p>Asked just before the start: what was cached when the request came may be evicted by then.
+   * Fetches what a request misses that is about to run, where that is cheaper than computing it.
    *
    * @param offer offer of the request
    * @param prefillMicrosPerBlock expected time to compute a block, in microseconds
-   * @param nowMicros time of the start
-   * @return whether an import has begun, which the request should wait for
+   * @param nowMicros time of the decision
+   * @return whether the request should wait for blocks that were asked for now
    */
-  boolean hasBegunImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
+  boolean hasFetchedFor(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
 
   /**
    * Notes that a run computes the missing blocks of its chain.
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -60,11 +60,11 @@
   }
 
   /**
-   * Imports the missing blocks of a request if that is worth it.
+   * Imports the missing blocks of a request that is about to run, if that is worth it.
    *
-   * @return whether an import has begun
+   * @return whether an import was begun
    */
-  boolean hasBegunImport(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+  boolean hasImportedFor(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
     List<BlockKey> chain = offer.keys();
     int matched = gate.matchedBlocks(chain);
     int missing = chain.size() - matched;
@@ -73,8 +73,8 @@
             && isCheaperThan(prefillMicrosPerBlock)
             && openImports() < MAXIMUM_IMPORTS;
     if (!isWorthIt
-        || isBeingImported(chain.get(matched))
         || gate.isAwaited(chain, nowMicros)
+        || isBeingImported(chain.get(matched))
         || !isLikelyStored(offer, chain.get(matched), missing)) {
       return false;
     }
@@ -100,6 +100,12 @@
     return new PrefixForecast(chain.size(), forecast.waitMicros() + importMicros);
   }
 
+  /** Returns whether an open import, which may be late, was asked for the block. */
+  private boolean isBeingImported(BlockKey key) {
+    return open.values().stream()
+        .anyMatch(transfer -> transfer.isImport() && transfer.keys().contains(key));
+  }
+
   /** Forgets a slow transfer little by little, so that it is tried again some time. */
   private boolean isCheaperThan(long prefillMicrosPerBlock) {
     if (microsPerBlock < prefillMicrosPerBlock) {
@@ -169,12 +175,12 @@
     gate.noteAvailable(keys, nowMicros);
     counters.add("transfers.imported-blocks", keys.size());
     learnTime(transfer, keys.size(), nowMicros);
-    BlockKey first = transfer.keys().get(0);
-    if (!keys.contains(first)) {
-      stored.remove(first);
-      absentUntil.put(first, nowMicros + ABSENT_MICROS);
+    if (keys.isEmpty()) {
       counters.increment("transfers.import-missed");
     }
+    if (keys.size() < transfer.keys().size()) {
+      noteAbsent(transfer.keys().get(keys.size()), nowMicros);
+    }
   }
 
   private void learnTime(Transfer transfer, int blocks, long nowMicros) {
@@ -192,16 +198,16 @@
     return token;
   }
 
-  /** Returns whether an import of the block is open, although nobody may wait for it any more. */
-  private boolean isBeingImported(BlockKey key) {
-    return open.values().stream()
-        .anyMatch(transfer -> transfer.isImport() && transfer.keys().contains(key));
-  }
-
   private long openImports() {
     return open.values().stream().filter(Transfer::isImport).count();
   }
 
+  /** Remembers for a time what the store did not have, so that it is computed. */
+  private void noteAbsent(BlockKey key, long nowMicros) {
+    stored.remove(key);
+    absentUntil.put(key, nowMicros + ABSENT_MICROS);
+  }
+
   private void noteStored(BlockKey key) {
     if (stored.size() >= MAXIMUM_KNOWN_KEYS) {
       stored.remove(stored.iterator().next());
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -42,6 +42,25 @@
     transfers = new BlockTransfers(options, outbox, counters, gate);
   }
 
+  /** Sets whether there is a cache store to transfer blocks to and from. */
+  public void setStore(boolean isPresent) {
+    hasStore = isPresent;
+  }
+
+  /** Returns the spread of the offer's deepest hot prefix. */
+  public PrefixSpread spread(PeerMessage.Offer offer) {
+    if (offer.rank() > 0) {
+      return PrefixSpread.UNSPECIFIED;
+    }
+    for (int depth = offer.keys().size(); depth > 0; depth--) {
+      int ranks = spreads.ranks(offer.keys().get(depth - 1));
+      if (ranks > 1) {
+        return new PrefixSpread(ranks, depth);
+      }
+    }
+    return PrefixSpread.UNSPECIFIED;
+  }
+
   @Override
   public int matchedBlocks(List<BlockKey> chain) {
     return gate.matchedBlocks(chain);
@@ -55,19 +74,19 @@
   }
 
   @Override
-  public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
-    return gate.isAwaited(chain, nowMicros);
+  public boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
+    return gate.wouldEvictUsed(chain, nowMicros);
   }
 
   @Override
-  public boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
-    return gate.wouldEvictUsed(chain, nowMicros);
+  public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
+    return gate.isAwaited(chain, nowMicros);
   }
 
   @Override
-  public boolean hasBegunImport(
+  public boolean hasFetchedFor(
       PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
-    return hasStore && transfers.hasBegunImport(offer, prefillMicrosPerBlock, nowMicros);
+    return hasStore && transfers.hasImportedFor(offer, prefillMicrosPerBlock, nowMicros);
   }
 
   @Override
@@ -82,26 +101,7 @@
 
   @Override
   public void onRunOver(AttemptId run) {
-    gate.onRunOver(run);
-  }
-
-  /** Sets whether there is a cache store to transfer blocks to and from. */
-  public void setStore(boolean isPresent) {
-    hasStore = isPresent;
-  }
-
-  /** Returns the spread of the offer's deepest hot prefix. */
-  public PrefixSpread spread(PeerMessage.Offer offer) {
-    if (offer.rank() > 0) {
-      return PrefixSpread.UNSPECIFIED;
-    }
-    for (int depth = offer.keys().size(); depth > 0; depth--) {
-      int ranks = spreads.ranks(offer.keys().get(depth - 1));
-      if (ranks > 1) {
-        return new PrefixSpread(ranks, depth);
-      }
-    }
-    return PrefixSpread.UNSPECIFIED;
+    gate.end(run);
   }
 
   /**
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -13,12 +13,12 @@
  * Lets a missing prefix be computed once: others that need it wait for the one that computes it.
  *
  * <p>The engine's cache events come late, so blocks that were just computed here or imported count
- * as cached for a short time.
+ * as cached for a short time, and blocks that others have probably evicted do not.
  *
  * <p>Invariants: nothing is held over an incarnation of the engine; every wait ends at a stored
  * deadline. Not thread-safe: used on the decision thread.
  */
-public final class PrefixGate {
+final class PrefixGate {
   private static final long MAXIMUM_WAIT_MICROS = 2_000_000;
   private static final long MINIMUM_WAIT_MICROS = 20_000;
   private static final long RECENT_MICROS = 1_000_000;
@@ -35,12 +35,13 @@
   private final ExpectedEvictions evictions = new ExpectedEvictions();
 
   /** Creates a gate before an engine's cache. */
-  public PrefixGate(CacheFollower cache, Counters counters) {
+  PrefixGate(CacheFollower cache, Counters counters) {
     this.cache = cache;
     this.counters = counters;
   }
 
-  public int matchedBlocks(List<BlockKey> chain) {
+  /** Returns the number of leading blocks of the chain that the engine need not compute. */
+  int matchedBlocks(List<BlockKey> chain) {
     int matched = 0;
     while (matched < chain.size() && isAvailable(chain.get(matched))) {
       matched++;
@@ -48,7 +49,8 @@
     return matched;
   }
 
-  public PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
+  /** Returns what a request for the chain would find, with what is being obtained for others. */
+  PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
     int blocks = matchedBlocks(chain);
     long waitMicros = 0;
     while (blocks < chain.size()) {
@@ -64,7 +66,8 @@
     return new PrefixForecast(blocks, waitMicros);
   }
 
-  public boolean isAwaited(List<BlockKey> chain, long nowMicros) {
+  /** Returns whether a request should wait because its next missing block is being obtained. */
+  boolean isAwaited(List<BlockKey> chain, long nowMicros) {
     int matched = matchedBlocks(chain);
     if (matched == chain.size()) {
       return false;
@@ -73,29 +76,28 @@
     return computation != null && nowMicros < computation.waitUntilMicros();
   }
 
-  public void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
-    evictions.onUsed(chain.subList(0, matchedBlocks(chain)), cache.room(), nowMicros);
-    begin(run, chain, expectedMicros, nowMicros);
-  }
-
-  public void onComputed(AttemptId run, long nowMicros) {
+  /** Notes that a run has computed its whole prompt. */
+  void onComputed(AttemptId run, long nowMicros) {
     List<BlockKey> chain = chains.get(run);
     if (chain != null) {
       noteAvailable(chain, nowMicros);
     }
-    onRunOver(run);
-  }
-
-  public void onRunOver(AttemptId run) {
     end(run);
   }
 
+  /** Returns whether much is missing of a chain, and obtaining it would evict blocks in use. */
   boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
     int missing = chain.size() - forecast(chain, nowMicros).blocks();
     return missing >= MANY_BLOCKS
         && evictions.lastUseOfEvicted(missing, cache.room()) > nowMicros - IN_USE_MICROS;
   }
 
+  /** Notes that a run uses the cached blocks of its chain and computes the others. */
+  void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    evictions.onUsed(chain.subList(0, matchedBlocks(chain)), cache.room(), nowMicros);
+    begin(run, chain, expectedMicros, nowMicros);
+  }
+
   /**
    * Notes that the missing blocks of a chain are being obtained.
    *
@@ -146,7 +148,7 @@
   }
 
   /** Forgets everything: the engine has started anew. */
-  public void onIncarnation() {
+  void onIncarnation() {
     computations.clear();
     chains.clear();
     recentUntil.clear();
@@ -154,7 +156,7 @@
   }
 
   /** Forgets what the events have reported, or was computed too long ago to be unreported. */
-  public void onTick(long nowMicros) {
+  void onTick(long nowMicros) {
     recentUntil.values().removeIf(until -> until <= nowMicros);
     recentUntil.keySet().removeIf(cache::contains);
   }
