--- a/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
@@ -19,7 +19,7 @@
    * Longest promised wait after which a late first token tells of the engine's speed. A long queue
    * or an import that finds nothing makes it late on a sound engine too.
    */
-  private static final long MAXIMUM_TELLING_MICROS = 50_000;
+  private static final long MAXIMUM_SAMPLED_PROMISE_MICROS = 50_000;
 
   private static final int MINIMUM_TOKENS = 16;
 
@@ -71,7 +71,7 @@
 
   private void sampleFirstToken(ChatExchange exchange, Attempt attempt, long nowMicros) {
     attempt.setSampled();
-    if (promisedMicros(exchange, attempt) <= MAXIMUM_TELLING_MICROS) {
+    if (promisedMicros(exchange, attempt) <= MAXIMUM_SAMPLED_PROMISE_MICROS) {
       sample(firstTokens, exchange, attempt, excessOf(exchange, attempt, nowMicros), nowMicros);
     }
   }
