--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -18,6 +18,7 @@
  */
 final class Dispatcher {
   private static final int MAXIMUM_SUSPECTS_IN_A_ROW = 4;
+  private static final long EVICTION_INTERVAL_MICROS = 200_000;
 
   private final SidecarOptions options;
   private final SidecarOutbox outbox;
@@ -27,6 +28,7 @@
   private final ServiceEstimator estimator;
   private final PrefixSupply prefixes;
   private final AttemptEnds ends;
+  private long nextEvictionMicros = Long.MIN_VALUE;
   private boolean isStalled;
   private long suspectSinceMicros = Long.MAX_VALUE;
   private int suspectsInARow;
@@ -133,12 +135,27 @@
 
   /** Fetches what was evicted while the request waited, rather than have it computed. */
   private boolean isFetching(Ticket ticket, long nowMicros) {
+    if (prefixes.wouldEvictUsed(ticket.keys(), nowMicros)) {
+      nextEvictionMicros = nowMicros + EVICTION_INTERVAL_MICROS;
+    }
     return prefixes.hasFetchedFor(ticket.offer(), estimator.prefillMicros(1), nowMicros);
   }
 
   private boolean isEligible(Ticket ticket, long nowMicros) {
     return engine.ready().contains(ticket.offer().identity().modelVersion())
-        && !prefixes.isAwaited(ticket.keys(), nowMicros);
+        && !prefixes.isAwaited(ticket.keys(), nowMicros)
+        && !isHeldForRoom(ticket, nowMicros);
+  }
+
+  /**
+   * Returns whether a ticket waits so that those whose blocks are cached are served before what it
+   * misses evicts them.
+   */
+  private boolean isHeldForRoom(Ticket ticket, long nowMicros) {
+    return nowMicros < nextEvictionMicros
+        && ticket.priority() == PriorityClass.ORDINARY
+        && !table.running().isEmpty()
+        && prefixes.wouldEvictUsed(ticket.keys(), nowMicros);
   }
 
   private boolean isSuspectDue(Optional<Ticket> candidate, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/PrefixSupply.java
@@ -15,8 +15,23 @@
   /** Returns the number of leading blocks of the chain that the engine need not compute. */
   int matchedBlocks(List<BlockKey> chain);
 
-  /** Returns what a request for the chain would find, with what is being obtained for others. */
-  PrefixForecast forecast(List<BlockKey> chain, long nowMicros);
+  /**
+   * Returns what the request of an offer would find, with what is being obtained for others and
+   * what would be imported for it.
+   *
+   * @param offer the offer
+   * @param prefillMicrosPerBlock expected time to compute a block, in microseconds
+   * @param nowMicros time of the offer
+   */
+  PrefixForecast forecast(PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros);
+
+  /**
+   * Returns whether obtaining the missing blocks of a chain would evict blocks that are in use.
+   *
+   * @param chain keys of a prompt's whole blocks
+   * @param nowMicros time of the question
+   */
+  boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros);
 
   /** Returns whether a request should wait because its next missing block is being obtained. */
   boolean isAwaited(List<BlockKey> chain, long nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.shallothook.coordination.admission.PrefixForecast;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.sidecar.SidecarCommand;
@@ -83,6 +84,22 @@
     return true;
   }
 
+  /** Returns a forecast that counts what an import would bring, and when. */
+  PrefixForecast withImport(
+      PrefixForecast forecast, PeerMessage.Offer offer, long prefillMicrosPerBlock) {
+    List<BlockKey> chain = offer.keys();
+    int missing = chain.size() - forecast.blocks();
+    boolean isImported =
+        missing >= MANY_BLOCKS
+            && microsPerBlock < prefillMicrosPerBlock
+            && isLikelyStored(offer, chain.get(forecast.blocks()), missing);
+    if (!isImported) {
+      return forecast;
+    }
+    long importMicros = (long) (missing * microsPerBlock);
+    return new PrefixForecast(chain.size(), forecast.waitMicros() + importMicros);
+  }
+
   /** Returns whether an open import, which may be late, was asked for the block. */
   private boolean isBeingImported(BlockKey key) {
     return open.values().stream()
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -67,8 +67,15 @@
   }
 
   @Override
-  public PrefixForecast forecast(List<BlockKey> chain, long nowMicros) {
-    return gate.forecast(chain, nowMicros);
+  public PrefixForecast forecast(
+      PeerMessage.Offer offer, long prefillMicrosPerBlock, long nowMicros) {
+    PrefixForecast forecast = gate.forecast(offer.keys(), nowMicros);
+    return hasStore ? transfers.withImport(forecast, offer, prefillMicrosPerBlock) : forecast;
+  }
+
+  @Override
+  public boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
+    return gate.wouldEvictUsed(chain, nowMicros);
   }
 
   @Override
@@ -84,7 +91,7 @@
 
   @Override
   public void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
-    gate.begin(run, chain, expectedMicros, nowMicros);
+    gate.onStarted(run, chain, expectedMicros, nowMicros);
   }
 
   @Override
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -13,7 +13,7 @@
  * Lets a missing prefix be computed once: others that need it wait for the one that computes it.
  *
  * <p>The engine's cache events come late, so blocks that were just computed here or imported count
- * as cached for a short time.
+ * as cached for a short time, and blocks that others have probably evicted do not.
  *
  * <p>Invariants: nothing is held over an incarnation of the engine; every wait ends at a stored
  * deadline. Not thread-safe: used on the decision thread.
@@ -22,6 +22,8 @@
   private static final long MAXIMUM_WAIT_MICROS = 2_000_000;
   private static final long MINIMUM_WAIT_MICROS = 20_000;
   private static final long RECENT_MICROS = 1_000_000;
+  private static final long IN_USE_MICROS = 5_000_000;
+  private static final int MANY_BLOCKS = 8;
 
   private record Computation(Object owner, long expectedAtMicros, long waitUntilMicros) {}
 
@@ -30,6 +32,7 @@
   private final Map<BlockKey, Computation> computations = new HashMap<>();
   private final Map<Object, List<BlockKey>> chains = new HashMap<>();
   private final Map<BlockKey, Long> recentUntil = new HashMap<>();
+  private final ExpectedEvictions evictions = new ExpectedEvictions();
 
   /** Creates a gate before an engine's cache. */
   PrefixGate(CacheFollower cache, Counters counters) {
@@ -82,6 +85,19 @@
     end(run);
   }
 
+  /** Returns whether much is missing of a chain, and obtaining it would evict blocks in use. */
+  boolean wouldEvictUsed(List<BlockKey> chain, long nowMicros) {
+    int missing = chain.size() - forecast(chain, nowMicros).blocks();
+    return missing >= MANY_BLOCKS
+        && evictions.lastUseOfEvicted(missing, cache.room()) > nowMicros - IN_USE_MICROS;
+  }
+
+  /** Notes that a run uses the cached blocks of its chain and computes the others. */
+  void onStarted(AttemptId run, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    evictions.onUsed(chain.subList(0, matchedBlocks(chain)), cache.room(), nowMicros);
+    begin(run, chain, expectedMicros, nowMicros);
+  }
+
   /**
    * Notes that the missing blocks of a chain are being obtained.
    *
@@ -91,13 +107,13 @@
    * @param nowMicros time of the start
    */
   void begin(Object owner, List<BlockKey> chain, long expectedMicros, long nowMicros) {
+    chains.put(owner, chain);
     int matched = matchedBlocks(chain);
     if (matched == chain.size()) {
       return;
     }
     long wait = Math.max(MINIMUM_WAIT_MICROS, Math.min(MAXIMUM_WAIT_MICROS, 2 * expectedMicros));
     Computation computation = new Computation(owner, nowMicros + expectedMicros, nowMicros + wait);
-    chains.put(owner, chain);
     for (BlockKey key : chain.subList(matched, chain.size())) {
       computations.merge(
           key, computation, (open, next) -> nowMicros < open.waitUntilMicros() ? open : next);
@@ -109,6 +125,7 @@
 
   /** Notes that blocks are in the engine's cache, ahead of its events. */
   void noteAvailable(List<BlockKey> keys, long nowMicros) {
+    evictions.onUsed(keys, cache.room(), nowMicros);
     for (BlockKey key : keys) {
       if (!cache.contains(key)) {
         recentUntil.put(key, nowMicros + RECENT_MICROS);
@@ -135,14 +152,17 @@
     computations.clear();
     chains.clear();
     recentUntil.clear();
+    evictions.onIncarnation();
   }
 
-  /** Forgets what was computed too long ago to be unreported. */
+  /** Forgets what the events have reported, or was computed too long ago to be unreported. */
   void onTick(long nowMicros) {
     recentUntil.values().removeIf(until -> until <= nowMicros);
+    recentUntil.keySet().removeIf(cache::contains);
   }
 
   private boolean isAvailable(BlockKey key) {
-    return cache.contains(key) || recentUntil.containsKey(key);
+    return (cache.contains(key) || recentUntil.containsKey(key))
+        && !evictions.contains(key, cache.room());
   }
 }
