Name the router's first checks RequestScreening

Cause: two classes were named Admission, one at the router's door and one at the engine, and the files that use either do not say which.

Change: router.Admission is router.RequestScreening, after its sister booking.CallScreening. No behaviour.

--- a/coordination/src/main/java/org/shallothook/coordination/router/CallFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/CallFlow.java
@@ -19,7 +19,7 @@
 import org.shallothook.state.request.RefusalReason;
 
 /**
- * Takes calls of plain services from admission to their end.
+ * Takes calls of plain services from screening to their end.
  *
  * <p>Repeats of a call meet at the same sidecar as long as the set of servers stays the same; the
  * sidecars settle the rest.
@@ -34,7 +34,7 @@
   private final RetryDesk retries;
   private final RouterOutbox outbox;
   private final RequestBook book;
-  private final Admission admission;
+  private final RequestScreening screening;
   private final UpstreamDirectory directory;
   private final ConfigurationReplica configuration;
 
@@ -43,23 +43,23 @@
       RetryDesk retries,
       RouterOutbox outbox,
       RequestBook book,
-      Admission admission,
+      RequestScreening screening,
       UpstreamDirectory directory,
       ConfigurationReplica configuration) {
     this.options = options;
     this.retries = retries;
     this.outbox = outbox;
     this.book = book;
-    this.admission = admission;
+    this.screening = screening;
     this.directory = directory;
     this.configuration = configuration;
   }
 
   void onRequested(RouterEvent.CallRequested request, long nowMicros) {
     Either<Refusal, TeamTemplate> team =
-        admission.authenticate(request.request(), request.key(), nowMicros);
+        screening.authenticate(request.request(), request.key(), nowMicros);
     Either<Refusal, ServiceTemplate> service =
-        team.flatMap(template -> admission.admit(request, template));
+        team.flatMap(template -> screening.admit(request, template));
     if (service.isLeft()) {
       String name = team.map(TeamTemplate::name).getOrElse("");
       book.refuseUnadmitted(
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -15,7 +15,7 @@
 import org.shallothook.state.request.RefusalReason;
 
 /**
- * Takes requests for chat completions from admission to their end.
+ * Takes requests for chat completions from screening to their end.
  *
  * <p>Invariant: a caller gets each token of one answer once and in order, then exactly one end. Not
  * thread-safe.
@@ -26,7 +26,7 @@
 
   private final RouterOptions options;
   private final RequestBook book;
-  private final Admission admission;
+  private final RequestScreening screening;
   private final OfferRounds rounds;
   private final RetryDesk retries;
   private final PoisonGuard poison;
@@ -36,14 +36,14 @@
       RouterOptions options,
       RouterOutbox outbox,
       RequestBook book,
-      Admission admission,
+      RequestScreening screening,
       OfferRounds rounds,
       RetryDesk retries,
       PoisonGuard poison,
       SlownessWatch slowness) {
     this.options = options;
     this.book = book;
-    this.admission = admission;
+    this.screening = screening;
     this.rounds = rounds;
     this.retries = retries;
     this.poison = poison;
@@ -52,9 +52,9 @@
 
   void onRequested(RouterEvent.ChatRequested request, long nowMicros) {
     Either<Refusal, TeamTemplate> team =
-        admission.authenticate(request.request(), request.key(), nowMicros);
+        screening.authenticate(request.request(), request.key(), nowMicros);
     Either<Refusal, ChatExchange> admitted =
-        team.flatMap(template -> admission.admit(request, template, nowMicros));
+        team.flatMap(template -> screening.admit(request, template, nowMicros));
     if (admitted.isLeft()) {
       String name = team.map(TeamTemplate::name).getOrElse("");
       book.refuseUnadmitted(
--- a/coordination/src/main/java/org/shallothook/coordination/router/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RequestScreening.java
@@ -20,7 +20,7 @@
  *
  * <p>Invariant: every refusal made here is truly not run. Not thread-safe.
  */
-final class Admission {
+final class RequestScreening {
   private static final Set<String> ROLES = Set.of("system", "user", "assistant");
   private static final int PRIORITY_ROOM_DIVISOR = 8;
   private static final long OVERLOAD_WAIT_MICROS = 1_000_000;
@@ -34,7 +34,7 @@
   private final TeamDirectory teams = new TeamDirectory();
   private boolean isDraining;
 
-  Admission(
+  RequestScreening(
       RouterOptions options,
       ConfigurationReplica configuration,
       RequestBook book,
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -50,7 +50,7 @@
   private final FleetWatch fleet;
   private final PoisonGuard poison;
   private final RequestBook book;
-  private final Admission admission;
+  private final RequestScreening screening;
   private final ChatFlow chats;
   private final CallFlow calls;
   private final PublicationDesk publications;
@@ -83,8 +83,8 @@
             random.split(),
             options.quarantineMicros());
     book = new RequestBook(outbox, options);
-    admission =
-        new Admission(
+    screening =
+        new RequestScreening(
             options,
             configuration,
             book,
@@ -93,10 +93,10 @@
     OfferRounds rounds = new OfferRounds(options, outbox, directory, poison, random.split());
     RetryDesk retries = new RetryDesk(options, directory, random.split());
     SlownessWatch slowness = new SlownessWatch(options, directory);
-    chats = new ChatFlow(options, outbox, book, admission, rounds, retries, poison, slowness);
+    chats = new ChatFlow(options, outbox, book, screening, rounds, retries, poison, slowness);
     publications = new PublicationDesk(outbox, configuration);
     rollouts = new RolloutNotices(outbox, directory, options.counters(), random.split());
-    calls = new CallFlow(options, retries, outbox, book, admission, directory, configuration);
+    calls = new CallFlow(options, retries, outbox, book, screening, directory, configuration);
   }
 
   /**
@@ -128,7 +128,7 @@
         options.incarnation(),
         configuration.state().offset(),
         configuration.isBehind(),
-        admission.isDraining(),
+        screening.isDraining(),
         book.size(),
         poison.quarantined(),
         directory.listVersion(),
@@ -191,7 +191,7 @@
   }
 
   private void onRequest(RouterEvent event, long nowMicros) {
-    if (!configuration.isBehind() || admission.isDraining()) {
+    if (!configuration.isBehind() || screening.isDraining()) {
       admit(event, nowMicros);
     } else if (!parked.add(event, nowMicros)) {
       refuseBehind(event, nowMicros);
@@ -225,7 +225,7 @@
       fleet.onInstances(read.list(), nowMicros);
       configuration.retainPeers(fleet.peerNames());
     } else if (event instanceof RouterEvent.DrainRequested) {
-      admission.drain();
+      screening.drain();
     } else {
       onLogEvent(event, nowMicros);
     }
@@ -312,7 +312,7 @@
 
   private void onModelsRequested(RouterEvent.ModelsRequested models, long nowMicros) {
     Either<Refusal, TeamTemplate> team =
-        admission.authenticate(models.request(), models.key(), nowMicros);
+        screening.authenticate(models.request(), models.key(), nowMicros);
     if (team.isLeft()) {
       book.refuseUnadmitted(models.request(), "", "models", team.getLeft(), nowMicros);
       return;
@@ -326,7 +326,7 @@
     if (parked.isEmpty()) {
       return;
     }
-    boolean isReady = !configuration.isBehind() || admission.isDraining();
+    boolean isReady = !configuration.isBehind() || screening.isDraining();
     Optional<RouterEvent> next = isReady ? parked.poll() : parked.pollExpired(nowMicros);
     while (next.isPresent()) {
       if (isReady) {
@@ -354,7 +354,7 @@
   }
 
   private void announceDrained() {
-    if (admission.isDraining() && book.size() == 0 && !isDrained) {
+    if (screening.isDraining() && book.size() == 0 && !isDrained) {
       isDrained = true;
       outbox.emit(new RouterCommand.Drained());
     }
