Let routers take turns to declare a version rolled out

Cause: worked out, not measured: with jitter of 5 s and a poll of about 1 s, some 100 of 380 routers would append the record before the first reached them, against several hundred appends a second for everything.

Change: a router waits 5 s, and 2 s more for each router of the list whose name goes before its own.

Tests: RouterCoreFleetTest routersTakeTurnsToDeclareAVersionRolledOut; it was not run on the earlier code, which appended within 10 s. mvn -pl coordination -am test: 58 and 1,288 tests, none failed.

--- a/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.shallothook.coordination.configuration.ConfigurationReplica;
 import org.shallothook.coordination.membership.UpstreamDirectory;
@@ -21,7 +20,8 @@
  * Tells the log when a new model version is loaded wherever earlier ones were served, so that no
  * router falls back on them any more.
  *
- * <p>Any router may write the record; jitter lets one go first, and a repeat has no effect.
+ * <p>Any router may write the record, and a repeat has no effect. Routers take turns by name, so
+ * that hundreds of them write one record and not a hundred.
  *
  * <p>Invariant: at most one record in {@link #WAIT_MICROS} for each version. Not thread-safe: used
  * on the decision thread.
@@ -33,22 +33,23 @@
   /** Time given to a record to be read back, in microseconds. */
   static final long WAIT_MICROS = 30_000_000;
 
-  private static final long JITTER_MICROS = 5_000_000;
+  /** Time for which a router waits for each router that goes before it, in microseconds. */
+  static final long TURN_MICROS = 2_000_000;
+
   private static final long CHECK_INTERVAL_MICROS = 1_000_000;
 
+  private final String self;
   private final Outbox outbox;
   private final UpstreamDirectory directory;
   private final Counters counters;
-  private final SplittableRandom random;
   private final Map<ModelVersion, Long> dueMicros = new HashMap<>();
   private long nextCheckMicros;
 
-  RolloutNotices(
-      Outbox outbox, UpstreamDirectory directory, Counters counters, SplittableRandom random) {
+  RolloutNotices(String self, Outbox outbox, UpstreamDirectory directory, Counters counters) {
+    this.self = self;
     this.outbox = outbox;
     this.directory = directory;
     this.counters = counters;
-    this.random = random;
   }
 
   /** Writes what is due. To be called only while the configuration is not behind. */
@@ -86,14 +87,18 @@
     return rolling;
   }
 
+  /** Returns how many routers of the list go before this one. */
+  private long turn() {
+    return directory.routers().stream().filter(router -> router.name().compareTo(self) < 0).count();
+  }
+
   private void tellIfDue(ModelVersion version, long base, long nowMicros) {
     long due =
-        dueMicros.computeIfAbsent(
-            version, one -> nowMicros + HOLD_MICROS + random.nextLong(JITTER_MICROS));
+        dueMicros.computeIfAbsent(version, one -> nowMicros + HOLD_MICROS + turn() * TURN_MICROS);
     if (nowMicros < due) {
       return;
     }
-    dueMicros.put(version, nowMicros + WAIT_MICROS + random.nextLong(JITTER_MICROS));
+    dueMicros.put(version, nowMicros + WAIT_MICROS);
     counters.increment("versions.rolled-out");
     ConfigurationRecord record = new ConfigurationRecord.RolledOut(base, version);
     outbox.appendLog(
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -95,7 +95,7 @@
     SlownessWatch slowness = new SlownessWatch(options, directory);
     chats = new ChatFlow(options, outbox, book, admission, rounds, retries, poison, slowness);
     publications = new PublicationDesk(outbox, configuration);
-    rollouts = new RolloutNotices(outbox, directory, options.counters(), random.split());
+    rollouts = new RolloutNotices(options.name(), outbox, directory, options.counters());
     calls = new CallFlow(options, retries, outbox, book, admission, directory, configuration);
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -221,6 +221,23 @@
     assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
   }
 
+  @Test
+  void routersTakeTurnsToDeclareAVersionRolledOut() {
+    RouterHarness harness = RouterHarness.ready(1);
+    for (int router = 1; router < 10; router++) {
+      harness.addInstance("router-0" + router, InstanceRole.ROUTER, "a", "");
+    }
+    harness.listInstances();
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    harness.status(
+        "engine-1", false, RouterHarness.VERSION, ModelVersion.of(RouterHarness.MODEL, "4"));
+    harness.advance(20_000_000);
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).isEmpty();
+
+    harness.advance(5_000_000);
+    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
+  }
+
   @Test
   void requestsWaitWhileTheConfigurationIsBehindAndAreRefusedAsNotRunAfterwards() {
     RouterHarness harness = RouterHarness.ready(2);
