--- a/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
+++ b/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
@@ -66,6 +66,16 @@
     this.controlAddress = controlAddress;
   }
 
+  /** Returns the name of the stand-in. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the address that it serves at. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
   /**
    * Opens the addresses; with port 0, at a free port that is kept from then on.
    *
@@ -82,11 +92,6 @@
     Logger.info("standins: {} listens at {}", name, address);
   }
 
-  /** Returns the address that is served. */
-  public InetSocketAddress address() {
-    return address;
-  }
-
   /** Returns the address of the control paths alone, if there is one. */
   public Optional<InetSocketAddress> controlAddress() {
     return controlAddress;
