--- a/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
+++ b/standins/src/main/java/org/shallothook/standins/http/StandinServer.java
@@ -87,6 +87,11 @@
     Logger.info("standins: {} listens at {}", name, address);
   }
 
+  /** Returns the address that is served. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
   /** Returns the address of the control paths alone, if there is one. */
   public Optional<InetSocketAddress> controlAddress() {
     return controlAddress;
