--- a/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/SlownessWatch.java
@@ -16,8 +16,8 @@
   private static final int TOKENS_MEASURED = 100;
 
   /**
-   * Longest promised wait after which a late first token tells of the engine's speed. A long queue
-   * or an import that finds nothing makes it late on a sound engine too.
+   * Longest promised wait of a first token that counts as a sample of its engine's speed. A long
+   * queue or an import that finds nothing makes it late on a sound engine too.
    */
   private static final long MAXIMUM_SAMPLED_PROMISE_MICROS = 50_000;
 
