--- a/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
@@ -142,6 +142,18 @@
     assertHeld("control-bytes-sidecar", deployment);
   }
 
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void theBusiestRouterKeepsToTheControlBudget(Deployment deployment) {
+    assertHeld("control-bytes-busiest-router", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void theBusiestSidecarKeepsToTheControlBudget(Deployment deployment) {
+    assertHeld("control-bytes-busiest-sidecar", deployment);
+  }
+
   @ParameterizedTest
   @EnumSource(Deployment.class)
   void aChangeIsInForceInTimeWithADomainCutFromTheLog(Deployment deployment) {
