--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -67,6 +67,9 @@
     if (isStalled || !engine.isReachable()) {
       return;
     }
+    if (isPriorityUnread()) {
+      stopLongPrefills(nowMicros);
+    }
     Optional<Ticket> next = next(nowMicros);
     while (next.isPresent()) {
       startInTime(next.get(), nowMicros);
@@ -249,20 +252,32 @@
     start(ticket, units, nowMicros);
   }
 
+  /** Returns whether the engine has been given priority work that it has not read yet. */
+  private boolean isPriorityUnread() {
+    return table.running().stream()
+        .anyMatch(ticket -> ticket.priority() == PriorityClass.PRIORITY && !ticket.hasTokenOfRun());
+  }
+
   /** Takes back ordinary prompts that would keep priority work waiting on the engine. */
   private void stopLongPrefills(long nowMicros) {
     for (Ticket ticket : List.copyOf(table.running())) {
-      boolean isLong =
+      boolean isStopped =
           ticket.priority() == PriorityClass.ORDINARY
               && !ticket.hasTokenOfRun()
               && ticket.preemptions() < options.maximumPreemptions()
-              && estimator.remainingPrefillMicros(ticket, nowMicros) > options.prefillYieldMicros();
-      if (isLong) {
+              && isLongPrefill(ticket, nowMicros);
+      if (isStopped) {
         preempt(ticket, "preemptions.prefill");
       }
     }
   }
 
+  /** An overdue prompt has more to be read than was known, so its end cannot be told. */
+  private boolean isLongPrefill(Ticket ticket, long nowMicros) {
+    long remainingMicros = estimator.remainingPrefillMicros(ticket, nowMicros);
+    return Math.abs(remainingMicros) > options.prefillYieldMicros();
+  }
+
   private boolean cannotMeetDeadline(Ticket ticket, int units, long nowMicros) {
     if (ticket.hasDelivered() || table.running().isEmpty()) {
       return false;
