Let no engine that is out of reach hold a roll back

A trace of "stale list at apply" shows engines 1, 2, 4 and 5 with the new version, the drained one leaving, and engine-6 stopped while the list cannot be read: it counted as an engine that has not loaded yet, so a fifth of the conversations stayed with the earlier version for as long as the list was stale.

Ruled out: load slots and the order of loads; every engine within reach had loaded by 8 s.

Change: engines that are out of reach are left out of the share by which conversations move. Engines that were never heard of still count, so that a router that has just started does not move everybody at once.

--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -139,7 +139,8 @@
 
   /**
    * Returns the share of engines that can serve a model version, among those that can serve it or
-   * one of some others. Engines whose state is unknown count as those that cannot.
+   * one of some others. Engines whose state is unknown count as those that cannot, unless they are
+   * known to be out of reach.
    *
    * @return share from 0 to 1; 0 where there is no such engine
    */
@@ -147,15 +148,13 @@
     int ready = 0;
     int all = 0;
     for (Upstream upstream : upstreams.values()) {
-      if (!isEngine(upstream) || upstream.isLeaving()) {
+      if (!isEngine(upstream) || !upstream.isUsable(nowMicros)) {
         continue;
       }
-      boolean isUsable = upstream.isUsable(nowMicros);
-      if (isUsable && upstream.isReady(modelVersion)) {
+      if (upstream.isReady(modelVersion)) {
         ready++;
         all++;
-      } else if (!upstream.hasStatus()
-          || (isUsable && others.stream().anyMatch(upstream::isReady))) {
+      } else if (!upstream.hasStatus() || others.stream().anyMatch(upstream::isReady)) {
         all++;
       }
     }
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -174,6 +174,19 @@
     assertThat(afterwards).isEqualTo(moved);
   }
 
+  @Test
+  void anEngineOutOfReachHoldsNoConversationBack() {
+    RouterHarness harness = RouterHarness.ready(3);
+    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    assertThat(movedConversations(harness, newer)).isEmpty();
+    harness.send(new RouterEvent.PeerLost("engine-3"));
+    harness.status("engine-1", false, RouterHarness.VERSION, newer);
+    harness.status("engine-2", false, RouterHarness.VERSION, newer);
+
+    assertThat(movedConversations(harness, newer)).hasSize(100);
+  }
+
   private static Set<Integer> movedConversations(RouterHarness harness, ModelVersion version) {
     Set<Integer> moved = new HashSet<>();
     for (int index = 0; index < 100; index++) {
