Share the bookings' team and the size of a cold opening

Cause: two scenarios of bookings described the same team, and the gate and the transfers of blocks each had their own number of blocks from which on much is missing.

Change: one of each. No behaviour.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/BookingHistories.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/BookingHistories.java
@@ -32,9 +32,10 @@
  */
 final class BookingHistories {
   private static final int HISTORIES = Integer.getInteger("booking.histories", 100);
-  private static final String SERVICE = "booking";
-  private static final String PATH = "book";
-  private static final TeamSpec TEAM =
+  static final String SERVICE = "booking";
+
+  /** Team whose calls of the service may not be repeated. */
+  static final TeamSpec TEAM =
       new TeamSpec(
           "guild",
           ModelVersion.of("m", "v1"),
@@ -43,6 +44,8 @@
           Map.of(),
           SERVICE,
           false);
+
+  private static final String PATH = "book";
   private static final int ROUTERS = 2;
   private static final int SIDECARS = 3;
   private static final int KEYS = 4;
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/BookingRateScenario.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/BookingRateScenario.java
@@ -20,8 +20,6 @@
 import org.shallothook.coordination.sidecar.AgreementOptions;
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarEvent;
-import org.shallothook.state.cache.ModelVersion;
-import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.request.AttemptId;
 
 /**
@@ -31,16 +29,8 @@
  * <p>Not thread-safe.
  */
 final class BookingRateScenario {
-  private static final String SERVICE = "booking";
-  private static final TeamSpec TEAM =
-      new TeamSpec(
-          "guild",
-          ModelVersion.of("m", "v1"),
-          PriorityClass.ORDINARY,
-          "",
-          Map.of(),
-          SERVICE,
-          false);
+  private static final String SERVICE = BookingHistories.SERVICE;
+  private static final TeamSpec TEAM = BookingHistories.TEAM;
   private static final int SIDECARS = 200;
   private static final int BOOKINGS_PER_SECOND = 210;
   private static final int GREATEST_APPENDS_PER_SECOND = 300;
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -31,7 +31,6 @@
  */
 final class BlockTransfers {
   private static final int MINIMUM_BLOCKS = 2;
-  private static final int MANY_BLOCKS = 8;
   private static final double WEIGHT_OF_LATEST = 0.1;
   private static final double WEIGHT_OF_SETTING = 0.01;
   private static final int MAXIMUM_IMPORTS = 4;
@@ -90,7 +89,7 @@
     List<BlockKey> chain = offer.keys();
     int missing = chain.size() - forecast.blocks();
     boolean isImported =
-        missing >= MANY_BLOCKS
+        missing >= PrefixGate.MANY_BLOCKS
             && microsPerBlock < prefillMicrosPerBlock
             && isLikelyStored(offer, chain.get(forecast.blocks()), missing);
     if (!isImported) {
@@ -120,7 +119,9 @@
       return true;
     }
     boolean mayBe =
-        offer.rank() > 0 || offer.priority() == PriorityClass.PRIORITY || missing >= MANY_BLOCKS;
+        offer.rank() > 0
+            || offer.priority() == PriorityClass.PRIORITY
+            || missing >= PrefixGate.MANY_BLOCKS;
     return mayBe && !absentUntil.containsKey(next);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/PrefixGate.java
@@ -23,7 +23,9 @@
   private static final long MINIMUM_WAIT_MICROS = 20_000;
   private static final long RECENT_MICROS = 1_000_000;
   private static final long IN_USE_MICROS = 5_000_000;
-  private static final int MANY_BLOCKS = 8;
+
+  /** Number of missing blocks from which on a prompt is taken for one with a cold opening. */
+  static final int MANY_BLOCKS = 8;
 
   /** Part of the room by which a block counts as evicted early. */
   private static final int MARGIN_PARTS = 8;
