Let a begun stream wait for engines that are out of reach

A request without a candidate waited only within 2 s of its arrival, while a router greets lost sidecars once a second: a stream older than that whose engines were all cut off at once ended with stream-cannot-resume at the first look. On a slow machine the second cut came later than 2 s.

Ruled out: a relay that does not reconnect, the retry budget, the stall limit; the error of the stream, now printed by the test, names the missing candidate.

Change: the request stores until when it waits; a begun stream that is broken off sets it 10 s ahead, as long as a stream that stands still. Only engines are waited for: a booking service out of reach held chat refusals back for up to 2 s. The test now cuts after 8 parts, past the 2 s, and names the end of a stream that does not go on. Errors print model versions as model@version.

--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/FleetProcessTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/FleetProcessTest.java
@@ -19,6 +19,9 @@
 final class FleetProcessTest {
   private static final int LONG_ANSWER = 150;
 
+  /** Parts after which a stream is older than a router waits for the engines of a new request. */
+  private static final int PARTS_BEFORE_CUT = 8;
+
   @TempDir Path folder;
   private Fleet fleet;
 
@@ -80,8 +83,7 @@
     fleet.signal(engine, "STOP");
     String other = othersThan(engine).get(0);
     Until.yes("the stream goes on elsewhere", () -> fleet.isRunningStream(other));
-    int partsBefore = stream.parts();
-    Until.yes("the stream has gone on", () -> stream.parts() > partsBefore);
+    waitUntilGoneOn(stream, 1);
     fleet.signal(engine, "CONT");
     fleet.releaseAnswers(fleet.engines());
 
@@ -92,12 +94,12 @@
   @Test
   void aStreamIsWholeThoughItsConnectionToTheSidecarWasCutTwice() throws Exception {
     ChatStream stream = openStreams("router-1", 1).get(0);
+    waitUntilGoneOn(stream, PARTS_BEFORE_CUT);
     for (int cut = 0; cut < 2; cut++) {
-      int partsBefore = stream.parts();
       for (String engine : fleet.engines()) {
         fleet.relay(engine).cut();
       }
-      Until.yes("the stream has gone on", () -> stream.parts() > partsBefore + 1);
+      waitUntilGoneOn(stream, 2);
     }
     fleet.releaseAnswers(fleet.engines());
 
@@ -134,6 +136,18 @@
     assertThat(executions("key-0")).isEqualTo(1);
   }
 
+  private static void waitUntilGoneOn(ChatStream stream, int parts) {
+    int wanted = stream.parts() + parts;
+    Until.yes(
+        "the stream has gone on",
+        () -> {
+          if (stream.hasEnded()) {
+            throw new AssertionError("The stream has ended: " + stream.end());
+          }
+          return stream.parts() >= wanted;
+        });
+  }
+
   private List<String> othersThan(String engine) {
     return fleet.engines().stream().filter(other -> !other.equals(engine)).toList();
   }
--- a/bin/lib/CheckVerdict.java
+++ b/bin/lib/CheckVerdict.java
@@ -71,7 +71,7 @@
     try (Stream<String> lines = Files.lines(list)) {
       return lines
           .filter(line -> line.startsWith("test: "))
-          .map(line -> line.substring("test: ".length()).trim())
+          .map(line -> line.substring("test: ".length()).trim().replaceAll("\\(\\)$", ""))
           .collect(Collectors.toSet());
     }
   }
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -167,9 +167,7 @@
    */
   public boolean isReadyEverywhere(
       ModelVersion modelVersion, List<ModelVersion> others, long nowMicros) {
-    boolean isAnyUnreported =
-        upstreams.values().stream().anyMatch(one -> isEngine(one) && isUnreported(one));
-    return !isAnyUnreported && readyShare(modelVersion, others, nowMicros) == 1;
+    return !isAnyEngineUnreported() && readyShare(modelVersion, others, nowMicros) == 1;
   }
 
   /** Returns whether any engine takes new work, whatever it has loaded. */
@@ -186,13 +184,14 @@
         nowMicros);
   }
 
-  /** Returns whether some upstream that is not leaving has not reported its state yet. */
-  public boolean awaitsStatus() {
-    return listVersion < 0 || upstreams.values().stream().anyMatch(UpstreamDirectory::isUnreported);
+  /** Returns whether some engine that is not leaving has not reported its state yet. */
+  public boolean awaitsEngineStatus() {
+    return listVersion < 0 || isAnyEngineUnreported();
   }
 
-  private static boolean isUnreported(Upstream upstream) {
-    return !upstream.isLeaving() && !upstream.hasStatus();
+  private boolean isAnyEngineUnreported() {
+    return upstreams.values().stream()
+        .anyMatch(one -> isEngine(one) && !one.isLeaving() && !one.hasStatus());
   }
 
   private List<Upstream> select(Predicate<Upstream> predicate, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
@@ -19,6 +19,8 @@
  * Not thread-safe.
  */
 final class ChatExchange extends Exchange {
+  private static final long CANDIDATE_WAIT_MICROS = 2_000_000;
+
   private final CacheIdentity identity;
   private final RenderedPrompt prompt;
   private final String fingerprint;
@@ -29,6 +31,7 @@
   private Deque<PlannedOffer> remaining = new ArrayDeque<>();
   private int roundStart;
   private long retryAtMicros;
+  private long candidatesUntilMicros;
   private int consumed;
   private int reportedConsumed;
 
@@ -48,6 +51,7 @@
     this.fingerprint = fingerprint;
     this.maximumOutputTokens = maximumOutputTokens;
     this.configurationOffset = configurationOffset;
+    this.candidatesUntilMicros = arrivedAtMicros + CANDIDATE_WAIT_MICROS;
   }
 
   CacheIdentity identity() {
@@ -114,6 +118,15 @@
     retryAtMicros = atMicros;
   }
 
+  /** Returns until when the request waits for an engine to become known. */
+  long candidatesUntilMicros() {
+    return candidatesUntilMicros;
+  }
+
+  void setCandidatesUntilMicros(long untilMicros) {
+    candidatesUntilMicros = untilMicros;
+  }
+
   int consumed() {
     return consumed;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -215,6 +215,9 @@
 
   private void retry(
       ChatExchange exchange, RetryReason reason, RefusalReason otherwise, long nowMicros) {
+    if (exchange.hasBegun()) {
+      exchange.setCandidatesUntilMicros(nowMicros + options.stallWaitMicros());
+    }
     switch (retries.request(exchange, reason, nowMicros)) {
       case NOW -> begin(exchange, nowMicros);
       case LATER -> {}
--- a/coordination/src/main/java/org/shallothook/coordination/router/RetryDesk.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RetryDesk.java
@@ -18,7 +18,6 @@
   private static final long BACKOFF_BASE_MICROS = 20_000;
   private static final long BACKOFF_MAXIMUM_MICROS = 1_000_000;
   private static final long BUDGET_WINDOW_MICROS = 10_000_000;
-  private static final long CANDIDATE_WAIT_MICROS = 2_000_000;
   private static final long CANDIDATE_RETRY_MICROS = 40_000;
 
   /** What becomes of a request whose attempt has failed. Immutable and thread-safe. */
@@ -78,10 +77,9 @@
     return Decision.NOW;
   }
 
-  /** Returns whether an upstream for the request may still become known. */
+  /** Returns whether an engine for the request may still become known. */
   boolean mayWaitForCandidate(ChatExchange exchange, long nowMicros) {
-    boolean isEarly = nowMicros < exchange.arrivedAtMicros() + CANDIDATE_WAIT_MICROS;
-    return isEarly && directory.awaitsStatus();
+    return nowMicros < exchange.candidatesUntilMicros() && directory.awaitsEngineStatus();
   }
 
   /** Notes that the request is placed again soon, when more upstreams may be known. */
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
@@ -216,6 +216,46 @@
     assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.UNKNOWN);
   }
 
+  @ParameterizedTest
+  @CsvSource({"1500000, true", "9000000, true", "11000000, false"})
+  void aBegunStreamWaitsForItsEnginesWhenEveryConnectionIsLostAtOnce(
+      long awayMicros, boolean resumes) {
+    RouterHarness harness = RouterHarness.ready(2);
+    RequestId request = harness.chat("hello");
+    AttemptId first = harness.acceptLatest(request);
+    harness.advance(1_900_000);
+    harness.tokens(first, 0, "one ");
+    harness.advance(1_900_000);
+    harness.tokens(first, 1, "two ");
+    harness.send(new RouterEvent.PeerLost("engine-1"));
+    harness.send(new RouterEvent.PeerLost("engine-2"));
+    harness.advance(awayMicros);
+
+    assertThat(harness.refusal(request).isEmpty()).isEqualTo(resumes);
+    if (resumes) {
+      harness.status("engine-1", false, RouterHarness.VERSION);
+      harness.advance(100_000);
+      AttemptId second = harness.acceptLatest(request);
+      harness.tokens(second, 2, "three");
+      harness.ended(second, 3);
+      assertThat(harness.answer(request)).isEqualTo("one two three");
+      assertThat(harness.isComplete(request)).isTrue();
+    } else {
+      assertThat(harness.refusal(request).get().reason())
+          .isEqualTo(RefusalReason.STREAM_CANNOT_RESUME);
+    }
+  }
+
+  @Test
+  void aServiceOutOfReachHoldsNoRefusalBack() {
+    RouterHarness harness = RouterHarness.ready(1);
+    harness.status("engine-1", false);
+    harness.send(new RouterEvent.PeerLost("booking-1"));
+    RequestId request = harness.chat("hello");
+
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.WRONG_VERSION);
+  }
+
   @ParameterizedTest
   @CsvSource({"5, true", "1, true", "2, false"})
   void endOfTheEngineIsNotTheEndUnlessItsPositionWasDelivered(int endPosition, boolean resumes) {
--- a/state/src/main/java/org/shallothook/state/cache/ModelVersion.java
+++ b/state/src/main/java/org/shallothook/state/cache/ModelVersion.java
@@ -26,4 +26,10 @@
   public static ModelVersion of(String model, String version) {
     return new ModelVersion(model, version, "");
   }
+
+  /** Returns the form that people read, such as {@code linen-8b@3} or {@code linen-8b@3+parish}. */
+  @Override
+  public String toString() {
+    return model + "@" + version + (adapter.isEmpty() ? "" : "+" + adapter);
+  }
 }
