--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/BookedCalls.java
@@ -0,0 +1,62 @@
+package org.shallothook.coordination.booking;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.shallothook.state.request.AttemptId;
+
+/**
+ * The open calls of one sidecar, found by what they book, by claim and by running attempt.
+ *
+ * <p>Invariant: at most one call is open for a scope, and a call is found by its attempt only while
+ * it runs. Not thread-safe.
+ */
+final class BookedCalls {
+  private final Map<String, BookedCall> byScope = new LinkedHashMap<>();
+  private final Map<String, BookedCall> byClaim = new LinkedHashMap<>();
+  private final Map<AttemptId, BookedCall> running = new LinkedHashMap<>();
+
+  boolean isEmpty() {
+    return byScope.isEmpty();
+  }
+
+  /** Returns the open calls, oldest first; they may be closed meanwhile. */
+  List<BookedCall> all() {
+    return List.copyOf(byScope.values());
+  }
+
+  Optional<BookedCall> ofScope(String scope) {
+    return Optional.ofNullable(byScope.get(scope));
+  }
+
+  Optional<BookedCall> ofClaim(String claim) {
+    return Optional.ofNullable(byClaim.get(claim));
+  }
+
+  void add(BookedCall call) {
+    byScope.put(call.scope, call);
+    byClaim.put(call.claim, call);
+  }
+
+  void run(BookedCall call) {
+    call.isRunning = true;
+    running.put(call.call.attempt(), call);
+  }
+
+  /** Ends the run of an attempt and returns its call, if it ran here. */
+  Optional<BookedCall> endRun(AttemptId attempt) {
+    return Optional.ofNullable(running.remove(attempt));
+  }
+
+  void close(BookedCall call) {
+    byScope.remove(call.scope);
+    byClaim.remove(call.claim);
+    running.remove(call.call.attempt());
+  }
+
+  /** Forgets who waits at a router. */
+  void removeWaitersAt(String router) {
+    byScope.values().forEach(call -> call.waiters.values().removeIf(router::equals));
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
+++ b/coordination/src/main/java/org/shallothook/coordination/booking/CallDesk.java
@@ -1,8 +1,5 @@
 package org.shallothook.coordination.booking;
 
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.shallothook.coordination.message.Envelope;
@@ -48,9 +45,7 @@
   private final ClaimPartitions partitions;
   private final ClaimKeeping keeping;
   private final ClaimEnds ends = new ClaimEnds(this::sendEnd);
-  private final Map<String, BookedCall> callsByScope = new LinkedHashMap<>();
-  private final Map<String, BookedCall> callsByClaim = new LinkedHashMap<>();
-  private final Map<AttemptId, BookedCall> callsByAttempt = new LinkedHashMap<>();
+  private final BookedCalls calls = new BookedCalls();
   private long claims;
   private long nowMicros;
 
@@ -83,7 +78,7 @@
 
   /** Returns whether no call is open and every end is in the log. */
   public boolean isIdle() {
-    return callsByScope.isEmpty() && ends.isEmpty();
+    return calls.isEmpty() && ends.isEmpty();
   }
 
   /** Returns the number of scopes remembered for the fleet by this sidecar. */
@@ -106,11 +101,11 @@
     }
     String scope = call.team() + '|' + call.service() + '|' + call.idempotencyKey().orElseThrow();
     String digest = CallScreening.digest(call);
-    BookedCall open = callsByScope.get(scope);
-    if (open == null) {
+    Optional<BookedCall> open = calls.ofScope(scope);
+    if (open.isEmpty()) {
       open(router, call, scope, digest);
-    } else if (open.digest.equals(digest)) {
-      open.waiters.put(call.attempt(), router);
+    } else if (open.get().digest.equals(digest)) {
+      open.get().waiters.put(call.attempt(), router);
     } else {
       fail(
           router,
@@ -143,13 +138,14 @@
   public boolean onAnswered(
       AttemptId attempt, int status, String contentType, String body, long now) {
     nowMicros = now;
-    BookedCall call = callsByAttempt.remove(attempt);
-    if (call == null) {
+    Optional<BookedCall> ended = calls.endRun(attempt);
+    if (ended.isEmpty()) {
       return false;
     }
+    BookedCall call = ended.get();
     counters.increment("calls.answered");
     answer(call, status, contentType, body);
-    close(call);
+    calls.close(call);
     Optional<ServiceOutcome> outcome = Optional.of(ServiceOutcome.of(status, contentType, body));
     ends.add(call.scope, call.claim, outcome, now);
     return true;
@@ -158,17 +154,18 @@
   /** Takes the failure of a call; returns whether the call was made here. */
   public boolean onFailed(AttemptId attempt, boolean hasReachedService, long now) {
     nowMicros = now;
-    BookedCall call = callsByAttempt.remove(attempt);
-    if (call == null) {
+    Optional<BookedCall> ended = calls.endRun(attempt);
+    if (ended.isEmpty()) {
       return false;
     }
+    BookedCall call = ended.get();
     if (hasReachedService) {
       failAll(
           call,
           RefusalReason.CONNECTION_LOST,
           Outcome.UNKNOWN,
           "The service did not answer, and the call is not made again.");
-      close(call);
+      calls.close(call);
     } else {
       failAll(call, RefusalReason.NO_UPSTREAM, Outcome.NOT_RUN, "The service was not reached.");
       giveBack(call);
@@ -178,7 +175,7 @@
 
   /** Forgets who waits at a router that is gone. Calls that run go on. */
   public void onRouterGone(String router) {
-    callsByScope.values().forEach(call -> call.waiters.values().removeIf(router::equals));
+    calls.removeWaitersAt(router);
   }
 
   /** Takes records read from the log. */
@@ -210,7 +207,7 @@
   /** Asks again, gives up or appends, as the time requires. */
   public void onTick(long now) {
     nowMicros = now;
-    for (BookedCall call : List.copyOf(callsByScope.values())) {
+    for (BookedCall call : calls.all()) {
       if (!call.isRunning) {
         proceed(call);
       }
@@ -225,8 +222,7 @@
     String stream = partitions.streamOf(scope);
     BookedCall open = new BookedCall(call, scope, digest, claim, stream, giveUpMicros);
     open.waiters.put(call.attempt(), router);
-    callsByScope.put(scope, open);
-    callsByClaim.put(claim, open);
+    calls.add(open);
     proceed(open);
   }
 
@@ -265,10 +261,13 @@
   }
 
   private void onAnswer(PeerMessage.ClaimAnswer answer) {
-    BookedCall call = callsByClaim.get(answer.claim());
-    if (call == null || call.isRunning) {
-      return;
-    }
+    calls
+        .ofClaim(answer.claim())
+        .filter(call -> !call.isRunning)
+        .ifPresent(call -> onVerdict(call, answer));
+  }
+
+  private void onVerdict(BookedCall call, PeerMessage.ClaimAnswer answer) {
     call.unansweredQuestions = 0;
     switch (answer.verdict()) {
       case GRANTED -> onGranted(call, answer.offset());
@@ -308,8 +307,7 @@
       giveBack(call);
       return;
     }
-    call.isRunning = true;
-    callsByAttempt.put(call.call.attempt(), call);
+    calls.run(call);
     counters.increment("calls.claimed");
     dispatcher.accept(
         new SidecarCommand.CallService(
@@ -332,7 +330,7 @@
           Outcome.DONE,
           "The call has run; its answer was too long to be kept.");
     }
-    close(call);
+    calls.close(call);
   }
 
   private void answer(BookedCall call, int status, String contentType, String body) {
@@ -355,18 +353,12 @@
   }
 
   private void giveBack(BookedCall call) {
-    close(call);
+    calls.close(call);
     if (call.hasAsked) {
       ends.add(call.scope, call.claim, Optional.empty(), nowMicros);
     }
   }
 
-  private void close(BookedCall call) {
-    callsByScope.remove(call.scope);
-    callsByClaim.remove(call.claim);
-    callsByAttempt.remove(call.call.attempt());
-  }
-
   private void sendEnd(PeerMessage.ClaimEnded ended, int earlier) {
     sendToKeeper(partitions.streamOf(ended.scope()), earlier / QUESTIONS_PER_KEEPER, ended);
   }
