Do what routers and sidecars do alike once in the virtual fleet

Cause: RouterProcess and SidecarProcess of the virtual fleet spelled out the same I/O with the network, the log and the instance list, since their cores' events have types of their own. Change: CoreProcess does it, with a record that makes the events.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/SidecarProcess.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/SidecarProcess.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Function;
 import java.util.function.LongFunction;
-import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.sidecar.AgreementOptions;
 import org.shallothook.coordination.sidecar.SidecarCommand;
@@ -11,8 +10,19 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 
 /** A sidecar: its real core, with virtual I/O, beside its upstream. Not thread-safe. */
-public final class SidecarProcess extends VirtualProcess {
-  private final VirtualFleet fleet;
+public final class SidecarProcess extends CoreProcess<SidecarEvent> {
+  private static final ProcessEvents<SidecarEvent> EVENTS =
+      new ProcessEvents<>(
+          SidecarEvent.Tick::new,
+          SidecarEvent.PeerMessageReceived::new,
+          SidecarEvent.PeerLost::new,
+          SidecarEvent.PeerUnreachable::new,
+          SidecarEvent.InstancesRead::new,
+          SidecarEvent.LogRead::new,
+          SidecarEvent.LogReadFailed::new,
+          SidecarEvent.LogAppended::new,
+          SidecarEvent.LogAppendFailed::new);
+
   private final LongFunction<SidecarOptions> options;
   private final AgreementOptions agreement;
   private final Counters counters;
@@ -28,8 +38,7 @@
       AgreementOptions agreement,
       Counters counters,
       Function<SidecarProcess, UpstreamLink> upstream) {
-    super(name, failureDomain, fleet.queue());
-    this.fleet = fleet;
+    super(fleet, name, failureDomain, EVENTS);
     this.options = options;
     this.agreement = agreement;
     this.counters = counters;
@@ -64,8 +73,7 @@
               }
             },
             counters);
-    after(0, () -> handle(new SidecarEvent.Tick()));
-    tickEvery(SidecarCore.TICK_INTERVAL_MICROS, () -> handle(new SidecarEvent.Tick()));
+    startTicks(SidecarCore.TICK_INTERVAL_MICROS);
   }
 
   @Override
@@ -73,70 +81,32 @@
     upstream.sidecarStopped();
   }
 
+  @Override
   void handle(SidecarEvent event) {
     long now = queue().nowMicros();
-    fleet.observer().sidecarEvent(name(), event, now);
+    fleet().observer().sidecarEvent(name(), event, now);
     if (isUp()) {
       core.handle(event, now);
     }
   }
 
-  @Override
-  void onMessage(Envelope envelope) {
-    handle(new SidecarEvent.PeerMessageReceived(envelope));
-  }
-
-  @Override
-  void onPeerDown(String peer, boolean wasConnected) {
-    handle(wasConnected ? new SidecarEvent.PeerLost(peer) : new SidecarEvent.PeerUnreachable(peer));
-  }
-
   private void carryOut(SidecarCommand command) {
-    fleet.observer().sidecarCommand(name(), command, queue().nowMicros());
+    fleet().observer().sidecarCommand(name(), command, queue().nowMicros());
     if (!isUp()) {
       return;
     }
     if (command instanceof SidecarCommand.SendToPeer send) {
-      Envelope envelope =
-          new Envelope(name(), incarnation(), send.configurationOffset(), send.message());
-      fleet.network().send(this, send.peer(), envelope);
+      send(send.peer(), send.message(), send.configurationOffset());
     } else if (command instanceof SidecarCommand.ReadLog read) {
-      readLog(read);
+      readLog(read.stream(), read.fromOffset());
     } else if (command instanceof SidecarCommand.AppendLog append) {
-      append(append);
+      append(append.token(), append.stream(), append.payload());
     } else if (command instanceof SidecarCommand.ReadInstances read) {
-      fleet
-          .platform()
-          .readInstances(
-              this, read.knownVersion(), list -> handle(new SidecarEvent.InstancesRead(list)));
+      readInstances(read.knownVersion());
     } else if (command instanceof SidecarCommand.Drained) {
       isDrained = true;
     } else {
       upstream.carryOut(command);
     }
   }
-
-  private void readLog(SidecarCommand.ReadLog read) {
-    fleet
-        .platform()
-        .readLog(
-            this,
-            read.stream(),
-            read.fromOffset(),
-            page ->
-                handle(
-                    page.<SidecarEvent>map(SidecarEvent.LogRead::new)
-                        .orElseGet(() -> new SidecarEvent.LogReadFailed(read.stream()))));
-  }
-
-  private void append(SidecarCommand.AppendLog append) {
-    fleet
-        .platform()
-        .append(
-            this,
-            append.stream(),
-            append.payload(),
-            offset -> handle(new SidecarEvent.LogAppended(append.token(), offset)),
-            mayHave -> handle(new SidecarEvent.LogAppendFailed(append.token(), mayHave)));
-  }
 }
