Measure the time of whole answers in paired loads

Cause: an injected slowdown of 5 % of the engines moves a first token of a cached prompt, some 10 ms, by far less than the noise between trials, so the tool could not tell it (docs/PROOFS.md). The time of a whole answer of many tokens is made of the engines' steps, which the factor slows. Change: median time to the end of whole answers, as a row of bin/load.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/load/Pairs.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/load/Pairs.java
@@ -39,6 +39,7 @@
             "p")
         + row("time to first token p50 (ms)", Trial.Result::medianMillis)
         + row("time to first token p99 (ms)", Trial.Result::p99Millis)
+        + row("time to whole answer p50 (ms)", Trial.Result::answerMillis)
         + row("router processor time a chat (ms)", Trial.Result::processorMillis);
   }
 
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/load/Trial.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/load/Trial.java
@@ -20,6 +20,7 @@
   private final Arm arm;
   private final List<LoadPrompt> prompts;
   private final ConcurrentHistogram firstTokenNanos = new ConcurrentHistogram(3);
+  private final ConcurrentHistogram answerNanos = new ConcurrentHistogram(3);
   private final LongAdder failed = new LongAdder();
   private final Semaphore ended = new Semaphore(0);
 
@@ -37,10 +38,16 @@
    * @param failed chats without a complete answer
    * @param medianMillis median time to the first token, in milliseconds
    * @param p99Millis 99th percentile of it, in milliseconds
+   * @param answerMillis median time to the end of a whole answer, in milliseconds
    * @param processorMillis processor time of the routers for each chat, in milliseconds
    */
   record Result(
-      int chats, long failed, double medianMillis, double p99Millis, double processorMillis) {}
+      int chats,
+      long failed,
+      double medianMillis,
+      double p99Millis,
+      double answerMillis,
+      double processorMillis) {}
 
   /** Sends everything, waits for the answers and returns what was seen. */
   Result run(int rate, int seconds, RouterProcessor processor) throws InterruptedException {
@@ -63,6 +70,7 @@
         failed.sum() + missing,
         firstTokenNanos.getValueAtPercentile(50) / NANOS_IN_MILLISECOND,
         firstTokenNanos.getValueAtPercentile(99) / NANOS_IN_MILLISECOND,
+        answerNanos.getValueAtPercentile(50) / NANOS_IN_MILLISECOND,
         used / NANOS_IN_MILLISECOND / total);
   }
 
@@ -78,7 +86,9 @@
 
           @Override
           public void ended(boolean isComplete) {
-            if (!isComplete) {
+            if (isComplete) {
+              answerNanos.recordValue(System.nanoTime() - dueNanos);
+            } else {
               failed.increment();
             }
             ended.release();
