Measure what knowing the fleet costs in memory

Change: benchmarks slopes builds router and sidecar cores that have heard of a whole fleet and reads what they hold.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/slopes/SlopesCommand.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/slopes/SlopesCommand.java
@@ -28,9 +28,11 @@
 @Command(
     name = "slopes",
     mixinStandardHelpOptions = true,
-    description = "Measures state and processor time by number of servers, teams and blocks.")
+    description =
+        "Measures state and processor time by number of servers, routers, teams and blocks.")
 public final class SlopesCommand implements Callable<Integer> {
   private static final int[] SERVERS = {85, 170, 340, 680};
+  private static final int[] ROUTERS = {48, 95, 190, 380};
   private static final int[] TEAMS = {60, 120, 245, 490};
   private static final int[] BLOCKS = {12_500, 25_000, 50_000, 100_000};
   private static final int PLANS = 20_000;
@@ -54,12 +56,27 @@
           retainedBytes(() -> configuration(teams, true)) / 1e6,
           retainedBytes(() -> configuration(teams, false)) / 1e6);
     }
+    for (int servers : SERVERS) {
+      printFleet(new FleetState(ROUTERS[ROUTERS.length - 1], servers));
+    }
+    for (int routers : ROUTERS) {
+      printFleet(new FleetState(routers, SERVERS[SERVERS.length - 1]));
+    }
     for (int blocks : BLOCKS) {
       print("prefix index, %d blocks: %.2f MB", blocks, index(blocks).tableBytes() / 1e6);
     }
     return 0;
   }
 
+  private void printFleet(FleetState fleet) throws InterruptedException {
+    print(
+        "fleet of %d routers and %d servers: router %.3f MB, sidecar %.3f MB",
+        fleet.routers(),
+        fleet.servers(),
+        retainedBytes(fleet::router) / 1e6,
+        retainedBytes(fleet::sidecar) / 1e6);
+  }
+
   private void print(String format, Object... values) {
     specification.commandLine().getOut().printf(Locale.ROOT, format + "%n", values);
     specification.commandLine().getOut().flush();
