Keep engines free for priority work by orders of their sidecars

Cause: engines take orders to change role, and none was given. A team that rarely calls finds its rulebook evicted by ordinary prompts and engines busy, however far ahead of the queue it goes. Change: `priority-engines` in a template keeps engines of the model in each region free. RoleAssignment chooses them, RoleOrders orders the sidecar's own engine with the configuration's offset until the role is read back, the status to routers carries it, RoleChoice filters candidates and puts a free reserved engine first for priority work. Publishing a number that leaves no engine to ordinary work is refused; the assignment leaves one in any case, and routers use reserved engines where no other is left. VersionAssignment.holders holds what was inside VersionAssignment.of, unchanged. Adapters: ordered end to end already, but untested; AgreementProcessTest and PlatformFormsTest do now.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/EngineLink.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/EngineLink.java
@@ -56,6 +56,8 @@
       reach(this::listCache);
     } else if (command instanceof SidecarCommand.OrderEngine order) {
       reach(() -> order(order));
+    } else if (command instanceof SidecarCommand.OrderRole order) {
+      reach(() -> order(order));
     } else if (command instanceof SidecarCommand.TransferBlocks transfer) {
       reach(() -> transfer(transfer));
     }
@@ -128,7 +130,8 @@
             model.reportedRunning(now()),
             model.settings().maximumRunning(),
             model.lastFencing(),
-            model.isLeaving()));
+            model.isLeaving(),
+            model.role()));
   }
 
   private void readChanges(long fromSequence) {
@@ -173,6 +176,17 @@
     answer(new SidecarEvent.OrderAnswered(order.fencing(), seen));
   }
 
+  private void order(SidecarCommand.OrderRole order) {
+    Fate fate = model.disturbances().fateOf(true, now());
+    if (isUnreachable() || !fate.takesEffect()) {
+      answer(new SidecarEvent.RoleOrderAnswered(order, Optional.empty()));
+      return;
+    }
+    boolean isTaken = model.orderRole(order.fencing(), order.role()) == OrderResult.TAKEN;
+    Optional<Boolean> seen = fate == Fate.SERVED ? Optional.of(isTaken) : Optional.empty();
+    answer(new SidecarEvent.RoleOrderAnswered(order, seen));
+  }
+
   private void fetchWeights(ModelVersion version) {
     OptionalLong end = fleet.platform().weights().begin(now());
     if (end.isEmpty()) {
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/AgreementProcessTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/AgreementProcessTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -85,6 +87,41 @@
     assertThat(weights(fleet, "greatest_concurrent")).isAtMost(2);
   }
 
+  @Test
+  void anAdapterAndARoleAreOrderedAndReadBack() throws Exception {
+    Fleet fleet = start(FleetShape.ofEngines(2));
+    String source =
+        Fleet.template("2")
+            .replace(
+                "priority = ordinary", "adapter = rota\npriority = priority\npriority-engines = 1");
+    long base = offsetInForce(fleet, "router-1");
+    assertThat(resultOf(fleet.publish("router-1", "keep-one", source, base).get()))
+        .isEqualTo("accepted");
+    for (String engine : fleet.engines()) {
+      Until.yes(engine + " has the adapter", () -> hasAdapter(fleet, engine));
+    }
+    Until.yes("one engine is kept free", () -> reserved(fleet).size() == 1);
+    String kept = reserved(fleet).get(0);
+    for (String router : Fleet.ROUTERS) {
+      Until.yes(
+          router + " shows the role", () -> roleShown(fleet, router, kept).equals("priority"));
+    }
+
+    String before = status(fleet, kept).get("incarnation").getAsString();
+    fleet.fault(kept + "-upstream", "crash", "{}");
+    Until.yes(
+        "the restarted engine has its role",
+        () ->
+            !status(fleet, kept).get("incarnation").getAsString().equals(before)
+                && reserved(fleet).equals(List.of(kept)));
+
+    String tooMany = source.replace("priority-engines = 1", "priority-engines = 2");
+    base = offsetInForce(fleet, "router-1");
+    JsonObject refused = fleet.publish("router-1", "keep-both", tooMany, base).get();
+    assertThat(resultOf(refused)).isEqualTo("invalid");
+    assertThat(refused.get("detail").getAsString()).contains("Lower priority-engines");
+  }
+
   private Fleet start(FleetShape shape) throws Exception {
     Fleet fleet = new Fleet(folder, shape);
     running = Optional.of(fleet);
@@ -121,6 +158,30 @@
     return hasOrder && !hasLoaded(fleet, engine);
   }
 
+  private static boolean hasAdapter(Fleet fleet, String engine) throws Exception {
+    String models = status(fleet, engine).getAsJsonArray("models").toString();
+    return models.contains("\"version\":\"2\",\"adapter\":\"rota\"");
+  }
+
+  private static List<String> reserved(Fleet fleet) throws Exception {
+    List<String> reserved = new ArrayList<>();
+    for (String engine : fleet.engines()) {
+      if (status(fleet, engine).get("role").getAsString().equals("priority")) {
+        reserved.add(engine);
+      }
+    }
+    return reserved;
+  }
+
+  private static String roleShown(Fleet fleet, String router, String engine) throws Exception {
+    for (JsonElement one : Http.json(fleet.admin(router), "/status").getAsJsonArray("upstreams")) {
+      if (one.getAsJsonObject().get("name").getAsString().equals(engine)) {
+        return one.getAsJsonObject().get("role").getAsString();
+      }
+    }
+    return "";
+  }
+
   private static boolean hasLoaded(Fleet fleet, String engine) throws Exception {
     String models = status(fleet, engine).getAsJsonArray("models").toString();
     return models.contains("\"version\":\"2\"");
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/Publication.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.shallothook.coordination.port.AppendKind;
 import org.shallothook.coordination.port.Outbox;
 import org.shallothook.state.configuration.ConfigurationError;
@@ -35,6 +36,7 @@
 
   private final Outbox outbox;
   private final ConfigurationReplica replica;
+  private final Function<TeamTemplate, Optional<ConfigurationError>> check;
   private final ChangeRequest request;
   private final long deadlineMicros;
   private final Set<Long> tokens = new HashSet<>();
@@ -47,12 +49,18 @@
   /**
    * Creates a publication that starts with its first tick.
    *
+   * @param check returns why a sound template cannot be honoured by the present fleet
    * @param deadlineMicros when to end undecided, in microseconds since the epoch
    */
   public Publication(
-      Outbox outbox, ConfigurationReplica replica, ChangeRequest request, long deadlineMicros) {
+      Outbox outbox,
+      ConfigurationReplica replica,
+      Function<TeamTemplate, Optional<ConfigurationError>> check,
+      ChangeRequest request,
+      long deadlineMicros) {
     this.outbox = outbox;
     this.replica = replica;
+    this.check = check;
     this.request = request;
     this.deadlineMicros = deadlineMicros;
   }
@@ -127,8 +135,14 @@
 
   private Optional<ConfigurationError> faultOf(String source) {
     Either<ConfigurationError, TeamTemplate> parsed = TemplateParser.parse(source);
-    return parsed.fold(
-        Optional::of, template -> replica.state().faultBesideOthers(request.template(), template));
+    return parsed.fold(Optional::of, this::faultOf);
+  }
+
+  private Optional<ConfigurationError> faultOf(TeamTemplate template) {
+    return replica
+        .state()
+        .faultBesideOthers(request.template(), template)
+        .or(() -> check.apply(template));
   }
 
   private void proceed(long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/configuration/PublicationDesk.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/PublicationDesk.java
@@ -4,8 +4,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.shallothook.coordination.port.Outbox;
+import org.shallothook.state.configuration.ConfigurationError;
+import org.shallothook.state.configuration.TeamTemplate;
 
 /**
  * Publications that operators have under way at one router.
@@ -19,12 +23,26 @@
 
   private final Outbox outbox;
   private final ConfigurationReplica replica;
+  private final Function<TeamTemplate, Optional<ConfigurationError>> check;
   private final Map<Publication, Consumer<PublicationResult>> open = new LinkedHashMap<>();
 
   /** Creates a desk that publishes through a replica. */
   public PublicationDesk(Outbox outbox, ConfigurationReplica replica) {
+    this(outbox, replica, template -> Optional.empty());
+  }
+
+  /**
+   * Creates a desk that publishes through a replica.
+   *
+   * @param check returns why a sound template cannot be honoured by the present fleet
+   */
+  public PublicationDesk(
+      Outbox outbox,
+      ConfigurationReplica replica,
+      Function<TeamTemplate, Optional<ConfigurationError>> check) {
     this.outbox = outbox;
     this.replica = replica;
+    this.check = check;
   }
 
   /**
@@ -39,7 +57,7 @@
       long deadlineMicros,
       Consumer<PublicationResult> onEnd,
       long nowMicros) {
-    open.put(new Publication(outbox, replica, request, deadlineMicros), onEnd);
+    open.put(new Publication(outbox, replica, check, request, deadlineMicros), onEnd);
     onTick(nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/engine/EngineChange.java
+++ b/coordination/src/main/java/org/shallothook/coordination/engine/EngineChange.java
@@ -11,5 +11,7 @@
   /** A model version is no longer loaded. */
   VERSION_REMOVED,
   /** The engine says that it is leaving, or no longer says so. */
-  LEAVING
+  LEAVING,
+  /** The engine has another role. */
+  ROLE
 }
--- a/coordination/src/main/java/org/shallothook/coordination/engine/EngineMonitor.java
+++ b/coordination/src/main/java/org/shallothook/coordination/engine/EngineMonitor.java
@@ -9,6 +9,7 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.EngineRole;
 
 /**
  * What the sidecar knows of its engine or service: incarnation, loaded versions, and reachability.
@@ -29,6 +30,7 @@
   private Set<ModelVersion> loaded = Set.of();
   private int maximumRunning;
   private long lastFencing = -1;
+  private EngineRole role = EngineRole.MIXED;
   private boolean isReachable;
   private boolean isLeaving;
   private int consecutiveFailures;
@@ -63,6 +65,11 @@
     return lastFencing;
   }
 
+  /** Returns the role that the engine reported last. */
+  public EngineRole role() {
+    return role;
+  }
+
   /** Returns whether the engine answered the last question for its state. */
   public boolean isReachable() {
     return isReachable;
@@ -131,10 +138,12 @@
     note(changes, EngineChange.VERSIONS, !loaded.equals(reportedVersions));
     note(changes, EngineChange.VERSION_REMOVED, !reportedVersions.containsAll(loaded));
     note(changes, EngineChange.LEAVING, isLeaving != status.isLeaving());
+    note(changes, EngineChange.ROLE, role != status.role());
     incarnation = reported;
     loaded = reportedVersions;
     maximumRunning = status.maximumRunning();
     lastFencing = status.lastFencing();
+    role = status.role();
     isLeaving = status.isLeaving();
     isReachable = true;
     consecutiveFailures = 0;
--- a/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -6,6 +6,7 @@
 import org.shallothook.coordination.placement.PlacementCandidate;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.Instance;
 
 /**
@@ -24,6 +25,7 @@
   private long sidecarIncarnation;
   private String engineIncarnation = "";
   private Set<ModelVersion> ready = Set.of();
+  private EngineRole role = EngineRole.MIXED;
   private boolean isLeavingBySidecar;
   private long queueDelayMicros;
   private long unreachableUntilMicros;
@@ -122,6 +124,20 @@
     return ready.contains(modelVersion);
   }
 
+  /** Returns whether the sidecar says that it can serve any version of a model with its adapter. */
+  public boolean hasModel(ModelVersion modelVersion) {
+    return ready.stream()
+        .anyMatch(
+            one ->
+                one.model().equals(modelVersion.model())
+                    && one.adapter().equals(modelVersion.adapter()));
+  }
+
+  /** Returns the role that the engine has, as its sidecar has read it back. */
+  public EngineRole role() {
+    return role;
+  }
+
   /** Counts a request opened at the upstream. */
   public void onOpened() {
     outstanding++;
@@ -197,6 +213,7 @@
     ready = Set.copyOf(status.ready());
     isLeavingBySidecar = status.isLeaving();
     queueDelayMicros = status.queueDelayMicros();
+    role = status.role();
     unreachableUntilMicros = 0;
     isDown = false;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceList;
 import org.shallothook.state.membership.InstanceRole;
@@ -113,17 +114,18 @@
   /**
    * Returns the engines that can serve a model version now, those of the own region if any. Slow
    * and silent engines are returned only where there are no others, since being late is no proof of
-   * being gone.
+   * being gone. Their roles are honoured as {@link RoleChoice} says.
    */
-  public List<Upstream> candidates(ModelVersion modelVersion, long nowMicros) {
+  public List<Upstream> candidates(
+      ModelVersion modelVersion, PriorityClass priority, long nowMicros) {
     List<Upstream> usable =
         select(upstream -> isEngine(upstream) && upstream.isReady(modelVersion), nowMicros);
     List<Upstream> answering = usable.stream().filter(one -> !one.isSilent(nowMicros)).toList();
     List<Upstream> healthy = answering.stream().filter(one -> !one.isEjected(nowMicros)).toList();
     if (!healthy.isEmpty()) {
-      return preferRegion(healthy);
+      return RoleChoice.among(preferRegion(healthy), priority);
     }
-    return preferRegion(answering.isEmpty() ? usable : answering);
+    return RoleChoice.among(preferRegion(answering.isEmpty() ? usable : answering), priority);
   }
 
   /** Returns the engines that can serve a model version, ejected or not. */
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.log.LogRecord;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
@@ -215,17 +216,29 @@
    * @param ready model versions that can serve now
    * @param isLeaving whether no new work is taken
    * @param queueDelayMicros expected time until new work would start, in microseconds
+   * @param role role that the engine reports; mixed for a service or an engine without roles
    */
   record SidecarStatus(
       String upstream,
       String engineIncarnation,
       List<ModelVersion> ready,
       boolean isLeaving,
-      long queueDelayMicros)
+      long queueDelayMicros,
+      EngineRole role)
       implements PeerMessage {
     public SidecarStatus {
       ready = List.copyOf(ready);
     }
+
+    /** Creates the state of an upstream without roles. */
+    public SidecarStatus(
+        String upstream,
+        String engineIncarnation,
+        List<ModelVersion> ready,
+        boolean isLeaving,
+        long queueDelayMicros) {
+      this(upstream, engineIncarnation, ready, isLeaving, queueDelayMicros, EngineRole.MIXED);
+    }
   }
 
   /**
--- a/coordination/src/main/java/org/shallothook/coordination/order/VersionAssignment.java
+++ b/coordination/src/main/java/org/shallothook/coordination/order/VersionAssignment.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import net.openhft.hashing.LongHashFunction;
 import org.shallothook.state.cache.ModelVersion;
@@ -53,19 +55,40 @@
       assigned.addAll(versions);
       return assigned;
     }
+    holders(versions, engines, versionsPerEngine)
+        .forEach(
+            (version, holders) -> {
+              if (holders.contains(engine)) {
+                assigned.add(version);
+              }
+            });
+    return assigned;
+  }
+
+  /**
+   * Returns the engines that are to have each version, the versions in a fixed order.
+   *
+   * @param versions versions in use
+   * @param engines names of all engines
+   * @param versionsPerEngine number of versions that an engine is to have at most
+   */
+  static Map<ModelVersion, Set<String>> holders(
+      Set<ModelVersion> versions, Set<String> engines, int versionsPerEngine) {
+    Map<ModelVersion, Set<String>> holders = new TreeMap<>(ORDER);
+    if (versions.size() <= versionsPerEngine) {
+      versions.forEach(version -> holders.put(version, engines));
+      return holders;
+    }
     Map<String, Integer> load = new HashMap<>();
     Set<ModelVersion> ordered = new TreeSet<>(ORDER);
     ordered.addAll(versions);
     int share = Math.max(1, engines.size() * versionsPerEngine / versions.size());
     for (ModelVersion version : ordered) {
-      for (String chosen : choose(version, engines, load, versionsPerEngine, share)) {
-        load.merge(chosen, 1, Integer::sum);
-        if (chosen.equals(engine)) {
-          assigned.add(version);
-        }
-      }
+      List<String> chosen = choose(version, engines, load, versionsPerEngine, share);
+      chosen.forEach(name -> load.merge(name, 1, Integer::sum));
+      holders.put(version, new HashSet<>(chosen));
     }
-    return assigned;
+    return holders;
   }
 
   /** Engines with room come first; where none has, one takes more than its share. */
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.shallothook.coordination.membership.RoleChoice;
 import org.shallothook.coordination.membership.Upstream;
 import org.shallothook.coordination.membership.UpstreamDirectory;
 import org.shallothook.coordination.message.Hint;
@@ -83,16 +84,11 @@
     if (candidates.isEmpty()) {
       return Progress.NO_CANDIDATE;
     }
-    PlacementPlan plan =
-        options
-            .placement()
-            .plan(
-                new PlacementQuery(
-                    candidates,
-                    exchange.prompt().levels(),
-                    level -> spreads.spreadOf(level, nowMicros),
-                    sequence++,
-                    random.nextLong()));
+    PlacementPlan plan = planOf(exchange, candidates, nowMicros);
+    List<Upstream> reserved = RoleChoice.reserved(candidates, exchange.team().priority());
+    if (!reserved.isEmpty()) {
+      plan = plan.startingWith(planOf(exchange, reserved, nowMicros));
+    }
     exchange.startRound(plan);
     offerNext(exchange, nowMicros);
     if (plan.comparesHints() && isBelievedBusy(plan)) {
@@ -102,6 +98,18 @@
     return Progress.WAITING;
   }
 
+  private PlacementPlan planOf(ChatExchange exchange, List<Upstream> candidates, long nowMicros) {
+    return options
+        .placement()
+        .plan(
+            new PlacementQuery(
+                candidates,
+                exchange.prompt().levels(),
+                level -> spreads.spreadOf(level, nowMicros),
+                sequence++,
+                random.nextLong()));
+  }
+
   /** Takes in the answer to an open offer. */
   Progress onReply(ChatExchange exchange, Attempt attempt, OfferReply reply, long nowMicros) {
     Upstream upstream = attempt.upstream();
@@ -179,7 +187,9 @@
   }
 
   private List<Upstream> candidatesOf(ChatExchange exchange, long nowMicros) {
-    List<Upstream> all = directory.candidates(exchange.identity().modelVersion(), nowMicros);
+    List<Upstream> all =
+        directory.candidates(
+            exchange.identity().modelVersion(), exchange.team().priority(), nowMicros);
     List<Upstream> untried = all.stream().filter(one -> !exchange.hasTried(one)).toList();
     return untried.isEmpty() ? all : untried;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -13,6 +13,7 @@
 import org.shallothook.coordination.configuration.ConfigurationReplica;
 import org.shallothook.coordination.configuration.PublicationDesk;
 import org.shallothook.coordination.configuration.PublicationResult;
+import org.shallothook.coordination.membership.PriorityEnginesCheck;
 import org.shallothook.coordination.membership.UpstreamDirectory;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
@@ -94,7 +95,8 @@
     RetryDesk retries = new RetryDesk(options, directory, random.split());
     SlownessWatch slowness = new SlownessWatch(options, directory);
     chats = new ChatFlow(options, outbox, book, screening, rounds, retries, poison, slowness);
-    publications = new PublicationDesk(outbox, configuration);
+    PriorityEnginesCheck priorityEngines = new PriorityEnginesCheck(directory);
+    publications = new PublicationDesk(outbox, configuration, priorityEngines::faultOf);
     rollouts = new RolloutNotices(options.name(), outbox, directory, options.counters());
     calls = new CallFlow(options, retries, outbox, book, screening, directory, configuration);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterStatus.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterStatus.java
@@ -45,6 +45,7 @@
    * @param outstanding requests that this router has open there
    * @param queueDelayMicros queue delay last reported, in microseconds
    * @param ejectedUntilMicros end of its latest ejection, 0 if there was none
+   * @param role role of its engine: {@code mixed}, {@code priority} or {@code other}
    */
   public record UpstreamView(
       String name,
@@ -53,7 +54,8 @@
       String engineIncarnation,
       int outstanding,
       long queueDelayMicros,
-      long ejectedUntilMicros) {
+      long ejectedUntilMicros,
+      String role) {
 
     static UpstreamView of(Upstream upstream, long nowMicros) {
       return new UpstreamView(
@@ -63,7 +65,8 @@
           upstream.engineIncarnation(),
           upstream.outstanding(),
           upstream.queueDelayMicros(),
-          upstream.ejectedUntilMicros());
+          upstream.ejectedUntilMicros(),
+          upstream.role().code());
     }
 
     private static String stateOf(Upstream upstream, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/Agreement.java
@@ -9,6 +9,7 @@
 import org.shallothook.coordination.lease.LoadSlots;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.order.EngineOrders;
+import org.shallothook.coordination.order.RoleOrders;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceList;
@@ -27,6 +28,7 @@
   private final CallDesk desk;
   private final LoadSlots slots;
   private final EngineOrders orders;
+  private final RoleOrders roles;
 
   Agreement(
       SidecarOptions options, AgreementOptions agreement, SidecarOutbox outbox, Counters counters) {
@@ -51,6 +53,8 @@
             slots,
             outbox::command,
             counters);
+    roles =
+        new RoleOrders(options.name(), agreement.versionsPerEngine(), outbox::command, counters);
   }
 
   CallDesk desk() {
@@ -67,6 +71,7 @@
     configuration.retainPeers(names);
     desk.onInstances(list);
     orders.onInstances(list);
+    roles.onInstances(list);
   }
 
   void onEnvelope(Envelope envelope, long nowMicros) {
@@ -88,6 +93,8 @@
       desk.onLogAppendFailed(failed.token(), failed.mayHaveTakenEffect(), nowMicros);
     } else if (event instanceof SidecarEvent.OrderAnswered answered) {
       orders.onOrderAnswered(answered.accepted(), nowMicros);
+    } else if (event instanceof SidecarEvent.RoleOrderAnswered answered) {
+      roles.onAnswered(answered.order(), answered.accepted(), nowMicros);
     }
   }
 
@@ -101,6 +108,8 @@
             && !configuration.isBehind();
     if (mayOrder) {
       orders.onTick(configuration.state(), engine.ready(), nowMicros);
+      roles.onTick(
+          configuration.state(), engine.incarnation().orElse(""), engine.role(), nowMicros);
     }
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCommand.java
@@ -7,6 +7,7 @@
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.request.AttemptId;
 
@@ -104,6 +105,14 @@
   record OrderEngine(long fencing, ModelVersion modelVersion, boolean isLoad)
       implements SidecarCommand {}
 
+  /**
+   * Orders the engine to take a role.
+   *
+   * @param fencing fencing number, which grows
+   * @param role role to take
+   */
+  record OrderRole(long fencing, EngineRole role) implements SidecarCommand {}
+
   /**
    * Transfers cached blocks between the engine and the cache store.
    *
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -110,7 +110,8 @@
         engine.incarnation().orElse(""),
         engine.ready().stream().sorted(VERSION_ORDER).toList(),
         leaving.isLeaving(),
-        admission.queueDelayMicros());
+        admission.queueDelayMicros(),
+        engine.role());
   }
 
   /** Returns the configuration offset in force here. */
@@ -192,7 +193,8 @@
     } else if (event instanceof SidecarEvent.DrainRequested) {
       setLeaving(LeavingSignals.Signal.DRAIN, true, nowMicros);
     } else {
-      if (event instanceof SidecarEvent.OrderAnswered) {
+      if (event instanceof SidecarEvent.OrderAnswered
+          || event instanceof SidecarEvent.RoleOrderAnswered) {
         engine.onOrdered(nowMicros);
       }
       agreement.onEvent(event, nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarEvent.java
@@ -6,6 +6,7 @@
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogPage;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.InstanceList;
 import org.shallothook.state.request.AttemptId;
 
@@ -79,6 +80,7 @@
    * @param maximumRunning streams that it can run at once
    * @param lastFencing greatest fencing number that it has seen; -1 where it ignores them
    * @param isLeaving whether it says that it is leaving
+   * @param role role that it has
    */
   record EngineStatus(
       String incarnation,
@@ -86,11 +88,23 @@
       int running,
       int maximumRunning,
       long lastFencing,
-      boolean isLeaving)
+      boolean isLeaving,
+      EngineRole role)
       implements SidecarEvent {
     public EngineStatus {
       ready = List.copyOf(ready);
     }
+
+    /** Creates the report of an engine or service without roles. */
+    public EngineStatus(
+        String incarnation,
+        List<ModelVersion> ready,
+        int running,
+        int maximumRunning,
+        long lastFencing,
+        boolean isLeaving) {
+      this(incarnation, ready, running, maximumRunning, lastFencing, isLeaving, EngineRole.MIXED);
+    }
   }
 
   /** The engine or service did not answer a question for its state. */
@@ -132,6 +146,15 @@
    */
   record OrderAnswered(long fencing, Optional<Boolean> accepted) implements SidecarEvent {}
 
+  /**
+   * An order to take a role was answered, or its answer lost.
+   *
+   * @param order the order
+   * @param accepted whether the engine took it; empty when the answer was lost
+   */
+  record RoleOrderAnswered(SidecarCommand.OrderRole order, Optional<Boolean> accepted)
+      implements SidecarEvent {}
+
   /**
    * A transfer of cached blocks has ended.
    *
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/RoleEngine.java
@@ -0,0 +1,62 @@
+package org.shallothook.coordination.sidecar;
+
+import java.util.List;
+import java.util.Optional;
+import org.shallothook.state.membership.EngineRole;
+
+/** An engine that takes orders to change its role, with or without a check of their numbers. */
+final class RoleEngine {
+  final boolean checksFencing;
+  EngineRole installed = EngineRole.MIXED;
+  EngineRole role = EngineRole.MIXED;
+  Answer answer = Answer.GIVEN;
+  int orders;
+  private long lastFencing;
+  private int incarnation = 1;
+
+  RoleEngine(boolean checksFencing) {
+    this.checksFencing = checksFencing;
+  }
+
+  /** What becomes of orders. */
+  enum Answer {
+    GIVEN,
+    LOST_AFTER_EFFECT,
+    LOST_WITHOUT_EFFECT,
+    REFUSED
+  }
+
+  /** Takes an order and returns what its sender sees. */
+  Optional<Boolean> take(SidecarCommand.OrderRole order) {
+    orders++;
+    if (answer == Answer.REFUSED) {
+      return Optional.of(false);
+    }
+    if (answer == Answer.LOST_WITHOUT_EFFECT) {
+      return Optional.empty();
+    }
+    boolean isOld = checksFencing && order.fencing() < lastFencing;
+    if (!isOld) {
+      lastFencing = order.fencing();
+      role = order.role();
+    }
+    return answer == Answer.GIVEN ? Optional.of(!isOld) : Optional.empty();
+  }
+
+  void restart() {
+    incarnation++;
+    lastFencing = 0;
+    role = installed;
+  }
+
+  SidecarEvent.EngineStatus status() {
+    return new SidecarEvent.EngineStatus(
+        "e-" + incarnation,
+        List.of(SidecarHarness.VERSION),
+        0,
+        2,
+        checksFencing ? lastFencing : -1,
+        false,
+        role);
+  }
+}
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -18,6 +18,7 @@
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.RefusalReason;
@@ -190,6 +191,7 @@
         frame.getEngineIncarnation(),
         frame.getReadyList().stream().map(FieldMapping::toModelVersion).toList(),
         frame.getIsLeaving(),
-        FieldMapping.notNegative("sidecar_status.queue_delay_micros", frame.getQueueDelayMicros()));
+        FieldMapping.notNegative("sidecar_status.queue_delay_micros", frame.getQueueDelayMicros()),
+        EngineRole.of(frame.getRole()));
   }
 }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -17,6 +17,7 @@
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
 import org.shallothook.protocol.generated.TokensFrame;
+import org.shallothook.state.membership.EngineRole;
 
 /**
  * Writes typed messages into frames.
@@ -164,7 +165,8 @@
         .setEngineIncarnation(status.engineIncarnation())
         .addAllReady(status.ready().stream().map(FieldMapping::toFrame).toList())
         .setIsLeaving(status.isLeaving())
-        .setQueueDelayMicros(status.queueDelayMicros());
+        .setQueueDelayMicros(status.queueDelayMicros())
+        .setRole(status.role() == EngineRole.MIXED ? "" : status.role().code());
   }
 
   private static ConfigurationRecordsFrame.Builder configurationRecords(
--- a/protocol/src/main/java/org/shallothook/protocol/platform/EngineForm.java
+++ b/protocol/src/main/java/org/shallothook/protocol/platform/EngineForm.java
@@ -16,6 +16,7 @@
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.PriorityClass;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.request.AttemptId;
 
 /**
@@ -68,6 +69,15 @@
     return GSON.toJson(root);
   }
 
+  /** Returns the body of an order to take a role. */
+  public static String order(SidecarCommand.OrderRole order) {
+    JsonObject root = new JsonObject();
+    root.addProperty("fencing", order.fencing());
+    root.addProperty("order", "role");
+    root.addProperty("role", order.role().code());
+    return GSON.toJson(root);
+  }
+
   /**
    * Returns the body of an export or import of blocks.
    *
@@ -98,7 +108,8 @@
                 Values.notNegativeInteger(fields, "running"),
                 Values.notNegativeInteger(fields, "maximum_running"),
                 fields.longField("last_fencing"),
-                fields.optionalTruth("leaving").orElse(false)));
+                fields.optionalTruth("leaving").orElse(false),
+                EngineRole.of(fields.optionalText("role").orElse(""))));
   }
 
   /** Reads the state of a plain service. */
--- a/protocol/src/test/java/org/shallothook/protocol/platform/PlatformFormsTest.java
+++ b/protocol/src/test/java/org/shallothook/protocol/platform/PlatformFormsTest.java
@@ -17,11 +17,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.protocol.json.JsonError;
+import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogPage;
 import org.shallothook.state.log.LogRecord;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 
@@ -36,6 +40,8 @@
   private static final String STATUS =
       "{\"incarnation\":\"e-1\",\"models\":[{\"model\":\"m\",\"version\":\"1\",\"adapter\":\"\"}],"
           + "\"running\":3,\"maximum_running\":16,\"last_fencing\":7,\"leaving\":false}";
+  private static final String ROLE_STATUS =
+      STATUS.replace("false}", "false,\"role\":\"priority\"}");
   private static final String CHANGES =
       "{\"incarnation\":\"e-1\",\"first_sequence\":4,\"changes\":"
           + "[{\"key\":\"0123456789abcdef0123456789abcdef\",\"stored\":true}]}";
@@ -55,6 +61,7 @@
           new Form("{\"offset\":17}", LogForm::appendedOffset),
           new Form(LIST, InstanceListForm::read),
           new Form(STATUS, EngineForm::status),
+          new Form(ROLE_STATUS, EngineForm::status),
           new Form(STATUS, EngineForm::serviceStatus),
           new Form(CHANGES, EngineForm::cacheChanges),
           new Form(BLOCKS, EngineForm::cacheList),
@@ -62,6 +69,25 @@
           new Form(TOKENS, EngineStreamEvent::read),
           new Form(FINISH, EngineStreamEvent::read));
 
+  @ParameterizedTest
+  @CsvSource({"'', MIXED", "mixed, MIXED", "priority, PRIORITY", "prefill, OTHER"})
+  void aRoleIsReadAndOneThatIsUnknownDoesNotHideTheEngine(String role, EngineRole expected) {
+    String status =
+        role.isEmpty() ? STATUS : STATUS.replace("false}", "false,\"role\":\"" + role + "\"}");
+    assertThat(EngineForm.status(status).get().role()).isEqualTo(expected);
+  }
+
+  @Test
+  void ordersNameTheirKindAndFencingNumber() {
+    assertThat(EngineForm.order(new SidecarCommand.OrderRole(7, EngineRole.PRIORITY)))
+        .isEqualTo("{\"fencing\":7,\"order\":\"role\",\"role\":\"priority\"}");
+    ModelVersion adapted = new ModelVersion("m", "2", "rota");
+    assertThat(EngineForm.order(new SidecarCommand.OrderEngine(7, adapted, true)))
+        .isEqualTo(
+            "{\"fencing\":7,\"order\":\"load\",\"model\":\"m\",\"version\":\"2\","
+                + "\"adapter\":\"rota\"}");
+  }
+
   @ParameterizedTest
   @MethodSource("forms")
   void everyFormReadsItsExample(Form form) {
--- a/sidecar/src/main/java/org/shallothook/sidecar/UpstreamLink.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/UpstreamLink.java
@@ -66,6 +66,8 @@
       engine.listCache();
     } else if (command instanceof SidecarCommand.OrderEngine order) {
       engine.order(order);
+    } else if (command instanceof SidecarCommand.OrderRole order) {
+      engine.order(order);
     } else if (command instanceof SidecarCommand.TransferBlocks transfer) {
       engine.transfer(transfer);
     } else if (command instanceof SidecarCommand.CallService call) {
--- a/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/EngineModel.java
@@ -12,6 +12,7 @@
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.EngineRole;
 
 /**
  * A model engine in virtual time: prompts are computed one at a time, the streams of the batch
@@ -297,6 +298,16 @@
     return result;
   }
 
+  /** Takes an order to take a role. Running streams go on; a restart brings back {@code MIXED}. */
+  public OrderResult orderRole(long fencing, EngineRole role) {
+    return versions.takeRole(fencing, role);
+  }
+
+  /** Returns the role. */
+  public EngineRole role() {
+    return versions.role();
+  }
+
   /** Ends the load of a version, with its weights or without. */
   public void finishLoad(ModelVersion version, boolean hasWeights) {
     versions.finishLoad(version, hasWeights);
--- a/standins/src/main/java/org/shallothook/standins/engine/LoadedVersions.java
+++ b/standins/src/main/java/org/shallothook/standins/engine/LoadedVersions.java
@@ -5,9 +5,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.EngineRole;
 
 /**
- * Model versions loaded or being loaded by an engine, and the fencing numbers of its orders.
+ * Model versions loaded or being loaded by an engine, its role, and the fencing numbers of its
+ * orders.
  *
  * <p>Invariant: at most one load runs. Not thread-safe.
  */
@@ -15,6 +17,7 @@
   private final boolean checksFencing;
   private final Set<ModelVersion> loaded = new LinkedHashSet<>();
   private Optional<ModelVersion> loading = Optional.empty();
+  private EngineRole role = EngineRole.MIXED;
   private long lastFencing;
 
   LoadedVersions(List<ModelVersion> first, boolean checksFencing) {
@@ -44,6 +47,18 @@
     return OrderResult.TAKEN;
   }
 
+  OrderResult takeRole(long fencing, EngineRole ordered) {
+    if (isOld(fencing)) {
+      return OrderResult.OLD_FENCING;
+    }
+    role = ordered;
+    return OrderResult.TAKEN;
+  }
+
+  EngineRole role() {
+    return role;
+  }
+
   void finishLoad(ModelVersion version, boolean hasWeights) {
     if (!loading.equals(Optional.of(version))) {
       return;
--- a/standins/src/main/java/org/shallothook/standins/http/EngineStandin.java
+++ b/standins/src/main/java/org/shallothook/standins/http/EngineStandin.java
@@ -102,11 +102,17 @@
     status.addProperty("maximum_running", model.settings().maximumRunning());
     status.addProperty("last_fencing", model.lastFencing());
     status.addProperty("leaving", model.isLeaving());
+    status.addProperty("role", model.role().code());
     return status;
   }
 
   private void order(Exchange exchange, long nowMicros) {
     OrderBody body = Json.parse(exchange.body(), OrderBody.class);
+    if (body.isRole()) {
+      OrderResult result = model.orderRole(body.fencing(), body.engineRole());
+      exchange.answer(result.status(), Json.object("order", result.name()));
+      return;
+    }
     ModelVersion version = body.modelVersion();
     OrderResult result =
         body.isLoad()
--- a/standins/src/test/java/org/shallothook/standins/engine/EngineModelTest.java
+++ b/standins/src/test/java/org/shallothook/standins/engine/EngineModelTest.java
@@ -15,6 +15,7 @@
 import org.shallothook.state.cache.BlockKeyChain;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.EngineRole;
 
 final class EngineModelTest {
   private static final int BLOCK_BYTES = 4_000;
@@ -149,6 +150,22 @@
     assertThat(engine.lastFencing()).isEqualTo(lastFencing);
   }
 
+  @ParameterizedTest
+  @CsvSource({"true,OLD_FENCING,PRIORITY", "false,TAKEN,MIXED"})
+  void aRoleIsTakenWithoutCuttingStreamsAndLostInARestart(
+      boolean checksFencing, OrderResult ofOldNumber, EngineRole after) {
+    EngineModel engine = engine(EngineSettings.DEFAULT.withChecksFencing(checksFencing));
+    engine.start(request("running", prompt("a", 1), 0), 0);
+    assertThat(engine.orderRole(7, EngineRole.PRIORITY)).isEqualTo(OrderResult.TAKEN);
+    assertThat(engine.orderRole(6, EngineRole.MIXED)).isEqualTo(ofOldNumber);
+    assertThat(engine.role()).isEqualTo(after);
+    engine.advanceTo(HOUR_MICROS, recorder);
+    assertThat(recorder.ends).containsKey("running");
+    engine.crash(HOUR_MICROS, recorder);
+    engine.advanceTo(2 * HOUR_MICROS, recorder);
+    assertThat(engine.role()).isEqualTo(EngineRole.MIXED);
+  }
+
   @Test
   void fullEngineRefuses() {
     EngineModel engine = engine(EngineSettings.DEFAULT);
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationError.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationError.java
@@ -29,6 +29,7 @@
     UNDEFINED_PARAMETER("Define the parameter in [parameters], or write $${name} for the text."),
     DUPLICATE_KEY_DIGEST("Give each team a key of its own."),
     CONFLICT("Read the template in force with 'show', merge, and publish on the new base offset."),
+    TOO_FEW_ENGINES("Lower priority-engines, or publish again once more engines have the model."),
     UNKNOWN_TEMPLATE("Name a template that is in force; 'status' lists them.");
 
     private final String remedy;
--- a/state/src/main/java/org/shallothook/state/configuration/TeamTemplate.java
+++ b/state/src/main/java/org/shallothook/state/configuration/TeamTemplate.java
@@ -19,6 +19,7 @@
  * @param priority class of service
  * @param limits limits on the team's requests
  * @param services services that the team may call, by name
+ * @param priorityEngines engines of the model in each region that are kept free for priority work
  */
 public record TeamTemplate(
     String name,
@@ -28,7 +29,8 @@
     Map<String, String> tenants,
     PriorityClass priority,
     TeamLimits limits,
-    Map<String, ServiceTemplate> services) {
+    Map<String, ServiceTemplate> services,
+    int priorityEngines) {
   public TeamTemplate {
     Objects.requireNonNull(name, "name");
     Objects.requireNonNull(keyDigest, "keyDigest");
@@ -38,6 +40,22 @@
     Objects.requireNonNull(limits, "limits");
     tenants = Map.copyOf(tenants);
     services = Map.copyOf(services);
+    if (priorityEngines < 0) {
+      throw new IllegalArgumentException("priorityEngines must not be negative.");
+    }
+  }
+
+  /** Creates a template that keeps no engines free. */
+  public TeamTemplate(
+      String name,
+      String keyDigest,
+      ModelVersion modelVersion,
+      String rulebook,
+      Map<String, String> tenants,
+      PriorityClass priority,
+      TeamLimits limits,
+      Map<String, ServiceTemplate> services) {
+    this(name, keyDigest, modelVersion, rulebook, tenants, priority, limits, services, 0);
   }
 
   /** Returns the scope within which the team's cached blocks may be reused. */
@@ -48,7 +66,7 @@
   /** Returns the template without the texts of its prompts, for a process that renders none. */
   TeamTemplate withoutTexts() {
     return new TeamTemplate(
-        name, keyDigest, modelVersion, "", Map.of(), priority, limits, services);
+        name, keyDigest, modelVersion, "", Map.of(), priority, limits, services, priorityEngines);
   }
 
   /** Returns the text of a tenant, if the template has it. */
--- a/state/src/main/java/org/shallothook/state/configuration/TemplateParser.java
+++ b/state/src/main/java/org/shallothook/state/configuration/TemplateParser.java
@@ -69,9 +69,18 @@
         new ModelVersion(
             team.name("model"), team.name("version"), team.optional("adapter").orElse(""));
     PriorityClass priority = priority(team);
+    int priorityEngines = priorityEngines(team, priority);
     team.requireAllRead();
     return new TeamTemplate(
-        name, digest, version, text("rulebook"), tenants(), priority, limits(), services());
+        name,
+        digest,
+        version,
+        text("rulebook"),
+        tenants(),
+        priority,
+        limits(),
+        services(),
+        priorityEngines);
   }
 
   private void requireKnownSections() {
@@ -122,6 +131,19 @@
     };
   }
 
+  private static int priorityEngines(IniSection team, PriorityClass priority) {
+    String key = "priority-engines";
+    int engines = team.positive(key, 0);
+    if (engines > 0 && priority != PriorityClass.PRIORITY) {
+      throw team.fault(
+          ConfigurationError.Kind.INVALID_VALUE,
+          key,
+          Integer.toString(engines),
+          "Only a team with priority = priority may have engines kept free.");
+    }
+    return engines;
+  }
+
   private String text(String name) {
     IniSection section = new IniSection(document, name);
     String text = section.text("text");
--- a/state/src/test/java/org/shallothook/state/configuration/TemplateParserTest.java
+++ b/state/src/test/java/org/shallothook/state/configuration/TemplateParserTest.java
@@ -72,7 +72,9 @@
         "[service s] ~ checks-fencing = yes | INVALID_VALUE | yes",
         "[rulebook] ~ text = ${nowhere} | UNDEFINED_PARAMETER | nowhere",
         "[team] ~ version = 4 | REPEATED_KEY | version",
-        "[team] ~ priority = high | INVALID_VALUE | high"
+        "[team] ~ priority = high | INVALID_VALUE | high",
+        "[team] ~ priority-engines = 1 | INVALID_VALUE | priority-engines",
+        "[team] ~ priority = priority ~ priority-engines = -1 | INVALID_VALUE | priority-engines"
       })
   void namesPlaceAndRemedyOfAFault(String addition, ConfigurationError.Kind kind, String named) {
     ConfigurationError error =
@@ -83,6 +85,14 @@
     assertThat(error.message()).contains("docs/TROUBLESHOOTING.md#");
   }
 
+  @ParameterizedTest
+  @CsvSource({"'', 0", "priority-engines = 2, 2"})
+  void readsHowManyEnginesAreKeptFree(String line, int expected) {
+    TeamTemplate template = TemplateParser.parse(TEAM + "priority = priority\n" + line).get();
+    assertThat(template.priorityEngines()).isEqualTo(expected);
+    assertThat(template.withoutTexts().priorityEngines()).isEqualTo(expected);
+  }
+
   @Test
   void refusesATemplateWithoutModel() {
     ConfigurationError error = TemplateParser.parse(TEAM.replace("model = m\n", "")).getLeft();
--- a/transport/src/main/java/org/shallothook/transport/platform/EngineClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/EngineClient.java
@@ -80,6 +80,16 @@
     get("/v1/cache/blocks", EngineForm::cacheList, new SidecarEvent.EngineUnreachable());
   }
 
+  /** Orders the engine to take a role. */
+  public void order(SidecarCommand.OrderRole order) {
+    HttpCall call =
+        HttpCall.postJson(
+            settings.engine(), "/v1/orders", EngineForm.order(order), settings.statusTimeout());
+    client.send(
+        call,
+        result -> events.accept(new SidecarEvent.RoleOrderAnswered(order, isAccepted(result))));
+  }
+
   /** Orders the engine to load or unload a model version. */
   public void order(SidecarCommand.OrderEngine order) {
     HttpCall call =
