Hash the common opening of prompts once

Cause: a router hashed each prompt twice from its first byte, for the keys of its blocks and for its fingerprint.

Ruled out: the second compiler (CAPACITY: 156 MB against 110 MB a process); JSON, logging and explanations (below 2 % of the decision thread); the plan (below 3 %).

Change: the part of a prompt before its messages is hashed once for each template, model version and tenant. What is kept is keys and two digest states, no text, for at most 1,024 openings; the template is held weakly. Keys and fingerprints are the same as before, so routers of both builds agree. Counter prompts.openings-computed.

The test that counts computed openings failed without the cache (10 instead of 2); a property compares keys and fingerprints with those of the whole prompt.

--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
@@ -23,7 +23,6 @@
 
   private final CacheIdentity identity;
   private final RenderedPrompt prompt;
-  private final String fingerprint;
   private final int maximumOutputTokens;
   private final long configurationOffset;
   private final StreamAssembler stream = new StreamAssembler();
@@ -40,7 +39,6 @@
       TeamTemplate team,
       CacheIdentity identity,
       RenderedPrompt prompt,
-      String fingerprint,
       int maximumOutputTokens,
       long configurationOffset,
       long arrivedAtMicros,
@@ -48,7 +46,6 @@
     super(id, team, arrivedAtMicros, deadlineMicros);
     this.identity = identity;
     this.prompt = prompt;
-    this.fingerprint = fingerprint;
     this.maximumOutputTokens = maximumOutputTokens;
     this.configurationOffset = configurationOffset;
     this.candidatesUntilMicros = arrivedAtMicros + CANDIDATE_WAIT_MICROS;
@@ -63,7 +60,7 @@
   }
 
   String fingerprint() {
-    return fingerprint;
+    return prompt.fingerprint();
   }
 
   int maximumOutputTokens() {
@@ -154,7 +151,7 @@
         deadlineMicros(),
         configurationOffset,
         prompt.keys().size(),
-        fingerprint,
+        fingerprint(),
         planNames(),
         explainAttempts(),
         explainRetries(),
--- a/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
@@ -3,10 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.shallothook.coordination.placement.PrefixLevel;
 import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.quarantine.Fingerprint;
 import org.shallothook.state.cache.BlockKey;
-import org.shallothook.state.cache.BlockKeyChain;
+import org.shallothook.state.cache.BlockKeyPrefix;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.configuration.TeamTemplate;
 
@@ -14,20 +17,27 @@
  * Renders a team's template and a conversation into a prompt.
  *
  * <p>Order: rulebook, tenant, messages, cue for the answer. Every part starts with a marker line,
- * and no content can contain one.
+ * and no content can contain one. The part before the messages is hashed once for each template,
+ * model version and tenant.
  *
  * <p>Invariant: the prompt of a conversation's next turn starts with the bytes of the earlier
- * prompt. Immutable and thread-safe.
+ * prompt; what was rendered before changes no result. Not thread-safe.
  */
 final class PromptRenderer {
+  /** Greatest number of openings that are kept hashed. */
+  static final int MAXIMUM_OPENINGS = 1_024;
+
   private static final String MARKER = "\n<|";
   private static final String ESCAPED_MARKER = "\n<\\|";
+  private static final String CUE = MARKER + "assistant|>\n";
 
   private final int blockBytes;
+  private final OpeningCache openings;
 
   /** Creates a renderer for blocks of the given size. */
-  PromptRenderer(int blockBytes) {
+  PromptRenderer(int blockBytes, Counters counters) {
     this.blockBytes = blockBytes;
+    this.openings = new OpeningCache(MAXIMUM_OPENINGS, counters);
   }
 
   /**
@@ -35,17 +45,20 @@
    *
    * @param team template of the team
    * @param identity scope of cache reuse that the prompt belongs to
-   * @param tenantText text of the tenant, or the empty string
+   * @param tenant tenant whose text is part of the prompt, if any
    * @param messages conversation, oldest first, not empty
    */
   RenderedPrompt render(
-      TeamTemplate team, CacheIdentity identity, String tenantText, List<ChatMessage> messages) {
+      TeamTemplate team,
+      CacheIdentity identity,
+      Optional<String> tenant,
+      List<ChatMessage> messages) {
     StringBuilder text = new StringBuilder();
     appendPart(text, "rulebook", team.rulebook());
-    int rulebookBytes = utf8Length(text);
-    appendPart(text, "tenant", tenantText);
-    int tenantBytes = utf8Length(text);
-    int earlierTurns = 0;
+    int rulebookEnd = text.length();
+    appendPart(text, "tenant", tenant.flatMap(team::tenantText).orElse(""));
+    int openingEnd = text.length();
+    int earlierTurns = openingEnd;
     int firstTurn = 0;
     for (ChatMessage message : messages) {
       if (message.role().equals("assistant")) {
@@ -56,17 +69,33 @@
         firstTurn = text.length();
       }
     }
-    String prompt = text.append(MARKER).append("assistant|>\n").toString();
+    String prompt = text.append(CUE).toString();
     byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
-    List<BlockKey> keys = BlockKeyChain.keysOf(identity, bytes, blockBytes);
-    String opening = prompt.substring(0, firstTurn == 0 ? prompt.length() : firstTurn);
-    List<PrefixLevel> levels =
-        levelsOf(identity, keys, opening, rulebookBytes / blockBytes, tenantBytes / blockBytes);
-    int earlierBlocks =
-        earlierTurns == 0
-            ? tenantBytes / blockBytes
-            : utf8Length(prompt.substring(0, earlierTurns)) / blockBytes;
-    return new RenderedPrompt(prompt, bytes, keys, levels, earlierBlocks);
+    PromptOpening opening =
+        openings.get(
+            team,
+            identity,
+            tenant.orElse(""),
+            () -> openingOf(identity, prompt.substring(0, openingEnd), rulebookEnd));
+    List<BlockKey> keys = opening.keys().extend(bytes).keys();
+    String conversation = prompt.substring(0, firstTurn == 0 ? prompt.length() : firstTurn);
+    int earlierBytes = opening.bytes() + utf8Length(prompt.substring(openingEnd, earlierTurns));
+    return new RenderedPrompt(
+        prompt,
+        bytes,
+        keys,
+        levelsOf(identity, keys, conversation, opening),
+        earlierBytes / blockBytes,
+        opening.fingerprint().of(bytes));
+  }
+
+  private PromptOpening openingOf(CacheIdentity identity, String opening, int rulebookEnd) {
+    byte[] bytes = opening.getBytes(StandardCharsets.UTF_8);
+    return new PromptOpening(
+        BlockKeyPrefix.empty(identity, blockBytes).extend(bytes),
+        Fingerprint.empty(identity.team()).extend(bytes),
+        bytes.length,
+        utf8Length(opening.substring(0, rulebookEnd)) / blockBytes);
   }
 
   private static void appendPart(StringBuilder text, String name, String content) {
@@ -75,14 +104,12 @@
   }
 
   private static List<PrefixLevel> levelsOf(
-      CacheIdentity identity,
-      List<BlockKey> keys,
-      String opening,
-      int rulebookBlocks,
-      int tenantBlocks) {
+      CacheIdentity identity, List<BlockKey> keys, String conversationText, PromptOpening opening) {
+    int rulebookBlocks = opening.rulebookBlocks();
+    int tenantBlocks = opening.keys().keys().size();
     long scope = RendezvousHash.hashOf(identity.toString());
     List<PrefixLevel> levels = new ArrayList<>();
-    long conversation = RendezvousHash.combine(scope, RendezvousHash.hashOf(opening));
+    long conversation = RendezvousHash.combine(scope, RendezvousHash.hashOf(conversationText));
     levels.add(new PrefixLevel(PrefixLevel.Kind.CONVERSATION, conversation, keys.size()));
     if (tenantBlocks > rulebookBlocks) {
       levels.add(sharedLevel(PrefixLevel.Kind.TENANT, keys, tenantBlocks));
@@ -98,7 +125,7 @@
     return new PrefixLevel(kind, RendezvousHash.combine(last.high(), last.low()), blocks);
   }
 
-  private static int utf8Length(CharSequence text) {
-    return text.toString().getBytes(StandardCharsets.UTF_8).length;
+  private static int utf8Length(String text) {
+    return text.getBytes(StandardCharsets.UTF_8).length;
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/router/RenderedPrompt.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RenderedPrompt.java
@@ -14,7 +14,13 @@
  * @param keys keys of its whole blocks
  * @param levels levels of sharing, deepest first
  * @param expectedBlocks leading blocks that earlier prompts have probably had in common with it
+ * @param fingerprint recognises the prompt when its caller sends it again
  */
 @SuppressWarnings("ArrayRecordComponent")
 record RenderedPrompt(
-    String text, byte[] bytes, List<BlockKey> keys, List<PrefixLevel> levels, int expectedBlocks) {}
+    String text,
+    byte[] bytes,
+    List<BlockKey> keys,
+    List<PrefixLevel> levels,
+    int expectedBlocks,
+    String fingerprint) {}
--- a/coordination/src/main/java/org/shallothook/coordination/router/RequestScreening.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RequestScreening.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.shallothook.coordination.configuration.ConfigurationReplica;
-import org.shallothook.coordination.quarantine.Fingerprint;
 import org.shallothook.coordination.quarantine.PoisonGuard;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
@@ -45,7 +44,7 @@
     this.book = book;
     this.poison = poison;
     this.versions = versions;
-    this.renderer = new PromptRenderer(options.blockBytes());
+    this.renderer = new PromptRenderer(options.blockBytes(), options.counters());
   }
 
   /** Refuses every new request from now on. */
@@ -88,20 +87,18 @@
     if (fault.isPresent()) {
       return Either.left(fault.get());
     }
-    String tenantText = request.tenant().flatMap(team::tenantText).orElse("");
     ModelVersion version =
         versions.versionFor(
             team, configuration.state(), request.tenant(), request.messages(), nowMicros);
     CacheIdentity identity = new CacheIdentity(team.name(), version);
-    RenderedPrompt prompt = renderer.render(team, identity, tenantText, request.messages());
+    RenderedPrompt prompt = renderer.render(team, identity, request.tenant(), request.messages());
     int limit = team.limits().maximumPromptBytes();
     if (prompt.bytes().length > limit) {
       return refuse(
           RefusalReason.BODY_TOO_LARGE,
           "The prompt has " + prompt.bytes().length + " bytes, the team's limit is " + limit + ".");
     }
-    String fingerprint = Fingerprint.of(team.name(), prompt.bytes());
-    Optional<Long> until = poison.quarantinedUntil(fingerprint, nowMicros);
+    Optional<Long> until = poison.quarantinedUntil(prompt.fingerprint(), nowMicros);
     if (until.isPresent()) {
       return Either.left(
           Refusal.notRun(RefusalReason.QUARANTINED, "The request is in quarantine.", until.get()));
@@ -117,7 +114,6 @@
             team,
             identity,
             prompt,
-            fingerprint,
             Math.min(outputLimit, request.maximumOutputTokens().orElse(outputLimit)),
             configuration.state().offset(),
             nowMicros,
--- a/coordination/src/test/java/org/shallothook/coordination/router/PromptRendererTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/PromptRendererTest.java
@@ -2,18 +2,26 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.placement.PrefixLevel;
+import org.shallothook.coordination.quarantine.Fingerprint;
+import org.shallothook.state.cache.BlockKeyChain;
+import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.configuration.TeamLimits;
@@ -21,23 +29,84 @@
 
 /** Prompts of a conversation extend each other, and nobody's content can pass for another part. */
 final class PromptRendererTest {
-  private final PromptRenderer renderer = new PromptRenderer(64);
+  private static final int BLOCK_BYTES = 64;
+  private static final List<ChatMessage> QUESTION = List.of(new ChatMessage("user", "Whose turn?"));
 
-  private static TeamTemplate team(String rulebook) {
+  private final AtomicInteger openingsComputed = new AtomicInteger();
+  private final PromptRenderer renderer =
+      new PromptRenderer(
+          BLOCK_BYTES,
+          name -> {
+            if (name.equals("prompts.openings-computed")) {
+              openingsComputed.incrementAndGet();
+            }
+          });
+
+  private static TeamTemplate team(String rulebook, Map<String, String> tenants) {
     return new TeamTemplate(
         "linen",
         "00",
         ModelVersion.of("m", "1"),
         rulebook,
-        Map.of(),
+        tenants,
         PriorityClass.ORDINARY,
         TeamLimits.DEFAULT,
         Map.of());
   }
 
   private RenderedPrompt render(String rulebook, String tenant, List<ChatMessage> messages) {
-    TeamTemplate team = team(rulebook);
-    return renderer.render(team, team.cacheIdentity(), tenant, messages);
+    return render(team(rulebook, Map.of("parish", tenant)), "parish", messages);
+  }
+
+  private RenderedPrompt render(TeamTemplate team, String tenant, List<ChatMessage> messages) {
+    return renderer.render(team, team.cacheIdentity(), Optional.of(tenant), messages);
+  }
+
+  @Test
+  void aConversationsOpeningIsHashedOnce() {
+    TeamTemplate team = team("rules ".repeat(40), Map.of("parish", "register", "guild", "list"));
+
+    for (int turn = 0; turn < 5; turn++) {
+      render(team, "parish", List.of(new ChatMessage("user", "Turn " + turn)));
+      render(team, "guild", QUESTION);
+    }
+
+    assertThat(openingsComputed.get()).isEqualTo(2);
+  }
+
+  @Test
+  void openingsBeyondTheGreatestNumberAreDropped() {
+    Map<String, String> tenants = new HashMap<>();
+    for (int tenant = 0; tenant <= PromptRenderer.MAXIMUM_OPENINGS; tenant++) {
+      tenants.put("tenant-" + tenant, "register");
+    }
+    TeamTemplate team = team("rules", tenants);
+
+    tenants.keySet().forEach(tenant -> render(team, tenant, QUESTION));
+    tenants.keySet().stream().limit(1).forEach(tenant -> render(team, tenant, QUESTION));
+
+    assertThat(openingsComputed.get()).isEqualTo(PromptRenderer.MAXIMUM_OPENINGS + 2);
+  }
+
+  @Property(seed = "72", tries = 300)
+  void whatWasRenderedBeforeChangesNoKeyAndNoFingerprint(
+      @ForAll("messages") List<ChatMessage> messages,
+      @ForAll("texts") String rulebook,
+      @ForAll("texts") String laterRulebook,
+      @ForAll("texts") String tenant) {
+    render(rulebook, tenant, QUESTION);
+    for (String current : List.of(rulebook, laterRulebook)) {
+      TeamTemplate team = team(current, Map.of("parish", tenant));
+      for (String version : List.of("1", "2")) {
+        CacheIdentity identity = new CacheIdentity("linen", ModelVersion.of("m", version));
+        RenderedPrompt prompt = renderer.render(team, identity, Optional.of("parish"), messages);
+        byte[] bytes = prompt.text().getBytes(StandardCharsets.UTF_8);
+
+        assertThat(prompt.bytes()).isEqualTo(bytes);
+        assertThat(prompt.keys()).isEqualTo(BlockKeyChain.keysOf(identity, bytes, BLOCK_BYTES));
+        assertThat(prompt.fingerprint()).isEqualTo(Fingerprint.of("linen", bytes));
+      }
+    }
   }
 
   @Property(seed = "71", tries = 300)
--- a/state/src/main/java/org/shallothook/state/cache/BlockKeyChain.java
+++ b/state/src/main/java/org/shallothook/state/cache/BlockKeyChain.java
@@ -1,10 +1,5 @@
 package org.shallothook.state.cache;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -21,8 +16,6 @@
  * Stateless and thread-safe.
  */
 public final class BlockKeyChain {
-  private static final String ALGORITHM = "SHA-256";
-
   private BlockKeyChain() {}
 
   /**
@@ -33,47 +26,6 @@
    * @param blockBytes bytes in a block, positive
    */
   public static List<BlockKey> keysOf(CacheIdentity identity, byte[] prompt, int blockBytes) {
-    if (blockBytes <= 0) {
-      throw new IllegalArgumentException("blockBytes must be positive, found " + blockBytes);
-    }
-    MessageDigest digest = newDigest();
-    byte[] previous = seedOf(identity, digest);
-    int blocks = prompt.length / blockBytes;
-    List<BlockKey> keys = new ArrayList<>(blocks);
-    for (int block = 0; block < blocks; block++) {
-      digest.update(previous);
-      digest.update(prompt, block * blockBytes, blockBytes);
-      previous = digest.digest();
-      keys.add(toKey(previous));
-    }
-    return List.copyOf(keys);
-  }
-
-  private static byte[] seedOf(CacheIdentity identity, MessageDigest digest) {
-    ModelVersion version = identity.modelVersion();
-    updateField(digest, identity.team());
-    updateField(digest, version.model());
-    updateField(digest, version.version());
-    updateField(digest, version.adapter());
-    return digest.digest();
-  }
-
-  private static void updateField(MessageDigest digest, String field) {
-    byte[] bytes = field.getBytes(StandardCharsets.UTF_8);
-    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
-    digest.update(bytes);
-  }
-
-  private static BlockKey toKey(byte[] hash) {
-    ByteBuffer buffer = ByteBuffer.wrap(hash);
-    return new BlockKey(buffer.getLong(), buffer.getLong());
-  }
-
-  private static MessageDigest newDigest() {
-    try {
-      return MessageDigest.getInstance(ALGORITHM);
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("Every Java runtime provides " + ALGORITHM, e);
-    }
+    return BlockKeyPrefix.empty(identity, blockBytes).extend(prompt).keys();
   }
 }
