Copy no template on a router's tick

Cause: each tick, 50 times a second, asked for the oldest retained record to learn its age, and the record was put together from its head and its template for that.

Ruled out: rendering as the first allocator (13, 9 and 8 % in its three places).

Change: the age and the offset are asked for alone.

ConfigurationLogTest asks for the offset by its new name.

--- a/coordination/src/main/java/org/shallothook/coordination/configuration/SnapshotWriter.java
+++ b/coordination/src/main/java/org/shallothook/coordination/configuration/SnapshotWriter.java
@@ -8,7 +8,6 @@
 import org.shallothook.state.configuration.ConfigurationRecord;
 import org.shallothook.state.configuration.ConfigurationRecordText;
 import org.shallothook.state.configuration.ConfigurationState;
-import org.shallothook.state.log.LogRecord;
 
 /**
  * Appends a snapshot of the configuration before the records that it rests on expire.
@@ -67,17 +66,17 @@
   }
 
   private boolean isDue(ConfigurationLog log, long firstInLog, long nowMicros) {
-    Optional<LogRecord> oldest = log.oldestRetained();
-    if (oldest.isEmpty() || log.isCollecting()) {
+    Optional<Long> oldestAtMicros = log.oldestRetainedAtMicros();
+    if (oldestAtMicros.isEmpty() || log.isCollecting()) {
       return false;
     }
-    long dueMicros = oldest.get().appendedAtMicros() + retentionMicros / DUE_DIVISOR + jitterMicros;
-    return nowMicros >= dueMicros || firstInLog > oldest.get().offset();
+    long dueMicros = oldestAtMicros.get() + retentionMicros / DUE_DIVISOR + jitterMicros;
+    return nowMicros >= dueMicros || firstInLog > log.oldestRetainedOffset().orElseThrow();
   }
 
   /** A snapshot is settled when it, or a newer one, is complete: older records are then dropped. */
   private static boolean isSettled(ConfigurationLog log, ConfigurationState state) {
-    return log.oldestRetained().filter(r -> r.offset() >= state.offset()).isPresent();
+    return log.oldestRetainedOffset().filter(offset -> offset >= state.offset()).isPresent();
   }
 
   private void appendMissing(ConfigurationLog log, ConfigurationState state) {
--- a/state/src/main/java/org/shallothook/state/configuration/ConfigurationLog.java
+++ b/state/src/main/java/org/shallothook/state/configuration/ConfigurationLog.java
@@ -102,9 +102,14 @@
         .toList();
   }
 
-  /** Returns the oldest record that a newcomer needs, if there is any record. */
-  public Optional<LogRecord> oldestRetained() {
-    return retained.stream().findFirst().map(RetainedRecord::toLogRecord);
+  /** Returns the offset of the oldest record that a newcomer needs, if there is any record. */
+  public Optional<Long> oldestRetainedOffset() {
+    return oldestRetained().map(RetainedRecord::offset);
+  }
+
+  /** Returns when that record was appended, in microseconds since the epoch. */
+  public Optional<Long> oldestRetainedAtMicros() {
+    return oldestRetained().map(RetainedRecord::appendedAtMicros);
   }
 
   /** Returns whether a part of a snapshot has been read. */
@@ -127,6 +132,10 @@
     return conflicts;
   }
 
+  private Optional<RetainedRecord> oldestRetained() {
+    return retained.stream().findFirst();
+  }
+
   private boolean takeAbove(long firstAvailable, LogRecord record) {
     if (!collected.isEmpty() && record.offset() <= lastCollected()) {
       return true;
--- a/state/src/test/java/org/shallothook/state/configuration/ConfigurationLogTest.java
+++ b/state/src/test/java/org/shallothook/state/configuration/ConfigurationLogTest.java
@@ -94,7 +94,7 @@
     assertThat(newcomer.state()).isEqualTo(log.state());
     assertThat(newcomer.state().team("a").orElseThrow().modelVersion().version()).isEqualTo("2");
     assertThat(newcomer.recordsFrom(0)).isEqualTo(log.recordsFrom(0));
-    assertThat(log.oldestRetained().orElseThrow().offset()).isEqualTo(3);
+    assertThat(log.oldestRetainedOffset()).hasValue(3L);
   }
 
   private List<String> earlierOf(String team) {
