Spell out what a conversation's place is hashed from

Change: the hashed text is written out in PromptRenderer, as earlier builds had it; a test pins it, which fails without the change.

--- a/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
@@ -11,6 +11,7 @@
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.BlockKeyPrefix;
 import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.TeamTemplate;
 
 /**
@@ -107,7 +108,7 @@
       CacheIdentity identity, List<BlockKey> keys, String conversationText, PromptOpening opening) {
     int rulebookBlocks = opening.rulebookBlocks();
     int tenantBlocks = opening.keys().keys().size();
-    long scope = RendezvousHash.hashOf(identity.toString());
+    long scope = RendezvousHash.hashOf(scopeOf(identity));
     List<PrefixLevel> levels = new ArrayList<>();
     long conversation = RendezvousHash.combine(scope, RendezvousHash.hashOf(conversationText));
     levels.add(new PrefixLevel(PrefixLevel.Kind.CONVERSATION, conversation, keys.size()));
@@ -120,6 +121,20 @@
     return levels;
   }
 
+  /** Spelt out, since routers of different builds must place a conversation alike. */
+  private static String scopeOf(CacheIdentity identity) {
+    ModelVersion version = identity.modelVersion();
+    return "CacheIdentity[team="
+        + identity.team()
+        + ", modelVersion=ModelVersion[model="
+        + version.model()
+        + ", version="
+        + version.version()
+        + ", adapter="
+        + version.adapter()
+        + "]]";
+  }
+
   private static PrefixLevel sharedLevel(PrefixLevel.Kind kind, List<BlockKey> keys, int blocks) {
     BlockKey last = keys.get(blocks - 1);
     return new PrefixLevel(kind, RendezvousHash.combine(last.high(), last.low()), blocks);
--- a/coordination/src/test/java/org/shallothook/coordination/router/PromptRendererTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/PromptRendererTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.placement.PrefixLevel;
+import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.coordination.quarantine.Fingerprint;
 import org.shallothook.state.cache.BlockKeyChain;
 import org.shallothook.state.cache.CacheIdentity;
@@ -109,6 +110,19 @@
     }
   }
 
+  @Test
+  void routersOfEveryBuildPlaceAConversationAlike() {
+    RenderedPrompt prompt = render("rules", "", List.of(new ChatMessage("user", "hello")));
+    String scope =
+        "CacheIdentity[team=linen, modelVersion=ModelVersion[model=m, version=1, adapter=]]";
+
+    assertThat(prompt.levels().get(0).hash())
+        .isEqualTo(
+            RendezvousHash.combine(
+                RendezvousHash.hashOf(scope),
+                RendezvousHash.hashOf(prompt.text().replace("\n<|assistant|>\n", ""))));
+  }
+
   @Property(seed = "71", tries = 300)
   void laterTurnsExtendEarlierPromptsAndShareTheirLevels(
       @ForAll("messages") List<ChatMessage> messages,
