Pass nothing on that follows a rejected frame

Cause: closing a connection takes a turn of its loop, while one read can hold many frames. Frames behind a malformed one, or behind one of another sender, were still decoded and passed on, so that a listener heard a stream with a hole in it before it heard of the loss; a valid Hello behind a bad first frame even opened a connection that was already closed.

Change: a connection that is being closed drops and counts what was read already (peer.late-message), and counts one failure, not one per bad length left in the buffer.

--- a/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerConnection.java
@@ -27,7 +27,8 @@
  * bytes are heartbeats.
  *
  * <p>Invariant: nothing but Hello is written before the peer's Hello; every message after it names
- * the same sender and incarnation. Used on the loop of the peers alone.
+ * the same sender and incarnation; nothing that follows a rejected frame is passed on. Used on the
+ * loop of the peers alone.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<ByteBuf> {
   private static final Duration CONGESTION_PAUSE = Duration.ofMillis(5);
@@ -108,7 +109,9 @@
     write(frame);
   }
 
+  /** Closes the connection now; drops what was read from it already. */
   void close() {
+    isEnding = true;
     Channels.close(channel);
   }
 
@@ -134,7 +137,11 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext received, ByteBuf frame) {
-    if (!frame.isReadable() || isEnding) {
+    if (!frame.isReadable()) {
+      return;
+    }
+    if (isEnding) {
+      context.counters().increment("peer.late-message");
       return;
     }
     if (peerHello.isPresent()) {
@@ -176,8 +183,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
-    context.counters().increment("peer.connection-failed");
-    Part.PEER.debug("The connection to '{}' failed: {}.", peerName(), cause.getMessage());
+    if (!isEnding) {
+      context.counters().increment("peer.connection-failed");
+      Part.PEER.debug("The connection to '{}' failed: {}.", peerName(), cause.getMessage());
+    }
+    isEnding = true;
     Channels.close(failed);
   }
 
--- a/transport/src/test/java/org/shallothook/transport/peer/RawPeer.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/RawPeer.java
@@ -32,11 +32,13 @@
 
   void accept() throws IOException {
     socket = server.accept();
+    socket.setTcpNoDelay(true);
     peerHello = Optional.empty();
   }
 
   void connect(InetSocketAddress address) throws IOException {
     socket = new Socket(address.getAddress(), address.getPort());
+    socket.setTcpNoDelay(true);
     peerHello = Optional.empty();
   }
 
@@ -83,6 +85,17 @@
     }
   }
 
+  /** Sends bytes as they are and then no more, as far as the other side takes them. */
+  void sendLast(byte[] bytes) {
+    try {
+      socket.getOutputStream().write(bytes);
+      socket.shutdownOutput();
+    } catch (IOException e) {
+      // The other side has closed the connection before the last byte.
+      return;
+    }
+  }
+
   void closeConnection() throws IOException {
     socket.close();
   }
--- a/transport/src/test/java/org/shallothook/transport/peer/RecordingListener.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/RecordingListener.java
@@ -1,5 +1,7 @@
 package org.shallothook.transport.peer;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -44,6 +46,13 @@
     return next;
   }
 
+  /** Takes what was heard so far. */
+  List<Heard> takeAll() {
+    List<Heard> taken = new ArrayList<>();
+    heard.drainTo(taken);
+    return taken;
+  }
+
   /** Waits for the next message. */
   Envelope nextMessage() throws InterruptedException {
     return ((Heard.Message) next()).envelope();
