Look at the key before telling a caller of its body

Cause: the transport answered a body that it could not read with 400 by itself, before anyone had looked at the key, so that callers without a valid key learnt about their bodies and got 400 where 401 was due. A body over the limit was 413 even without any key.

Weighed: a check of keys in the transport (a second copy of the teams' keys on other threads); 401 for a missing key at the head (a wrong key would still have learnt). Chosen: the transport hands an unreadable request to the router core as an event with its refusal; the core authenticates it like any other and gives the refusal to callers with a valid key only. Without any key a body over the limit is 401, decided from the head; with a wrong key it stays 413, which tells only of the limit, since the key is looked up once a request is whole.

--- a/coordination/src/main/java/org/shallothook/coordination/router/ParkedRequests.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ParkedRequests.java
@@ -49,6 +49,9 @@
     if (event instanceof RouterEvent.CallRequested call) {
       return Optional.of(call.request());
     }
+    if (event instanceof RouterEvent.UnreadableRequested unreadable) {
+      return Optional.of(unreadable.request());
+    }
     return event instanceof RouterEvent.ModelsRequested models
         ? Optional.of(models.request())
         : Optional.empty();
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterCore.java
@@ -187,6 +187,7 @@
   private static boolean isRequest(RouterEvent event) {
     return event instanceof RouterEvent.ChatRequested
         || event instanceof RouterEvent.CallRequested
+        || event instanceof RouterEvent.UnreadableRequested
         || event instanceof RouterEvent.ModelsRequested;
   }
 
@@ -205,6 +206,8 @@
       calls.onRequested(call, nowMicros);
     } else if (event instanceof RouterEvent.ModelsRequested models) {
       onModelsRequested(models, nowMicros);
+    } else if (event instanceof RouterEvent.UnreadableRequested unreadable) {
+      onUnreadableRequested(unreadable, nowMicros);
     }
   }
 
@@ -322,6 +325,14 @@
             models.request(), List.of(team.get().modelVersion().model())));
   }
 
+  private void onUnreadableRequested(RouterEvent.UnreadableRequested request, long nowMicros) {
+    Either<Refusal, TeamTemplate> team =
+        screening.authenticate(request.request(), request.key(), nowMicros);
+    String name = team.map(TeamTemplate::name).getOrElse("");
+    Refusal refusal = team.isLeft() ? team.getLeft() : request.refusal();
+    book.refuseUnadmitted(request.request(), name, "", refusal, nowMicros);
+  }
+
   private void releaseParked(long nowMicros) {
     if (parked.isEmpty()) {
       return;
--- a/coordination/src/main/java/org/shallothook/coordination/router/RouterEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RouterEvent.java
@@ -5,6 +5,7 @@
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.state.log.LogPage;
 import org.shallothook.state.membership.InstanceList;
+import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RequestId;
 
 /**
@@ -63,6 +64,17 @@
       String body)
       implements RouterEvent {}
 
+  /**
+   * A caller sends a request whose body cannot be read. The refusal tells of the body, so it is for
+   * callers with a valid key only.
+   *
+   * @param request identifier given by the transport
+   * @param key team key as sent, without {@code Bearer}; empty if none was sent
+   * @param refusal answer to a caller whose key belongs to a team
+   */
+  record UnreadableRequested(RequestId request, String key, Refusal refusal)
+      implements RouterEvent {}
+
   /**
    * A caller asks which models it may use.
    *
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreChatTest.java
@@ -54,6 +54,19 @@
     assertThat(harness.counter("refusals." + reason.code())).isEqualTo(1);
   }
 
+  @ParameterizedTest
+  @CsvSource({"wrong, UNKNOWN_KEY", "'', UNKNOWN_KEY", "linen-key, MALFORMED_REQUEST"})
+  void tellsOfABodyOnlyWhereTheKeyIsValid(String key, RefusalReason reason) {
+    RouterHarness harness = RouterHarness.ready(1);
+    RequestId request = RequestId.of("router-1", 1, 77);
+    Refusal malformed = Refusal.notRun(RefusalReason.MALFORMED_REQUEST, "The body ends early.");
+    harness.send(new RouterEvent.UnreadableRequested(request, key, malformed));
+
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(reason);
+    assertThat(harness.counter("refusals." + reason.code())).isEqualTo(1);
+    assertThat(harness.core.explain(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
   @ParameterizedTest
   @EnumSource(
       value = RefusalReason.class,
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
@@ -231,6 +231,10 @@
   }
 
   private void refuseTooLarge() {
+    if (head.map(CallerRouting::keyOf).filter(key -> !key.isEmpty()).isEmpty()) {
+      refuseAndDiscard(RefusalReason.UNKNOWN_KEY, "No key was sent.");
+      return;
+    }
     refuseAndDiscard(
         RefusalReason.BODY_TOO_LARGE,
         "The body is larger than " + context.settings().maximumBodyBytes() + " bytes.");
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerRouting.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerRouting.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.shallothook.coordination.router.RouterEvent;
@@ -29,20 +30,26 @@
   static Either<Refusal, RouterEvent> eventOf(RequestId id, CallerRequest request) {
     String path = request.path();
     if (request.isMethod(HttpMethod.POST) && path.equals(CHAT)) {
-      return chat(id, request);
+      return Either.right(chat(id, request));
     }
     if (request.isMethod(HttpMethod.GET) && path.equals(MODELS)) {
       return Either.right(new RouterEvent.ModelsRequested(id, key(request)));
     }
     Optional<ServicePath> service = ServicePath.of(path);
     if (request.isMethod(HttpMethod.POST) && service.isPresent() && !request.hasQuery()) {
-      return call(id, request, service.get());
+      return Either.right(call(id, request, service.get()));
     }
     return Either.left(
         Refusal.notRun(RefusalReason.NOT_FOUND, "There is nothing at this method and path."));
   }
 
-  private static Either<Refusal, RouterEvent> chat(RequestId id, CallerRequest request) {
+  /** Returns the key of a request's team as sent; empty if none was sent. */
+  static String keyOf(HttpRequest head) {
+    return CallerHeaders.keyOf(
+        Optional.ofNullable(head.headers().get(HttpHeaderNames.AUTHORIZATION)));
+  }
+
+  private static RouterEvent chat(RequestId id, CallerRequest request) {
     ChatRequestForm.Headers headers =
         new ChatRequestForm.Headers(
             key(request),
@@ -50,15 +57,13 @@
             request.header(CallerHeaders.DEADLINE));
     return body(request)
         .flatMap(body -> ChatRequestForm.read(id, headers, body))
-        .mapLeft(CallerProtocolError::toRefusal)
-        .map(RouterEvent.class::cast);
+        .<RouterEvent>map(chat -> chat)
+        .getOrElseGet(error -> unreadable(id, request, error));
   }
 
-  private static Either<Refusal, RouterEvent> call(
-      RequestId id, CallerRequest request, ServicePath target) {
+  private static RouterEvent call(RequestId id, CallerRequest request, ServicePath target) {
     return body(request)
-        .mapLeft(CallerProtocolError::toRefusal)
-        .map(
+        .<RouterEvent>map(
             body ->
                 new RouterEvent.CallRequested(
                     id,
@@ -67,7 +72,14 @@
                     target.path(),
                     request.header(CallerHeaders.IDEMPOTENCY_KEY),
                     request.contentType(),
-                    body));
+                    body))
+        .getOrElseGet(error -> unreadable(id, request, error));
+  }
+
+  /** Only who knows the teams' keys may tell a caller what is wrong with its body. */
+  private static RouterEvent unreadable(
+      RequestId id, CallerRequest request, CallerProtocolError error) {
+    return new RouterEvent.UnreadableRequested(id, key(request), error.toRefusal());
   }
 
   private static Either<CallerProtocolError, String> body(CallerRequest request) {
@@ -75,6 +87,6 @@
   }
 
   private static String key(CallerRequest request) {
-    return CallerHeaders.keyOf(request.header(HttpHeaderNames.AUTHORIZATION));
+    return keyOf(request.head());
   }
 }
--- a/transport/src/test/java/org/shallothook/transport/caller/RawCaller.java
+++ b/transport/src/test/java/org/shallothook/transport/caller/RawCaller.java
@@ -28,6 +28,11 @@
     socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Sends each character as one byte, so that bytes need not be UTF-8. */
+  void sendLatin(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
   void post(String path, String body) throws IOException {
     int length = body.getBytes(StandardCharsets.UTF_8).length;
     send("POST " + path + " HTTP/1.1\r\nhost: x\r\ncontent-length: " + length + "\r\n\r\n" + body);
