Send a sample of a prompt's keys in offers

A key covers all blocks before it, so the first two, every fourth and the last six tell as much, less three blocks at most.

Change: BlockKeySample; the number of blocks decides which keys are sent, so frames stay as they are and an older router's offer is read as before. The routers' test doubles counted the keys of an offer as what the engine has cached; they count the prompt's blocks now, which is what they meant.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/control/ControlCommand.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/control/ControlCommand.java
@@ -67,7 +67,12 @@
         run.greatest(SIDECAR));
     for (MessageKind kind : MessageKind.values()) {
       print(
-          "  %s: router %.1f, sidecar %.1f", kind, run.mean(ROUTER, kind), run.mean(SIDECAR, kind));
+          "  %s: router %.1f (busiest %.1f), sidecar %.1f (%.1f)",
+          kind,
+          run.mean(ROUTER, kind),
+          run.ofBusiest(ROUTER, kind),
+          run.mean(SIDECAR, kind),
+          run.ofBusiest(SIDECAR, kind));
     }
   }
 
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/control/ControlRun.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/control/ControlRun.java
@@ -1,5 +1,6 @@
 package org.shallothook.benchmarks.control;
 
+import java.util.Comparator;
 import java.util.Map;
 import java.util.function.ToLongFunction;
 import org.shallothook.benchmarks.virtual.VirtualFleet;
@@ -59,11 +60,20 @@
 
   /** Returns the control bytes a second of the busiest process. */
   public double greatest(String prefix) {
+    return perSecond(busiest(prefix).control());
+  }
+
+  /** Returns the bytes a second of one kind at the process that spends most on control. */
+  public double ofBusiest(String prefix, MessageKind kind) {
+    return perSecond(busiest(prefix).of(kind));
+  }
+
+  private ByteCounts busiest(String prefix) {
     return byProcess.entrySet().stream()
         .filter(entry -> entry.getKey().startsWith(prefix))
-        .mapToDouble(entry -> perSecond(entry.getValue().control()))
-        .max()
-        .orElse(0);
+        .map(Map.Entry::getValue)
+        .max(Comparator.comparingLong(ByteCounts::control))
+        .orElseGet(ByteCounts::new);
   }
 
   private double mean(String prefix, ToLongFunction<ByteCounts> figure) {
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -39,7 +39,8 @@
    * @param attempt attempt that the offer opens
    * @param identity scope of cache reuse, with the model version that must answer
    * @param priority class of service
-   * @param keys keys of the prompt's whole blocks, whole or all abbreviated
+   * @param keys keys of the prompt's whole blocks or the sample of them that {@link
+   *     org.shallothook.state.cache.BlockKeySample} takes, whole or all abbreviated
    * @param promptBytes size of the prompt
    * @param maximumOutputTokens greatest number of tokens to generate
    * @param deadlineMicros when the first token is of no more use, in microseconds since the epoch
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -19,6 +19,7 @@
 import org.shallothook.coordination.placement.SpreadCache;
 import org.shallothook.coordination.quarantine.PoisonGuard;
 import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.BlockKeySample;
 import org.shallothook.state.request.RefusalReason;
 
 /**
@@ -220,7 +221,7 @@
         attempt.id(),
         exchange.identity(),
         exchange.team().priority(),
-        exchange.prompt().keys().stream().map(BlockKey::abbreviated).toList(),
+        BlockKeySample.of(exchange.prompt().keys()).stream().map(BlockKey::abbreviated).toList(),
         exchange.prompt().bytes().length,
         exchange.maximumOutputTokens(),
         deadline,
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/OfferedKeys.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/OfferedKeys.java
@@ -9,9 +9,10 @@
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.BlockKeyChain;
+import org.shallothook.state.cache.BlockKeySample;
 
 /**
- * Finds the whole keys behind those of an offer, which are abbreviated.
+ * Finds the whole keys behind those of an offer, which are abbreviated and a sample.
  *
  * <p>The keys of cached blocks and of prompts seen lately are known; any other is left abbreviated
  * and matches nothing. Once the prompt is here, its keys are derived from it, so an abbreviation
@@ -32,9 +33,10 @@
     this.blockBytes = blockBytes;
   }
 
-  /** Returns the offer with whole keys where they are known. */
+  /** Returns the offer with a key for each block, whole where it is known. */
   PeerMessage.Offer resolve(PeerMessage.Offer offer) {
-    return offer.withKeys(offer.keys().stream().map(this::resolve).toList());
+    List<BlockKey> known = offer.keys().stream().map(this::resolve).toList();
+    return offer.withKeys(BlockKeySample.expand(known, offer.promptBytes() / blockBytes));
   }
 
   /**
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -412,7 +412,7 @@
     RouterHarness harness = RouterHarness.ready(4);
     for (int sent = 0; sent < 100; sent++) {
       Sent<PeerMessage.Offer> offer = spreadOffer(harness, harness.chat("question " + sent));
-      int blocks = offer.message().keys().size();
+      int blocks = RouterHarness.blocksOf(offer.message());
       harness.reply(offer, Optional.empty(), new Hint(blocks, 60_000, 1, 0));
       harness.now += offer.peer().equals("engine-1") ? 2_000_000 : 70_000;
       harness.tokens(offer.message().attempt(), 0, "a");
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterFaultTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterFaultTest.java
@@ -154,7 +154,7 @@
               new PeerMessage.OfferReply(
                   offer.attempt(),
                   Optional.empty(),
-                  new Hint(offer.keys().size(), 0, 1, 0),
+                  new Hint(RouterHarness.blocksOf(offer), 0, 1, 0),
                   harness.now + 500_000));
         }
       } else if (message instanceof PeerMessage.Submit submit) {
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterHarness.java
@@ -30,6 +30,7 @@
 
 /** Drives a router core with events under a virtual clock and keeps its commands. */
 final class RouterHarness {
+  private static final int BLOCK_BYTES = 100;
   static final String KEY = "linen-key";
   static final String MODEL = "linen-8b";
   static final ModelVersion VERSION = ModelVersion.of(MODEL, "3");
@@ -52,7 +53,7 @@
                 .name("router-1")
                 .failureDomain("a")
                 .region("north")
-                .blockBytes(100)
+                .blockBytes(BLOCK_BYTES)
                 .counters(name -> counters.merge(name, 1L, Long::sum))
                 .build(),
             commands::add);
@@ -203,11 +204,15 @@
   }
 
   AttemptId accept(Sent<PeerMessage.Offer> offer) {
-    int blocks = offer.message().keys().size();
-    reply(offer, Optional.empty(), new Hint(blocks, 0, 1, 0));
+    reply(offer, Optional.empty(), new Hint(blocksOf(offer.message()), 0, 1, 0));
     return offer.message().attempt();
   }
 
+  /** Returns the whole blocks of an offered prompt, of which the offer carries a sample of keys. */
+  static int blocksOf(PeerMessage.Offer offer) {
+    return offer.promptBytes() / BLOCK_BYTES;
+  }
+
   void reply(Sent<PeerMessage.Offer> offer, Optional<RefusalReason> refusal, Hint hint) {
     receive(
         offer.peer(),
--- a/coordination/src/test/java/org/shallothook/coordination/sidecar/OfferedKeysTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/OfferedKeysTest.java
@@ -13,6 +13,7 @@
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.BlockKeyChain;
+import org.shallothook.state.cache.BlockKeySample;
 import org.shallothook.state.cache.CacheIdentity;
 
 /** Abbreviated keys of an offer find what is cached, and never reach the engine. */
@@ -35,6 +36,27 @@
     assertThat(matched(WHOLE)).isEqualTo(cached);
   }
 
+  @ParameterizedTest
+  @CsvSource({"0, 0", "7, 4", "28, 28", "48, 48", "50, 50"})
+  void sampleOfLongChainTellsWhatIsCached(int cached, int matched) {
+    String prompt = "0123456789".repeat(50);
+    List<BlockKey> whole = keysOf("guild", prompt);
+    List<BlockKey> all = whole.stream().map(BlockKey::abbreviated).toList();
+    store(whole.subList(0, cached));
+
+    assertThat(matched(BlockKeySample.of(all), prompt.length())).isEqualTo(matched);
+    assertThat(matched(all, prompt.length())).isEqualTo(cached);
+  }
+
+  @Test
+  void engineGetsAllKeysOfPromptThatWasOfferedByASample() {
+    String prompt = "0123456789".repeat(50);
+    List<BlockKey> whole = keysOf("guild", prompt);
+    submit(BlockKeySample.of(whole), prompt);
+
+    assertThat(startedKeys()).isEqualTo(whole);
+  }
+
   @Test
   void engineGetsKeysOfPrompt() {
     submit(ABBREVIATED, PROMPT);
@@ -70,13 +92,17 @@
   }
 
   private int matched(List<BlockKey> keys) {
+    return matched(keys, PROMPT.length());
+  }
+
+  private int matched(List<BlockKey> keys, int promptBytes) {
     String request = "probe-" + sidecar.sent(PeerMessage.OfferReply.class).size();
-    sidecar.receive(offer(request).keys(keys).build());
+    sidecar.receive(offer(request).keys(keys).promptBytes(promptBytes).build());
     return sidecar.reply(attempt(request)).hint().matchedBlocks();
   }
 
   private void submit(List<BlockKey> keys, String prompt) {
-    sidecar.receive(offer("one").keys(keys).build());
+    sidecar.receive(offer("one").keys(keys).promptBytes(prompt.length()).build());
     sidecar.receive(new PeerMessage.Submit(attempt("one"), prompt, ""));
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/sidecar/SidecarHarness.java
@@ -108,6 +108,7 @@
     private ModelVersion version = VERSION;
     private PriorityClass priority = PriorityClass.ORDINARY;
     private List<BlockKey> keys = List.of();
+    private int promptBytes = 1_000;
     private long deadlineMicros = START_MICROS + 60_000_000;
     private int resumePosition;
     private String fingerprint = "f";
@@ -138,6 +139,11 @@
       return this;
     }
 
+    public OfferBuilder promptBytes(int bytes) {
+      promptBytes = bytes;
+      return this;
+    }
+
     public OfferBuilder deadline(long micros) {
       deadlineMicros = micros;
       return this;
@@ -169,7 +175,7 @@
           new CacheIdentity(team, version),
           priority,
           keys,
-          1_000,
+          promptBytes,
           100,
           deadlineMicros,
           resumePosition,
