Give bin/bench the number of histories as options

Cause: the counts that the issue names (100,000 booking and 10,000 configuration histories) could be run only with system properties through JAVA_TOOL_OPTIONS, which nothing checked.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/bench/BenchCommand.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/bench/BenchCommand.java
@@ -9,11 +9,15 @@
 import java.util.Set;
 import java.util.concurrent.Callable;
 import org.shallothook.benchmarks.measure.Experiment;
+import org.shallothook.benchmarks.measure.HistoryCounts;
 import org.shallothook.benchmarks.measure.Measure;
 import org.shallothook.benchmarks.measure.MeasureSuite;
 import org.shallothook.benchmarks.workload.Deployment;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 /**
  * Runs every measure in virtual time, prints figure, bound, baselines and verdict of each, and
@@ -30,6 +34,7 @@
       "  bin/bench",
       "  bin/bench --compare old/measures.json",
       "  bin/bench --experiment OVERLOAD --deployment ALTAR_LINEN",
+      "  bin/bench --experiment BOOKING_HISTORIES --booking-histories 50000 --threads 2",
       "Exit codes: 0 every bound is held or listed as known red, 1 another is missed, 2 usage."
     })
 public final class BenchCommand implements Callable<Integer> {
@@ -58,12 +63,27 @@
           "Deployment to run under, may be repeated; default all: ${COMPLETION-CANDIDATES}.")
   private Set<Deployment> deployments = EnumSet.allOf(Deployment.class);
 
+  @Option(
+      names = "--booking-histories",
+      paramLabel = "N",
+      description = "Booking histories under each deployment; default ${DEFAULT-VALUE}.")
+  private int bookingHistories = HistoryCounts.DEFAULT.bookings();
+
+  @Option(
+      names = "--configuration-histories",
+      paramLabel = "N",
+      description = "Configuration histories under each deployment; default ${DEFAULT-VALUE}.")
+  private int configurationHistories = HistoryCounts.DEFAULT.configurations();
+
+  @Spec private CommandSpec command;
+
   @Option(names = "--known-red", description = "List of known red cases; default ${DEFAULT-VALUE}.")
   private Path knownRed = Path.of("KNOWN-RED.txt");
 
   @Override
   public Integer call() throws IOException, InterruptedException {
-    List<Measure> measures = MeasureSuite.run(seed, threads, experiments, deployments);
+    HistoryCounts histories = histories();
+    List<Measure> measures = MeasureSuite.run(seed, threads, experiments, deployments, histories);
     KnownRedMeasures known = KnownRedMeasures.read(knownRed);
     measures.forEach(measure -> System.out.print(BenchTable.rowsOf(measure, known)));
     Files.createDirectories(output);
@@ -81,4 +101,13 @@
         measures.size(), measures.size() - missed, missed, unlisted, knownRed);
     return unlisted == 0 ? 0 : BOUND_MISSED;
   }
+
+  private HistoryCounts histories() {
+    if (bookingHistories <= 0 || configurationHistories <= 0) {
+      throw new ParameterException(
+          command.commandLine(),
+          "Give a positive number to --booking-histories and --configuration-histories.");
+    }
+    return new HistoryCounts(bookingHistories, configurationHistories);
+  }
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/BookingHistories.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/BookingHistories.java
@@ -28,10 +28,9 @@
  * Seeded histories of bookings that are sent twice through different routers, while sidecars crash
  * at any step and pause past deadlines, and answers of the log and of the service are lost.
  *
- * <p>The property {@code booking.histories} sets their number for each deployment. Not thread-safe.
+ * <p>Not thread-safe.
  */
 final class BookingHistories {
-  private static final int HISTORIES = Integer.getInteger("booking.histories", 100);
   static final String SERVICE = "booking";
 
   /** Team whose calls of the service may not be repeated. */
@@ -62,25 +61,27 @@
 
   private final Deployment deployment;
   private final long seed;
+  private final int histories;
   private final Map<String, Double> told = new HashMap<>();
   private int doubleRuns;
   private int falseNotRun;
   private int violations;
 
-  BookingHistories(Deployment deployment, long seed) {
+  BookingHistories(Deployment deployment, long seed, int histories) {
     this.deployment = deployment;
     this.seed = seed;
+    this.histories = histories;
   }
 
   List<Measure> measures() {
-    for (int history = 0; history < HISTORIES; history++) {
+    for (int history = 0; history < histories; history++) {
       new History(seed * 1_000_003 + history).run();
     }
     double sent = told.values().stream().mapToDouble(Double::doubleValue).sum();
     Map<String, Double> shares = new HashMap<>();
     told.forEach((answer, count) -> shares.put(answer, count / sent));
     shares.put("sent", sent);
-    shares.put("histories", (double) HISTORIES);
+    shares.put("histories", (double) histories);
     return List.of(
         measure("booking-double-runs", "bookings", doubleRuns, shares),
         measure("booking-false-not-run", "answers", falseNotRun, Map.of()),
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/ConfigurationHistories.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/ConfigurationHistories.java
@@ -27,11 +27,9 @@
  * Seeded histories of operators who race through different routers while answers of the log are
  * lost, processes restart, the log is down and its records expire.
  *
- * <p>The property {@code configuration.histories} sets their number for each deployment. Not
- * thread-safe.
+ * <p>Not thread-safe.
  */
 final class ConfigurationHistories {
-  private static final int HISTORIES = Integer.getInteger("configuration.histories", 50);
   private static final int ENGINES = 2;
   private static final int TEAMS = 3;
   private static final int ACTIONS = 24;
@@ -45,20 +43,22 @@
 
   private final Deployment deployment;
   private final long seed;
+  private final int histories;
   private final Map<String, Double> results = new HashMap<>();
   private int reversions;
   private int otherStates;
 
-  ConfigurationHistories(Deployment deployment, long seed) {
+  ConfigurationHistories(Deployment deployment, long seed, int histories) {
     this.deployment = deployment;
     this.seed = seed;
+    this.histories = histories;
   }
 
   List<Measure> measures() {
-    for (int history = 0; history < HISTORIES; history++) {
+    for (int history = 0; history < histories; history++) {
       new History(seed * 1_000_003 + history).run();
     }
-    results.put("histories", (double) HISTORIES);
+    results.put("histories", (double) histories);
     return List.of(
         new Measure(
             "configuration-reversions",
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/Experiment.java
@@ -129,7 +129,13 @@
   CONFIGURATION_HISTORIES {
     @Override
     public List<Measure> run(Deployment deployment, Peaks peaks) {
-      return new ConfigurationHistories(deployment, peaks.seed()).measures();
+      return run(deployment, peaks, HistoryCounts.DEFAULT);
+    }
+
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks, HistoryCounts counts) {
+      return new ConfigurationHistories(deployment, peaks.seed(), counts.configurations())
+          .measures();
     }
   },
 
@@ -137,7 +143,12 @@
   BOOKING_HISTORIES {
     @Override
     public List<Measure> run(Deployment deployment, Peaks peaks) {
-      return new BookingHistories(deployment, peaks.seed()).measures();
+      return run(deployment, peaks, HistoryCounts.DEFAULT);
+    }
+
+    @Override
+    public List<Measure> run(Deployment deployment, Peaks peaks, HistoryCounts counts) {
+      return new BookingHistories(deployment, peaks.seed(), counts.bookings()).measures();
     }
   },
 
@@ -156,4 +167,9 @@
 
   /** Runs the experiment. */
   public abstract List<Measure> run(Deployment deployment, Peaks peaks);
+
+  /** Runs the experiment, with that many histories where it runs histories. */
+  public List<Measure> run(Deployment deployment, Peaks peaks, HistoryCounts counts) {
+    return run(deployment, peaks);
+  }
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/measure/MeasureSuite.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/measure/MeasureSuite.java
@@ -29,7 +29,12 @@
    * @param threads experiments that run side by side
    */
   public static List<Measure> run(long seed, int threads) throws InterruptedException {
-    return run(seed, threads, EnumSet.allOf(Experiment.class), EnumSet.allOf(Deployment.class));
+    return run(
+        seed,
+        threads,
+        EnumSet.allOf(Experiment.class),
+        EnumSet.allOf(Deployment.class),
+        HistoryCounts.DEFAULT);
   }
 
   /**
@@ -39,9 +44,14 @@
    * @param threads experiments that run side by side
    * @param experiments experiments to run
    * @param deployments deployments to run them under
+   * @param histories number of histories under each deployment
    */
   public static List<Measure> run(
-      long seed, int threads, Set<Experiment> experiments, Set<Deployment> deployments)
+      long seed,
+      int threads,
+      Set<Experiment> experiments,
+      Set<Deployment> deployments,
+      HistoryCounts histories)
       throws InterruptedException {
     ExecutorService pool = Executors.newFixedThreadPool(threads);
     Peaks peaks = new Peaks(seed);
@@ -49,7 +59,7 @@
       List<Future<List<Measure>>> runs = new ArrayList<>();
       for (Experiment experiment : experiments) {
         for (Deployment deployment : deployments) {
-          runs.add(pool.submit(() -> experiment.run(deployment, peaks)));
+          runs.add(pool.submit(() -> experiment.run(deployment, peaks, histories)));
         }
       }
       List<Measure> measures = new ArrayList<>();
