Compute openings of a new version ahead of its callers

Cause: during a roll the new version's openings (28 and 48 blocks here) are cold on every engine; one costs 2.4 s of prefill at 50 ms a block, and what waits behind it is late. Conversations moved as soon as the first engine had the version.

Change: the home of an opening under the earlier version computes it for the new one in steps of 100 ms while its engine reads nothing else, and exports it to the cache store. It names the version as ready only then, or after 15 s. Routers wait for the last engine for 20 s at most and move the conversations over 8 s. No message changes.

--- a/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/measure/MeasuresTest.java
@@ -112,6 +112,18 @@
     assertHeld("version-roll-time-to-first-token-p95", deployment);
   }
 
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void firstTokensComeInTimeWhileCallersMoveToANewVersion(Deployment deployment) {
+    assertHeld("version-move-time-to-first-token-p95", deployment);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Deployment.class)
+  void allCallersMoveToANewVersion(Deployment deployment) {
+    assertHeld("version-move-unmoved", deployment);
+  }
+
   @ParameterizedTest
   @EnumSource(Deployment.class)
   void noModelIsUnservedDuringARoll(Deployment deployment) {
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Admission.java
@@ -26,6 +26,7 @@
  */
 public final class Admission {
   private static final int FAILURES_BEFORE_HAND_BACK = 2;
+  private static final int SPARE_SLOT_PARTS = 4;
 
   private final SidecarOptions options;
   private final SidecarOutbox outbox;
@@ -49,7 +50,8 @@
       SidecarOutbox outbox,
       Counters counters,
       EngineMonitor engine,
-      PrefixSupply prefixes) {
+      PrefixSupply prefixes,
+      BackgroundRun background) {
     this.options = options;
     this.outbox = outbox;
     this.counters = counters;
@@ -60,7 +62,8 @@
     ends = new AttemptEnds(outbox, counters, table, prefixes);
     crashes = new CrashWatch(table, ends);
     dispatcher =
-        new Dispatcher(options, outbox, counters, engine, table, estimator, prefixes, ends);
+        new Dispatcher(
+            options, outbox, counters, engine, table, estimator, prefixes, ends, background);
     relay = new StreamRelay(options, outbox, counters, table, estimator, prefixes, ends, crashes);
   }
 
@@ -69,6 +72,25 @@
     return table.isEmpty();
   }
 
+  /**
+   * Returns whether the engine has time for work that no caller waits for: it is reading no prompt,
+   * and a quarter of its slots are free.
+   */
+  public boolean hasSpareTime() {
+    int freeSlots = engine.maximumRunning() - running();
+    return engine.isReachable()
+        && !isLeaving
+        && !dispatcher.isStalled()
+        && freeSlots * SPARE_SLOT_PARTS >= engine.maximumRunning()
+        && estimator.prefills(PriorityClass.ORDINARY) == 0
+        && table.running().stream().noneMatch(Ticket::isSuspect);
+  }
+
+  /** Returns the expected time to compute a block, in microseconds. */
+  public long prefillMicrosPerBlock() {
+    return estimator.prefillMicros(1);
+  }
+
   /** Returns the number of attempts that run on the engine. */
   public int running() {
     return table.running().size();
--- a/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
+++ b/coordination/src/main/java/org/shallothook/coordination/admission/Dispatcher.java
@@ -28,6 +28,7 @@
   private final ServiceEstimator estimator;
   private final PrefixSupply prefixes;
   private final AttemptEnds ends;
+  private final BackgroundRun background;
   private long nextEvictionMicros = Long.MIN_VALUE;
   private boolean isStalled;
   private long suspectSinceMicros = Long.MAX_VALUE;
@@ -41,7 +42,8 @@
       AttemptTable table,
       ServiceEstimator estimator,
       PrefixSupply prefixes,
-      AttemptEnds ends) {
+      AttemptEnds ends,
+      BackgroundRun background) {
     this.options = options;
     this.outbox = outbox;
     this.counters = counters;
@@ -50,6 +52,7 @@
     this.estimator = estimator;
     this.prefixes = prefixes;
     this.ends = ends;
+    this.background = background;
   }
 
   /** Stops dispatching until the engine has reported its state. */
@@ -62,6 +65,10 @@
     isStalled = false;
   }
 
+  boolean isStalled() {
+    return isStalled;
+  }
+
   /** Starts all that can start now. */
   void dispatch(long nowMicros) {
     if (isStalled || !engine.isReachable()) {
@@ -287,7 +294,19 @@
         > ticket.offer().deadlineMicros();
   }
 
+  /** Takes work that no caller waits for back where it would be in the way. */
+  private void clearBackground(Ticket ticket) {
+    boolean isInTheWay =
+        ticket.priority() == PriorityClass.PRIORITY
+            || ticket.isSuspect()
+            || table.running().size() + 1 >= engine.maximumRunning();
+    if (isInTheWay && background.isRunning()) {
+      background.giveWay();
+    }
+  }
+
   private void start(Ticket ticket, int units, long nowMicros) {
+    clearBackground(ticket);
     suspectsInARow = ticket.isSuspect() ? suspectsInARow + 1 : 0;
     int unitsAhead = estimator.unitsInPrefill(ticket.priority());
     table.start(ticket, estimator.costOf(ticket, units), units, unitsAhead, nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/BlockTransfers.java
@@ -138,6 +138,11 @@
     start(prefix.identity(), keys, false, nowMicros);
   }
 
+  /** Returns whether the store is known to have had the block. */
+  boolean isStored(BlockKey key) {
+    return stored.contains(key);
+  }
+
   /** Takes the end of a transfer. */
   void onEnded(SidecarEvent.TransferEnded event, long nowMicros) {
     Transfer transfer = open.remove(event.token());
--- a/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/hotprefix/HotPrefixes.java
@@ -11,6 +11,7 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.coordination.sidecar.SidecarOutbox;
 import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.configuration.PriorityClass;
 import org.shallothook.state.request.AttemptId;
 
@@ -124,6 +125,24 @@
     }
   }
 
+  /** Returns whether the store is known to have had the last block of a prefix. */
+  public boolean isStored(List<BlockKey> keys) {
+    return transfers.isStored(keys.get(keys.size() - 1));
+  }
+
+  /**
+   * Exports a prefix that is cached here, unless the store has it.
+   *
+   * @return whether every engine can import it now, or there is no store
+   */
+  public boolean hasExported(CacheIdentity identity, List<BlockKey> keys, long nowMicros) {
+    if (!hasStore || isStored(keys)) {
+      return true;
+    }
+    transfers.considerExport(new Prefix(identity, keys, keys.size()), nowMicros);
+    return false;
+  }
+
   /** Takes the end of a transfer. */
   public void onTransferEnded(SidecarEvent.TransferEnded event, long nowMicros) {
     transfers.onEnded(event, nowMicros);
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/opening/Opening.java
@@ -0,0 +1,83 @@
+package org.shallothook.coordination.opening;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.BlockKeyChain;
+import org.shallothook.state.cache.CacheIdentity;
+
+/**
+ * The whole blocks with which a tenant's prompts begin, for a new model version and an earlier one.
+ *
+ * <p>Invariant: the keys are those that routers derive from prompts of the tenant. Immutable and
+ * thread-safe.
+ */
+final class Opening {
+  private static final int CONTINUATION_MASK = 0xC0;
+  private static final int CONTINUATION = 0x80;
+
+  private final CacheIdentity identity;
+  private final CacheIdentity earlierIdentity;
+  private final byte[] text;
+  private final int blockBytes;
+  private final List<BlockKey> keys;
+  private final List<BlockKey> earlierKeys;
+  private final boolean isPriority;
+
+  Opening(
+      CacheIdentity identity,
+      CacheIdentity earlierIdentity,
+      String text,
+      int blockBytes,
+      boolean isPriority) {
+    this.identity = identity;
+    this.earlierIdentity = earlierIdentity;
+    this.text = text.getBytes(StandardCharsets.UTF_8);
+    this.blockBytes = blockBytes;
+    this.keys = BlockKeyChain.keysOf(identity, this.text, blockBytes);
+    this.earlierKeys = BlockKeyChain.keysOf(earlierIdentity, this.text, blockBytes);
+    this.isPriority = isPriority;
+  }
+
+  /** Returns the scope of reuse, with the new model version. */
+  CacheIdentity identity() {
+    return identity;
+  }
+
+  /** Returns the scope of reuse with the earlier model version. */
+  CacheIdentity earlierIdentity() {
+    return earlierIdentity;
+  }
+
+  /** Returns the keys under the new model version. */
+  List<BlockKey> keys() {
+    return keys;
+  }
+
+  /** Returns the keys under the earlier model version. */
+  List<BlockKey> earlierKeys() {
+    return earlierKeys;
+  }
+
+  /** Returns whether the team has bought priority. */
+  boolean isPriority() {
+    return isPriority;
+  }
+
+  /** Returns the key by which the upstreams of the earlier version's prompts are ranked. */
+  long earlierHash() {
+    BlockKey last = earlierKeys.get(earlierKeys.size() - 1);
+    return RendezvousHash.combine(last.high(), last.low());
+  }
+
+  /** Returns a prompt of that many leading blocks, and of the rest of a character cut by them. */
+  String prompt(int blocks) {
+    int end = blocks * blockBytes;
+    while (end < text.length && (text[end] & CONTINUATION_MASK) == CONTINUATION) {
+      end++;
+    }
+    return new String(Arrays.copyOf(text, end), StandardCharsets.UTF_8);
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.shallothook.coordination.opening.OpeningText;
 import org.shallothook.coordination.placement.PrefixLevel;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.state.cache.BlockKey;
@@ -20,9 +21,6 @@
  * prompt. Immutable and thread-safe.
  */
 final class PromptRenderer {
-  private static final String MARKER = "\n<|";
-  private static final String ESCAPED_MARKER = "\n<\\|";
-
   private final int blockBytes;
 
   /** Creates a renderer for blocks of the given size. */
@@ -41,9 +39,9 @@
   RenderedPrompt render(
       TeamTemplate team, CacheIdentity identity, String tenantText, List<ChatMessage> messages) {
     StringBuilder text = new StringBuilder();
-    appendPart(text, "rulebook", team.rulebook());
+    OpeningText.appendRulebook(text, team);
     int rulebookBytes = utf8Length(text);
-    appendPart(text, "tenant", tenantText);
+    OpeningText.appendTenant(text, tenantText);
     int tenantBytes = utf8Length(text);
     int earlierTurns = 0;
     int firstTurn = 0;
@@ -51,12 +49,12 @@
       if (message.role().equals("assistant")) {
         earlierTurns = text.length();
       }
-      appendPart(text, message.role(), message.content());
+      OpeningText.appendPart(text, message.role(), message.content());
       if (firstTurn == 0 && message.role().equals("user")) {
         firstTurn = text.length();
       }
     }
-    String prompt = text.append(MARKER).append("assistant|>\n").toString();
+    String prompt = text.append(OpeningText.MARKER).append("assistant|>\n").toString();
     byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
     List<BlockKey> keys = BlockKeyChain.keysOf(identity, bytes, blockBytes);
     String opening = prompt.substring(0, firstTurn == 0 ? prompt.length() : firstTurn);
@@ -69,11 +67,6 @@
     return new RenderedPrompt(prompt, bytes, keys, levels, earlierBlocks);
   }
 
-  private static void appendPart(StringBuilder text, String name, String content) {
-    text.append(MARKER).append(name).append("|>");
-    text.append(("\n" + content).replace(MARKER, ESCAPED_MARKER));
-  }
-
   private static List<PrefixLevel> levelsOf(
       CacheIdentity identity,
       List<BlockKey> keys,
--- a/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RolloutNotices.java
@@ -27,7 +27,7 @@
  * on the decision thread.
  */
 final class RolloutNotices {
-  /** Time for which a version must have been ready everywhere, in microseconds. */
+  /** Time for which a version must have been in use everywhere, in microseconds. */
   static final long HOLD_MICROS = 5_000_000;
 
   /** Time given to a record to be read back, in microseconds. */
@@ -94,7 +94,9 @@
 
   private void tellIfDue(ModelVersion version, long base, long nowMicros) {
     long due =
-        dueMicros.computeIfAbsent(version, one -> nowMicros + HOLD_MICROS + turn() * TURN_MICROS);
+        dueMicros.computeIfAbsent(
+            version,
+            one -> nowMicros + ServedVersions.MOVE_MICROS + HOLD_MICROS + turn() * TURN_MICROS);
     if (nowMicros < due) {
       return;
     }
--- a/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
@@ -24,11 +24,19 @@
  * its team again. Not thread-safe.
  */
 final class ServedVersions {
+  /** Longest wait for the last engine after the first has a version, in microseconds. */
+  static final long AWAIT_MICROS = 20_000_000;
+
+  /** Time over which the conversations move, in microseconds. */
+  static final long MOVE_MICROS = 8_000_000;
+
   private static final int FRACTION_BITS = 53;
 
   private final UpstreamDirectory directory;
   private final Counters counters;
   private final Map<String, Map<ModelVersion, Double>> greatestShares = new HashMap<>();
+  private final Map<ModelVersion, Long> awaitedUntilMicros = new HashMap<>();
+  private final Map<ModelVersion, Long> movedAtMicros = new HashMap<>();
 
   ServedVersions(UpstreamDirectory directory, Counters counters) {
     this.directory = directory;
@@ -71,7 +79,7 @@
     for (int index = 0; index < candidates.size(); index++) {
       ModelVersion candidate = candidates.get(index);
       List<ModelVersion> older = candidates.subList(index + 1, candidates.size());
-      double share = directory.readyShare(candidate, older, nowMicros);
+      double share = usableShare(candidate, older, nowMicros);
       if (fraction < greatest.merge(candidate, share, Math::max)) {
         return candidate;
       }
@@ -79,6 +87,29 @@
     return candidates.get(0);
   }
 
+  /**
+   * Returns the share of conversations that may use a version: none while some engines are loading
+   * it or computing its openings, then more and more up to the share of engines that have it. Where
+   * an engine lacks the version before, nothing is delayed.
+   */
+  private double usableShare(ModelVersion candidate, List<ModelVersion> older, long nowMicros) {
+    double ready = directory.readyShare(candidate, older, nowMicros);
+    if (ready == 0 || older.isEmpty() || !isEverywhere(older.get(0), candidate, nowMicros)) {
+      return ready;
+    }
+    long awaitedUntil =
+        awaitedUntilMicros.computeIfAbsent(candidate, one -> nowMicros + AWAIT_MICROS);
+    if (ready < 1 && nowMicros < awaitedUntil) {
+      return 0;
+    }
+    long movedAt = movedAtMicros.computeIfAbsent(candidate, one -> nowMicros + MOVE_MICROS);
+    return Math.min(ready, 1 - (double) Math.max(0, movedAt - nowMicros) / MOVE_MICROS);
+  }
+
+  private boolean isEverywhere(ModelVersion version, ModelVersion other, long nowMicros) {
+    return directory.readyShare(version, List.of(other), nowMicros) == 1;
+  }
+
   /** Returns where a conversation stands in the order in which they move, from 0 to below 1. */
   private static double fractionOf(String scope, List<ChatMessage> messages) {
     String opening =
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -13,6 +13,7 @@
 import org.shallothook.coordination.hotprefix.HotPrefixes;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.opening.OpeningWarmer;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.membership.InstanceRole;
@@ -43,12 +44,15 @@
   private final CacheFollower cache;
   private final OfferedKeys offeredKeys;
   private final HotPrefixes hotPrefixes;
+  private final OpeningWarmer openings;
   private final Admission admission;
   private final ServiceCalls calls;
   private final Agreement agreement;
   private final RouterSessions routers = new RouterSessions();
   private final LeavingSignals leaving = new LeavingSignals();
   private final InstanceWatch instances;
+  private List<ModelVersion> publishedReady = List.of();
+  private long latestMicros;
   private boolean hasDrained;
 
   /**
@@ -92,7 +96,10 @@
     cache = new CacheFollower(options, outbox, counters);
     offeredKeys = new OfferedKeys(cache, options.blockBytes());
     hotPrefixes = new HotPrefixes(options, outbox, counters, cache);
-    admission = new Admission(options, outbox, counters, engine, hotPrefixes);
+    openings =
+        new OpeningWarmer(
+            options, agreementOptions.versionsPerEngine(), outbox, counters, engine, hotPrefixes);
+    admission = new Admission(options, outbox, counters, engine, hotPrefixes, openings);
     agreement = new Agreement(options, agreementOptions, outbox, counters);
     calls = new ServiceCalls(options, outbox, counters, agreement.desk());
     instances = new InstanceWatch(options, outbox);
@@ -108,7 +115,7 @@
     return new PeerMessage.SidecarStatus(
         options.name(),
         engine.incarnation().orElse(""),
-        engine.ready().stream().sorted(VERSION_ORDER).toList(),
+        readyForCallers(),
         leaving.isLeaving(),
         admission.queueDelayMicros());
   }
@@ -140,19 +147,49 @@
    * @param nowMicros time of the event, in microseconds since the epoch; never decreases
    */
   public void handle(SidecarEvent event, long nowMicros) {
+    latestMicros = nowMicros;
     if (event instanceof SidecarEvent.PeerMessageReceived received) {
       onEnvelope(received.envelope(), nowMicros);
     } else if (event instanceof SidecarEvent.EngineTokens tokens) {
-      admission.onTokens(tokens, nowMicros);
+      onTokens(tokens, nowMicros);
     } else if (event instanceof SidecarEvent.Tick) {
       onTick(nowMicros);
     } else if (!isEngineEvent(event, nowMicros)) {
       onPlatformEvent(event, nowMicros);
     }
+    useSpareTime(nowMicros);
     finishDrain();
   }
 
+  private void onTokens(SidecarEvent.EngineTokens tokens, long nowMicros) {
+    if (!openings.owns(tokens.attempt())) {
+      admission.onTokens(tokens, nowMicros);
+    }
+  }
+
+  private void useSpareTime(long nowMicros) {
+    if (admission.hasSpareTime()) {
+      openings.onSpareTime(admission.prefillMicrosPerBlock(), nowMicros);
+    }
+  }
+
+  private boolean isOpeningEvent(SidecarEvent event, long nowMicros) {
+    if (event instanceof SidecarEvent.EngineEnded ended && openings.owns(ended.attempt())) {
+      openings.onEnded(nowMicros);
+      admission.onPrefixesChanged(nowMicros);
+    } else if (event instanceof SidecarEvent.EngineFailed failed
+        && openings.owns(failed.attempt())) {
+      openings.onFailed(nowMicros);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
   private boolean isEngineEvent(SidecarEvent event, long nowMicros) {
+    if (isOpeningEvent(event, nowMicros)) {
+      return true;
+    }
     if (event instanceof SidecarEvent.EngineEnded ended) {
       admission.onEnded(ended, nowMicros);
     } else if (event instanceof SidecarEvent.EngineFailed failed) {
@@ -187,6 +224,7 @@
     } else if (event instanceof SidecarEvent.InstancesRead read) {
       instances.onRead(read.list());
       agreement.onInstances(read.list());
+      openings.onInstances(read.list());
       hotPrefixes.setStore(instances.hasStore());
       setLeaving(LeavingSignals.Signal.INSTANCE_LIST, instances.isSelfLeaving(), nowMicros);
     } else if (event instanceof SidecarEvent.DrainRequested) {
@@ -277,7 +315,9 @@
     if (changes.contains(EngineChange.INCARNATION)) {
       counters.increment("engine.incarnations");
       hotPrefixes.onIncarnation();
+      openings.onIncarnation();
     }
+    openings.reviewHolds(nowMicros);
     admission.onEngineStatus(changes, nowMicros);
     if (options.role() != InstanceRole.SERVICE) {
       followCache(changes, nowMicros);
@@ -315,6 +355,19 @@
     hotPrefixes.onTick(nowMicros);
     admission.onTick(nowMicros);
     agreement.onTick(engine, leaving.isLeaving(), nowMicros);
+    if (options.role() == InstanceRole.MODEL_ENGINE && !agreement.configuration().isBehind()) {
+      openings.onTick(agreement.configuration().state(), nowMicros);
+    }
+    if (!readyForCallers().equals(publishedReady)) {
+      publishStatus();
+    }
+  }
+
+  private List<ModelVersion> readyForCallers() {
+    return engine.ready().stream()
+        .filter(version -> !openings.isHeldBack(version, latestMicros))
+        .sorted(VERSION_ORDER)
+        .toList();
   }
 
   private void setLeaving(LeavingSignals.Signal signal, boolean isRaised, long nowMicros) {
@@ -330,6 +383,7 @@
       return;
     }
     if (leaving.isLeaving()) {
+      openings.giveWay();
       admission.leave(nowMicros);
     } else {
       admission.stay();
@@ -338,6 +392,7 @@
 
   private void publishStatus() {
     PeerMessage.SidecarStatus status = status();
+    publishedReady = status.ready();
     routers.connected().forEach(router -> outbox.send(router, status));
   }
 
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/opening/OpeningWarmerTest.java
@@ -0,0 +1,258 @@
+package org.shallothook.coordination.opening;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.shallothook.coordination.configuration.ConfigurationReplica;
+import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.sidecar.SidecarCommand;
+import org.shallothook.coordination.sidecar.SidecarCore;
+import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.coordination.sidecar.SidecarHarness;
+import org.shallothook.state.cache.BlockKey;
+import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.configuration.ConfigurationRecord;
+import org.shallothook.state.configuration.ConfigurationRecordText;
+import org.shallothook.state.configuration.TemplateParser;
+import org.shallothook.state.log.LogPage;
+import org.shallothook.state.log.LogRecord;
+
+final class OpeningWarmerTest {
+  private static final int BLOCK_BYTES = 100;
+  private static final long SECOND_MICROS = 1_000_000;
+  private static final ModelVersion NEWER = ModelVersion.of("linen", "v2");
+  private static final List<ModelVersion> BOTH = List.of(SidecarHarness.VERSION, NEWER);
+
+  private final List<LogRecord> configuration = new ArrayList<>();
+  private SidecarHarness harness;
+  private Opening opening;
+  private int answered;
+
+  /** What keeps an opening from being stored. */
+  private enum Obstacle {
+    STORE_DOWN {
+      @Override
+      void answer(OpeningWarmerTest test, SidecarCommand command) {
+        if (command instanceof SidecarCommand.TransferBlocks transfer) {
+          test.harness.handle(new SidecarEvent.TransferEnded(transfer.token(), List.of()));
+        } else {
+          test.answer(command);
+        }
+      }
+    },
+    STEPS_UNANSWERED {
+      @Override
+      void answer(OpeningWarmerTest test, SidecarCommand command) {
+        if (!(command instanceof SidecarCommand.StartAnswer)) {
+          test.answer(command);
+        }
+      }
+    },
+    STEPS_REFUSED {
+      @Override
+      void answer(OpeningWarmerTest test, SidecarCommand command) {
+        if (command instanceof SidecarCommand.StartAnswer start) {
+          test.harness.fail(start.attempt(), false);
+        } else {
+          test.answer(command);
+        }
+      }
+    },
+    NO_SPARE_TIME {
+      @Override
+      void prepare(SidecarHarness harness) {
+        harness.send(SidecarHarness.offer("long prompt"));
+      }
+
+      @Override
+      void answer(OpeningWarmerTest test, SidecarCommand command) {
+        if (!(command instanceof SidecarCommand.StartAnswer)) {
+          test.answer(command);
+        }
+      }
+    };
+
+    void prepare(SidecarHarness harness) {}
+
+    abstract void answer(OpeningWarmerTest test, SidecarCommand command);
+  }
+
+  @BeforeEach
+  void publishARoll() {
+    harness = SidecarHarness.ready(8, SidecarHarness.options().blockBytes(BLOCK_BYTES).region("r"));
+    harness.instances(1, false, true);
+    String text = template("v2");
+    opening =
+        new Opening(
+            new CacheIdentity("guild", NEWER),
+            new CacheIdentity("guild", SidecarHarness.VERSION),
+            OpeningText.of(TemplateParser.parse(text).get(), ""),
+            BLOCK_BYTES,
+            false);
+    publish(0, template("v1"));
+    publish(1, text);
+  }
+
+  private static String template(String version) {
+    return "[team]\nname = guild\nkey-sha256 = "
+        + "0".repeat(64)
+        + "\nmodel = linen\nversion = "
+        + version
+        + "\n\n[rulebook]\ntext = "
+        + "cloth ".repeat(400)
+        + "\n";
+  }
+
+  private void publish(long base, String template) {
+    String payload =
+        ConfigurationRecordText.write(
+            new ConfigurationRecord.Change("c" + base, base, "guild", Optional.of(template)));
+    configuration.add(new LogRecord(configuration.size(), harness.nowMicros, payload));
+  }
+
+  /** Lets the engine have blocks cached, as its listing says. */
+  private void cache(List<BlockKey> keys) {
+    harness.handle(new SidecarEvent.CacheListed("e-1", 0, keys));
+  }
+
+  private void run(long micros) {
+    run(micros, this::answer);
+  }
+
+  private void run(long micros, Consumer<SidecarCommand> world) {
+    long end = harness.nowMicros + micros;
+    while (harness.nowMicros < end) {
+      harness.pass(SidecarCore.TICK_INTERVAL_MICROS);
+      while (answered < harness.commands.size()) {
+        world.accept(harness.commands.get(answered++));
+      }
+    }
+  }
+
+  private void answer(SidecarCommand command) {
+    if (command instanceof SidecarCommand.ReadLog read) {
+      boolean isConfiguration = read.stream().equals(ConfigurationReplica.STREAM);
+      List<LogRecord> records = isConfiguration ? configuration : List.of();
+      int start = (int) Math.min(records.size(), read.fromOffset());
+      harness.handle(
+          new SidecarEvent.LogRead(
+              new LogPage(
+                  read.stream(), 0, records.size(), records.subList(start, records.size()))));
+    } else if (command instanceof SidecarCommand.StartAnswer start) {
+      harness.tokens(start.attempt(), 0, 1);
+      harness.end(start.attempt(), 1);
+    } else if (command instanceof SidecarCommand.TransferBlocks transfer) {
+      harness.handle(new SidecarEvent.TransferEnded(transfer.token(), transfer.keys()));
+    }
+  }
+
+  private void load(List<ModelVersion> ready) {
+    harness.status("e-1", ready, false);
+  }
+
+  private List<ModelVersion> readyForCallers() {
+    List<PeerMessage.SidecarStatus> statuses = harness.sent(PeerMessage.SidecarStatus.class);
+    return statuses.get(statuses.size() - 1).ready();
+  }
+
+  private List<SidecarCommand.StartAnswer> steps() {
+    return harness.commands(SidecarCommand.StartAnswer.class).stream()
+        .filter(start -> start.identity().modelVersion().equals(NEWER))
+        .toList();
+  }
+
+  @Test
+  void aVersionIsHeldBackUntilItsOpeningsAreComputedInStepsAndStored() {
+    cache(opening.earlierKeys());
+    run(2 * SECOND_MICROS);
+    load(BOTH);
+    assertThat(readyForCallers()).containsExactly(SidecarHarness.VERSION);
+    assertThat(harness.core.status().ready()).containsExactly(SidecarHarness.VERSION);
+
+    run(5 * SECOND_MICROS);
+    assertThat(steps().size()).isAtLeast(2);
+    assertThat(steps().get(0).keys().size()).isLessThan(opening.keys().size());
+    assertThat(steps().get(steps().size() - 1).keys()).isEqualTo(opening.keys());
+    assertThat(steps().stream().allMatch(step -> step.maximumOutputTokens() == 1)).isTrue();
+    List<SidecarCommand.TransferBlocks> transfers =
+        harness.commands(SidecarCommand.TransferBlocks.class);
+    assertThat(transfers).hasSize(1);
+    assertThat(transfers.get(0).identity()).isEqualTo(opening.identity());
+    assertThat(transfers.get(0).keys()).isEqualTo(opening.keys());
+    assertThat(readyForCallers()).containsExactlyElementsIn(BOTH);
+    assertThat(harness.counters.get("openings.stored")).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Obstacle.class)
+  void aVersionIsHeldBackNoLongerThanItsDeadline(Obstacle obstacle) {
+    cache(opening.earlierKeys());
+    run(2 * SECOND_MICROS);
+    obstacle.prepare(harness);
+    load(BOTH);
+    run(14 * SECOND_MICROS, command -> obstacle.answer(this, command));
+    assertThat(readyForCallers()).containsExactly(SidecarHarness.VERSION);
+
+    run(2 * SECOND_MICROS, command -> obstacle.answer(this, command));
+    assertThat(readyForCallers()).containsExactlyElementsIn(BOTH);
+  }
+
+  @Test
+  void aVersionWhoseOpeningsNobodyUsesIsNotHeldBack() {
+    run(2 * SECOND_MICROS);
+    load(BOTH);
+    assertThat(readyForCallers()).containsExactlyElementsIn(BOTH);
+    run(2 * SECOND_MICROS);
+    assertThat(steps()).isEmpty();
+  }
+
+  @Test
+  void aVersionIsNotHeldBackWhereTheEarlierOneIsGone() {
+    cache(opening.earlierKeys());
+    run(2 * SECOND_MICROS);
+    load(BOTH);
+    load(List.of(NEWER));
+    run(SidecarCore.TICK_INTERVAL_MICROS);
+    assertThat(readyForCallers()).containsExactly(NEWER);
+  }
+
+  @Test
+  void anEngineThatStartsAnewIsGivenNoStepAgain() {
+    cache(opening.earlierKeys());
+    run(2 * SECOND_MICROS);
+    load(BOTH);
+    run(SECOND_MICROS, command -> {});
+    assertThat(steps()).hasSize(1);
+    harness.status("e-2", BOTH, false);
+    harness.handle(new SidecarEvent.CacheListed("e-2", 0, opening.earlierKeys()));
+    harness.end(steps().get(0).attempt(), 1);
+    run(2 * SECOND_MICROS);
+    assertThat(readyForCallers()).containsExactlyElementsIn(BOTH);
+    assertThat(steps()).hasSize(1);
+    assertThat(harness.commands(SidecarCommand.TransferBlocks.class)).isEmpty();
+  }
+
+  @Test
+  void aStepGivesWayToPriorityWork() {
+    cache(opening.earlierKeys());
+    run(2 * SECOND_MICROS);
+    load(BOTH);
+    run(SidecarCore.TICK_INTERVAL_MICROS, command -> {});
+    SidecarCommand.StartAnswer step = steps().get(0);
+    harness.send(SidecarHarness.offer("rare").team("sidings").priority());
+    int cancelled = harness.commands.indexOf(new SidecarCommand.CancelAnswer(step.attempt()));
+    assertThat(cancelled).isAtLeast(0);
+    List<SidecarCommand> later = harness.commands.subList(cancelled, harness.commands.size());
+    assertThat(later.stream().anyMatch(SidecarCommand.StartAnswer.class::isInstance)).isTrue();
+    assertThat(harness.started()).contains(SidecarHarness.attempt("rare"));
+    assertThat(steps()).hasSize(1);
+  }
+}
