--- a/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.shallothook.coordination.opening.OpeningText;
 import org.shallothook.coordination.placement.PrefixLevel;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.coordination.port.Counters;
@@ -28,9 +29,7 @@
   /** Greatest number of openings that are kept hashed. */
   static final int MAXIMUM_OPENINGS = 1_024;
 
-  private static final String MARKER = "\n<|";
-  private static final String ESCAPED_MARKER = "\n<\\|";
-  private static final String CUE = MARKER + "assistant|>\n";
+  private static final String CUE = OpeningText.MARKER + "assistant|>\n";
 
   private final int blockBytes;
   private final OpeningCache openings;
@@ -55,9 +54,9 @@
       Optional<String> tenant,
       List<ChatMessage> messages) {
     StringBuilder text = new StringBuilder();
-    appendPart(text, "rulebook", team.rulebook());
+    OpeningText.appendRulebook(text, team);
     int rulebookEnd = text.length();
-    appendPart(text, "tenant", tenant.flatMap(team::tenantText).orElse(""));
+    OpeningText.appendTenant(text, tenant.flatMap(team::tenantText).orElse(""));
     int openingEnd = text.length();
     int earlierTurns = openingEnd;
     int firstTurn = 0;
@@ -65,7 +64,7 @@
       if (message.role().equals("assistant")) {
         earlierTurns = text.length();
       }
-      appendPart(text, message.role(), message.content());
+      OpeningText.appendPart(text, message.role(), message.content());
       if (firstTurn == 0 && message.role().equals("user")) {
         firstTurn = text.length();
       }
@@ -99,11 +98,6 @@
         utf8Length(opening.substring(0, rulebookEnd)) / blockBytes);
   }
 
-  private static void appendPart(StringBuilder text, String name, String content) {
-    text.append(MARKER).append(name).append("|>");
-    text.append(("\n" + content).replace(MARKER, ESCAPED_MARKER));
-  }
-
   private static List<PrefixLevel> levelsOf(
       CacheIdentity identity, List<BlockKey> keys, String conversationText, PromptOpening opening) {
     int rulebookBlocks = opening.rulebookBlocks();
