Look closely at few candidates of a placement

Cause: a plan mixed the key anew for every candidate, read the failure domain of every candidate up to ten times, and compared the load of every candidate twice through three nested comparators, which the first compiler does not inline.

Change: the key is mixed once, a candidate below all that a full list has is passed over before its domain is read, and loads are compared directly. Plans are the same.

--- a/coordination/src/main/java/org/shallothook/coordination/placement/PlacementStrategy.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/PlacementStrategy.java
@@ -81,9 +81,6 @@
   private static final int SPILL_OFFERS = 2;
   private static final double LOAD_BOUND = 1.5;
   private static final int LOAD_ALLOWANCE = 4;
-  private static final Comparator<PlacementCandidate> BY_LOAD =
-      Comparator.comparingLong(PlacementCandidate::queueDelayMicros)
-          .thenComparingInt(PlacementCandidate::outstanding);
 
   private static void addShallowerHomes(
       Set<PlacementCandidate> order, PlacementQuery query, PrefixLevel home) {
@@ -115,7 +112,7 @@
     for (int spill = 0; spill < SPILL_OFFERS; spill++) {
       PlacementCandidate least = null;
       for (PlacementCandidate candidate : candidates) {
-        boolean isLess = least == null || BY_LOAD.compare(candidate, least) < 0;
+        boolean isLess = least == null || isLessLoaded(candidate, least);
         if (isLess && !order.contains(candidate)) {
           least = candidate;
         }
@@ -126,6 +123,14 @@
     }
   }
 
+  /** Compares without a comparator, as it is called twice for every upstream. */
+  private static boolean isLessLoaded(PlacementCandidate one, PlacementCandidate other) {
+    if (one.queueDelayMicros() != other.queueDelayMicros()) {
+      return one.queueDelayMicros() < other.queueDelayMicros();
+    }
+    return one.outstanding() < other.outstanding();
+  }
+
   private static int divisor(PlacementQuery query) {
     return Math.max(1, query.candidates().size());
   }
--- a/coordination/src/main/java/org/shallothook/coordination/placement/RendezvousHash.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/RendezvousHash.java
@@ -46,8 +46,9 @@
       List<? extends PlacementCandidate> candidates, long key, int count) {
     TopWeights best = new TopWeights(count);
     TopWeights bestOfDomains = new TopWeights(count);
+    long mixedKey = mix(key);
     for (PlacementCandidate candidate : candidates) {
-      long weight = weight(key, candidate.hash());
+      long weight = mix(mixedKey ^ candidate.hash());
       best.add(candidate, weight);
       bestOfDomains.addOnePerDomain(candidate, weight);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/placement/TopWeights.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/TopWeights.java
@@ -22,10 +22,10 @@
 
   /** Adds a candidate unless the list is full of greater weights. */
   void add(PlacementCandidate candidate, long weight) {
+    if (isBelowAll(weight)) {
+      return;
+    }
     if (size == candidates.length) {
-      if (size == 0 || Long.compareUnsigned(weight, weights[size - 1]) <= 0) {
-        return;
-      }
       size--;
     }
     insert(candidate, weight);
@@ -33,6 +33,9 @@
 
   /** Adds a candidate if it is the best of its failure domain so far, in place of the earlier. */
   void addOnePerDomain(PlacementCandidate candidate, long weight) {
+    if (isBelowAll(weight)) {
+      return;
+    }
     for (int index = 0; index < size; index++) {
       if (candidates[index].failureDomain().equals(candidate.failureDomain())) {
         if (Long.compareUnsigned(weight, weights[index]) > 0) {
@@ -50,6 +53,12 @@
     return new ArrayList<>(Arrays.asList(candidates).subList(0, size));
   }
 
+  /** Returns whether the list is full and none of its weights is smaller. */
+  private boolean isBelowAll(long weight) {
+    return size == candidates.length
+        && (size == 0 || Long.compareUnsigned(weight, weights[size - 1]) <= 0);
+  }
+
   private void insert(PlacementCandidate candidate, long weight) {
     int index = size;
     while (index > 0 && Long.compareUnsigned(weight, weights[index - 1]) > 0) {
