Add full queues and parted regions to the fault matrix

Cause: docs/PROOFS.md named both as not proved. No scene had enough load for a queue, and every virtual fleet stood in one region.

Change: a column "full queues": ordinary chats come at 200/s to engines that end some 38/s, queues of 16, so that chats near each priority call are refused because every queue is full (checked for each call); each of the 16 faults strikes as one is queued, and the priority team's 20 calls in the 2 s after it must have their first token within 460 ms. All other checks of a scene apply too, so every ordinary chat needs a final answer. Two scenes in which regions part for 3 minutes while one alone reaches the platform; fleets may have several regions. The cut is at the level of the virtual network.

--- a/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/FaultMatrix.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/FaultMatrix.java
@@ -34,6 +34,11 @@
         : List.of(single, new Strike(single.fault(), single.step(), 2));
   }
 
+  /** Returns the strikes of a fault while every queue is full of ordinary work. */
+  static List<Strike> crowded(Fault fault) {
+    return List.of(new Strike(fault, Step.QUEUE, 1));
+  }
+
   /** Returns every pair of different faults at two pairs of steps each. */
   static List<List<Strike>> pairs() {
     List<List<Strike>> pairs = new ArrayList<>();
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/MatrixTable.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/MatrixTable.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Outcome of the whole matrix, faults down and steps across.
@@ -14,6 +15,8 @@
  */
 final class MatrixTable {
   private final Map<Fault, Map<Step, Boolean>> singles = new EnumMap<>(Fault.class);
+  private final Map<Fault, Boolean> crowded = new EnumMap<>(Fault.class);
+  private final Map<PartingScene.Side, Boolean> parted = new EnumMap<>(PartingScene.Side.class);
   private final Map<String, List<String>> red = new LinkedHashMap<>();
   private int repeated;
   private int repeatedHeld;
@@ -32,6 +35,12 @@
       table.repeated++;
       table.repeatedHeld += table.holds(FaultMatrix.repeated(single)) ? 1 : 0;
     }
+    for (Fault fault : Fault.values()) {
+      table.crowded.put(fault, table.holdsCrowded(FaultMatrix.crowded(fault)));
+    }
+    for (PartingScene.Side side : PartingScene.Side.values()) {
+      table.parted.put(side, table.holdsParted(side));
+    }
     for (List<Strike> pair : FaultMatrix.pairs()) {
       table.pairs++;
       table.pairsHeld += table.holds(pair) ? 1 : 0;
@@ -51,16 +60,21 @@
     for (Step step : Step.values()) {
       page.append(' ').append(step.title()).append(" |");
     }
-    page.append("\n|---|").append("---|".repeat(Step.values().length)).append('\n');
+    page.append(" full queues |\n|---|");
+    page.append("---|".repeat(Step.values().length + 1)).append('\n');
     List<String> reasons = new ArrayList<>();
     for (Fault fault : Fault.values()) {
       page.append("| ").append(fault.title()).append(" |");
       for (Step step : Step.values()) {
         page.append(' ').append(cell(fault, step, reasons)).append(" |");
       }
-      page.append('\n');
+      page.append(' ').append(verdict(crowded.get(fault))).append(" |\n");
     }
     page.append('\n');
+    parted.forEach(
+        (side, isHeld) ->
+            page.append("- regions parted for 3 minutes, the log reachable from the ")
+                .append(side.title() + " alone: " + verdict(isHeld) + '\n'));
     reasons.forEach(reason -> page.append("- not applicable: ").append(reason).append('\n'));
     page.append("- each fault twice in a row: ")
         .append(repeatedHeld + " of " + repeated + " held\n");
@@ -84,9 +98,20 @@
         once, and chats a second later are served as fast and from the cache. (No first token is
         timed where an engine stays slow, since it may by itself be slower than that.)
 
-        Not a cell, and why: priority over a full queue and cold starts at 80 % load need more load
-        than a scene has, and are measured by `bin/bench`; loads at once are counted by
-        `EngineOrdersTest` and `AgreementProcessTest`; regions are not parted in a scene.
+        Full queues: ordinary chats come five times as fast as they can be served and are refused
+        because every queue is full; the fault strikes as one is queued, and a priority team calls
+        20 times in the 2 s after it. Each call of it must have its first token within 460 ms, but
+        for those whose own router is lost, beside all that is checked in the other cells.
+
+        Parted regions: 4 routers, 8 engines and 4 services in two regions of two failure domains.
+        Everything between the regions is lost both ways at the virtual network, one region cannot
+        reach the platform, and chats and bookings go on in both; sockets and routes are not cut.
+        Checked after it: all of the above, each booking answered, and the configuration in force
+        everywhere 8 s after the regions meet.
+
+        Not a cell, and why: cold starts at 80 % load need more load than a scene has, and are
+        measured by `bin/bench`; loads at once are counted by `EngineOrdersTest` and
+        `AgreementProcessTest`.
 
         """;
   }
@@ -97,7 +122,11 @@
       reasons.add(fault.title() + " at " + step.title() + ": " + reason.get());
       return "n/a";
     }
-    return singles.get(fault).get(step) ? "held" : "**red**";
+    return verdict(singles.get(fault).get(step));
+  }
+
+  private static String verdict(boolean isHeld) {
+    return isHeld ? "held" : "**red**";
   }
 
   private void appendRed(StringBuilder page) {
@@ -112,11 +141,23 @@
   }
 
   private boolean holds(List<Strike> strikes) {
-    SceneResult result = new Scene(strikes, FaultMatrix.SEED).run();
+    return note(strikes.toString(), new Scene(strikes, FaultMatrix.SEED).run());
+  }
+
+  private boolean holdsCrowded(List<Strike> strikes) {
+    return note("full queues, " + strikes, Scene.crowded(strikes, FaultMatrix.SEED).run());
+  }
+
+  private boolean holdsParted(PartingScene.Side side) {
+    List<String> violations = new PartingScene(side, FaultMatrix.SEED).run();
+    return note("parted, log at the " + side.title(), new SceneResult(violations, Set.of()));
+  }
+
+  private boolean note(String name, SceneResult result) {
     if (!result.isHeld()) {
       List<String> found = new ArrayList<>(result.violations());
       result.pending().forEach(strike -> found.add("did not strike: " + strike));
-      red.put(strikes.toString(), found);
+      red.put(name, found);
     }
     return result.isHeld();
   }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/Scene.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/matrix/Scene.java
@@ -8,26 +8,19 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.shallothook.benchmarks.virtual.CallerRecord;
-import org.shallothook.benchmarks.virtual.ChatCall;
 import org.shallothook.benchmarks.virtual.ChatRecord;
 import org.shallothook.benchmarks.virtual.FleetInvariants;
 import org.shallothook.benchmarks.virtual.RouterProcess;
-import org.shallothook.benchmarks.virtual.ServiceCall;
 import org.shallothook.benchmarks.virtual.SidecarProcess;
 import org.shallothook.benchmarks.virtual.TeamSpec;
 import org.shallothook.benchmarks.virtual.VirtualFleet;
 import org.shallothook.benchmarks.virtual.VirtualProcess;
 import org.shallothook.coordination.configuration.ChangeRequest;
 import org.shallothook.coordination.configuration.PublicationResult;
-import org.shallothook.coordination.router.ChatMessage;
 import org.shallothook.coordination.router.RouterEvent;
 import org.shallothook.coordination.sidecar.SidecarEvent;
+import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.standins.engine.EngineRequest;
-import org.shallothook.state.cache.ModelVersion;
-import org.shallothook.state.configuration.ConfigurationState;
-import org.shallothook.state.configuration.PriorityClass;
-import org.shallothook.state.log.LogPage;
-import org.shallothook.state.log.LogRecord;
 
 /**
  * One run of a small fleet through every step, with faults on the way and all promises checked.
@@ -58,18 +51,13 @@
   private static final int LATE_CHATS = 6;
   private static final String DRAINED_SIDECAR = "engine-3";
   private static final String DRAINED_ROUTER = "router-2";
-  private static final String SERVICE = "booking";
-  private static final String CONFIGURATION = "configuration";
-  private static final String TEXT = "one two three four five six seven eight nine ten ";
-
-  private static final TeamSpec ORDINARY = team("guild", PriorityClass.ORDINARY);
-  private static final TeamSpec URGENT = team("desk", PriorityClass.PRIORITY);
 
   private final VirtualFleet fleet;
   private final ScenePromises promises;
   private final StrikeWatch watch;
   private final List<String> violations = new ArrayList<>();
   private final SceneRecovery recovery;
+  private final Optional<Crowd> crowd;
   private Optional<PublicationResult> publication = Optional.empty();
   private boolean hasPublished;
   private boolean isWatching;
@@ -78,23 +66,46 @@
   private long repeatDelayMicros;
   private int changes;
 
+  /** Creates a lightly loaded scene. */
   Scene(List<Strike> strikes, long seed) {
+    this(strikes, seed, false);
+  }
+
+  private Scene(List<Strike> strikes, long seed, boolean isCrowded) {
     boolean checksFencing =
         strikes.stream().allMatch(strike -> strike.fault().upstreamsCheckFencing());
     fleet =
         VirtualFleet.builder()
             .seed(seed)
             .engines(6)
-            .services(SERVICE, 3, checksFencing)
-            .team(ORDINARY)
-            .team(URGENT)
+            .services(SceneTeams.SERVICE, 3, checksFencing)
+            .team(SceneTeams.ORDINARY)
+            .team(SceneTeams.URGENT)
+            .sidecarOptions(options -> limitQueue(options, isCrowded))
             .build();
-    recovery = new SceneRecovery(fleet, List.of(ORDINARY, URGENT), hasSlowEngine(strikes));
+    crowd =
+        isCrowded
+            ? Optional.of(new Crowd(fleet, SceneTeams.ORDINARY, SceneTeams.URGENT))
+            : Optional.empty();
+    recovery =
+        new SceneRecovery(
+            fleet, List.of(SceneTeams.ORDINARY, SceneTeams.URGENT), hasSlowEngine(strikes));
     promises = new ScenePromises(fleet);
     watch = new StrikeWatch(this, strikes, promises);
     fleet.observe(watch);
   }
 
+  /** Creates a scene in which every queue is full of ordinary work while faults strike. */
+  static Scene crowded(List<Strike> strikes, long seed) {
+    return new Scene(strikes, seed, true);
+  }
+
+  private static void limitQueue(SidecarOptions.Builder options, boolean isCrowded) {
+    if (isCrowded) {
+      options.maximumQueueLength(Crowd.QUEUE_LENGTH);
+    }
+  }
+
   /** Runs the scene and checks every promise. */
   SceneResult run() {
     long start = fleet.nowMicros();
@@ -103,7 +114,8 @@
     checkCallers();
     violations.addAll(FleetInvariants.violations(fleet, Set.of(TeamSpec.REPEATABLE_PATH)));
     violations.addAll(promises.violations());
-    violations.addAll(recovery.violations(stateOfLog()));
+    violations.addAll(recovery.violations(SceneLog.state(fleet)));
+    crowd.ifPresent(one -> violations.addAll(one.violations()));
     checkPublication();
     return new SceneResult(List.copyOf(violations), watch.pending());
   }
@@ -148,13 +160,17 @@
   }
 
   void sendPoison() {
-    fleet.chat(chatOf(ORDINARY, EngineRequest.POISON_MARKER));
+    fleet.chat(SceneTeams.chatOf(SceneTeams.ORDINARY, EngineRequest.POISON_MARKER));
   }
 
   void publishConflict() {
     anyRouter()
         .ifPresent(
-            router -> publish(router, ORDINARY.withModelVersion(version("v3")), result -> {}));
+            router ->
+                publish(
+                    router,
+                    SceneTeams.ORDINARY.withModelVersion(SceneTeams.version("v3")),
+                    result -> {}));
   }
 
   void leaveOldestCaller() {
@@ -192,17 +208,18 @@
 
   private void schedule(long start) {
     fleet.at(start + WARM_UP_MICROS, () -> isWatching = true);
+    crowd.ifPresent(one -> one.schedule(start + WARM_UP_MICROS));
     for (int index = 0; index < CHATS; index++) {
-      TeamSpec team = index % 5 == 0 ? URGENT : ORDINARY;
+      TeamSpec team = index % 5 == 0 ? SceneTeams.URGENT : SceneTeams.ORDINARY;
       String question = "question " + index + " answer-tokens:24";
       long at = start + WARM_UP_MICROS + 10_000 + index * CHAT_INTERVAL_MICROS;
-      fleet.at(at, () -> fleet.chat(chatOf(team, question)));
+      fleet.at(at, () -> fleet.chat(SceneTeams.chatOf(team, question)));
     }
     for (int index = 0; index < BOOKINGS; index++) {
       String key = "booking-key-" + index;
       long at = start + WARM_UP_MICROS + 20_000 + index * BOOKING_INTERVAL_MICROS;
-      fleet.at(at, () -> fleet.call(bookingOf(key)));
-      fleet.at(at + REPEAT_MICROS, () -> fleet.call(bookingOf(key)));
+      fleet.at(at, () -> fleet.call(SceneTeams.bookingOf(key)));
+      fleet.at(at + REPEAT_MICROS, () -> fleet.call(SceneTeams.bookingOf(key)));
     }
     fleet.at(start + PUBLISH_MICROS, this::publishNewVersion);
     fleet.at(start + DRAIN_SIDECAR_MICROS, this::drainSidecar);
@@ -216,10 +233,10 @@
 
   private void scheduleLate(String name, long start, Consumer<ChatRecord> taker) {
     for (int index = 0; index < LATE_CHATS; index++) {
-      TeamSpec team = index % 2 == 0 ? URGENT : ORDINARY;
+      TeamSpec team = index % 2 == 0 ? SceneTeams.URGENT : SceneTeams.ORDINARY;
       String question = name + " question " + index + " answer-tokens:8";
       long at = start + index * CHAT_INTERVAL_MICROS;
-      fleet.at(at, () -> taker.accept(fleet.chat(chatOf(team, question))));
+      fleet.at(at, () -> taker.accept(fleet.chat(SceneTeams.chatOf(team, question))));
     }
   }
 
@@ -238,7 +255,7 @@
               hasPublished = true;
               publish(
                   router,
-                  ORDINARY.withModelVersion(version("v2")),
+                  SceneTeams.ORDINARY.withModelVersion(SceneTeams.version("v2")),
                   result -> publication = Optional.of(result));
             });
   }
@@ -267,7 +284,7 @@
   }
 
   private void checkConverged() {
-    long end = stateOfLog().effectiveOffset();
+    long end = SceneLog.state(fleet).effectiveOffset();
     Optional<RouterProcess> asked = anyRouter();
     if (asked.isEmpty()) {
       return;
@@ -284,22 +301,6 @@
     }
   }
 
-  /** Returns the configuration that the log holds, by folding it anew. */
-  private ConfigurationState stateOfLog() {
-    fleet.platform().log().disturbances().clear();
-    ConfigurationState state = ConfigurationState.EMPTY;
-    LogPage page =
-        fleet
-            .platform()
-            .log()
-            .read(CONFIGURATION, 0, Integer.MAX_VALUE, fleet.nowMicros())
-            .orElseThrow();
-    for (LogRecord record : page.records()) {
-      state = state.fold(record).state();
-    }
-    return state;
-  }
-
   private void checkCallers() {
     List<CallerRecord> records = new ArrayList<>(fleet.callers().chats());
     records.addAll(fleet.callers().calls());
@@ -316,8 +317,8 @@
       return;
     }
     boolean isAccepted = publication.get() instanceof PublicationResult.Accepted;
-    String source = router.get().core().templateSource(ORDINARY.name()).orElse("");
-    if (isAccepted && source.equals(ORDINARY.template())) {
+    String source = router.get().core().templateSource(SceneTeams.ORDINARY.name()).orElse("");
+    if (isAccepted && source.equals(SceneTeams.ORDINARY.template())) {
       violations.add("an accepted publication is not in force");
     }
   }
@@ -325,31 +326,4 @@
   private static boolean hasSlowEngine(List<Strike> strikes) {
     return strikes.stream().anyMatch(strike -> strike.fault() == Fault.SLOW_ENGINE);
   }
-
-  private static ChatCall chatOf(TeamSpec team, String question) {
-    return ChatCall.of(
-        team.key(),
-        team.modelVersion().model(),
-        Optional.of("register"),
-        List.of(new ChatMessage("user", question)));
-  }
-
-  private static ServiceCall bookingOf(String key) {
-    return new ServiceCall(ORDINARY.key(), SERVICE, "bookings", Optional.of(key), "{}");
-  }
-
-  private static ModelVersion version(String version) {
-    return ModelVersion.of("linen", version);
-  }
-
-  private static TeamSpec team(String name, PriorityClass priority) {
-    return new TeamSpec(
-        name,
-        version("v1"),
-        priority,
-        TEXT.repeat(200),
-        Map.of("register", TEXT.repeat(100)),
-        SERVICE,
-        true);
-  }
 }
--- a/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/FleetBuilder.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/virtual/FleetBuilder.java
@@ -34,6 +34,7 @@
   private long seed = 1;
   private Latencies latencies = Latencies.RO_CENTRAL;
   private List<String> domains = List.of("domain-a", "domain-b", "domain-c");
+  private Map<String, String> regions = Map.of();
   private int routers = 3;
   private int engines = 8;
   private int services;
@@ -71,6 +72,12 @@
     return this;
   }
 
+  /** Sets the regions of failure domains by their names. Default: all in one region. */
+  public FleetBuilder regions(Map<String, String> byDomain) {
+    regions = Map.copyOf(byDomain);
+    return this;
+  }
+
   /** Sets the number of routers, {@code router-1} and on. Default: 3. */
   public FleetBuilder routers(int count) {
     routers = count;
@@ -193,9 +200,12 @@
     return instances;
   }
 
-  private static Instance instance(
-      String name, InstanceRole role, String domain, String serviceName) {
-    return new Instance(name, role, SERVICE_ADDRESS, domain, REGION, serviceName, false);
+  private Instance instance(String name, InstanceRole role, String domain, String serviceName) {
+    return new Instance(name, role, SERVICE_ADDRESS, domain, regionOf(domain), serviceName, false);
+  }
+
+  private String regionOf(String domain) {
+    return regions.getOrDefault(domain, REGION);
   }
 
   private Map<String, String> domainsByName(String prefix, int count) {
@@ -224,7 +234,7 @@
                   .name(name)
                   .incarnation(incarnation)
                   .failureDomain(domain)
-                  .region(REGION)
+                  .region(regionOf(domain))
                   .placement(placement)
                   .blockBytes(engineSettings.blockBytes())
                   .seed(seed * 31 + name.hashCode() + incarnation)
@@ -270,7 +280,7 @@
             .service(role == InstanceRole.SERVICE ? service : "")
             .failureDomain(domain)
             .blockBytes(engineSettings.blockBytes())
-            .region(REGION);
+            .region(regionOf(domain));
     sidecarOptions.accept(options);
     return options.build();
   }
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/matrix/FaultMatrixTest.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/matrix/FaultMatrixTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 final class FaultMatrixTest {
@@ -34,6 +35,20 @@
     assertHeld(FaultMatrix.repeated(strike));
   }
 
+  @ParameterizedTest
+  @EnumSource
+  void priorityHoldsOverFullQueuesUnder(Fault fault) {
+    SceneResult result = Scene.crowded(FaultMatrix.crowded(fault), FaultMatrix.SEED).run();
+    assertThat(result.violations()).isEmpty();
+    assertThat(result.pending()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void regionsThatPartHoldThoughThePlatformIsReachedFromOneOnly(PartingScene.Side connected) {
+    assertThat(new PartingScene(connected, FaultMatrix.SEED).run()).isEmpty();
+  }
+
   @ParameterizedTest(name = "{0}")
   @MethodSource("pairs")
   void pairOfFaultsHolds(List<Strike> strikes) {
