Move callers to a new version team after team

Cause: with openings computed ahead, a trace by second shows no cold opening computed by callers, yet a median wait of half a second in Altar Linen while engines compute 56 to 80 blocks a second, less than before the roll. What is left is room and spread: both versions' openings compete for the caches, and a new prefix starts with a spread of one engine.

--- a/coordination/src/main/java/org/shallothook/coordination/order/EngineOrders.java
+++ b/coordination/src/main/java/org/shallothook/coordination/order/EngineOrders.java
@@ -28,8 +28,11 @@
  * configuration that they follow from. Not thread-safe: used on the decision thread.
  */
 public final class EngineOrders {
-  /** Time for which assigned versions must have been ready before others are unloaded. */
-  static final long SETTLE_MICROS = 30_000_000;
+  /**
+   * Time for which assigned versions must have been ready before others are unloaded; longer than
+   * routers take to move their callers.
+   */
+  static final long SETTLE_MICROS = 60_000_000;
 
   /** Time given to a load to be read back, in microseconds. */
   static final long LOAD_PATIENCE_MICROS = 10_000_000;
--- a/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
@@ -15,10 +15,12 @@
 /**
  * Chooses the model version that a team's new requests run on while a new one is being loaded.
  *
- * <p>Conversations move to the version of the template in step with the engines: the share of
- * conversations that use it is the share of engines that have it. The others use the version that
- * the template named before, as the configuration remembers it, so that a router which has just
- * started chooses as the others do.
+ * <p>Conversations move to the version of the template once every engine has it and has computed
+ * its openings: team after team, and the conversations of a team little by little, so that the
+ * engines' caches and the spread of new prefixes can follow. After a deadline they move in step
+ * with the engines: the share of conversations that use it is the share of engines that have it.
+ * The others use the version that the template named before, as the configuration remembers it, so
+ * that a router which has just started chooses as the others do.
  *
  * <p>Invariant: once a conversation was moved to a version, it is not served with an earlier one of
  * its team again. Not thread-safe.
@@ -28,7 +30,10 @@
   static final long AWAIT_MICROS = 20_000_000;
 
   /** Time over which the conversations move, in microseconds. */
-  static final long MOVE_MICROS = 8_000_000;
+  static final long MOVE_MICROS = 24_000_000;
+
+  /** Part of that time in which the conversations of one team move. */
+  private static final double TEAM_PART = 0.3;
 
   private static final int FRACTION_BITS = 53;
 
@@ -64,7 +69,8 @@
       return wanted;
     }
     double fraction = fractionOf(team.name() + '/' + tenant.orElse(""), messages);
-    ModelVersion chosen = choose(team.name(), candidates, fraction, nowMicros);
+    double turn = turnOf(team, configuration);
+    ModelVersion chosen = choose(team.name(), candidates, fraction, turn, nowMicros);
     if (!chosen.equals(wanted)) {
       counters.increment("versions.earlier-served");
     }
@@ -72,14 +78,14 @@
   }
 
   private ModelVersion choose(
-      String team, List<ModelVersion> candidates, double fraction, long nowMicros) {
+      String team, List<ModelVersion> candidates, double fraction, double turn, long nowMicros) {
     Map<ModelVersion, Double> greatest =
         greatestShares.computeIfAbsent(team, name -> new HashMap<>());
     greatest.keySet().retainAll(candidates);
     for (int index = 0; index < candidates.size(); index++) {
       ModelVersion candidate = candidates.get(index);
       List<ModelVersion> older = candidates.subList(index + 1, candidates.size());
-      double share = usableShare(candidate, older, nowMicros);
+      double share = usableShare(candidate, older, turn, nowMicros);
       if (fraction < greatest.merge(candidate, share, Math::max)) {
         return candidate;
       }
@@ -88,11 +94,12 @@
   }
 
   /**
-   * Returns the share of conversations that may use a version: none while some engines are loading
-   * it or computing its openings, then more and more up to the share of engines that have it. Where
-   * an engine lacks the version before, nothing is delayed.
+   * Returns the share of a team's conversations that may use a version: none while some engines are
+   * loading it or computing its openings, then more and more from the team's turn on, up to the
+   * share of engines that have it. Where an engine lacks the version before, nothing is delayed.
    */
-  private double usableShare(ModelVersion candidate, List<ModelVersion> older, long nowMicros) {
+  private double usableShare(
+      ModelVersion candidate, List<ModelVersion> older, double turn, long nowMicros) {
     double ready = directory.readyShare(candidate, older, nowMicros);
     if (ready == 0 || older.isEmpty() || !isEverywhere(older.get(0), candidate, nowMicros)) {
       return ready;
@@ -103,7 +110,23 @@
       return 0;
     }
     long movedAt = movedAtMicros.computeIfAbsent(candidate, one -> nowMicros + MOVE_MICROS);
-    return Math.min(ready, 1 - (double) Math.max(0, movedAt - nowMicros) / MOVE_MICROS);
+    double progress = 1 - (double) Math.max(0, movedAt - nowMicros) / MOVE_MICROS;
+    double share = (progress - turn * (1 - TEAM_PART)) / TEAM_PART;
+    return Math.max(0, Math.min(ready, share));
+  }
+
+  /** Returns when a team's turn to move begins, from 0 for the first to below 1 for the last. */
+  private static double turnOf(TeamTemplate team, ConfigurationState configuration) {
+    int before = 0;
+    int all = 0;
+    for (TeamTemplate other : configuration.allTeams().values()) {
+      boolean moves =
+          other.modelVersion().equals(team.modelVersion())
+              && !configuration.earlierVersions(other.name()).isEmpty();
+      all += moves ? 1 : 0;
+      before += moves && other.name().compareTo(team.name()) < 0 ? 1 : 0;
+    }
+    return all < 2 ? 0 : (double) before / (all - 1);
   }
 
   private boolean isEverywhere(ModelVersion version, ModelVersion other, long nowMicros) {
