Count the move to a new version from when engines were ready

A router counted the move of conversations from when it first saw a version on every engine, at a request, so that one which restarted during the move began anew and took conversations back to the earlier version for up to 24 s; and a version that was rolled twice moved all at once the second time, since the start was kept.

Weighed: the time of the change in the log (says nothing of when engines were ready); a record of the move's start (an append and a wait). Chosen: sidecars say in their status since when each version can serve, 7 bytes or so a version, and only when something changes; a sidecar of an earlier build counts from when it was heard.

Test: RouterCoreFleetTest.aRouterThatStartsDuringAMoveIsAsFarAsTheOthers fails without the change.

--- a/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/Upstream.java
@@ -1,7 +1,8 @@
 package org.shallothook.coordination.membership;
 
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.placement.PlacementCandidate;
 import org.shallothook.coordination.placement.RendezvousHash;
@@ -24,7 +25,7 @@
   private boolean isDown;
   private long sidecarIncarnation;
   private String engineIncarnation = "";
-  private Set<ModelVersion> ready = Set.of();
+  private Map<ModelVersion, Long> readySinceMicros = Map.of();
   private EngineRole role = EngineRole.MIXED;
   private boolean isLeavingBySidecar;
   private long queueDelayMicros;
@@ -121,12 +122,17 @@
 
   /** Returns whether the sidecar says that it can serve the model version now. */
   public boolean isReady(ModelVersion modelVersion) {
-    return ready.contains(modelVersion);
+    return readySinceMicros.containsKey(modelVersion);
+  }
+
+  /** Returns since when the model version can be served here, if it can. */
+  public Optional<Long> readySinceMicros(ModelVersion modelVersion) {
+    return Optional.ofNullable(readySinceMicros.get(modelVersion));
   }
 
   /** Returns whether the sidecar says that it can serve any version of a model with its adapter. */
   public boolean hasModel(ModelVersion modelVersion) {
-    return ready.stream()
+    return readySinceMicros.keySet().stream()
         .anyMatch(
             one ->
                 one.model().equals(modelVersion.model())
@@ -175,11 +181,10 @@
 
   /** Takes in the sidecar's word that a model version cannot be served now. */
   public void onNotReady(ModelVersion modelVersion) {
-    if (ready.contains(modelVersion)) {
-      ready =
-          ready.stream()
-              .filter(version -> !version.equals(modelVersion))
-              .collect(Collectors.toUnmodifiableSet());
+    if (readySinceMicros.containsKey(modelVersion)) {
+      Map<ModelVersion, Long> others = new HashMap<>(readySinceMicros);
+      others.remove(modelVersion);
+      readySinceMicros = Map.copyOf(others);
     }
   }
 
@@ -210,7 +215,7 @@
     sidecarIncarnation = incarnation;
     hasStatus = true;
     engineIncarnation = status.engineIncarnation();
-    ready = Set.copyOf(status.ready());
+    readySinceMicros = sinceOf(status);
     isLeavingBySidecar = status.isLeaving();
     queueDelayMicros = status.queueDelayMicros();
     role = status.role();
@@ -231,4 +236,16 @@
   void eject(long untilMicros) {
     ejectedUntilMicros = untilMicros;
   }
+
+  /** A sidecar of an earlier build does not say since when: then since it was first heard. */
+  private Map<ModelVersion, Long> sinceOf(SidecarStatus status) {
+    boolean isSaid = status.readySinceMicros().size() == status.ready().size();
+    Map<ModelVersion, Long> since = new HashMap<>();
+    for (int index = 0; index < status.ready().size(); index++) {
+      ModelVersion version = status.ready().get(index);
+      long heard = readySinceMicros.getOrDefault(version, heardAtMicros);
+      since.put(version, isSaid ? status.readySinceMicros().get(index) : heard);
+    }
+    return Map.copyOf(since);
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/membership/UpstreamDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -163,6 +164,18 @@
     return all == 0 ? 0 : (double) ready / all;
   }
 
+  /**
+   * Returns since when engines can serve a model version: the first and the last of them, in
+   * microseconds since the epoch.
+   */
+  public LongSummaryStatistics readySinceMicros(ModelVersion modelVersion, long nowMicros) {
+    return upstreams.values().stream()
+        .filter(one -> isEngine(one) && one.isUsable(nowMicros))
+        .flatMap(one -> one.readySinceMicros(modelVersion).stream())
+        .mapToLong(Long::longValue)
+        .summaryStatistics();
+  }
+
   /**
    * Returns whether every engine that can serve one of some other model versions can serve this one
    * too. An engine whose state is unknown may serve any of them, also while it is out of reach.
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -218,6 +218,8 @@
    * @param isLeaving whether no new work is taken
    * @param queueDelayMicros expected time until new work would start, in microseconds
    * @param role role that the engine reports; mixed for a service or an engine without roles
+   * @param readySinceMicros since when each of the ready versions can serve, in their order and in
+   *     microseconds since the epoch; empty where the sender does not say
    */
   record SidecarStatus(
       String upstream,
@@ -225,20 +227,29 @@
       List<ModelVersion> ready,
       boolean isLeaving,
       long queueDelayMicros,
-      EngineRole role)
+      EngineRole role,
+      List<Long> readySinceMicros)
       implements PeerMessage {
     public SidecarStatus {
       ready = List.copyOf(ready);
+      readySinceMicros = List.copyOf(readySinceMicros);
     }
 
-    /** Creates the state of an upstream without roles. */
+    /** Creates the state of an upstream without roles that does not say since when. */
     public SidecarStatus(
         String upstream,
         String engineIncarnation,
         List<ModelVersion> ready,
         boolean isLeaving,
         long queueDelayMicros) {
-      this(upstream, engineIncarnation, ready, isLeaving, queueDelayMicros, EngineRole.MIXED);
+      this(
+          upstream,
+          engineIncarnation,
+          ready,
+          isLeaving,
+          queueDelayMicros,
+          EngineRole.MIXED,
+          List.of());
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ServedVersions.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import org.shallothook.coordination.membership.UpstreamDirectory;
@@ -20,7 +21,8 @@
  * engines' caches and the spread of new prefixes can follow. After a deadline they move in step
  * with the engines: the share of conversations that use it is the share of engines that have it.
  * The others use the version that the template named before, as the configuration remembers it, so
- * that a router which has just started chooses as the others do.
+ * that a router which has just started chooses as the others do. The move counts from when the
+ * sidecars say that the version was ready, so that all routers are equally far.
  *
  * <p>Invariant: once a conversation was moved to a version, it is not served with an earlier one of
  * its team again. Not thread-safe.
@@ -40,8 +42,6 @@
   private final UpstreamDirectory directory;
   private final Counters counters;
   private final Map<String, Map<ModelVersion, Double>> greatestShares = new HashMap<>();
-  private final Map<ModelVersion, Long> awaitedUntilMicros = new HashMap<>();
-  private final Map<ModelVersion, Long> movedAtMicros = new HashMap<>();
 
   ServedVersions(UpstreamDirectory directory, Counters counters) {
     this.directory = directory;
@@ -104,13 +104,13 @@
     if (ready == 0 || older.isEmpty() || !isEverywhere(older.get(0), candidate, nowMicros)) {
       return ready;
     }
-    long awaitedUntil =
-        awaitedUntilMicros.computeIfAbsent(candidate, one -> nowMicros + AWAIT_MICROS);
+    LongSummaryStatistics since = directory.readySinceMicros(candidate, nowMicros);
+    long awaitedUntil = since.getMin() + AWAIT_MICROS;
     if (ready < 1 && nowMicros < awaitedUntil) {
       return 0;
     }
-    long movedAt = movedAtMicros.computeIfAbsent(candidate, one -> nowMicros + MOVE_MICROS);
-    double progress = 1 - (double) Math.max(0, movedAt - nowMicros) / MOVE_MICROS;
+    long begin = ready < 1 ? awaitedUntil : Math.min(since.getMax(), awaitedUntil);
+    double progress = Math.min(1, (double) (nowMicros - begin) / MOVE_MICROS);
     double share = (progress - turn * (1 - TEAM_PART)) / TEAM_PART;
     return Math.max(0, Math.min(ready, share));
   }
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -1,6 +1,5 @@
 package org.shallothook.coordination.sidecar;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -32,11 +31,6 @@
   /** Longest time between two ticks, in microseconds. */
   public static final long TICK_INTERVAL_MICROS = 20_000;
 
-  private static final Comparator<ModelVersion> VERSION_ORDER =
-      Comparator.comparing(ModelVersion::model)
-          .thenComparing(ModelVersion::version)
-          .thenComparing(ModelVersion::adapter);
-
   private final SidecarOptions options;
   private final SidecarOutbox outbox;
   private final Counters counters;
@@ -51,6 +45,7 @@
   private final RouterSessions routers = new RouterSessions();
   private final LeavingSignals leaving = new LeavingSignals();
   private final InstanceWatch instances;
+  private final ReadyVersions ready;
   private List<ModelVersion> publishedReady = List.of();
   private long latestMicros;
   private boolean hasDrained;
@@ -99,6 +94,7 @@
     openings =
         new OpeningWarmer(
             options, agreementOptions.versionsPerEngine(), outbox, counters, engine, hotPrefixes);
+    ready = new ReadyVersions(engine, openings);
     admission = new Admission(options, outbox, counters, engine, hotPrefixes, openings);
     agreement = new Agreement(options, agreementOptions, outbox, counters);
     calls = new ServiceCalls(options, outbox, counters, agreement.desk());
@@ -112,13 +108,15 @@
 
   /** Returns the state that routers are told. */
   public PeerMessage.SidecarStatus status() {
+    List<ModelVersion> versions = ready.at(latestMicros);
     return new PeerMessage.SidecarStatus(
         options.name(),
         engine.incarnation().orElse(""),
-        readyForCallers(),
+        versions,
         leaving.isLeaving(),
         admission.queueDelayMicros(),
-        engine.role());
+        engine.role(),
+        ready.sinceMicros());
   }
 
   /** Returns the configuration offset in force here. */
@@ -360,18 +358,11 @@
     if (options.role() == InstanceRole.MODEL_ENGINE && !agreement.configuration().isBehind()) {
       openings.onTick(agreement.configuration().state(), nowMicros);
     }
-    if (!readyForCallers().equals(publishedReady)) {
+    if (!ready.at(nowMicros).equals(publishedReady)) {
       publishStatus();
     }
   }
 
-  private List<ModelVersion> readyForCallers() {
-    return engine.ready().stream()
-        .filter(version -> !openings.isHeldBack(version, latestMicros))
-        .sorted(VERSION_ORDER)
-        .toList();
-  }
-
   private void setLeaving(LeavingSignals.Signal signal, boolean isRaised, long nowMicros) {
     boolean hasChanged = leaving.set(signal, isRaised);
     applyLeaving(hasChanged, nowMicros);
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -21,6 +21,7 @@
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogPage;
 import org.shallothook.state.log.LogRecord;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
@@ -204,6 +205,39 @@
     assertThat(movedConversations(harness, newer)).hasSize(100);
   }
 
+  @Test
+  void aRouterThatStartsDuringAMoveIsAsFarAsTheOthers() {
+    RouterHarness harness = RouterHarness.ready(2);
+    long readyMicros = harness.now;
+    roll(harness, readyMicros);
+    harness.advance(ServedVersions.MOVE_MICROS * 15 / 100);
+    RouterHarness late = RouterHarness.ready(2);
+    late.now = harness.now;
+    roll(late, readyMicros);
+    Set<Integer> moved = movedConversations(harness, ModelVersion.of(RouterHarness.MODEL, "4"));
+
+    assertThat(moved.size()).isAtLeast(35);
+    assertThat(movedConversations(late, ModelVersion.of(RouterHarness.MODEL, "4")))
+        .isEqualTo(moved);
+  }
+
+  private static void roll(RouterHarness harness, long readyMicros) {
+    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
+    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
+    for (String engine : List.of("engine-1", "engine-2")) {
+      harness.receive(
+          engine,
+          new PeerMessage.SidecarStatus(
+              engine,
+              "e-1",
+              List.of(RouterHarness.VERSION, newer),
+              false,
+              0,
+              EngineRole.MIXED,
+              List.of(readyMicros - 1, readyMicros)));
+    }
+  }
+
   @Test
   void teamsMoveOneAfterTheOther() {
     RouterHarness harness = RouterHarness.ready(1);
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterRoleTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterRoleTest.java
@@ -45,7 +45,13 @@
     harness.receive(
         engine,
         new PeerMessage.SidecarStatus(
-            engine, "e-1", List.of(RouterHarness.VERSION), false, queueDelayMicros, role));
+            engine,
+            "e-1",
+            List.of(RouterHarness.VERSION),
+            false,
+            queueDelayMicros,
+            role,
+            List.of()));
   }
 
   private static Set<String> firstOffers(RouterHarness harness, String key) {
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -192,6 +192,7 @@
         frame.getReadyList().stream().map(FieldMapping::toModelVersion).toList(),
         frame.getIsLeaving(),
         FieldMapping.notNegative("sidecar_status.queue_delay_micros", frame.getQueueDelayMicros()),
-        EngineRole.of(frame.getRole()));
+        EngineRole.of(frame.getRole()),
+        frame.getReadySinceMicrosList());
   }
 }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -174,7 +174,8 @@
         .addAllReady(status.ready().stream().map(FieldMapping::toFrame).toList())
         .setIsLeaving(status.isLeaving())
         .setQueueDelayMicros(status.queueDelayMicros())
-        .setRole(status.role() == EngineRole.MIXED ? "" : status.role().code());
+        .setRole(status.role() == EngineRole.MIXED ? "" : status.role().code())
+        .addAllReadySinceMicros(status.readySinceMicros());
   }
 
   private static ConfigurationRecordsFrame.Builder configurationRecords(
