Rank a team's openings once for each change of its template

Cause: found in reading. Each change of the configuration planned the openings of a roll anew and rendered and hashed those of every moving team: the square of their number, some 120,000 for 490 teams (worked out), on the sidecar's decision thread. It also looked for spare time of the engine on every event, roll or not.

Change: TeamOpenings keeps the hashes of a team's openings, and texts only of those that fall to the engine; nothing is looked for while nothing is open. OpeningPlanTest counts 30 rankings for 30 teams that move one after the other (465 without) and that each opening falls to one of three engines.

--- a/coordination/src/main/java/org/shallothook/coordination/opening/OpeningPlan.java
+++ b/coordination/src/main/java/org/shallothook/coordination/opening/OpeningPlan.java
@@ -1,19 +1,16 @@
 package org.shallothook.coordination.opening;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import org.shallothook.coordination.order.VersionAssignment;
 import org.shallothook.coordination.placement.RendezvousHash;
-import org.shallothook.state.cache.CacheIdentity;
+import org.shallothook.coordination.port.Counters;
 import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.configuration.ConfigurationState;
-import org.shallothook.state.configuration.PriorityClass;
-import org.shallothook.state.configuration.TeamTemplate;
-import org.shallothook.state.configuration.TemplateParser;
 import org.shallothook.state.configuration.TemplateVersion;
 
 /**
@@ -23,68 +20,67 @@
  * knows from its cache whether it is in use.
  *
  * <p>Invariant: a function of configuration and engines alone, so that sidecars which know the same
- * divide the openings among them. Immutable and thread-safe.
+ * divide the openings among them; each change of a template is ranked once. Not thread-safe: used
+ * on the decision thread.
  */
 final class OpeningPlan {
   private final String self;
   private final int blockBytes;
   private final int versionsPerEngine;
+  private final Counters counters;
+  private final Map<String, TeamOpenings> moving = new HashMap<>();
 
-  OpeningPlan(String self, int blockBytes, int versionsPerEngine) {
+  OpeningPlan(String self, int blockBytes, int versionsPerEngine, Counters counters) {
     this.self = self;
     this.blockBytes = blockBytes;
     this.versionsPerEngine = versionsPerEngine;
+    this.counters = counters;
   }
 
   /** Returns the openings that fall to this engine. */
   List<Opening> openings(ConfigurationState configuration, Set<String> engines) {
+    Set<String> teams = movingTeams(configuration, engines);
+    moving.keySet().retainAll(teams);
     List<Opening> own = new ArrayList<>();
+    for (String team : teams) {
+      own.addAll(openingsOf(team, configuration).own(hash -> isHome(hash, engines)));
+    }
+    return own;
+  }
+
+  private Set<String> movingTeams(ConfigurationState configuration, Set<String> engines) {
     Set<ModelVersion> inUse = VersionAssignment.versionsInUse(configuration);
     Set<ModelVersion> assigned = VersionAssignment.of(inUse, engines, versionsPerEngine, self);
-    new TreeMap<>(configuration.allTeams())
+    Set<String> teams = new TreeSet<>();
+    configuration
+        .allTeams()
         .forEach(
             (name, team) -> {
-              List<ModelVersion> earlier = configuration.earlierVersions(name);
-              if (!earlier.isEmpty() && assigned.contains(team.modelVersion())) {
-                withTexts(configuration, name)
-                    .ifPresent(whole -> addOwn(own, whole, earlier.get(0), engines));
+              boolean isMoving = !configuration.earlierVersions(name).isEmpty();
+              if (isMoving && assigned.contains(team.modelVersion())) {
+                teams.add(name);
               }
             });
-    return own;
-  }
-
-  private static Optional<TeamTemplate> withTexts(ConfigurationState configuration, String name) {
-    return configuration
-        .version(name)
-        .flatMap(TemplateVersion::source)
-        .flatMap(source -> TemplateParser.parse(source).toJavaOptional());
+    return teams;
   }
 
-  private void addOwn(
-      List<Opening> own, TeamTemplate team, ModelVersion earlier, Set<String> engines) {
-    Set<String> texts = new LinkedHashSet<>(new TreeMap<>(team.tenants()).values());
-    if (texts.isEmpty()) {
-      texts.add("");
-    }
-    for (String text : texts) {
-      Opening opening =
-          new Opening(
-              team.cacheIdentity(),
-              new CacheIdentity(team.name(), earlier),
-              OpeningText.of(team, text),
-              blockBytes,
-              team.priority() == PriorityClass.PRIORITY);
-      if (!opening.keys().isEmpty() && isHome(opening, engines)) {
-        own.add(opening);
-      }
+  private TeamOpenings openingsOf(String team, ConfigurationState configuration) {
+    TemplateVersion version = configuration.version(team).orElseThrow();
+    TeamOpenings known = moving.get(team);
+    if (known != null && known.isOf(version)) {
+      return known;
     }
+    counters.increment("openings.ranked");
+    ModelVersion earlier = configuration.earlierVersions(team).get(0);
+    TeamOpenings ranked = new TeamOpenings(version, earlier, blockBytes);
+    moving.put(team, ranked);
+    return ranked;
   }
 
-  private boolean isHome(Opening opening, Set<String> engines) {
-    long ownWeight = RendezvousHash.weight(opening.earlierHash(), RendezvousHash.hashOf(self));
+  private boolean isHome(long hash, Set<String> engines) {
+    long ownWeight = RendezvousHash.weight(hash, RendezvousHash.hashOf(self));
     return engines.stream()
-        .mapToLong(
-            name -> RendezvousHash.weight(opening.earlierHash(), RendezvousHash.hashOf(name)))
+        .mapToLong(name -> RendezvousHash.weight(hash, RendezvousHash.hashOf(name)))
         .noneMatch(weight -> Long.compareUnsigned(weight, ownWeight) > 0);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/opening/OpeningWarmer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/opening/OpeningWarmer.java
@@ -77,7 +77,7 @@
     this.counters = counters;
     this.engine = engine;
     this.prefixes = prefixes;
-    this.plan = new OpeningPlan(options.name(), options.blockBytes(), versionsPerEngine);
+    this.plan = new OpeningPlan(options.name(), options.blockBytes(), versionsPerEngine, counters);
   }
 
   /** Takes the list of instances, over whose engines openings are divided. */
@@ -128,6 +128,11 @@
     }
   }
 
+  /** Returns whether there may be something to compute, if the engine has time. */
+  public boolean isWaiting() {
+    return step.isEmpty() && !open.isEmpty();
+  }
+
   /** Starts a step. To be called only while the engine has nothing else to read. */
   public void onSpareTime(long prefillMicrosPerBlock, long nowMicros) {
     if (isRunning() || nowMicros < nextStepMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/SidecarCore.java
@@ -167,7 +167,7 @@
   }
 
   private void useSpareTime(long nowMicros) {
-    if (admission.hasSpareTime()) {
+    if (openings.isWaiting() && admission.hasSpareTime()) {
       openings.onSpareTime(admission.prefillMicrosPerBlock(), nowMicros);
     }
   }
