--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -2,10 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -18,11 +16,8 @@
 import org.shallothook.coordination.message.Hint;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.router.RouterHarness.Sent;
-import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.log.LogPage;
 import org.shallothook.state.log.LogRecord;
-import org.shallothook.state.membership.EngineRole;
-import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.AttemptId;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
@@ -32,9 +27,6 @@
 /** What a router does as upstreams, routers and configurations come and go. */
 final class RouterCoreFleetTest {
   /** Time from which on the first router declares a version rolled out, and a check more. */
-  private static final long DECLARED_MICROS =
-      ServedVersions.MOVE_MICROS + RolloutNotices.HOLD_MICROS + 1_000_000;
-
   static Stream<Arguments> leavingSignals() {
     return Stream.of(
         signal("list", (harness, name) -> harness.markLeaving(name, true)),
@@ -129,170 +121,6 @@
     assertThat(harness.offers(harness.chat("hello"))).hasSize(1);
   }
 
-  @Test
-  void servesTheEarlierVersionUntilTheNewOneIsReadyAndNeverAfter() {
-    RouterHarness harness = RouterHarness.ready(1);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.chat("hello");
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    RequestId during = harness.chat("hello");
-    harness.status("engine-1", false, RouterHarness.VERSION, newer);
-    harness.chat("hello");
-    harness.advance(ServedVersions.MOVE_MICROS);
-    RequestId after = harness.chat("hello");
-    harness.status("engine-1", false, RouterHarness.VERSION);
-    RequestId later = harness.chat("hello");
-
-    assertThat(harness.latestOffer(during).message().identity().modelVersion())
-        .isEqualTo(RouterHarness.VERSION);
-    assertThat(harness.latestOffer(after).message().identity().modelVersion()).isEqualTo(newer);
-    assertThat(harness.refusal(later).get().reason()).isEqualTo(RefusalReason.WRONG_VERSION);
-  }
-
-  @Test
-  void routerThatStartsDuringARollServesTheEarlierVersion() {
-    RouterHarness harness = new RouterHarness(RouterOptions.builder());
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "3", ""));
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.addInstance("engine-1", InstanceRole.MODEL_ENGINE, "a", "");
-    harness.listInstances();
-    harness.status("engine-1", false, RouterHarness.VERSION);
-    RequestId request = harness.chat("hello");
-
-    assertThat(harness.latestOffer(request).message().identity().modelVersion())
-        .isEqualTo(RouterHarness.VERSION);
-    assertThat(harness.counter("versions.earlier-served")).isEqualTo(1);
-  }
-
-  @Test
-  void conversationsMoveToANewVersionInStepWithTheEnginesAndStayThere() {
-    RouterHarness harness = RouterHarness.ready(8);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.status("engine-1", false, RouterHarness.VERSION, newer);
-    harness.status("engine-2", false, RouterHarness.VERSION, newer);
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.advance(ServedVersions.AWAIT_MICROS - 1_000_000);
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.advance(1_000_000);
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.advance(ServedVersions.MOVE_MICROS);
-    Set<Integer> moved = movedConversations(harness, newer);
-    harness.status("engine-2", false, RouterHarness.VERSION);
-    Set<Integer> afterwards = movedConversations(harness, newer);
-
-    assertThat(moved.size()).isAtLeast(15);
-    assertThat(moved.size()).isAtMost(35);
-    assertThat(afterwards).isEqualTo(moved);
-  }
-
-  @Test
-  void anEngineOutOfReachHoldsNoConversationBack() {
-    RouterHarness harness = RouterHarness.ready(3);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.send(new RouterEvent.PeerLost("engine-3"));
-    harness.status("engine-1", false, RouterHarness.VERSION, newer);
-    harness.status("engine-2", false, RouterHarness.VERSION, newer);
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.advance(ServedVersions.MOVE_MICROS * 15 / 100);
-    Set<Integer> half = movedConversations(harness, newer);
-    assertThat(half.size()).isAtLeast(35);
-    assertThat(half.size()).isAtMost(65);
-    harness.advance(ServedVersions.MOVE_MICROS);
-
-    assertThat(movedConversations(harness, newer)).hasSize(100);
-  }
-
-  @Test
-  void aRouterThatStartsDuringAMoveIsAsFarAsTheOthers() {
-    RouterHarness harness = RouterHarness.ready(2);
-    long readyMicros = harness.now;
-    roll(harness, readyMicros);
-    harness.advance(ServedVersions.MOVE_MICROS * 15 / 100);
-    RouterHarness late = RouterHarness.ready(2);
-    late.now = harness.now;
-    roll(late, readyMicros);
-    Set<Integer> moved = movedConversations(harness, ModelVersion.of(RouterHarness.MODEL, "4"));
-
-    assertThat(moved.size()).isAtLeast(35);
-    assertThat(movedConversations(late, ModelVersion.of(RouterHarness.MODEL, "4")))
-        .isEqualTo(moved);
-  }
-
-  private static void roll(RouterHarness harness, long readyMicros) {
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    for (String engine : List.of("engine-1", "engine-2")) {
-      harness.receive(
-          engine,
-          new PeerMessage.SidecarStatus(
-              engine,
-              "e-1",
-              List.of(RouterHarness.VERSION, newer),
-              false,
-              0,
-              EngineRole.MIXED,
-              List.of(readyMicros - 1, readyMicros)));
-    }
-  }
-
-  @Test
-  void teamsMoveOneAfterTheOther() {
-    RouterHarness harness = RouterHarness.ready(1);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.publish(RouterHarness.template("after", "other", "3", ""));
-    harness.publish(RouterHarness.template("after", "other", "4", ""));
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.status("engine-1", false, RouterHarness.VERSION, newer);
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.advance(ServedVersions.MOVE_MICROS / 2);
-    assertThat(movedConversations(harness, newer)).isEmpty();
-    harness.advance(ServedVersions.MOVE_MICROS / 2);
-    assertThat(movedConversations(harness, newer)).hasSize(100);
-  }
-
-  @Test
-  void nothingIsDelayedWhereAnEngineLacksTheEarlierVersion() {
-    RouterHarness harness = RouterHarness.ready(2);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.status("engine-1", false, newer);
-    harness.status("engine-2", false, RouterHarness.VERSION);
-    Set<Integer> moved = movedConversations(harness, newer);
-
-    assertThat(moved.size()).isAtLeast(35);
-    assertThat(moved.size()).isAtMost(65);
-  }
-
-  @Test
-  void aVersionIsNotDeclaredRolledOutWhileAnEngineIsOutOfReach() {
-    RouterHarness harness = RouterHarness.ready(2);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.status("engine-1", false, RouterHarness.VERSION, newer);
-    harness.send(new RouterEvent.PeerLost("engine-2"));
-    harness.advance(DECLARED_MICROS);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).isEmpty();
-
-    harness.status("engine-2", false, RouterHarness.VERSION, newer);
-    harness.advance(DECLARED_MICROS);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
-  }
-
-  private static Set<Integer> movedConversations(RouterHarness harness, ModelVersion version) {
-    Set<Integer> moved = new HashSet<>();
-    for (int index = 0; index < 100; index++) {
-      RequestId request = harness.chat("conversation " + index);
-      if (harness.latestOffer(request).message().identity().modelVersion().equals(version)) {
-        moved.add(index);
-      }
-      harness.send(new RouterEvent.CallerGone(request));
-    }
-    return moved;
-  }
-
   @Test
   void aConfigurationThatIsAboutToExpireIsAppendedAnewAndCounted() {
     long retention = 20_000_000;
@@ -305,46 +133,6 @@
         .isEqualTo(harness.commands(RouterCommand.AppendLog.class).size());
   }
 
-  @Test
-  void aVersionThatIsReadyEverywhereIsDeclaredRolledOutOnce() {
-    RouterHarness harness = RouterHarness.ready(2);
-    ModelVersion newer = ModelVersion.of(RouterHarness.MODEL, "4");
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.status("engine-1", false, RouterHarness.VERSION, newer);
-    harness.advance(DECLARED_MICROS);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).isEmpty();
-
-    harness.status("engine-2", false, RouterHarness.VERSION, newer);
-    harness.advance(DECLARED_MICROS);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
-    assertThat(harness.counter("appends.configuration")).isEqualTo(1);
-    harness.append(harness.commands(RouterCommand.AppendLog.class).get(0).payload());
-    harness.status("engine-1", false, RouterHarness.VERSION);
-    harness.status("engine-2", false, RouterHarness.VERSION);
-    RequestId request = harness.chat("hello");
-
-    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.WRONG_VERSION);
-    harness.advance(60_000_000);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
-  }
-
-  @Test
-  void routersTakeTurnsToDeclareAVersionRolledOut() {
-    RouterHarness harness = RouterHarness.ready(1);
-    for (int router = 1; router < 10; router++) {
-      harness.addInstance("router-0" + router, InstanceRole.ROUTER, "a", "");
-    }
-    harness.listInstances();
-    harness.publish(RouterHarness.template("linen", RouterHarness.KEY, "4", ""));
-    harness.status(
-        "engine-1", false, RouterHarness.VERSION, ModelVersion.of(RouterHarness.MODEL, "4"));
-    harness.advance(DECLARED_MICROS + 8 * RolloutNotices.TURN_MICROS);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).isEmpty();
-
-    harness.advance(2 * RolloutNotices.TURN_MICROS);
-    assertThat(harness.commands(RouterCommand.AppendLog.class)).hasSize(1);
-  }
-
   @Test
   void requestsWaitWhileTheConfigurationIsBehindAndAreRefusedAsNotRunAfterwards() {
     RouterHarness harness = RouterHarness.ready(2);
