Forward whole requests on the users' platform: first path, thin

Cause: nothing of the product ran on the users' machines. The router's core renders prompts and speaks to sidecars; there a request is opaque, with its prompt given as a list of parts, and goes to the server itself.

--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/AnswerHead.java
@@ -0,0 +1,23 @@
+package org.shallothook.coordination.forward;
+
+import java.util.Optional;
+
+/**
+ * What decisions need to know of a server's answer.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param status HTTP status
+ * @param isNotRun whether the server says that it did not run the request
+ * @param instance identity of the server where it names another than expected
+ * @param weightVersion version of the weights that the answer was made with
+ */
+public record AnswerHead(
+    int status, boolean isNotRun, Optional<String> instance, Optional<Long> weightVersion) {
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  /** Returns whether the server failed while it ran the request. */
+  public boolean isServerError() {
+    return !isNotRun && status >= FIRST_SERVER_ERROR;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -0,0 +1,33 @@
+package org.shallothook.coordination.forward;
+
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.route.CallerLimits;
+
+/**
+ * What a forwarding router wants done.
+ *
+ * <p>All commands are immutable and thread-safe.
+ */
+public sealed interface ForwardCommand {
+
+  /** Send a request to a server. */
+  record Send(long request, int attempt, Dispatch dispatch) implements ForwardCommand {}
+
+  /** Pass the answer of an attempt on to the caller as it arrives. */
+  record Relay(long request, int attempt) implements ForwardCommand {}
+
+  /** Drop an attempt and close its connection unless its whole answer is in. */
+  record Drop(long request, int attempt) implements ForwardCommand {}
+
+  /** Answer the caller with a refusal. */
+  record Refuse(long request, Refusal refusal) implements ForwardCommand {}
+
+  /** Break off an answer that has begun, so that the caller sees that it is not whole. */
+  record BreakOff(long request, String detail) implements ForwardCommand {}
+
+  /** Tell the other routers that a request has crashed a server. */
+  record TellCrash(long contentHash, String crash) implements ForwardCommand {}
+
+  /** Apply the bounds of what callers may send. */
+  record Limit(CallerLimits limits) implements ForwardCommand {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -0,0 +1,619 @@
+package org.shallothook.coordination.forward;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.shallothook.coordination.forward.OpenForward.Phase;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.route.CallerTeam;
+import org.shallothook.state.route.PromptOutline;
+import org.shallothook.state.route.Route;
+import org.shallothook.state.route.RouteTable;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.WeightVersion;
+
+/**
+ * All decisions of a forwarding router behind one entrance.
+ *
+ * <pre>{@code
+ * ForwardCore core = new ForwardCore(options, commands::add);
+ * core.handle(new ForwardEvent.Tick(), nowMicros);
+ * }</pre>
+ *
+ * <p>Invariant: the same events at the same times give the same commands, and each request gets one
+ * final answer. Not thread-safe: one decision thread owns it.
+ */
+public final class ForwardCore {
+  /** Longest time between two ticks, in microseconds. */
+  public static final long TICK_INTERVAL_MICROS = 20_000;
+
+  /** Part of a request's target that it may wait where no server of its service is usable. */
+  private static final int NO_SERVER_WAIT_PART = 8;
+
+  /** Part of a request's time that it may wait for a place at a server. */
+  private static final int PLACE_WAIT_PART = 4;
+
+  /** Time after which callers of a service without usable servers should come back. */
+  private static final long NO_SERVER_RETURN_MICROS = 500_000;
+
+  /** Time after which callers should come back to a router without a configuration. */
+  private static final long NO_CONFIGURATION_RETURN_MICROS = 300_000;
+
+  /** Servers that may turn one request away before its caller is told to come back. */
+  private static final int MOST_REJECTIONS = 3;
+
+  /** Time that a server which turned a request away is given to make room. */
+  private static final long REJECTED_PAUSE_MICROS = 60_000;
+
+  /** Longest time without a sign from a server at which requests are open. */
+  private static final long SILENCE_MICROS = 1_200_000;
+
+  private final ForwardOptions options;
+  private final Consumer<ForwardCommand> commands;
+  private final ServerDirectory servers = new ServerDirectory();
+  private final WeightBoard weights;
+  private final FleetRetryBudget retries;
+  private final CrashRegister crashes;
+  private final ServerChoice choice;
+  private final SplittableRandom random;
+  private final Map<Long, OpenForward> open = new HashMap<>();
+  private Optional<RouteTable> table = Optional.empty();
+  private boolean isRegistryReachable;
+  private boolean knowsServers;
+
+  /**
+   * Creates a core that knows neither configuration nor servers.
+   *
+   * @param options settings
+   * @param commands takes each command in order
+   */
+  public ForwardCore(ForwardOptions options, Consumer<ForwardCommand> commands) {
+    this.options = Objects.requireNonNull(options, "options");
+    this.commands = Objects.requireNonNull(commands, "commands");
+    this.random = new SplittableRandom(options.seed());
+    this.weights = new WeightBoard(options.versionDeadlineMicros());
+    this.retries =
+        new FleetRetryBudget(
+            options.retryRatio(), options.retrySlack(), options.retryWindowMicros());
+    this.crashes = new CrashRegister(options.quarantineMicros());
+    this.choice = new ServerChoice(options.failureDomain(), random.split());
+  }
+
+  /** Returns whether configuration and servers are known, so that requests can be served. */
+  public boolean isReady() {
+    return table.isPresent() && knowsServers;
+  }
+
+  /** Returns the number of requests without a final answer. */
+  public int openRequests() {
+    return open.size();
+  }
+
+  /**
+   * Reacts to one event.
+   *
+   * @param event what has happened
+   * @param nowMicros time of the event on a steady clock, in microseconds; never decreases
+   */
+  public void handle(ForwardEvent event, long nowMicros) {
+    if (event instanceof ForwardEvent.Requested requested) {
+      onRequested(requested, nowMicros);
+    } else if (event instanceof ForwardEvent.Tick) {
+      onTick(nowMicros);
+    } else if (event instanceof ForwardEvent.CallerGone gone) {
+      find(gone.request()).ifPresent(request -> onCallerGone(request, nowMicros));
+    } else if (event instanceof ForwardEvent.Unsent unsent) {
+      find(unsent.request(), unsent.attempt())
+          .ifPresent(request -> onUnsent(request, unsent.detail(), nowMicros));
+    } else if (event instanceof ForwardEvent.Answered answered) {
+      find(answered.request(), answered.attempt())
+          .ifPresent(request -> onAnswered(request, answered.answer(), nowMicros));
+    } else if (event instanceof ForwardEvent.Completed completed) {
+      find(completed.request(), completed.attempt())
+          .ifPresent(request -> onCompleted(request, nowMicros));
+    } else if (event instanceof ForwardEvent.Broken broken) {
+      find(broken.request(), broken.attempt())
+          .ifPresent(request -> onBroken(request, broken, nowMicros));
+    } else {
+      learn(event, nowMicros);
+    }
+  }
+
+  private void learn(ForwardEvent event, long nowMicros) {
+    if (event instanceof ForwardEvent.RoutesRead read) {
+      onRoutes(read.table());
+    } else if (event instanceof ForwardEvent.ServersRead read) {
+      servers.onRead(read.entries(), read.isWhole(), nowMicros);
+      knowsServers |= read.isWhole();
+      read.entries().forEach(this::tellServer);
+      sendWaiting(nowMicros);
+    } else if (event instanceof ForwardEvent.ServerRemoved removed) {
+      servers.onRemoved(removed.id(), nowMicros);
+      options.journal().write(Decision.SERVER, removed.id(), "outcome", "removed");
+    } else if (event instanceof ForwardEvent.VersionNamed named) {
+      onVersionNamed(named.version(), nowMicros);
+    } else if (event instanceof ForwardEvent.RegistryReachable reachable) {
+      isRegistryReachable = reachable.isReachable();
+      servers.onReachable(reachable.isReachable(), nowMicros);
+    } else if (event instanceof ForwardEvent.StatusHeard heard) {
+      servers.onStatus(heard.status(), nowMicros);
+      sendWaiting(nowMicros);
+    } else if (event instanceof ForwardEvent.CrashHeard heard) {
+      crashes.count(heard.contentHash(), heard.crash(), nowMicros);
+    } else if (event instanceof ForwardEvent.RoutersCounted counted) {
+      retries.onRouters(counted.routers());
+    }
+  }
+
+  private void onRoutes(RouteTable newer) {
+    if (table.filter(known -> known.version() >= newer.version()).isPresent()) {
+      return;
+    }
+    table = Optional.of(newer);
+    commands.accept(new ForwardCommand.Limit(newer.limits()));
+    options
+        .journal()
+        .write(Decision.CONFIGURATION, "routes", "version", newer.version(), "outcome", "applied");
+  }
+
+  private void onVersionNamed(WeightVersion version, long nowMicros) {
+    if (weights.onNamed(version, nowMicros)) {
+      options.journal().write(Decision.WEIGHTS, version.model(), "version", version.version());
+    }
+  }
+
+  private void tellServer(ServerEntry entry) {
+    options
+        .journal()
+        .write(
+            Decision.SERVER,
+            entry.id(),
+            "service",
+            entry.service(),
+            "address",
+            entry.address(),
+            "leaving",
+            entry.isLeaving(),
+            "versions",
+            entry.versions());
+  }
+
+  private void onRequested(ForwardEvent.Requested event, long nowMicros) {
+    RequestHead head = event.head();
+    if (table.isEmpty()) {
+      refuseUnopened(
+          event,
+          Refusal.notRun(
+              RefusalReason.CONFIGURATION_BEHIND,
+              "This router has no configuration yet.",
+              nowMicros + NO_CONFIGURATION_RETURN_MICROS));
+      return;
+    }
+    RouteTable current = table.get();
+    Optional<Route> route = current.match(head.host(), head.target());
+    if (route.isEmpty()) {
+      refuseUnopened(event, unknown(RefusalReason.NOT_FOUND, "No route matches.", nowMicros));
+      return;
+    }
+    boolean needsKey = current.needsKeys() && !route.get().isPublic();
+    Optional<CallerTeam> team = head.key().flatMap(current::teamOf);
+    if (needsKey && team.isEmpty()) {
+      refuseUnopened(
+          event, unknown(RefusalReason.UNKNOWN_KEY, "No team holds the key.", nowMicros));
+      return;
+    }
+    if (crashes.isBarred(head.contentHash(), nowMicros)) {
+      refuseUnopened(
+          event, Refusal.notRun(RefusalReason.CRASHES_UPSTREAMS, "It has crashed upstreams."));
+      return;
+    }
+    open(event, route.get(), team, nowMicros);
+  }
+
+  /** A router that cannot read the registry may lack what allows the request. */
+  private Refusal unknown(RefusalReason reason, String detail, long nowMicros) {
+    return isRegistryReachable
+        ? Refusal.notRun(reason, detail)
+        : Refusal.notRun(
+            RefusalReason.CONFIGURATION_BEHIND,
+            detail + " The configuration may be older than the one in force.",
+            nowMicros + NO_CONFIGURATION_RETURN_MICROS);
+  }
+
+  private void open(
+      ForwardEvent.Requested event, Route route, Optional<CallerTeam> team, long nowMicros) {
+    long byRoute = nowMicros + route.timeoutMicros();
+    long deadline = Math.min(byRoute, event.head().callerDeadlineMicros().orElse(byRoute));
+    OpenForward request =
+        new OpenForward(
+            event.request(),
+            event.head(),
+            route,
+            team,
+            route.serviceFor(random.nextInt()),
+            nowMicros,
+            deadline);
+    open.put(event.request(), request);
+    retries.onRequest(request.service(), nowMicros);
+    long noServer = nowMicros + route.targetMicros() / NO_SERVER_WAIT_PART;
+    request.waitUntil(Math.min(deadline, noServer));
+    sendOrWait(request, nowMicros);
+  }
+
+  /** Sends a request where a server has a place for it; lets it wait or refuses it otherwise. */
+  private void sendOrWait(OpenForward request, long nowMicros) {
+    List<Server> usable = servers.usable(request.service(), nowMicros);
+    Optional<PromptOutline> prompt = promptOf(request);
+    List<Server> eligible =
+        prompt.map(one -> weights.eligible(usable, one.model(), nowMicros)).orElse(usable);
+    List<Server> untried = eligible.stream().filter(server -> !request.hasTried(server)).toList();
+    List<Server> candidates = untried.isEmpty() && !request.mayHaveRun() ? eligible : untried;
+    Optional<Server> chosen = choice.choose(candidates, prompt, scopeOf(request));
+    if (chosen.isPresent()) {
+      send(request, chosen.get(), nowMicros);
+    } else if (nowMicros >= request.waitUntilMicros()) {
+      giveUpWaiting(request, eligible.isEmpty(), nowMicros);
+    } else if (!candidates.isEmpty()) {
+      long patience = (request.deadlineMicros() - request.arrivedMicros()) / PLACE_WAIT_PART;
+      request.waitUntil(Math.max(request.waitUntilMicros(), request.arrivedMicros() + patience));
+    }
+  }
+
+  private void giveUpWaiting(OpenForward request, boolean hasNoServer, long nowMicros) {
+    RefusalReason reason = hasNoServer ? RefusalReason.NO_UPSTREAM : RefusalReason.QUEUE_FULL;
+    end(request, reason, "No server had a place in time.", nowMicros);
+  }
+
+  private void send(OpenForward request, Server server, long nowMicros) {
+    Optional<PromptOutline> prompt = promptOf(request);
+    Optional<Long> version = prompt.flatMap(one -> server.version(one.model()));
+    request.onSent(server, version, nowMicros);
+    Dispatch dispatch =
+        new Dispatch(
+            server.name(),
+            server.entry().address(),
+            request.deadlineMicros(),
+            request.team().map(CallerTeam::name),
+            version,
+            prompt.map(one -> scopeOf(request) + "/" + version.orElse(0L)),
+            prompt.map(one -> request.rank()),
+            request.lastEvent());
+    commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
+    options
+        .journal()
+        .write(
+            Decision.SEND,
+            request.head().id(),
+            "route",
+            request.route().name(),
+            "server",
+            server.name(),
+            "attempt",
+            request.attempt(),
+            "version",
+            version.orElse(0L),
+            "open",
+            server.outstanding(),
+            "waited_ms",
+            (nowMicros - request.arrivedMicros()) / 1_000);
+  }
+
+  private static Optional<PromptOutline> promptOf(OpenForward request) {
+    return request.route().hasPrompt() ? request.head().prompt() : Optional.empty();
+  }
+
+  /** Returns the scope in which cached parts may be shared, but for the version of the weights. */
+  private static String scopeOf(OpenForward request) {
+    String model = request.head().prompt().map(PromptOutline::model).orElse("");
+    return request
+        .team()
+        .filter(CallerTeam::isIsolated)
+        .map(team -> model + "/" + team.name())
+        .orElse(model);
+  }
+
+  private void onUnsent(OpenForward request, String detail, long nowMicros) {
+    Server server = request.server().orElseThrow();
+    server.onFailure(nowMicros);
+    for (CrashRegister.Suspect suspect : crashes.onDown(server.name(), nowMicros)) {
+      tellCrash(suspect);
+    }
+    request.onAttemptOver(false);
+    tellFailure(request, server, "unsent: " + detail);
+    retryOrEnd(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
+  }
+
+  private void tellCrash(CrashRegister.Suspect suspect) {
+    commands.accept(new ForwardCommand.TellCrash(suspect.contentHash(), suspect.request()));
+    options
+        .journal()
+        .write(
+            Decision.CRASH, suspect.request(), "content", Long.toHexString(suspect.contentHash()));
+  }
+
+  private void onAnswered(OpenForward request, AnswerHead answer, long nowMicros) {
+    Server server = request.server().orElseThrow();
+    noteVersion(request, server, answer);
+    if (answer.isNotRun()) {
+      onRejected(request, server, answer, nowMicros);
+      return;
+    }
+    server.onAnswer(nowMicros - request.sentMicros(), answer.isServerError(), nowMicros);
+    boolean isWorthARetry = answer.isServerError() && request.route().isRepeatable();
+    if (isWorthARetry && !request.hasBegunAnswer() && canRunOnceMore(request, nowMicros)) {
+      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+      request.onAttemptOver(true);
+      tellFailure(request, server, "status " + answer.status());
+      retry(request, Decision.RETRY, nowMicros);
+      return;
+    }
+    if (request.hasBegunAnswer() && answer.status() >= 300) {
+      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+      request.onAttemptOver(true);
+      breakOff(request, "the stream could not be resumed: status " + answer.status(), nowMicros);
+      return;
+    }
+    request.onRelaying();
+    commands.accept(new ForwardCommand.Relay(request.number(), request.attempt()));
+    options
+        .journal()
+        .write(
+            Decision.RELAY,
+            request.head().id(),
+            "server",
+            server.name(),
+            "status",
+            answer.status(),
+            "took_ms",
+            (nowMicros - request.sentMicros()) / 1_000);
+  }
+
+  private static void noteVersion(OpenForward request, Server server, AnswerHead answer) {
+    promptOf(request)
+        .ifPresent(
+            prompt ->
+                answer
+                    .weightVersion()
+                    .ifPresent(version -> server.onVersion(prompt.model(), version)));
+  }
+
+  private void onRejected(OpenForward request, Server server, AnswerHead answer, long nowMicros) {
+    boolean isOther = answer.instance().filter(id -> !id.equals(server.name())).isPresent();
+    if (isOther) {
+      server.onRemoved(nowMicros);
+    } else if (answer.status() == 421 && request.expectedVersion().isPresent()) {
+      String model = promptOf(request).orElseThrow().model();
+      server.onWrongVersion(model, request.expectedVersion().get(), weights.wanted(model));
+    } else {
+      server.pause(nowMicros + REJECTED_PAUSE_MICROS);
+    }
+    commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+    request.onAttemptOver(false);
+    tellFailure(request, server, "not run: status " + answer.status());
+    if (retries.tryRetry(request.service(), nowMicros)) {
+      retryOrEnd(request, RefusalReason.QUEUE_FULL, "Servers had no room.", nowMicros);
+    } else {
+      end(request, RefusalReason.RETRY_BUDGET_EMPTY, "A server had no room.", nowMicros);
+    }
+  }
+
+  private void onCompleted(OpenForward request, long nowMicros) {
+    request.server().ifPresent(server -> server.onAnswer(0, false, nowMicros));
+    request.onAttemptOver(true);
+    open.remove(request.number());
+    crashes.onAnswered(request.head().contentHash());
+    options
+        .journal()
+        .write(
+            Decision.COMPLETE,
+            request.head().id(),
+            "attempts",
+            request.attempt(),
+            "took_ms",
+            (nowMicros - request.arrivedMicros()) / 1_000);
+    sendWaiting(nowMicros);
+  }
+
+  private void onBroken(OpenForward request, ForwardEvent.Broken broken, long nowMicros) {
+    Server server = request.server().orElseThrow();
+    server.onFailure(nowMicros);
+    if (broken.isReset()) {
+      crashes.onBroken(server.name(), request.head().contentHash(), request.head().id(), nowMicros);
+    }
+    request.onLastEvent(broken.lastEvent());
+    request.onAttemptOver(true);
+    tellFailure(request, server, broken.detail());
+    boolean mayResume = !request.hasBegunAnswer() || request.route().isResumable();
+    if (request.route().isRepeatable() && mayResume && canRunOnceMore(request, nowMicros)) {
+      retry(request, request.hasBegunAnswer() ? Decision.RESUME : Decision.RETRY, nowMicros);
+    } else if (request.hasBegunAnswer()) {
+      breakOff(request, broken.detail(), nowMicros);
+    } else {
+      end(request, RefusalReason.CONNECTION_LOST, broken.detail(), nowMicros);
+    }
+  }
+
+  private boolean canRunOnceMore(OpenForward request, long nowMicros) {
+    boolean hasRunsLeft =
+        request.attempt() < request.route().maximumAttempts() + request.rejections();
+    return hasRunsLeft
+        && nowMicros < request.deadlineMicros()
+        && !crashes.isBarred(request.head().contentHash(), nowMicros)
+        && retries.tryRetry(request.service(), nowMicros);
+  }
+
+  private void retryOrEnd(
+      OpenForward request, RefusalReason reason, String detail, long nowMicros) {
+    if (request.rejections() <= MOST_REJECTIONS && request.mayRunAgain()) {
+      retry(request, Decision.RETRY, nowMicros);
+    } else {
+      end(request, reason, detail, nowMicros);
+    }
+  }
+
+  private void retry(OpenForward request, Decision decision, long nowMicros) {
+    options
+        .journal()
+        .write(
+            decision,
+            request.head().id(),
+            "attempt",
+            request.attempt() + 1,
+            "after_event",
+            request.lastEvent().orElse(-1L));
+    long patience = request.route().targetMicros() / NO_SERVER_WAIT_PART;
+    request.waitUntil(Math.min(request.deadlineMicros(), nowMicros + patience));
+    sendOrWait(request, nowMicros);
+  }
+
+  private void onCallerGone(OpenForward request, long nowMicros) {
+    if (request.phase() != Phase.WAITING) {
+      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+      request.onAttemptOver(true);
+    }
+    open.remove(request.number());
+    options
+        .journal()
+        .write(
+            Decision.CALLER_GONE,
+            request.head().id(),
+            "after_ms",
+            (nowMicros - request.arrivedMicros()) / 1_000);
+    sendWaiting(nowMicros);
+  }
+
+  private void onTick(long nowMicros) {
+    for (OpenForward request : List.copyOf(open.values())) {
+      if (nowMicros >= request.deadlineMicros()) {
+        onDeadline(request, nowMicros);
+      }
+    }
+    sendWaiting(nowMicros);
+    watchSilence(nowMicros);
+    servers.forget(nowMicros);
+    crashes.forget(nowMicros);
+  }
+
+  private void onDeadline(OpenForward request, long nowMicros) {
+    boolean wasSent = request.phase() != Phase.WAITING;
+    if (wasSent) {
+      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+      request.onAttemptOver(true);
+    }
+    if (request.hasBegunAnswer()) {
+      breakOff(request, "the deadline has passed", nowMicros);
+    } else {
+      end(request, RefusalReason.DEADLINE_PASSED, "No server answered in time.", nowMicros);
+    }
+  }
+
+  private void watchSilence(long nowMicros) {
+    for (Server server : servers.all()) {
+      if (server.isSilent(SILENCE_MICROS, nowMicros)) {
+        server.pause(nowMicros + TICK_INTERVAL_MICROS * 2);
+      }
+    }
+  }
+
+  private void sendWaiting(long nowMicros) {
+    List<OpenForward> waiting = new ArrayList<>();
+    for (OpenForward request : open.values()) {
+      if (request.phase() == Phase.WAITING) {
+        waiting.add(request);
+      }
+    }
+    waiting.sort(
+        Comparator.comparingInt(OpenForward::rank).thenComparingLong(OpenForward::arrivedMicros));
+    for (OpenForward request : waiting) {
+      sendOrWait(request, nowMicros);
+    }
+  }
+
+  /** Gives a request its final answer; the outcome named is true over all attempts. */
+  private void end(OpenForward request, RefusalReason reason, String detail, long nowMicros) {
+    open.remove(request.number());
+    if (request.hasBegunAnswer()) {
+      breakOff(request, detail, nowMicros);
+      return;
+    }
+    RefusalReason told = truthful(reason, request.mayHaveRun());
+    Outcome outcome = request.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+    Optional<Long> comeBack =
+        request.mayHaveRun() ? Optional.empty() : Optional.of(nowMicros + NO_SERVER_RETURN_MICROS);
+    refuse(request.number(), request.head(), new Refusal(told, detail, outcome, comeBack));
+  }
+
+  private static RefusalReason truthful(RefusalReason reason, boolean mayHaveRun) {
+    if (mayHaveRun) {
+      return reason == RefusalReason.DEADLINE_PASSED ? reason : RefusalReason.CONNECTION_LOST;
+    }
+    return reason == RefusalReason.DEADLINE_PASSED ? RefusalReason.DEADLINE_UNREACHABLE : reason;
+  }
+
+  private void breakOff(OpenForward request, String detail, long nowMicros) {
+    open.remove(request.number());
+    commands.accept(new ForwardCommand.BreakOff(request.number(), detail));
+    options
+        .journal()
+        .write(
+            Decision.BREAK_OFF,
+            request.head().id(),
+            "detail",
+            detail,
+            "after_ms",
+            (nowMicros - request.arrivedMicros()) / 1_000);
+  }
+
+  private void refuseUnopened(ForwardEvent.Requested event, Refusal refusal) {
+    refuse(event.request(), event.head(), refusal);
+  }
+
+  private void refuse(long number, RequestHead head, Refusal refusal) {
+    options.counters().refused(refusal.reason());
+    commands.accept(new ForwardCommand.Refuse(number, refusal));
+    options
+        .journal()
+        .write(
+            Decision.REFUSE,
+            head.id(),
+            "reason",
+            refusal.reason().code(),
+            "outcome",
+            refusal.outcome().headerValue(),
+            "detail",
+            refusal.detail(),
+            "configuration",
+            table.map(RouteTable::version).orElse(0L));
+  }
+
+  private void tellFailure(OpenForward request, Server server, String detail) {
+    options
+        .journal()
+        .write(
+            Decision.ATTEMPT_FAILED,
+            request.head().id(),
+            "server",
+            server.name(),
+            "attempt",
+            request.attempt(),
+            "detail",
+            detail);
+  }
+
+  private Optional<OpenForward> find(long number) {
+    return Optional.ofNullable(open.get(number));
+  }
+
+  private Optional<OpenForward> find(long number, int attempt) {
+    return find(number)
+        .filter(request -> request.phase() != Phase.WAITING && request.attempt() == attempt);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/NewestPage.java
@@ -0,0 +1,19 @@
+package org.shallothook.coordination.registry;
+
+import java.util.List;
+import org.shallothook.state.log.KeyedRecord;
+
+/**
+ * A page of the newest record of each key. Pages of one reading are no snapshot.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param items records in the order of their keys
+ * @param hasMore whether further pages follow
+ * @param endOffset end of the stream when the page was made
+ */
+public record NewestPage(List<KeyedRecord> items, boolean hasMore, long endOffset) {
+  public NewestPage {
+    items = List.copyOf(items);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
@@ -0,0 +1,30 @@
+package org.shallothook.coordination.registry;
+
+import io.vavr.control.Either;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.port.CoreEvent;
+
+/**
+ * What the registry part of a process reacts to.
+ *
+ * <p>All events are immutable and thread-safe.
+ */
+public sealed interface RegistryEvent extends CoreEvent {
+
+  /** A read of newest records has ended. */
+  record PageRead(RegistryStream stream, Either<ReadFailure, NewestPage> answer)
+      implements RegistryEvent {}
+
+  /** A read of records has ended. */
+  record StreamRead(RegistryStream stream, Either<ReadFailure, RecordsRead> answer)
+      implements RegistryEvent {}
+
+  /** A write of the own place has ended. */
+  record MemberPut(boolean isDone) implements RegistryEvent {}
+
+  /** A peer has sent a message. */
+  record PeerMessageReceived(Envelope envelope) implements RegistryEvent {}
+
+  /** A peer cannot be reached. */
+  record PeerUnreachable(String peer) implements RegistryEvent {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/VersionOrder.java
@@ -0,0 +1,18 @@
+package org.shallothook.coordination.weights;
+
+import org.shallothook.state.route.WeightVersion;
+
+/**
+ * An order to a model server to load a version of a model's weights.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param server identity that the server must have
+ * @param wanted model and version
+ * @param holder process that orders
+ * @param fence number that is greater than that of every earlier holder
+ * @param expectedOrders orders that the server must have accepted so far, so that an order which
+ *     arrives late has no effect
+ */
+public record VersionOrder(
+    String server, WeightVersion wanted, String holder, long fence, long expectedOrders) {}
--- a/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
+++ b/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
@@ -75,6 +75,16 @@
     return read;
   }
 
+  /** Returns an object that may be missing, read by a form. */
+  public <T> Optional<T> optionalObject(String name, Function<JsonFields, T> form) {
+    return element(name).map(found -> form.apply(new JsonFields(pathOf(name), found)));
+  }
+
+  /** Returns a field with a whole number of 64 bits that may be missing. */
+  public Optional<Long> optionalLong(String name) {
+    return element(name).map(found -> toLong(pathOf(name), found));
+  }
+
   /** Returns a list of texts. */
   public List<String> texts(String name) {
     List<String> read = new ArrayList<>();
--- a/protocol/src/main/java/org/shallothook/protocol/platform/InstanceListForm.java
+++ b/protocol/src/main/java/org/shallothook/protocol/platform/InstanceListForm.java
@@ -27,7 +27,7 @@
                 fields.objects("instances", InstanceListForm::instance)));
   }
 
-  private static Instance instance(JsonFields fields) {
+  static Instance instance(JsonFields fields) {
     return new Instance(
         fields.text("name"),
         role(fields),
--- /dev/null
+++ b/protocol/src/main/java/org/shallothook/protocol/platform/MemberForm.java
@@ -0,0 +1,36 @@
+package org.shallothook.protocol.platform;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonObject;
+import io.vavr.control.Either;
+import java.util.Locale;
+import org.shallothook.protocol.json.JsonDocument;
+import org.shallothook.protocol.json.JsonError;
+import org.shallothook.state.membership.Instance;
+
+/**
+ * Form in which a process writes where it listens, as one instance of the list's form.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class MemberForm {
+  private static final Gson GSON = new Gson();
+
+  private MemberForm() {}
+
+  /** Reads a record. */
+  public static Either<JsonError, Instance> read(String document) {
+    return JsonDocument.read(document, InstanceListForm::instance);
+  }
+
+  /** Writes a record. */
+  public static String write(Instance instance) {
+    JsonObject member = new JsonObject();
+    member.addProperty("name", instance.name());
+    member.addProperty("role", instance.role().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    member.addProperty("address", instance.address());
+    member.addProperty("failure_domain", instance.failureDomain());
+    member.addProperty("region", instance.region());
+    return GSON.toJson(member);
+  }
+}
--- a/router/src/main/java/org/shallothook/router/RouterMain.java
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -19,6 +19,7 @@
     footer = {
       "  shallothook-router check --settings router.ini",
       "  shallothook-router serve --settings router.ini",
+      "  shallothook-router serve-hosted --settings /etc/shallothook/local.toml",
       "",
       "Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 conflicting change."
     })
@@ -35,6 +36,11 @@
         .addSubcommand(
             new ServeCommand(RouterSettings.KEYS, settings -> new RouterProcess(settings).start()))
         .addSubcommand(new CheckCommand(RouterSettings.KEYS))
+        .addSubcommand(
+            "serve-hosted",
+            new ServeCommand(
+                HostedRouterSettings.KEYS, settings -> new HostedRouter(settings).start()))
+        .addSubcommand("check-hosted", new CheckCommand(HostedRouterSettings.KEYS))
         .addSubcommand(new PublishCommand())
         .addSubcommand(new PageCommand.History())
         .addSubcommand(new PageCommand.Show())
--- /dev/null
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecarSettings.java
@@ -0,0 +1,24 @@
+package org.shallothook.sidecar;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.shallothook.transport.settings.HostedKeys;
+import org.shallothook.transport.settings.SettingKey;
+import org.shallothook.transport.settings.SettingType;
+
+/**
+ * Settings of a sidecar on a hosting platform.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class HostedSidecarSettings {
+  static final SettingKey UPSTREAM =
+      SettingKey.required(
+          "upstream", "address", SettingType.ADDRESS, "The model server beside this process.");
+
+  /** Every setting of the file. */
+  static final List<SettingKey> KEYS =
+      Stream.concat(HostedKeys.COMMON.stream(), Stream.of(UPSTREAM)).toList();
+
+  private HostedSidecarSettings() {}
+}
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
@@ -19,6 +19,7 @@
     footer = {
       "  shallothook-sidecar check --settings sidecar.ini",
       "  shallothook-sidecar serve --settings sidecar.ini",
+      "  shallothook-sidecar serve-hosted --settings /etc/shallothook/local.toml",
       "",
       "Exit codes: 0 done, 1 failed, 2 wrong command line or settings."
     })
@@ -35,6 +36,11 @@
         .addSubcommand(
             new ServeCommand(
                 SidecarSettings.KEYS, settings -> new SidecarProcess(settings).start()))
-        .addSubcommand(new CheckCommand(SidecarSettings.KEYS));
+        .addSubcommand(new CheckCommand(SidecarSettings.KEYS))
+        .addSubcommand(
+            "serve-hosted",
+            new ServeCommand(
+                HostedSidecarSettings.KEYS, settings -> new HostedSidecar(settings).start()))
+        .addSubcommand("check-hosted", new CheckCommand(HostedSidecarSettings.KEYS));
   }
 }
--- a/state/src/main/java/org/shallothook/state/request/RefusalReason.java
+++ b/state/src/main/java/org/shallothook/state/request/RefusalReason.java
@@ -36,6 +36,9 @@
   LOG_UNAVAILABLE(503, "Send again after the time in Retry-After; the platform's log is down."),
   ROUTER_LEAVING(503, "Send again; the platform's balancer will choose another router."),
   ROUTER_OVERLOADED(503, "Send again after the time in Retry-After."),
+  CRASHES_UPSTREAMS(503, "Change the request: each upstream that ran it has crashed."),
+  HEAD_TOO_LARGE(431, "Shorten the headers, or ask the operator to raise the limit."),
+  HEAD_TOO_SLOW(408, "Send the whole head of the request at once."),
   CALLER_GONE(499, "None: the caller closed its connection.");
 
   private final int status;
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -0,0 +1,116 @@
+package org.shallothook.state.route;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Everything that one version of the forwarding configuration says.
+ *
+ * <p>Keys are looked up by their digest, so that the time taken says nothing of a key.
+ *
+ * <p>Invariant: of two routes that match a request, the one with the longer prefix is found.
+ * Immutable and thread-safe.
+ */
+public final class RouteTable {
+  private final long version;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, ServiceTraits> services = new HashMap<>();
+  private final Map<String, CallerTeam> teamsByDigest = new HashMap<>();
+  private final boolean needsKeys;
+  private final CallerLimits limits;
+
+  /**
+   * Creates a table.
+   *
+   * @param version version of the configuration
+   * @param routes all routes
+   * @param services all services
+   * @param teams all teams; empty where requests need no keys at all
+   * @param limits bounds of what a caller may send
+   */
+  public RouteTable(
+      long version,
+      List<Route> routes,
+      List<ServiceTraits> services,
+      Optional<List<CallerTeam>> teams,
+      CallerLimits limits) {
+    this.version = version;
+    this.limits = limits;
+    this.needsKeys = teams.isPresent();
+    for (Route route : routes) {
+      routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+    }
+    Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
+    routesByHost.values().forEach(list -> list.sort(longestFirst));
+    services.forEach(service -> this.services.put(service.name(), service));
+    for (CallerTeam team : teams.orElse(List.of())) {
+      team.keys().forEach(key -> teamsByDigest.put(digestOf(key), team));
+    }
+  }
+
+  /** Returns the version of the configuration. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the bounds of what a caller may send. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns whether requests of routes that are not public need a key. */
+  public boolean needsKeys() {
+    return needsKeys;
+  }
+
+  /**
+   * Returns the route of a request.
+   *
+   * @param host host as the caller named it, with or without a port
+   * @param target path with or without a query
+   */
+  public Optional<Route> match(String host, String target) {
+    int query = target.indexOf('?');
+    String path = query < 0 ? target : target.substring(0, query);
+    for (Route route : routesByHost.getOrDefault(hostName(host), List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the team that holds a key. */
+  public Optional<CallerTeam> teamOf(String key) {
+    return Optional.ofNullable(teamsByDigest.get(digestOf(key)));
+  }
+
+  /** Returns the traits of a service. */
+  public Optional<ServiceTraits> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  private static String hostName(String host) {
+    int colon = host.lastIndexOf(':');
+    boolean hasPort = colon > 0 && host.indexOf(']', colon) < 0;
+    return (hasPort ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+  }
+
+  private static String digestOf(String key) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("Every Java runtime provides SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/route/package-info.java
@@ -0,0 +1,2 @@
+/** What callers may ask for and who serves it, for request forwarding. */
+package org.shallothook.state.route;
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpCall.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpCall.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -27,11 +29,12 @@
     HttpMethod method,
     String uri,
     Map<String, String> headers,
-    Optional<String> body,
+    Optional<ByteBuffer> body,
     Duration timeout,
     boolean isRepeatable) {
   private static final String CONTENT_TYPE = "content-type";
   private static final String JSON = "application/json";
+  private static final String OCTETS = "application/octet-stream";
 
   public HttpCall {
     Objects.requireNonNull(address, "address");
@@ -47,6 +50,13 @@
   public static HttpCall postJson(
       InetSocketAddress address, String uri, String body, Duration timeout) {
     Map<String, String> headers = Map.of(CONTENT_TYPE, JSON);
+    return new HttpCall(address, HttpMethod.POST, uri, headers, bytesOf(body), timeout, false);
+  }
+
+  /** Returns a call with an opaque body, which may not be repeated. */
+  public static HttpCall postBytes(
+      InetSocketAddress address, String uri, ByteBuffer body, Duration timeout) {
+    Map<String, String> headers = Map.of(CONTENT_TYPE, OCTETS);
     return new HttpCall(address, HttpMethod.POST, uri, headers, Optional.of(body), timeout, false);
   }
 
@@ -61,4 +71,9 @@
     all.put(CONTENT_TYPE, contentType);
     return new HttpCall(address, method, uri, all, body, timeout, isRepeatable);
   }
+
+  /** Returns the body that a text makes. */
+  public static Optional<ByteBuffer> bytesOf(String text) {
+    return Optional.of(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+  }
 }
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.NetUtil;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.shallothook.transport.Channels;
@@ -62,6 +61,14 @@
     loop.execute(() -> open(exchange));
   }
 
+  /** Sends a call whose answer is taken as a whole and may hold any bytes. */
+  public void sendForBytes(HttpCall call, Consumer<HttpResult> result) {
+    WholeAnswer answer = WholeAnswer.ofBytes(settings.maximumAnswerBytes(), result);
+    HttpExchange exchange = new HttpExchange(call, answer, false, this::keep);
+    answer.setExchange(exchange);
+    loop.execute(() -> open(exchange));
+  }
+
   /** Sends a call whose answer is taken as it arrives. */
   HttpExchange stream(HttpCall call, HttpStreamHandler handler) {
     HttpExchange exchange = new HttpExchange(call, handler, true, this::keep);
@@ -144,7 +151,7 @@
   private static FullHttpRequest request(HttpCall call) {
     ByteBuf body =
         call.body()
-            .map(text -> Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)))
+            .map(bytes -> Unpooled.wrappedBuffer(bytes.duplicate()))
             .orElse(Unpooled.EMPTY_BUFFER);
     FullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(), body);
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpResult.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpResult.java
@@ -1,5 +1,7 @@
 package org.shallothook.transport.platform;
 
+import java.nio.ByteBuffer;
+
 /**
  * How a call with a whole answer has ended.
  *
@@ -16,6 +18,14 @@
    */
   record Answered(int status, String contentType, String body) implements HttpResult {}
 
+  /**
+   * The server has answered a call for bytes.
+   *
+   * @param status HTTP status
+   * @param body body, read-only
+   */
+  record AnsweredBytes(int status, ByteBuffer body) implements HttpResult {}
+
   /**
    * Nothing was sent, so the call has had no effect.
    *
--- a/transport/src/main/java/org/shallothook/transport/platform/LogClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/LogClient.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
-import java.util.Optional;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.protocol.json.JsonError;
 import org.shallothook.protocol.platform.LogForm;
@@ -64,7 +63,13 @@
     Map<String, String> headers = Map.of("content-type", "text/plain; charset=utf-8");
     HttpCall call =
         new HttpCall(
-            address, HttpMethod.POST, path(stream), headers, Optional.of(payload), timeout, false);
+            address,
+            HttpMethod.POST,
+            path(stream),
+            headers,
+            HttpCall.bytesOf(payload),
+            timeout,
+            false);
     client.send(call, result -> appended(token, result));
   }
 
--- a/transport/src/main/java/org/shallothook/transport/platform/WholeAnswer.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/WholeAnswer.java
@@ -15,6 +15,7 @@
 final class WholeAnswer implements HttpStreamHandler {
   private final int maximumBytes;
   private final Consumer<HttpResult> result;
+  private final boolean isBinary;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
   private HttpExchange exchange;
   private int status;
@@ -22,8 +23,18 @@
   private boolean isTooLarge;
 
   WholeAnswer(int maximumBytes, Consumer<HttpResult> result) {
+    this(maximumBytes, result, false);
+  }
+
+  private WholeAnswer(int maximumBytes, Consumer<HttpResult> result, boolean isBinary) {
     this.maximumBytes = maximumBytes;
     this.result = result;
+    this.isBinary = isBinary;
+  }
+
+  /** Returns an answer whose result holds bytes rather than text. */
+  static WholeAnswer ofBytes(int maximumBytes, Consumer<HttpResult> result) {
+    return new WholeAnswer(maximumBytes, result, true);
   }
 
   void setExchange(HttpExchange newExchange) {
@@ -50,6 +61,11 @@
 
   @Override
   public void ended() {
+    if (isBinary) {
+      ByteBuffer read = ByteBuffer.wrap(bytes.toByteArray()).asReadOnlyBuffer();
+      result.accept(new HttpResult.AnsweredBytes(status, read));
+      return;
+    }
     Either<JsonError, String> body = JsonDocument.decodeText(ByteBuffer.wrap(bytes.toByteArray()));
     result.accept(
         body.fold(
--- a/transport/src/main/java/org/shallothook/transport/process/Clock.java
+++ b/transport/src/main/java/org/shallothook/transport/process/Clock.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Wall clock of a process.
@@ -15,4 +16,12 @@
   public static long nowMicros() {
     return ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
   }
+
+  /**
+   * Returns the time of a clock that never jumps, in microseconds since an arbitrary moment. It
+   * stands still while the machine is suspended.
+   */
+  public static long steadyMicros() {
+    return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+  }
 }
--- /dev/null
+++ b/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
@@ -0,0 +1,78 @@
+package org.shallothook.transport.settings;
+
+import java.util.List;
+
+/**
+ * Settings of processes on a hosting platform, besides those that they share with others.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class HostedKeys {
+  public static final SettingKey STORE =
+      SettingKey.required("store", "address", SettingType.ADDRESS, "The platform's store.");
+  public static final SettingKey LEAVE_MILLIS =
+      SettingKey.withDefault(
+          "bounds",
+          "leave-millis",
+          SettingType.POSITIVE,
+          "2000",
+          "Time after which no request may reach a leaving server, in milliseconds.");
+  public static final SettingKey CONFIGURATION_MILLIS =
+      SettingKey.withDefault(
+          "bounds",
+          "configuration-millis",
+          SettingType.POSITIVE,
+          "2000",
+          "Time after which a configuration must be in force, in milliseconds.");
+  public static final SettingKey VERSION_MILLIS =
+      SettingKey.withDefault(
+          "bounds",
+          "version-millis",
+          SettingType.POSITIVE,
+          "8000",
+          "Time after which no request may begin on older weights, in milliseconds.");
+  public static final SettingKey STOP_SECONDS =
+      SettingKey.withDefault(
+          "bounds",
+          "stop-seconds",
+          SettingType.POSITIVE,
+          "8",
+          "Time between the signal to stop and the end of the process, in seconds.");
+  public static final SettingKey RETRY_SHARE =
+      SettingKey.withDefault(
+          "retries",
+          "share",
+          SettingType.SHARE,
+          "0.1",
+          "Retries allowed to all routers together, as a share of requests to a service.");
+  public static final SettingKey RETRY_SLACK =
+      SettingKey.withDefault(
+          "retries",
+          "slack",
+          SettingType.POSITIVE,
+          "10",
+          "Retries allowed to all routers together beyond that share.");
+  public static final SettingKey RETRY_WINDOW_SECONDS =
+      SettingKey.withDefault(
+          "retries",
+          "window-seconds",
+          SettingType.POSITIVE,
+          "10",
+          "Length of the window in which retries are counted, in seconds.");
+
+  /** Settings that routers and sidecars share with processes elsewhere. */
+  public static final List<SettingKey> COMMON =
+      List.of(
+          CommonKeys.NAME,
+          CommonKeys.FAILURE_DOMAIN,
+          CommonKeys.REGION,
+          CommonKeys.LISTEN_PEERS,
+          CommonKeys.LISTEN_ADMIN,
+          CommonKeys.RING_SIZE,
+          CommonKeys.LOG_FORM,
+          CommonKeys.LOG_LEVEL,
+          STORE,
+          CONFIGURATION_MILLIS);
+
+  private HostedKeys() {}
+}
--- a/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -106,7 +105,8 @@
   void aHeaderThatWouldBreakTheRequestIsNotSent() throws Exception {
     Map<String, String> headers = Map.of("Idempotency-Key", "a\r\nx: y");
     HttpCall call =
-        new HttpCall(server.address(), HttpMethod.POST, "/", headers, Optional.of(""), LONG, false);
+        new HttpCall(
+            server.address(), HttpMethod.POST, "/", headers, HttpCall.bytesOf(""), LONG, false);
 
     assertThat(send(call)).isInstanceOf(HttpResult.NotSent.class);
   }
