--- a/coordination/src/main/java/org/shallothook/coordination/forward/Dispatch.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Dispatch.java
@@ -15,6 +15,8 @@
  * @param expectedVersion weights version that the server must have
  * @param cacheSalt scope in which cached parts may be shared
  * @param priority rank, 0 the highest and 9 the lowest
+ * @param fetchFrom {@code IP:port} of a server or store that may have cached parts of the prompt
+ * @param saveTo {@code IP:port} of a store that parts are copied to once they are read
  * @param resumesAfter last event that the caller already has
  */
 public record Dispatch(
@@ -25,6 +27,8 @@
     Optional<Long> expectedVersion,
     Optional<String> cacheSalt,
     Optional<Integer> priority,
+    Optional<String> fetchFrom,
+    Optional<String> saveTo,
     Optional<Long> resumesAfter) {
   public Dispatch {
     Objects.requireNonNull(server, "server");
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.shallothook.coordination.forward.OpenForward.Phase;
+import org.shallothook.coordination.forward.PromptPlacement.Place;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -18,6 +19,8 @@
 import org.shallothook.state.route.Route;
 import org.shallothook.state.route.RouteTable;
 import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.ServiceTraits;
+import org.shallothook.state.route.ServiceTraits.EngineTraits;
 import org.shallothook.state.route.WeightVersion;
 
 /**
@@ -62,7 +65,8 @@
   private final WeightBoard weights;
   private final FleetRetryBudget retries;
   private final CrashRegister crashes;
-  private final ServerChoice choice;
+  private final PromptPlacement prompts;
+  private final CallPlacement calls;
   private final SplittableRandom random;
   private final Map<Long, OpenForward> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
@@ -84,7 +88,8 @@
         new FleetRetryBudget(
             options.retryRatio(), options.retrySlack(), options.retryWindowMicros());
     this.crashes = new CrashRegister(options.quarantineMicros());
-    this.choice = new ServerChoice(options.failureDomain(), random.split());
+    this.prompts = new PromptPlacement(options.failureDomain());
+    this.calls = new CallPlacement(options.failureDomain(), random.split());
   }
 
   /** Returns whether configuration and servers are known, so that requests can be served. */
@@ -256,10 +261,14 @@
         prompt.map(one -> weights.eligible(usable, one.model(), nowMicros)).orElse(usable);
     List<Server> untried = eligible.stream().filter(server -> !request.hasTried(server)).toList();
     List<Server> candidates = untried.isEmpty() && !request.mayHaveRun() ? eligible : untried;
-    Optional<Server> chosen = choice.choose(candidates, prompt, scopeOf(request));
-    if (chosen.isPresent()) {
-      send(request, chosen.get(), nowMicros);
-    } else if (nowMicros >= request.waitUntilMicros()) {
+    boolean isSent =
+        prompt.isPresent()
+            ? placePrompt(request, prompt.get(), candidates, nowMicros)
+            : placeCall(request, candidates, nowMicros);
+    if (isSent) {
+      return;
+    }
+    if (nowMicros >= request.waitUntilMicros()) {
       giveUpWaiting(request, eligible.isEmpty(), nowMicros);
     } else if (!candidates.isEmpty()) {
       long patience = (request.deadlineMicros() - request.arrivedMicros()) / PLACE_WAIT_PART;
@@ -267,12 +276,42 @@
     }
   }
 
+  private boolean placePrompt(
+      OpenForward request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
+    ScopedOpenings openings = new ScopedOpenings(prompt, scopeOf(request));
+    Optional<Place> chosen =
+        prompts.choose(candidates, openings, fetchMicrosPerToken(request.service()), nowMicros);
+    chosen.ifPresent(
+        place -> {
+          Server server = place.server();
+          request.onPlaced(place, openings.at(server));
+          prompts.book().onSent(request.openings(), server.name(), nowMicros);
+          server.onPromptSent(prompts.speed().readMicros(place.unreadTokens()));
+          send(request, server, Optional.of(openings.scopeAt(server)), nowMicros);
+        });
+    return chosen.isPresent();
+  }
+
+  private boolean placeCall(OpenForward request, List<Server> candidates, long nowMicros) {
+    Optional<Server> chosen = calls.choose(candidates);
+    chosen.ifPresent(server -> send(request, server, Optional.empty(), nowMicros));
+    return chosen.isPresent();
+  }
+
+  private double fetchMicrosPerToken(String service) {
+    return table
+        .flatMap(current -> current.service(service))
+        .flatMap(ServiceTraits::engine)
+        .map(EngineTraits::fetchMicrosPerToken)
+        .orElse(0.0);
+  }
+
   private void giveUpWaiting(OpenForward request, boolean hasNoServer, long nowMicros) {
     RefusalReason reason = hasNoServer ? RefusalReason.NO_UPSTREAM : RefusalReason.QUEUE_FULL;
     end(request, reason, "No server had a place in time.", nowMicros);
   }
 
-  private void send(OpenForward request, Server server, long nowMicros) {
+  private void send(OpenForward request, Server server, Optional<String> salt, long nowMicros) {
     Optional<PromptOutline> prompt = promptOf(request);
     Optional<Long> version = prompt.flatMap(one -> server.version(one.model()));
     request.onSent(server, version, nowMicros);
@@ -283,8 +322,10 @@
             request.deadlineMicros(),
             request.team().map(CallerTeam::name),
             version,
-            prompt.map(one -> scopeOf(request) + "/" + version.orElse(0L)),
+            salt,
             prompt.map(one -> request.rank()),
+            request.place().flatMap(Place::source).map(source -> source.entry().address()),
+            Optional.empty(),
             request.lastEvent());
     commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
     options
@@ -302,6 +343,8 @@
             version.orElse(0L),
             "open",
             server.outstanding(),
+            "expected_ms",
+            request.place().map(place -> (long) place.expectedMicros() / 1_000).orElse(-1L),
             "waited_ms",
             (nowMicros - request.arrivedMicros()) / 1_000);
   }
@@ -326,6 +369,7 @@
     for (CrashRegister.Suspect suspect : crashes.onDown(server.name(), nowMicros)) {
       tellCrash(suspect);
     }
+    notRead(request, server);
     request.onAttemptOver(false);
     tellFailure(request, server, "unsent: " + detail);
     retryOrEnd(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
@@ -346,7 +390,9 @@
       onRejected(request, server, answer, nowMicros);
       return;
     }
-    server.onAnswer(nowMicros - request.sentMicros(), answer.isServerError(), nowMicros);
+    long tookMicros = nowMicros - request.sentMicros();
+    server.onAnswer(tookMicros, answer.isServerError(), nowMicros);
+    request.place().ifPresent(place -> onPromptRead(place, tookMicros));
     boolean isWorthARetry = answer.isServerError() && request.route().isRepeatable();
     if (isWorthARetry && !request.hasBegunAnswer() && canRunOnceMore(request, nowMicros)) {
       commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
@@ -376,6 +422,18 @@
             (nowMicros - request.sentMicros()) / 1_000);
   }
 
+  private void onPromptRead(Place place, long tookMicros) {
+    place.server().onPromptRead(prompts.speed().readMicros(place.unreadTokens()));
+    prompts.speed().onFirstOutput(place.unreadTokens(), tookMicros);
+  }
+
+  private void notRead(OpenForward request, Server server) {
+    prompts.book().onNotRead(request.openings(), server.name());
+    request
+        .place()
+        .ifPresent(place -> server.onPromptRead(prompts.speed().readMicros(place.unreadTokens())));
+  }
+
   private static void noteVersion(OpenForward request, Server server, AnswerHead answer) {
     promptOf(request)
         .ifPresent(
@@ -396,6 +454,7 @@
       server.pause(nowMicros + REJECTED_PAUSE_MICROS);
     }
     commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+    notRead(request, server);
     request.onAttemptOver(false);
     tellFailure(request, server, "not run: status " + answer.status());
     if (retries.tryRetry(request.service(), nowMicros)) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.forward;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.shallothook.state.route.CallerTeam;
@@ -43,6 +44,8 @@
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
   private boolean hasBegunAnswer;
+  private Optional<PromptPlacement.Place> place = Optional.empty();
+  private List<Opening> openings = List.of();
 
   OpenForward(
       long number,
@@ -153,6 +156,21 @@
     return Math.max(0, Math.min(LOWEST_RANK, RANKS_OF_A_TEAM * ofTeam + route.priority()));
   }
 
+  /** Returns where the prompt of the open attempt was placed. */
+  Optional<PromptPlacement.Place> place() {
+    return place;
+  }
+
+  /** Returns the openings of the prompt in the scope of the open attempt. */
+  List<Opening> openings() {
+    return openings;
+  }
+
+  void onPlaced(PromptPlacement.Place newPlace, List<Opening> newOpenings) {
+    place = Optional.of(newPlace);
+    openings = newOpenings;
+  }
+
   void onSent(Server target, Optional<Long> version, long nowMicros) {
     server = Optional.of(target);
     triedServers.add(target.name());
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Opening.java
@@ -0,0 +1,41 @@
+package org.shallothook.coordination.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.state.route.PromptOutline;
+import org.shallothook.state.route.PromptOutline.Part;
+
+/**
+ * The leading parts of a prompt, within the scope in which they may be shared.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param hash hash of the scope and the parts
+ * @param tokens tokens of the parts together
+ */
+record Opening(long hash, int tokens) {
+
+  /**
+   * Returns every opening of a prompt, the shortest first; the last is the whole prompt.
+   *
+   * @param prompt prompt as its caller describes it
+   * @param scope scope in which its parts may be shared
+   */
+  static List<Opening> of(PromptOutline prompt, String scope) {
+    List<Opening> openings = new ArrayList<>();
+    long hash = RendezvousHash.hashOf(scope);
+    int tokens = 0;
+    for (Part part : prompt.parts()) {
+      hash = RendezvousHash.combine(hash, RendezvousHash.hashOf(part.id()));
+      tokens += part.tokens();
+      openings.add(new Opening(hash, tokens));
+    }
+    return openings;
+  }
+
+  /** Returns the opening that other prompts share, or the whole prompt where it has one part. */
+  static Opening shared(List<Opening> openings) {
+    return openings.get(Math.max(0, openings.size() - 2));
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -24,6 +24,9 @@
   /** Weight of the newest sample of a smoothed value. */
   private static final double SMOOTHING = 0.2;
 
+  /** Time that a server which fails every request counts as later, in microseconds. */
+  private static final double FAILURE_MICROS = 2_000_000;
+
   /** Silence of a sidecar after which its last word counts no more, in microseconds. */
   private static final long STATUS_VALID_MICROS = 3_500_000;
 
@@ -37,6 +40,7 @@
   private long pausedUntilMicros;
   private long removedAtMicros = Long.MAX_VALUE;
   private long queueDelayMicros;
+  private double sentSinceStatusMicros;
   private long statusUntilMicros;
   private boolean isHeldByStatus;
   private long answeredAtMicros;
@@ -77,6 +81,22 @@
     return entry;
   }
 
+  /** Returns whether this router may have one more request open here. */
+  boolean hasPlace() {
+    return outstanding < entry.slots();
+  }
+
+  /** Returns the time until a new prompt would be read, from the latest word and own sends. */
+  double waitMicros(long nowMicros) {
+    boolean isFresh = nowMicros < statusUntilMicros;
+    return (isFresh ? queueDelayMicros : 0) + sentSinceStatusMicros;
+  }
+
+  /** Returns by how much the server counts as later than it promises, for its failures. */
+  double penaltyMicros() {
+    return FAILURE_MICROS * failureShare;
+  }
+
   /** Returns the share of recent requests that the server failed, from 0 to 1. */
   double failureShare() {
     return failureShare;
@@ -144,6 +164,7 @@
     statusUntilMicros = nowMicros + STATUS_VALID_MICROS;
     isHeldByStatus = status.isLeaving() || status.ready().isEmpty();
     queueDelayMicros = status.queueDelayMicros();
+    sentSinceStatusMicros = 0;
     for (ModelVersion ready : status.ready()) {
       onVersion(ready.model(), Long.parseLong(ready.version()));
     }
@@ -177,6 +198,19 @@
 
   void onClosed() {
     outstanding--;
+    if (outstanding == 0) {
+      sentSinceStatusMicros = 0;
+    }
+  }
+
+  /** Takes in that a prompt was sent which takes some time to read. */
+  void onPromptSent(double readMicros) {
+    sentSinceStatusMicros += readMicros;
+  }
+
+  /** Takes in that a prompt was read. */
+  void onPromptRead(double readMicros) {
+    sentSinceStatusMicros = Math.max(0, sentSinceStatusMicros - readMicros);
   }
 
   void onAnswer(long tookMicros, boolean isFailure, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -156,6 +156,11 @@
     }
   }
 
+  /** Sends a message to each process that can be reached. */
+  public void sendToAll(PeerMessage message, long nowMicros) {
+    reachablePeers(nowMicros).forEach(name -> send(name, message));
+  }
+
   /** Sends a message to each router that can be reached. */
   public void sendToRouters(PeerMessage message, long nowMicros) {
     reachablePeers(nowMicros).stream()
--- a/coordination/src/main/java/org/shallothook/coordination/weights/EngineReport.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/EngineReport.java
@@ -11,7 +11,8 @@
  * @param isBusy whether an order is being carried out
  * @param acceptedOrders orders accepted in this life of the server
  * @param queued requests that wait
- * @param running requests that run
+ * @param running requests that were admitted
+ * @param generating admitted requests that have made output; the prompts of others are being read
  * @param startedAtMillis start of this life, in milliseconds since the epoch
  */
 public record EngineReport(
@@ -20,8 +21,14 @@
     long acceptedOrders,
     int queued,
     int running,
+    int generating,
     long startedAtMillis) {
   public EngineReport {
     versions = Map.copyOf(versions);
   }
+
+  /** Returns how many requests wait for their prompt to be read. */
+  public int unread() {
+    return queued + Math.max(0, running - generating);
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightCommand.java
@@ -21,6 +21,10 @@
   /** Read the registry's entries again. */
   record ReadServers() implements WeightCommand {}
 
-  /** Tell routers the state of the server. */
-  record Announce(SidecarStatus status) implements WeightCommand {}
+  /**
+   * Tell routers the state of the server.
+   *
+   * @param isForSidecars whether other sidecars have to know as well
+   */
+  record Announce(SidecarStatus status, boolean isForSidecars) implements WeightCommand {}
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
@@ -31,6 +32,9 @@
   /** An entry of the registry was removed. */
   record ServerRemoved(String id) implements WeightEvent {}
 
+  /** Another sidecar has told the state of its server. */
+  record StatusHeard(SidecarStatus status) implements WeightEvent {}
+
   /** Time has passed. */
   record Tick() implements WeightEvent {}
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -27,10 +27,8 @@
   /** Longest time between two ticks, in microseconds. */
   public static final long TICK_INTERVAL_MICROS = 50_000;
 
-  /** Time between two reports while nothing is under way, and while something is. */
-  private static final long CALM_REPORT_MICROS = 400_000;
-
-  private static final long BUSY_REPORT_MICROS = 100_000;
+  /** Time between two reports, which cost nothing from the same machine. */
+  private static final long REPORT_MICROS = 100_000;
 
   /** Time between two tries to take a number or to find the server's identity. */
   private static final long RETRY_MICROS = 500_000;
@@ -41,6 +39,15 @@
   /** Time between two announcements that the server takes no work. */
   private static final long REPEAT_MICROS = 1_000_000;
 
+  /** Longest time that prompts already sent are waited for before an order turns them away. */
+  private static final long QUEUE_DRAIN_MICROS = 350_000;
+
+  /** Time that a prompt of a few thousand tokens takes to be read, as a hint to routers. */
+  private static final long READ_HINT_MICROS = 60_000;
+
+  /** Time between two announcements of a changed queue. */
+  private static final long LOAD_MICROS = 100_000;
+
   /** Reports that must fail in a row before the server counts as down. */
   private static final int FAILURES_OF_A_DOWN_SERVER = 2;
 
@@ -64,6 +71,8 @@
   private long nextOrderMicros;
   private long announcedAtMicros;
   private boolean isLoading;
+  private long awaySinceMicros;
+  private final RolloutTurn turn = new RolloutTurn();
 
   /**
    * Creates a keeper that knows nothing of its server.
@@ -95,6 +104,8 @@
       fence = taken.fence();
     } else if (event instanceof WeightEvent.ServerListed listed) {
       servers.put(listed.entry().id(), listed.entry());
+    } else if (event instanceof WeightEvent.StatusHeard heard) {
+      turn.onStatus(heard.status(), nowMicros);
     } else if (event instanceof WeightEvent.ServerRemoved removed) {
       servers.remove(removed.id());
     }
@@ -171,7 +182,7 @@
       case ALREADY_HOLDS -> open = Optional.empty();
       case BUSY_OR_CHANGED, NOT_SENT -> {
         open = Optional.empty();
-        nextOrderMicros = nowMicros + BUSY_REPORT_MICROS;
+        nextOrderMicros = nowMicros + REPORT_MICROS;
       }
       case REJECTED -> {
         open = Optional.empty();
@@ -182,8 +193,12 @@
 
   private void act(long nowMicros) {
     Optional<WeightVersion> next = nextVersion();
-    isLoading = next.isPresent() && isTurn(next.get(), nowMicros);
-    readReport(next.isPresent(), nowMicros);
+    boolean wasLoading = isLoading;
+    isLoading = next.isPresent() && (wasLoading || isTurn(next.get(), nowMicros));
+    if (isLoading && !wasLoading) {
+      awaySinceMicros = nowMicros;
+    }
+    readReport(nowMicros);
     if (serverId().isEmpty() && nowMicros >= nextServersMicros) {
       nextServersMicros = nowMicros + RETRY_MICROS;
       commands.accept(new WeightCommand.ReadServers());
@@ -199,10 +214,10 @@
     }
   }
 
-  private void readReport(boolean isUnderWay, long nowMicros) {
+  private void readReport(long nowMicros) {
     if (!isReading && nowMicros >= nextReportMicros) {
       isReading = true;
-      nextReportMicros = nowMicros + (isUnderWay ? BUSY_REPORT_MICROS : CALM_REPORT_MICROS);
+      nextReportMicros = nowMicros + REPORT_MICROS;
       commands.accept(new WeightCommand.ReadReport());
     }
   }
@@ -212,8 +227,13 @@
     if (isOver) {
       open = Optional.empty();
     }
+    long awayMicros = nowMicros - awaySinceMicros;
+    boolean isQueueDrained =
+        awayMicros >= QUEUE_DRAIN_MICROS
+            || (awayMicros >= 2 * REPORT_MICROS && report.get().unread() == 0);
     boolean mayOrder =
         open.isEmpty()
+            && isQueueDrained
             && fence.isPresent()
             && serverId().isPresent()
             && !report.get().isBusy()
@@ -250,8 +270,8 @@
             .filter(entry -> entry.service().equals(service) && !entry.isLeaving())
             .map(ServerEntry::id)
             .toList();
-    long delay = RolloutTurn.delayMicros(id.get(), others, version.version());
-    return nowMicros >= namedAtMicros.get(version.model()) + delay;
+    return turn.hasCome(
+        id.get(), others, version.version(), namedAtMicros.get(version.model()), nowMicros);
   }
 
   private long versionOf(String model) {
@@ -283,13 +303,16 @@
                 .map(entry -> ModelVersion.of(entry.getKey(), Long.toString(entry.getValue())))
                 .toList();
     String incarnation = isDown ? "" : Long.toString(report.get().startedAtMillis());
-    SidecarStatus status = new SidecarStatus(id.get(), incarnation, ready, false, 0);
-    boolean isChanged = announced.filter(status::equals).isEmpty();
-    boolean isRepeated = isHeld && nowMicros - announcedAtMicros >= REPEAT_MICROS;
-    if (isChanged || isRepeated) {
+    long queueMicros = isHeld ? 0 : report.get().unread() * READ_HINT_MICROS;
+    SidecarStatus status = new SidecarStatus(id.get(), incarnation, ready, false, queueMicros);
+    boolean isReadinessNew = announced.filter(last -> last.ready().equals(ready)).isEmpty();
+    long age = nowMicros - announcedAtMicros;
+    boolean isQueueNew = announced.filter(status::equals).isEmpty() && age >= LOAD_MICROS;
+    boolean isRepeated = isHeld && age >= REPEAT_MICROS;
+    if (isReadinessNew || isQueueNew || isRepeated) {
       announced = Optional.of(status);
       announcedAtMicros = nowMicros;
-      commands.accept(new WeightCommand.Announce(status));
+      commands.accept(new WeightCommand.Announce(status, isReadinessNew || isRepeated));
     }
   }
 }
--- a/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
+++ b/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
@@ -85,6 +85,18 @@
     return element(name).map(found -> toLong(pathOf(name), found));
   }
 
+  /** Returns a field with any number that may be missing. */
+  public Optional<Double> optionalNumber(String name) {
+    return element(name)
+        .map(
+            found -> {
+              if (found instanceof JsonPrimitive primitive && primitive.isNumber()) {
+                return primitive.getAsDouble();
+              }
+              throw wrongType(pathOf(name), "a number");
+            });
+  }
+
   /** Returns a list of texts. */
   public List<String> texts(String name) {
     List<String> read = new ArrayList<>();
@@ -94,6 +106,11 @@
     return read;
   }
 
+  /** Returns the length of a list. */
+  public int size(String name) {
+    return array(name).size();
+  }
+
   /** Returns whether the object has the field with a value. */
   public boolean has(String name) {
     return element(name).isPresent();
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.shallothook.coordination.forward.Decision;
 import org.shallothook.coordination.message.Envelope;
+import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.registry.FollowPolicy;
 import org.shallothook.coordination.registry.RegistryCore;
@@ -145,7 +146,11 @@
 
   @Override
   public void received(Envelope envelope, long nowMicros) {
-    metrics.increment("peers.unexpected-message");
+    if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
+      keeper.handle(new WeightEvent.StatusHeard(status), nowMicros);
+    } else {
+      metrics.increment("peers.unexpected-message");
+    }
   }
 
   private void handle(CoreEvent event, long nowMicros) {
@@ -189,6 +194,14 @@
     } else if (command instanceof WeightCommand.ReadServers) {
       registry.hurry(RegistryStream.SERVERS, latestMicros);
     } else if (command instanceof WeightCommand.Announce announce) {
+      announce(announce);
+    }
+  }
+
+  private void announce(WeightCommand.Announce announce) {
+    if (announce.isForSidecars()) {
+      registry.sendToAll(announce.status(), latestMicros);
+    } else {
       registry.sendToRouters(announce.status(), latestMicros);
     }
   }
--- a/state/src/main/java/org/shallothook/state/route/ServiceTraits.java
+++ b/state/src/main/java/org/shallothook/state/route/ServiceTraits.java
@@ -25,9 +25,11 @@
    *
    * @param slots requests that one server runs at once
    * @param cacheTokens tokens that running requests and cached parts of one server share
+   * @param fetchMicrosPerToken time to copy one cached token from another server nearby
    * @param models names of the models served
    */
-  public record EngineTraits(int slots, long cacheTokens, List<String> models) {
+  public record EngineTraits(
+      int slots, long cacheTokens, double fetchMicrosPerToken, List<String> models) {
     public EngineTraits {
       models = List.copyOf(models);
     }
