--- a/benchmarks/src/main/java/org/shallothook/benchmarks/control/MessageKind.java
+++ b/benchmarks/src/main/java/org/shallothook/benchmarks/control/MessageKind.java
@@ -55,7 +55,8 @@
       return END;
     } else if (message instanceof PeerMessage.Hello) {
       return HELLO;
-    } else if (message instanceof PeerMessage.SidecarStatus) {
+    } else if (message instanceof PeerMessage.SidecarStatus
+        || message instanceof PeerMessage.OpeningsHeld) {
       return STATUS;
     } else if (message instanceof PeerMessage.ConfigurationRecords
         || message instanceof PeerMessage.ConfigurationRequest) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -1,5 +1,6 @@
 package org.shallothook.coordination.forward;
 
+import java.util.List;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.CallerLimits;
 
@@ -25,6 +26,13 @@
   /** Break off an answer that has begun, so that the caller sees that it is not whole. */
   record BreakOff(long request, String detail) implements ForwardCommand {}
 
+  /** Tell the other routers that a server reads prompts with some openings. */
+  record TellOpenings(String server, List<Long> openings) implements ForwardCommand {
+    public TellOpenings {
+      openings = List.copyOf(openings);
+    }
+  }
+
   /** Tell the other routers that a request has crashed a server. */
   record TellCrash(long contentHash, String crash) implements ForwardCommand {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -151,6 +151,8 @@
     } else if (event instanceof ForwardEvent.StatusHeard heard) {
       servers.onStatus(heard.status(), nowMicros);
       sendWaiting(nowMicros);
+    } else if (event instanceof ForwardEvent.OpeningsHeard heard) {
+      prompts.book().onTold(heard.openings(), heard.server(), nowMicros);
     } else if (event instanceof ForwardEvent.CrashHeard heard) {
       crashes.count(heard.contentHash(), heard.crash(), nowMicros);
     } else if (event instanceof ForwardEvent.RoutersCounted counted) {
@@ -285,6 +287,7 @@
         place -> {
           Server server = place.server();
           request.onPlaced(place, openings.at(server));
+          tellOpenings(request.openings(), server);
           prompts.book().onSent(request.openings(), server.name(), nowMicros);
           server.onPromptSent(prompts.speed().readMicros(place.unreadTokens()));
           send(request, server, Optional.of(openings.scopeAt(server)), nowMicros);
@@ -292,6 +295,15 @@
     return chosen.isPresent();
   }
 
+  /** Tells what other prompts may share; the last opening is the request's own. */
+  private void tellOpenings(List<Opening> openings, Server server) {
+    List<Opening> shared = openings.subList(0, Math.max(1, openings.size() - 1));
+    List<Long> unknown = prompts.book().unknown(shared, server.name());
+    if (!unknown.isEmpty()) {
+      commands.accept(new ForwardCommand.TellOpenings(server.name(), unknown));
+    }
+  }
+
   private boolean placeCall(OpenForward request, List<Server> candidates, long nowMicros) {
     Optional<Server> chosen = calls.choose(candidates);
     chosen.ifPresent(server -> send(request, server, Optional.empty(), nowMicros));
@@ -343,6 +355,12 @@
             version.orElse(0L),
             "open",
             server.outstanding(),
+            "cached",
+            request.place().map(Place::cachedTokens).orElse(0),
+            "unread",
+            request.place().map(Place::unreadTokens).orElse(0),
+            "source",
+            request.place().flatMap(Place::source).map(Server::name).orElse(""),
             "expected_ms",
             request.place().map(place -> (long) place.expectedMicros() / 1_000).orElse(-1L),
             "waited_ms",
@@ -556,11 +574,20 @@
       }
     }
     sendWaiting(nowMicros);
+    divideLanes();
     watchSilence(nowMicros);
     servers.forget(nowMicros);
     crashes.forget(nowMicros);
   }
 
+  private void divideLanes() {
+    open.values().stream()
+        .filter(request -> promptOf(request).isPresent())
+        .map(OpenForward::service)
+        .distinct()
+        .forEach(service -> prompts.lanes(service).divide(servers.listed(service)));
+  }
+
   private void onDeadline(OpenForward request, long nowMicros) {
     boolean wasSent = request.phase() != Phase.WAITING;
     if (wasSent) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -62,6 +62,13 @@
   /** A sidecar has told the state of its server. */
   record StatusHeard(SidecarStatus status) implements ForwardEvent {}
 
+  /** A peer has sent prompts with some openings to a server. */
+  record OpeningsHeard(String server, List<Long> openings) implements ForwardEvent {
+    public OpeningsHeard {
+      openings = List.copyOf(openings);
+    }
+  }
+
   /** A peer has seen a request crash a server. */
   record CrashHeard(long contentHash, String crash) implements ForwardEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
@@ -38,6 +38,21 @@
     }
   }
 
+  /** Takes in that another router has sent a prompt with these openings to a server. */
+  void onTold(List<Long> openings, String server, long nowMicros) {
+    for (long opening : openings) {
+      usedAtMicros.computeIfAbsent(opening, hash -> new HashMap<>()).put(server, nowMicros);
+    }
+  }
+
+  /** Returns the openings that a server is not known to have. */
+  List<Long> unknown(List<Opening> openings, String server) {
+    return openings.stream()
+        .map(Opening::hash)
+        .filter(hash -> !usedAtMicros.getOrDefault(hash, Map.of()).containsKey(server))
+        .toList();
+  }
+
   /** Takes in that a server did not read a prompt after all. */
   void onNotRead(List<Opening> openings, String server) {
     for (Opening opening : openings) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -1,6 +1,8 @@
 package org.shallothook.coordination.forward;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.shallothook.coordination.placement.RendezvousHash;
 
@@ -25,6 +27,7 @@
   private final String failureDomain;
   private final PrefixBook book = new PrefixBook();
   private final ReadingSpeed speed = new ReadingSpeed();
+  private final Map<String, ReadingLanes> lanes = new HashMap<>();
 
   PromptPlacement(String failureDomain) {
     this.failureDomain = failureDomain;
@@ -34,32 +37,53 @@
     return book;
   }
 
+  ReadingLanes lanes(String service) {
+    return lanes.computeIfAbsent(service, name -> new ReadingLanes());
+  }
+
   ReadingSpeed speed() {
     return speed;
   }
 
   /** The server for a prompt, and whom it may copy parts from. */
-  record Place(Server server, Optional<Server> source, int unreadTokens, double expectedMicros) {}
+  record Place(
+      Server server,
+      Optional<Server> source,
+      int cachedTokens,
+      int unreadTokens,
+      double expectedMicros) {}
 
   /**
    * Returns the best place.
    *
+   * @param service service that the servers belong to
    * @param servers servers that may begin the request
    * @param prompt openings of the prompt by server, since their scope holds the server's version
    * @param fetchMicrosPerToken time to copy one cached token
+   * @param gapTargetMicros longest pause that streams may have
    * @param nowMicros time of the placement
    */
   Optional<Place> choose(
-      List<Server> servers, ScopedOpenings prompt, double fetchMicrosPerToken, long nowMicros) {
+      String service,
+      List<Server> servers,
+      ScopedOpenings prompt,
+      double fetchMicrosPerToken,
+      double gapTargetMicros,
+      long nowMicros) {
+    ReadingLanes lanes = lanes(service);
+    boolean isLong = lanes.isLong(speed.readMicros(prompt.promptTokens()), gapTargetMicros);
     Optional<Place> best = Optional.empty();
     for (Server server : servers) {
       if (server.hasPlace()) {
-        Place place = placeAt(server, servers, prompt, fetchMicrosPerToken, nowMicros);
+        double crossing = lanes.crossingMicros(server, isLong, gapTargetMicros);
+        Place place = placeAt(server, servers, prompt, fetchMicrosPerToken, crossing, nowMicros);
         if (best.filter(other -> other.expectedMicros() <= place.expectedMicros()).isEmpty()) {
           best = Optional.of(place);
         }
       }
     }
+    best.ifPresent(
+        place -> lanes.onWork(isLong, speed.readMicros(place.unreadTokens()), nowMicros));
     return best;
   }
 
@@ -68,12 +92,13 @@
       List<Server> servers,
       ScopedOpenings prompt,
       double fetchMicrosPerToken,
+      double crossingMicros,
       long nowMicros) {
     List<Opening> openings = prompt.at(server);
     int all = prompt.promptTokens();
     int cached = Math.min(all, book.cachedTokens(openings, server.name()));
     Opening shared = Opening.shared(openings);
-    double micros = server.waitMicros(nowMicros);
+    double micros = server.waitMicros(nowMicros) + crossingMicros;
     Optional<Server> source = Optional.empty();
     int unread = all - cached;
     if (cached < shared.tokens()) {
@@ -90,7 +115,7 @@
     micros += speed.readMicros(unread);
     micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
     micros += server.penaltyMicros();
-    return new Place(server, source, unread, micros);
+    return new Place(server, source, cached, unread, micros);
   }
 
   private boolean isHolder(Server candidate, List<Opening> openings) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -50,6 +50,13 @@
     return usable;
   }
 
+  /** Returns the servers of a service that are not leaving, usable now or not. */
+  List<Server> listed(String service) {
+    return servers.values().stream()
+        .filter(server -> server.entry().service().equals(service) && !server.entry().isLeaving())
+        .toList();
+  }
+
   void onRead(List<ServerEntry> entries, boolean isWhole, long nowMicros) {
     for (ServerEntry entry : entries) {
       Server known = servers.get(entry.id());
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -279,6 +279,26 @@
    */
   record Quarantine(String fingerprint, long untilMicros) implements PeerMessage {}
 
+  /**
+   * Tells that an upstream reads, or has read, prompts with some openings.
+   *
+   * @param upstream name of the upstream
+   * @param openings hashes of the openings, in the scope in which they may be shared
+   */
+  record OpeningsHeld(String upstream, List<Long> openings) implements PeerMessage {
+    public OpeningsHeld {
+      openings = List.copyOf(openings);
+    }
+  }
+
+  /**
+   * Tells that a request was at an upstream that crashed.
+   *
+   * @param content hash of the request's content
+   * @param crash name of the crash, the same wherever it is told
+   */
+  record CrashSeen(long content, String crash) implements PeerMessage {}
+
   /**
    * Asks the keeper of a partition to claim the right to make a call, or what became of it.
    *
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -72,6 +72,15 @@
                   frame.getQuarantine().getFingerprint(),
                   FieldMapping.notNegative(
                       "quarantine.until_micros", frame.getQuarantine().getUntilMicros())));
+      case OPENINGS_HELD ->
+          Optional.of(
+              new PeerMessage.OpeningsHeld(
+                  frame.getOpeningsHeld().getUpstream(),
+                  frame.getOpeningsHeld().getOpeningsList()));
+      case CRASH_SEEN ->
+          Optional.of(
+              new PeerMessage.CrashSeen(
+                  frame.getCrashSeen().getContent(), frame.getCrashSeen().getCrash()));
       case CLAIM_REQUEST -> Optional.of(ClaimMapping.request(frame.getClaimRequest()));
       case CLAIM_ANSWER -> Optional.of(ClaimMapping.answer(frame.getClaimAnswer()));
       case CLAIM_ENDED -> Optional.of(ClaimMapping.ended(frame.getClaimEnded()));
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -10,12 +10,14 @@
 import org.shallothook.protocol.generated.ConfigurationRecordsFrame;
 import org.shallothook.protocol.generated.ConfigurationRequestFrame;
 import org.shallothook.protocol.generated.ConsumedFrame;
+import org.shallothook.protocol.generated.CrashSeenFrame;
 import org.shallothook.protocol.generated.EndedFrame;
 import org.shallothook.protocol.generated.EnvelopeFrame;
 import org.shallothook.protocol.generated.FailedFrame;
 import org.shallothook.protocol.generated.HelloFrame;
 import org.shallothook.protocol.generated.OfferFrame;
 import org.shallothook.protocol.generated.OfferReplyFrame;
+import org.shallothook.protocol.generated.OpeningsHeldFrame;
 import org.shallothook.protocol.generated.QuarantineFrame;
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
@@ -71,6 +73,14 @@
           QuarantineFrame.newBuilder()
               .setFingerprint(quarantine.fingerprint())
               .setUntilMicros(quarantine.untilMicros()));
+    } else if (message instanceof PeerMessage.OpeningsHeld held) {
+      frame.setOpeningsHeld(
+          OpeningsHeldFrame.newBuilder()
+              .setUpstream(held.upstream())
+              .addAllOpenings(held.openings()));
+    } else if (message instanceof PeerMessage.CrashSeen seen) {
+      frame.setCrashSeen(
+          CrashSeenFrame.newBuilder().setContent(seen.content()).setCrash(seen.crash()));
     } else if (!ClaimMapping.encode(message, frame)) {
       throw new IllegalArgumentException("No frame maps " + message.getClass().getName());
     }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -95,6 +95,7 @@
   private final PeerNetwork peers;
   private final AdminServer admin;
   private final GracefulStop stop = new GracefulStop(this::drain, this::close);
+  private long latestMicros;
 
   HostedRouter(Settings settings) {
     this.settings = settings;
@@ -169,10 +170,17 @@
   public void received(Envelope envelope, long nowMicros) {
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
       core.handle(new ForwardEvent.StatusHeard(status), nowMicros);
+    } else if (envelope.message() instanceof PeerMessage.OpeningsHeld held) {
+      core.handle(new ForwardEvent.OpeningsHeard(held.upstream(), held.openings()), nowMicros);
+    } else if (envelope.message() instanceof PeerMessage.CrashSeen seen) {
+      core.handle(new ForwardEvent.CrashHeard(seen.content(), seen.crash()), nowMicros);
+    } else {
+      metrics.increment("peers.unexpected-message");
     }
   }
 
   private void handle(CoreEvent event, long nowMicros) {
+    latestMicros = nowMicros;
     if (event instanceof ForwardEvent forward) {
       core.handle(forward, nowMicros);
       if (event instanceof ForwardEvent.Tick) {
@@ -210,7 +218,15 @@
   }
 
   private void carryOut(ForwardCommand command) {
-    gate.carryOut(command);
+    if (command instanceof ForwardCommand.TellOpenings openings) {
+      registry.sendToRouters(
+          new PeerMessage.OpeningsHeld(openings.server(), openings.openings()), latestMicros);
+    } else if (command instanceof ForwardCommand.TellCrash crash) {
+      registry.sendToRouters(
+          new PeerMessage.CrashSeen(crash.contentHash(), crash.crash()), latestMicros);
+    } else {
+      gate.carryOut(command);
+    }
   }
 
   private Map<RegistryStream, FollowPolicy> policies() {
--- a/state/src/main/java/org/shallothook/state/route/Route.java
+++ b/state/src/main/java/org/shallothook/state/route/Route.java
@@ -15,6 +15,7 @@
  * @param kind what may be done with its requests
  * @param timeoutMicros longest time that a request may be kept waiting, in microseconds
  * @param targetMicros time within which an answer has its full worth, in microseconds
+ * @param gapTargetMicros longest pause between two parts of an answer that is still on time
  * @param priority rank of its requests, 0 the highest
  * @param destinations services with their shares of the requests
  * @param maximumAttempts greatest number of servers that one request may run on
@@ -29,6 +30,7 @@
     CallKind kind,
     long timeoutMicros,
     long targetMicros,
+    long gapTargetMicros,
     int priority,
     List<Destination> destinations,
     int maximumAttempts,
--- a/transport/src/test/java/org/shallothook/transport/peer/PeerBytes.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/PeerBytes.java
@@ -47,6 +47,8 @@
           new PeerMessage.ConfigurationRecords(List.of()),
           new PeerMessage.ConfigurationRequest(5),
           new PeerMessage.Quarantine("0123456789abcdef", 5),
+          new PeerMessage.OpeningsHeld("engine-2", List.of(1L, -2L)),
+          new PeerMessage.CrashSeen(-3, "request-7"),
           new PeerMessage.ClaimEndRecorded("claim"));
 
   private PeerBytes() {}
