--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -282,7 +282,13 @@
       OpenForward request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
     ScopedOpenings openings = new ScopedOpenings(prompt, scopeOf(request));
     Optional<Place> chosen =
-        prompts.choose(candidates, openings, fetchMicrosPerToken(request.service()), nowMicros);
+        prompts.choose(
+            request.service(),
+            candidates,
+            openings,
+            fetchMicrosPerToken(request.service()),
+            request.route().gapTargetMicros(),
+            nowMicros);
     chosen.ifPresent(
         place -> {
           Server server = place.server();
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -68,7 +68,7 @@
       List<Server> servers,
       ScopedOpenings prompt,
       double fetchMicrosPerToken,
-      double gapTargetMicros,
+      long gapTargetMicros,
       long nowMicros) {
     ReadingLanes lanes = lanes(service);
     boolean isLong = lanes.isLong(speed.readMicros(prompt.promptTokens()), gapTargetMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
@@ -38,7 +38,7 @@
   private Set<String> shortLane = Set.of();
 
   /** Returns whether a prompt is long beside the pauses that streams may have. */
-  boolean isLong(double readMicros, double gapTargetMicros) {
+  boolean isLong(double readMicros, long gapTargetMicros) {
     return readMicros > SHORT_PART * gapTargetMicros;
   }
 
@@ -72,7 +72,7 @@
   }
 
   /** Returns by how much a server counts as later for a prompt, in microseconds. */
-  double crossingMicros(Server server, boolean isLong, double gapTargetMicros) {
+  double crossingMicros(Server server, boolean isLong, long gapTargetMicros) {
     boolean isCrossing = !shortLane.isEmpty() && shortLane.contains(server.name()) == isLong;
     return isCrossing ? CROSSING_PART * gapTargetMicros : 0;
   }
