--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
@@ -0,0 +1,262 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RefusalReason;
+
+/** Requests from their arrival to their one final answer, without sockets. */
+final class ForwardCoreTest {
+  private final ForwardHarness harness = ForwardHarness.ready(3, 3);
+
+  @Test
+  void aRouterWithoutConfigurationSaysThatTheRequestHasNotRun() {
+    ForwardHarness empty = new ForwardHarness();
+    long request = empty.call("/book/1");
+    assertThat(empty.refusal(request).get().reason()).isEqualTo(RefusalReason.CONFIGURATION_BEHIND);
+    assertThat(empty.core.isReady()).isFalse();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"/book/1, unknown, UNKNOWN_KEY", "/none/1, key-1, NOT_FOUND"})
+  void whatTheConfigurationDoesNotAllowIsRefused(String target, String key, RefusalReason reason) {
+    long request = harness.request(target, Optional.of(key), Optional.empty());
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(reason);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"/book/1, unknown", "/none/1, key-1"})
+  void aRouterCutOffFromTheRegistryDoesNotDenyWhatANewerConfigurationMayAllow(
+      String target, String key) {
+    harness.handle(new ForwardEvent.RegistryReachable(false));
+    long request = harness.request(target, Optional.of(key), Optional.empty());
+    assertThat(harness.refusal(request).get().reason())
+        .isEqualTo(RefusalReason.CONFIGURATION_BEHIND);
+  }
+
+  @Test
+  void anOlderConfigurationIsNotTakenBack() {
+    harness.publish(5);
+    int before = harness.commands.size();
+    harness.publish(4);
+    assertThat(harness.commands).hasSize(before);
+  }
+
+  @Test
+  void aWholeAnswerIsRelayed() {
+    long request = harness.call("/book/1");
+    harness.answer(request, 200);
+    harness.complete(request);
+    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 1));
+    assertThat(harness.core.openRequests()).isEqualTo(0);
+  }
+
+  @Test
+  void aRequestNamesTheServerTheTeamAndTheScopeOfItsCache() {
+    long shared = harness.ask("north");
+    Dispatch dispatch = harness.sent(shared).get().dispatch();
+    assertThat(dispatch.team()).hasValue("parish");
+    assertThat(dispatch.expectedVersion()).hasValue(1L);
+    assertThat(dispatch.cacheSalt()).hasValue("linen/1");
+  }
+
+  @Test
+  void anIsolatedTeamSharesNoCache() {
+    long request =
+        harness.request(
+            "/ask/1",
+            Optional.of(ForwardHarness.ISOLATED_KEY),
+            Optional.of(ForwardHarness.prompt("north", 6_000, 2_000)));
+    assertThat(harness.sent(request).get().dispatch().cacheSalt()).hasValue("linen/guild/1");
+  }
+
+  @Test
+  void anUnsafeRequestWhoseConnectionBreaksIsNotSentAgain() {
+    long request = harness.call("/book/1");
+    harness.broken(request, Optional.empty());
+    assertThat(harness.sends(request)).isEqualTo(1);
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.CONNECTION_LOST);
+    assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.UNKNOWN);
+  }
+
+  @Test
+  void anUnsafeRequestThatWasNotSentGoesToAnotherServer() {
+    long request = harness.call("/book/1");
+    String first = harness.sent(request).get().dispatch().server();
+    harness.unsent(request);
+    assertThat(harness.sent(request).get().dispatch().server()).isNotEqualTo(first);
+  }
+
+  @Test
+  void aRejectedUnsafeRequestGoesToAnotherServer() {
+    long request = harness.call("/book/1");
+    String first = harness.sent(request).get().dispatch().server();
+    harness.reject(request, 503);
+    assertThat(harness.sent(request).get().dispatch().server()).isNotEqualTo(first);
+  }
+
+  @Test
+  void afterManyRejectionsTheCallerIsToldThatTheRequestHasNotRunAndWhenToComeBack() {
+    long request = harness.call("/book/1");
+    for (int rejection = 0; rejection < 20 && harness.refusal(request).isEmpty(); rejection++) {
+      harness.reject(request, 503);
+      harness.advance(20_000);
+    }
+    assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(harness.refusal(request).get().retryAtMicros()).isPresent();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {500, 502, 504})
+  void aSafeRequestThatAServerFailedRunsOnceMore(int status) {
+    long request = harness.call("/read/1");
+    harness.answer(request, status);
+    assertThat(harness.sends(request)).isEqualTo(2);
+    harness.answer(request, status);
+    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 2));
+  }
+
+  @Test
+  void anUnsafeRequestThatAServerFailedIsAnsweredWithTheServersAnswer() {
+    long request = harness.call("/book/1");
+    harness.answer(request, 500);
+    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 1));
+  }
+
+  @Test
+  void aBrokenStreamGoesOnAtAnotherServerBehindItsLastEvent() {
+    long request = harness.ask("north");
+    String first = harness.sent(request).get().dispatch().server();
+    harness.answer(request, 200);
+    harness.broken(request, Optional.of(7L));
+    Dispatch second = harness.sent(request).get().dispatch();
+    assertThat(second.server()).isNotEqualTo(first);
+    assertThat(second.resumesAfter()).hasValue(7L);
+  }
+
+  @Test
+  void aBrokenStreamThatMayNotBeResumedIsBrokenOff() {
+    long request =
+        harness.request(
+            "/draft/1",
+            Optional.of(ForwardHarness.KEY),
+            Optional.of(ForwardHarness.prompt("north", 200, 600)));
+    harness.answer(request, 200);
+    harness.broken(request, Optional.of(7L));
+    assertThat(harness.sends(request)).isEqualTo(1);
+    assertThat(harness.isBrokenOff(request)).isTrue();
+  }
+
+  @Test
+  void aStreamIsNotResumedOnMoreServersThanItsRouteAllows() {
+    long request = harness.ask("north");
+    harness.answer(request, 200);
+    harness.broken(request, Optional.of(3L));
+    harness.answer(request, 200);
+    harness.broken(request, Optional.of(5L));
+    assertThat(harness.sends(request)).isEqualTo(2);
+    assertThat(harness.isBrokenOff(request)).isTrue();
+  }
+
+  @Test
+  void atTheDeadlineTheServerIsGivenUpAndTheCallerAnswered() {
+    long request = harness.call("/book/1");
+    harness.advance(790_000);
+    assertThat(harness.refusal(request)).isEmpty();
+    harness.advance(40_000);
+    assertThat(harness.commands).contains(new ForwardCommand.Drop(request, 1));
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.DEADLINE_PASSED);
+  }
+
+  @Test
+  void aCallerWhoLeavesFreesItsServer() {
+    long request = harness.call("/book/1");
+    harness.handle(new ForwardEvent.CallerGone(request));
+    assertThat(harness.commands).contains(new ForwardCommand.Drop(request, 1));
+    assertThat(harness.core.openRequests()).isEqualTo(0);
+    assertThat(harness.refusal(request)).isEmpty();
+  }
+
+  @Test
+  void withoutAnyServerARequestIsRefusedSoonAsNotRun() {
+    ForwardHarness none = ForwardHarness.ready(0, 0);
+    long request = none.call("/book/1");
+    none.advance(100_000);
+    assertThat(none.refusal(request).get().reason()).isEqualTo(RefusalReason.NO_UPSTREAM);
+    assertThat(none.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
+  @Test
+  void aRequestThatWaitsForAServerIsSentWhenOneIsListed() {
+    ForwardHarness none = ForwardHarness.ready(0, 0);
+    long request = none.call("/book/1");
+    none.handle(
+        new ForwardEvent.ServersRead(List.of(ForwardHarness.service("service-1", 1)), false));
+    assertThat(none.sent(request)).isPresent();
+  }
+
+  @Test
+  void nothingNewIsSentToALeavingServer() {
+    ForwardHarness one = ForwardHarness.ready(0, 1);
+    one.handle(
+        new ForwardEvent.ServersRead(
+            List.of(ForwardHarness.leaving(ForwardHarness.service("service-1", 1))), false));
+    assertThat(one.sent(one.call("/book/1"))).isEmpty();
+    one.handle(
+        new ForwardEvent.ServersRead(List.of(ForwardHarness.service("service-1", 1)), false));
+    assertThat(one.sent(one.call("/book/1"))).isEmpty();
+  }
+
+  @Test
+  void aServerRemovedDuringAnOutageServesOnForAWhile() {
+    ForwardHarness one = ForwardHarness.ready(0, 1);
+    one.handle(new ForwardEvent.RegistryReachable(false));
+    one.handle(new ForwardEvent.RegistryReachable(true));
+    one.handle(new ForwardEvent.ServerRemoved("service-1"));
+    assertThat(one.sent(one.call("/book/1"))).isPresent();
+    one.advance(2_100_000);
+    assertThat(one.sent(one.call("/book/2"))).isEmpty();
+  }
+
+  @Test
+  void aServerRemovedWhileTheRegistryIsCalmIsUsedNoMore() {
+    ForwardHarness one = ForwardHarness.ready(0, 1);
+    one.handle(new ForwardEvent.ServerRemoved("service-1"));
+    assertThat(one.sent(one.call("/book/1"))).isEmpty();
+  }
+
+  @Test
+  void aRequestThatCrashedThreeServersRunsNoMore() {
+    ForwardHarness many = ForwardHarness.ready(1, 0);
+    for (int crash = 0; crash < 3; crash++) {
+      long request = many.ask("poison");
+      long other = many.ask("other");
+      many.broken(request, Optional.empty());
+      many.unsent(other);
+      many.advance(3_000_000);
+    }
+    long last = many.ask("poison");
+    assertThat(many.refusal(last).get().reason()).isEqualTo(RefusalReason.CRASHES_UPSTREAMS);
+  }
+
+  @Test
+  void aBystanderOfCrashesThatWasAnsweredRuns() {
+    for (int crash = 0; crash < 3; crash++) {
+      harness.handle(new ForwardEvent.CrashHeard("/read/1".hashCode(), "crash-" + crash));
+    }
+    assertThat(harness.refusal(harness.call("/read/1"))).isPresent();
+    harness.handle(new ForwardEvent.CrashHeard("/read/2".hashCode(), "crash-1"));
+    long answered = harness.call("/read/2");
+    harness.answer(answered, 200);
+    harness.complete(answered);
+    harness.handle(new ForwardEvent.CrashHeard("/read/2".hashCode(), "crash-2"));
+    harness.handle(new ForwardEvent.CrashHeard("/read/2".hashCode(), "crash-3"));
+    assertThat(harness.refusal(harness.call("/read/2"))).isEmpty();
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -0,0 +1,254 @@
+package org.shallothook.coordination.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.route.CallKind;
+import org.shallothook.state.route.CallerLimits;
+import org.shallothook.state.route.CallerTeam;
+import org.shallothook.state.route.PromptOutline;
+import org.shallothook.state.route.PromptOutline.Part;
+import org.shallothook.state.route.Route;
+import org.shallothook.state.route.RouteTable;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.ServiceTraits;
+import org.shallothook.state.route.ServiceTraits.EngineTraits;
+import org.shallothook.state.route.WeightVersion;
+
+/**
+ * A forwarding core with a configuration of four routes, driven by hand on a virtual clock.
+ *
+ * <p>Not thread-safe.
+ */
+final class ForwardHarness {
+  static final String KEY = "key-1";
+  static final String ISOLATED_KEY = "key-2";
+  static final String MODEL = "linen";
+  static final long MILLI = 1_000;
+  static final long SECOND = 1_000_000;
+
+  final List<ForwardCommand> commands = new ArrayList<>();
+  final ForwardCore core;
+  private final Map<Long, Refusal> refusals = new HashMap<>();
+  private final Map<Long, ForwardCommand.Send> latestSends = new HashMap<>();
+  private final Set<Long> brokenOff = new HashSet<>();
+  private long nowMicros = 100 * SECOND;
+  private long nextRequest = 1;
+
+  ForwardHarness() {
+    core =
+        new ForwardCore(
+            new ForwardOptions(
+                "domain-a",
+                0.2,
+                50,
+                10 * SECOND,
+                6 * SECOND,
+                60 * SECOND,
+                1,
+                Counters.NONE,
+                DecisionJournal.NONE),
+            this::take);
+  }
+
+  /** Returns a core that knows its configuration, and servers of both services. */
+  static ForwardHarness ready(int engines, int services) {
+    ForwardHarness harness = new ForwardHarness();
+    harness.publish(1);
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int index = 1; index <= engines; index++) {
+      entries.add(engine("engine-" + index, index, 1));
+    }
+    for (int index = 1; index <= services; index++) {
+      entries.add(service("service-" + index, index));
+    }
+    harness.handle(new ForwardEvent.RegistryReachable(true));
+    harness.handle(new ForwardEvent.ServersRead(entries, true));
+    return harness;
+  }
+
+  static ServerEntry engine(String id, int index, long version) {
+    return new ServerEntry(
+        id, "engines", "10.0.0." + index + ":80", "domain-a", 8, false, Map.of(MODEL, version), 1);
+  }
+
+  static ServerEntry service(String id, int index) {
+    return new ServerEntry(
+        id, "bookings", "10.0.1." + index + ":80", "domain-a", 4, false, Map.of(), 1);
+  }
+
+  static ServerEntry leaving(ServerEntry entry) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.failureDomain(),
+        entry.slots(),
+        true,
+        entry.versions(),
+        entry.startedAtMillis());
+  }
+
+  void publish(long version) {
+    List<Route> routes =
+        List.of(
+            route("ask", "/ask/", CallKind.STREAMING, "engines", 2, true),
+            route("draft", "/draft/", CallKind.STREAMING, "engines", 1, false),
+            route("book", "/book/", CallKind.UNSAFE, "bookings", 1, false),
+            route("read", "/read/", CallKind.SAFE, "bookings", 2, false));
+    List<ServiceTraits> services =
+        List.of(
+            new ServiceTraits(
+                "engines",
+                360,
+                Optional.of(new EngineTraits(8, 100_000, 3.5, List.of(MODEL))),
+                Optional.empty()),
+            new ServiceTraits("bookings", 96, Optional.empty(), Optional.empty()));
+    List<CallerTeam> teams =
+        List.of(
+            new CallerTeam("parish", List.of(KEY), Optional.of(1), false),
+            new CallerTeam("guild", List.of(ISOLATED_KEY), Optional.of(0), true));
+    handle(
+        new ForwardEvent.RoutesRead(
+            new RouteTable(version, routes, services, Optional.of(teams), CallerLimits.DEFAULT)));
+  }
+
+  private static Route route(
+      String name, String prefix, CallKind kind, String service, int attempts, boolean resumable) {
+    boolean isStream = kind == CallKind.STREAMING;
+    return new Route(
+        name,
+        "linen.example",
+        prefix,
+        kind,
+        isStream ? 5 * SECOND : 800 * MILLI,
+        isStream ? 800 * MILLI : 300 * MILLI,
+        500 * MILLI,
+        1,
+        List.of(new Route.Destination(service, 1)),
+        attempts,
+        false,
+        isStream,
+        resumable);
+  }
+
+  long now() {
+    return nowMicros;
+  }
+
+  void advance(long micros) {
+    long until = nowMicros + micros;
+    while (nowMicros < until) {
+      nowMicros = Math.min(until, nowMicros + ForwardCore.TICK_INTERVAL_MICROS);
+      handle(new ForwardEvent.Tick());
+    }
+  }
+
+  void handle(ForwardEvent event) {
+    core.handle(event, nowMicros);
+  }
+
+  void name(long version) {
+    handle(new ForwardEvent.VersionNamed(new WeightVersion(MODEL, version)));
+  }
+
+  long request(String target, Optional<String> key, Optional<PromptOutline> prompt) {
+    long number = nextRequest++;
+    RequestHead head =
+        new RequestHead(
+            "request-" + number,
+            "linen.example",
+            target,
+            key,
+            Optional.empty(),
+            prompt,
+            Optional.empty(),
+            target.hashCode() + prompt.map(one -> one.parts().hashCode()).orElse(0));
+    handle(new ForwardEvent.Requested(number, head));
+    return number;
+  }
+
+  long call(String target) {
+    return request(target, Optional.of(KEY), Optional.empty());
+  }
+
+  long ask(String register) {
+    return request("/ask/1", Optional.of(KEY), Optional.of(prompt(register, 6_000, 2_000)));
+  }
+
+  static PromptOutline prompt(String register, int shared, int own) {
+    return new PromptOutline(
+        MODEL,
+        shared + own,
+        50,
+        List.of(
+            new Part("rules", shared / 2),
+            new Part(register, shared / 2),
+            new Part("own-" + register, own)));
+  }
+
+  /** Returns the latest send of a request. */
+  Optional<ForwardCommand.Send> sent(long request) {
+    return Optional.ofNullable(latestSends.get(request));
+  }
+
+  long sends(long request) {
+    return commands.stream()
+        .filter(command -> command instanceof ForwardCommand.Send send && send.request() == request)
+        .count();
+  }
+
+  Optional<Refusal> refusal(long request) {
+    return Optional.ofNullable(refusals.get(request));
+  }
+
+  boolean isBrokenOff(long request) {
+    return brokenOff.contains(request);
+  }
+
+  void answer(long request, int status) {
+    answer(request, new AnswerHead(status, false, Optional.empty(), Optional.empty()));
+  }
+
+  void reject(long request, int status) {
+    answer(request, new AnswerHead(status, true, Optional.empty(), Optional.empty()));
+  }
+
+  void answer(long request, AnswerHead head) {
+    handle(new ForwardEvent.Answered(request, sent(request).orElseThrow().attempt(), head));
+  }
+
+  void complete(long request) {
+    handle(new ForwardEvent.Completed(request, sent(request).orElseThrow().attempt()));
+  }
+
+  void unsent(long request) {
+    handle(new ForwardEvent.Unsent(request, sent(request).orElseThrow().attempt(), "refused"));
+  }
+
+  void broken(long request, Optional<Long> lastEvent) {
+    handle(
+        new ForwardEvent.Broken(
+            request, sent(request).orElseThrow().attempt(), true, "reset", lastEvent));
+  }
+
+  private void take(ForwardCommand command) {
+    commands.add(command);
+    if (command instanceof ForwardCommand.Send send) {
+      latestSends.put(send.request(), send);
+    } else if (command instanceof ForwardCommand.BreakOff broken) {
+      brokenOff.add(broken.request());
+    }
+    if (command instanceof ForwardCommand.Refuse refuse) {
+      if (refusals.put(refuse.request(), refuse.refusal()) != null) {
+        throw new AssertionError("Request " + refuse.request() + " was refused twice.");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
@@ -0,0 +1,183 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.port.Counters;
+
+/** Load patterns that concern calls without a prompt, and the fleet's retries. */
+final class LoadPatternsTest {
+  private static final long SECOND = 1_000_000;
+
+  @Test
+  void callsSpreadOverServersWithTheLeastToDo() {
+    ForwardHarness harness = ForwardHarness.ready(0, 3);
+    Map<String, Integer> open = new HashMap<>();
+    for (int call = 0; call < 9; call++) {
+      open.merge(
+          harness.sent(harness.call("/book/" + call)).orElseThrow().dispatch().server(),
+          1,
+          Integer::sum);
+    }
+    assertThat(open.values()).containsExactly(3, 3, 3);
+  }
+
+  @Test
+  void aServerThatFailsManyCallsIsUsedLess() {
+    ForwardHarness harness = ForwardHarness.ready(0, 3);
+    Map<String, Integer> sends = new HashMap<>();
+    for (int call = 0; call < 60; call++) {
+      long request = harness.call("/book/" + call);
+      String server = harness.sent(request).orElseThrow().dispatch().server();
+      sends.merge(server, 1, Integer::sum);
+      harness.advance(20_000);
+      harness.answer(request, server.equals("service-1") ? 500 : 200);
+      harness.complete(request);
+    }
+    assertThat(sends.get("service-1")).isLessThan(15);
+  }
+
+  @Test
+  void aServerThatIsSlowIsUsedLess() {
+    ForwardHarness harness = ForwardHarness.ready(0, 3);
+    Map<String, Integer> sends = new HashMap<>();
+    for (int call = 0; call < 60; call++) {
+      long request = harness.call("/book/" + call);
+      String server = harness.sent(request).orElseThrow().dispatch().server();
+      sends.merge(server, 1, Integer::sum);
+      harness.advance(server.equals("service-1") ? 400_000 : 60_000);
+      harness.answer(request, 200);
+      harness.complete(request);
+    }
+    assertThat(sends.get("service-1")).isLessThan(15);
+  }
+
+  @Test
+  void moreCallsThanPlacesWaitAndAreServedInOrderOfTheirRank() {
+    ForwardHarness harness = ForwardHarness.ready(0, 1);
+    long first = harness.call("/book/0");
+    while (harness.sent(harness.call("/book/x")).isPresent()) {
+      assertThat(harness.core.openRequests()).isLessThan(20);
+    }
+    long waiting = harness.core.openRequests();
+    harness.answer(first, 200);
+    harness.complete(first);
+    assertThat(harness.core.openRequests()).isEqualTo((int) waiting - 1);
+    assertThat(harness.sent(waiting).isPresent()).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4, 7})
+  void allRoutersTogetherKeepToTheFleetsRetries(int routers) {
+    int slack = 52;
+    double ratio = 0.2;
+    SplittableRandom random = new SplittableRandom(routers);
+    long retries = 0;
+    long requests = 0;
+    for (int router = 0; router < routers; router++) {
+      FleetRetryBudget budget = new FleetRetryBudget(ratio, slack, 10 * SECOND);
+      budget.onRouters(routers);
+      for (long now = 0; now < 10 * SECOND; now += 100_000) {
+        budget.onRequest("bookings", now);
+        requests++;
+        for (int attempt = random.nextInt(3); attempt > 0; attempt--) {
+          retries += budget.tryRetry("bookings", now) ? 1 : 0;
+        }
+      }
+    }
+    assertThat((double) retries).isAtMost(ratio * requests + slack);
+    assertThat(retries).isGreaterThan(0);
+  }
+
+  /** Invariants over deployments that nobody listed, drawn from a seed. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void everyRequestEndsOnceOnDrawnDeployments(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    ForwardHarness harness = ForwardHarness.ready(1 + random.nextInt(12), 1 + random.nextInt(6));
+    Set<Long> open = new HashSet<>();
+    Map<Long, Integer> runs = new HashMap<>();
+    List<String> targets = List.of("/book/", "/read/", "/none/");
+    for (int step = 0; step < 600; step++) {
+      if (random.nextInt(3) == 0) {
+        boolean isPrompt = random.nextBoolean();
+        open.add(
+            isPrompt
+                ? harness.ask("register-" + random.nextInt(20))
+                : harness.call(targets.get(random.nextInt(3)) + step));
+      }
+      for (long request : List.copyOf(open)) {
+        disturb(harness, request, random, runs);
+        boolean isOver = harness.refusal(request).isPresent() || harness.isBrokenOff(request);
+        if (isOver) {
+          open.remove(request);
+        }
+      }
+      harness.advance(random.nextInt(60_000));
+    }
+    harness.advance(20 * SECOND);
+    assertThat(harness.core.openRequests()).isEqualTo(0);
+    runs.values().forEach(count -> assertThat(count).isAtMost(2));
+  }
+
+  /** Lets something happen to the open attempt, if there is one. */
+  private static void disturb(
+      ForwardHarness harness, long request, SplittableRandom random, Map<Long, Integer> runs) {
+    if (harness.sent(request).isEmpty() || harness.refusal(request).isPresent()) {
+      return;
+    }
+    switch (random.nextInt(12)) {
+      case 0 -> harness.unsent(request);
+      case 1 -> harness.reject(request, 503);
+      case 2 -> {
+        harness.answer(request, 200);
+        harness.complete(request);
+      }
+      case 3 -> harness.answer(request, 500);
+      case 4 -> harness.broken(request, Optional.of(3L));
+      case 5 -> harness.handle(new ForwardEvent.CallerGone(request));
+      default -> runs.putIfAbsent(request, 0);
+    }
+  }
+
+  @Test
+  void theJournalGetsALineForEachRefusal() {
+    Set<Decision> written = new HashSet<>();
+    ForwardCore core =
+        new ForwardCore(
+            new ForwardOptions(
+                "domain-a",
+                0.2,
+                50,
+                10 * SECOND,
+                6 * SECOND,
+                60 * SECOND,
+                1,
+                Counters.NONE,
+                (decision, subject, fields) -> written.add(decision)),
+            command -> {});
+    core.handle(
+        new ForwardEvent.Requested(
+            1,
+            new RequestHead(
+                "a",
+                "linen.example",
+                "/book/1",
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                1)),
+        SECOND);
+    assertThat(written).containsExactly(Decision.REFUSE);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -0,0 +1,138 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.state.cache.ModelVersion;
+
+/** Load patterns: shared openings, a hot opening, and long prompts beside streams. */
+final class PromptPlacementTest {
+  private static final String SERVICE = "engines";
+
+  private static String serverOf(ForwardHarness harness, long request) {
+    return harness.sent(request).orElseThrow().dispatch().server();
+  }
+
+  private static void finish(ForwardHarness harness, long request) {
+    harness.answer(request, 200);
+    harness.complete(request);
+  }
+
+  @Test
+  void promptsThatShareAnOpeningMeet() {
+    ForwardHarness harness = ForwardHarness.ready(6, 0);
+    Set<String> servers = new HashSet<>();
+    for (int turn = 0; turn < 20; turn++) {
+      long request = harness.ask("north");
+      servers.add(serverOf(harness, request));
+      harness.advance(200_000);
+      finish(harness, request);
+    }
+    assertThat(servers).hasSize(1);
+  }
+
+  @Test
+  void twoRoutersSendAnUnknownOpeningToTheSameHome() {
+    for (int register = 0; register < 20; register++) {
+      ForwardHarness one = ForwardHarness.ready(6, 0);
+      ForwardHarness other = ForwardHarness.ready(6, 0);
+      String name = "register-" + register;
+      assertThat(serverOf(one, one.ask(name))).isEqualTo(serverOf(other, other.ask(name)));
+    }
+  }
+
+  @Test
+  void aHotOpeningSpreadsAndIsCopiedRatherThanReadAgain() {
+    ForwardHarness harness = ForwardHarness.ready(6, 0);
+    Map<String, Integer> sends = new HashMap<>();
+    String home = null;
+    for (int request = 0; request < 12; request++) {
+      long number = harness.ask("hot");
+      Dispatch dispatch = harness.sent(number).orElseThrow().dispatch();
+      home = home == null ? dispatch.server() : home;
+      sends.merge(dispatch.server(), 1, Integer::sum);
+      if (sends.get(dispatch.server()) == 1 && !dispatch.server().equals(home)) {
+        assertThat(dispatch.fetchFrom().isPresent()).isTrue();
+      }
+    }
+    assertThat(sends.size()).isGreaterThan(2);
+  }
+
+  @Test
+  void anOpeningThatAnotherRouterHasSentElsewhereIsFoundThere() {
+    ForwardHarness harness = ForwardHarness.ready(6, 0);
+    List<Opening> openings =
+        Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), ForwardHarness.MODEL + "/1");
+    harness.handle(
+        new ForwardEvent.OpeningsHeard(
+            "engine-4", openings.subList(0, 2).stream().map(Opening::hash).toList()));
+    assertThat(serverOf(harness, harness.ask("north"))).isEqualTo("engine-4");
+  }
+
+  @Test
+  void aServerThatReportsALongQueueIsAvoided() {
+    ForwardHarness harness = ForwardHarness.ready(3, 0);
+    String home = serverOf(harness, harness.ask("north"));
+    harness.handle(
+        new ForwardEvent.StatusHeard(
+            new SidecarStatus(
+                home, "1", List.of(ModelVersion.of(ForwardHarness.MODEL, "1")), false, 3_000_000)));
+    assertThat(serverOf(harness, harness.ask("north"))).isNotEqualTo(home);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 6, 9})
+  void longPromptsAndShortOnesGoToServersOfTheirOwn(int count) {
+    ForwardHarness harness = ForwardHarness.ready(count, 0);
+    Set<String> withLong = new HashSet<>();
+    Set<String> withShort = new HashSet<>();
+    for (int round = 0; round < 60; round++) {
+      long longOne = harness.ask("register-" + round % 7);
+      long shortOne =
+          harness.request(
+              "/draft/1",
+              Optional.of(ForwardHarness.KEY),
+              Optional.of(ForwardHarness.prompt("letter-" + round % 9, 200, 600)));
+      if (round >= 20) {
+        withLong.add(serverOf(harness, longOne));
+        withShort.add(serverOf(harness, shortOne));
+      }
+      harness.advance(300_000);
+      finish(harness, longOne);
+      finish(harness, shortOne);
+    }
+    assertThat(withShort).isNotEmpty();
+    Set<String> both = new HashSet<>(withLong);
+    both.retainAll(withShort);
+    assertThat(both).isEmpty();
+  }
+
+  @Test
+  void theSpeedOfReadingIsLearntFromQuickAnswers() {
+    ReadingSpeed speed = new ReadingSpeed();
+    for (int sample = 0; sample < 100; sample++) {
+      speed.onFirstOutput(8_000, sample % 3 == 0 ? 900_000 : 200_000);
+    }
+    assertThat(speed.readMicros(8_000)).isWithin(120_000).of(230_000);
+  }
+
+  @Test
+  void anOpeningIsForgottenWithTheServersCache() {
+    PrefixBook book = new PrefixBook();
+    List<Opening> openings = Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), SERVICE);
+    book.onSent(openings, "engine-1", 1);
+    assertThat(book.cachedTokens(openings, "engine-1")).isEqualTo(8_000);
+    book.onEmptied("engine-1");
+    assertThat(book.cachedTokens(openings, "engine-1")).isEqualTo(0);
+    assertThat(book.holder(openings, name -> true).isPresent()).isFalse();
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/WeightBoardTest.java
@@ -0,0 +1,49 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.shallothook.state.route.WeightVersion;
+
+/** Load pattern: new weights reach the servers a few at a time. */
+final class WeightBoardTest {
+  private static final long DEADLINE = 6_000_000;
+  private final WeightBoard board = new WeightBoard(DEADLINE);
+
+  private static List<Server> servers(int current, int all) {
+    return IntStream.range(0, all)
+        .mapToObj(
+            index ->
+                new Server(
+                    ForwardHarness.engine("engine-" + index, index + 1, index < current ? 2 : 1)))
+        .toList();
+  }
+
+  @ParameterizedTest(name = "{1} of {2} servers have it after {0} ms: {3} may begin")
+  @CsvSource({
+    "0, 1, 6, 6",
+    "1000, 5, 6, 6",
+    "2000, 1, 6, 6",
+    "2000, 3, 6, 3",
+    "2000, 6, 6, 6",
+    "6000, 1, 6, 1",
+    "6000, 0, 6, 0",
+  })
+  void serversThatMayBegin(long ageMillis, int current, int all, int expected) {
+    board.onNamed(new WeightVersion(ForwardHarness.MODEL, 2), 0);
+    List<Server> eligible =
+        board.eligible(servers(current, all), ForwardHarness.MODEL, ageMillis * 1_000);
+    assertThat(eligible).hasSize(expected);
+  }
+
+  @Test
+  void anOlderVersionIsNotWantedAgain() {
+    assertThat(board.onNamed(new WeightVersion(ForwardHarness.MODEL, 3), 0)).isTrue();
+    assertThat(board.onNamed(new WeightVersion(ForwardHarness.MODEL, 2), 1)).isFalse();
+    assertThat(board.wanted(ForwardHarness.MODEL).get()).isEqualTo(3);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
@@ -0,0 +1,195 @@
+package org.shallothook.coordination.registry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.message.Envelope;
+import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.membership.Instance;
+import org.shallothook.state.membership.InstanceRole;
+
+/** Several processes before a store that turns some of them away. */
+final class RegistryCoreTest {
+  private static final long SECOND = 1_000_000;
+  private final Map<String, Node> nodes = new HashMap<>();
+  private final List<KeyedRecord> log = new ArrayList<>();
+  private final Map<String, Instance> members = new HashMap<>();
+  private final Set<String> turnedAway = new HashSet<>();
+  private final Deque<Runnable> messages = new ArrayDeque<>();
+  private long nowMicros;
+
+  /** One process with the values that it has seen of the operator's stream. */
+  private final class Node implements RegistryListener {
+    private final String name;
+    private final List<String> seen = new ArrayList<>();
+    private final Deque<RegistryCommand> reads = new ArrayDeque<>();
+    private final RegistryCore core;
+
+    Node(String name) {
+      this.name = name;
+      Instance self =
+          new Instance(name, InstanceRole.ROUTER, "10.0.0.1:1", "domain", "region", "", false);
+      core =
+          new RegistryCore(
+              new RegistryOptions(
+                  self,
+                  Map.of(
+                      RegistryStream.OPERATOR, new FollowPolicy(0, 200_000),
+                      RegistryStream.MEMBERS, new FollowPolicy(0, 20 * SECOND)),
+                  name.hashCode()),
+              this::take,
+              this);
+    }
+
+    private void take(RegistryCommand command) {
+      if (command instanceof RegistryCommand.SendToPeer send) {
+        messages.add(
+            () -> {
+              Node peer = nodes.get(send.peer());
+              peer.core.handle(
+                  new RegistryEvent.PeerMessageReceived(
+                      new Envelope(name, 1, send.configurationOffset(), send.message())),
+                  nowMicros);
+            });
+      } else if (command instanceof RegistryCommand.PutMember put) {
+        boolean isTaken = !turnedAway.contains(name);
+        if (isTaken) {
+          members.put(name, put.self());
+        }
+        messages.add(() -> core.handle(new RegistryEvent.MemberPut(isTaken), nowMicros));
+      } else if (!(command instanceof RegistryCommand.PeersChanged)) {
+        reads.add(command);
+      }
+    }
+
+    private void answerReads() {
+      for (RegistryCommand read = reads.poll(); read != null; read = reads.poll()) {
+        core.handle(answer(read), nowMicros);
+        if (reads.size() > 4) {
+          return;
+        }
+      }
+    }
+
+    private RegistryEvent answer(RegistryCommand command) {
+      boolean isAway = turnedAway.contains(name);
+      if (command instanceof RegistryCommand.ReadNewest newest) {
+        List<KeyedRecord> items =
+            newest.stream() == RegistryStream.MEMBERS ? memberRecords() : List.copyOf(log);
+        return new RegistryEvent.PageRead(
+            newest.stream(),
+            isAway
+                ? Either.left(ReadFailure.of("turned away"))
+                : Either.right(new NewestPage(items, false, items.size())));
+      }
+      RegistryCommand.Read read = (RegistryCommand.Read) command;
+      List<KeyedRecord> all =
+          read.stream() == RegistryStream.MEMBERS ? memberRecords() : List.copyOf(log);
+      int from = (int) Math.min(read.fromOffset(), all.size());
+      return new RegistryEvent.StreamRead(
+          read.stream(),
+          isAway
+              ? Either.left(ReadFailure.of("turned away"))
+              : Either.right(
+                  new RecordsRead(all.subList(from, all.size()), all.size(), all.size())));
+    }
+
+    @Override
+    public void changed(
+        RegistryStream stream, List<KeyedRecord> changes, boolean isFirstWhole, long now) {
+      if (stream == RegistryStream.OPERATOR) {
+        changes.forEach(change -> seen.add(change.value().orElse("")));
+      } else {
+        changes.forEach(change -> core.onMember(members.get(change.key()), now));
+      }
+    }
+
+    @Override
+    public void reachable(boolean isReachable, long now) {}
+
+    @Override
+    public void received(Envelope envelope, long now) {}
+  }
+
+  private List<KeyedRecord> memberRecords() {
+    List<KeyedRecord> records = new ArrayList<>();
+    members
+        .keySet()
+        .forEach(name -> records.add(new KeyedRecord(records.size(), name, Optional.of(name))));
+    return records;
+  }
+
+  private void publish(String value) {
+    log.add(new KeyedRecord(log.size(), "config", Optional.of(value)));
+  }
+
+  private void start(int count) {
+    for (int index = 0; index < count; index++) {
+      nodes.put("router-" + index, new Node("router-" + index));
+    }
+  }
+
+  private void run(long micros) {
+    long until = nowMicros + micros;
+    while (nowMicros < until) {
+      nowMicros += 20_000;
+      nodes.values().forEach(node -> node.core.onTick(nowMicros));
+      nodes.values().forEach(Node::answerReads);
+      for (Runnable message = messages.poll(); message != null; message = messages.poll()) {
+        message.run();
+      }
+    }
+  }
+
+  @Test
+  void everyProcessReadsWhatOperatorsPublish() {
+    publish("1");
+    start(3);
+    run(SECOND);
+    publish("2");
+    run(SECOND);
+    nodes.values().forEach(node -> assertThat(node.seen).containsExactly("1", "2").inOrder());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 8, 28})
+  void whoeverTheStoreTurnsAwayIsToldByPeersInTime(int count) {
+    publish("1");
+    start(count);
+    run(3 * SECOND);
+    for (int index = 0; index < count / 3; index++) {
+      turnedAway.add("router-" + index);
+    }
+    run(SECOND);
+    publish("2");
+    run(2 * SECOND);
+    nodes.values().forEach(node -> assertThat(node.seen).contains("2"));
+  }
+
+  @Test
+  void aValueIsNeverReplacedByAnOlderOne() {
+    publish("1");
+    start(4);
+    run(3 * SECOND);
+    turnedAway.add("router-0");
+    publish("2");
+    publish("3");
+    run(2 * SECOND);
+    turnedAway.clear();
+    run(2 * SECOND);
+    nodes.values().forEach(node -> assertThat(node.seen).isInOrder());
+    nodes.values().forEach(node -> assertThat(node.seen).contains("3"));
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
@@ -0,0 +1,222 @@
+package org.shallothook.coordination.weights;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.shallothook.coordination.forward.DecisionJournal;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.WeightVersion;
+
+/** One server's way to a new version, with orders that are lost, late or rejected. */
+final class WeightKeeperTest {
+  private static final String ADDRESS = "10.0.0.1:80";
+  private static final String MODEL = "linen";
+  private final List<WeightCommand> commands = new ArrayList<>();
+  private final WeightKeeper keeper =
+      new WeightKeeper("sidecar-1", ADDRESS, this::take, DecisionJournal.NONE);
+  private long nowMicros = 1_000_000;
+  private long version = 1;
+  private long orders;
+  private boolean isBusy;
+  private long startedAt = 5;
+  private int queued;
+  private long nextFence = 10;
+  private boolean isReachable = true;
+  private int answered;
+
+  private void take(WeightCommand command) {
+    commands.add(command);
+  }
+
+  private void handle(WeightEvent event) {
+    keeper.handle(event, nowMicros);
+  }
+
+  /** Lets time pass, with the server's report and the store's numbers answered at once. */
+  private void run(long micros) {
+    long until = nowMicros + micros;
+    while (nowMicros < until) {
+      nowMicros += 50_000;
+      handle(new WeightEvent.Tick());
+      while (answered < commands.size()) {
+        WeightCommand command = commands.get(answered++);
+        if (command instanceof WeightCommand.ReadReport) {
+          handle(new WeightEvent.Reported(report()));
+        } else if (command instanceof WeightCommand.TakeFence) {
+          handle(new WeightEvent.FenceTaken(Optional.of(nextFence++)));
+        } else if (command instanceof WeightCommand.ReadServers) {
+          handle(new WeightEvent.ServerListed(entry("engine-1", ADDRESS, startedAt)));
+        }
+      }
+    }
+  }
+
+  private Either<String, EngineReport> report() {
+    return isReachable
+        ? Either.right(
+            new EngineReport(Map.of(MODEL, version), isBusy, orders, queued, queued, 0, startedAt))
+        : Either.left("connection refused");
+  }
+
+  private static ServerEntry entry(String id, String address, long startedAt) {
+    return new ServerEntry(
+        id, "engines", address, "domain", 8, false, Map.of(MODEL, 1L), startedAt);
+  }
+
+  private void name(long wanted) {
+    handle(new WeightEvent.Named(new WeightVersion(MODEL, wanted)));
+  }
+
+  private List<VersionOrder> given() {
+    return commands.stream()
+        .filter(WeightCommand.Order.class::isInstance)
+        .map(command -> ((WeightCommand.Order) command).order())
+        .toList();
+  }
+
+  private SidecarStatus lastStatus() {
+    return commands.stream()
+        .filter(WeightCommand.Announce.class::isInstance)
+        .map(command -> ((WeightCommand.Announce) command).status())
+        .reduce((first, second) -> second)
+        .orElseThrow();
+  }
+
+  @Test
+  void aNewVersionIsOrderedOnceTheRoutersKnowThatTheServerIsAway() {
+    run(500_000);
+    name(2);
+    run(500_000);
+    assertThat(given()).hasSize(1);
+    int order = commands.indexOf(new WeightCommand.Order(given().get(0)));
+    boolean isAnnouncedBefore =
+        commands.subList(0, order).stream()
+            .anyMatch(
+                command ->
+                    command instanceof WeightCommand.Announce announce
+                        && announce.status().ready().isEmpty());
+    assertThat(isAnnouncedBefore).isTrue();
+    assertThat(given().get(0).wanted().version()).isEqualTo(2);
+    assertThat(given().get(0).server()).isEqualTo("engine-1");
+  }
+
+  @Test
+  void theServerIsAnnouncedReadyAfterItsLoad() {
+    run(500_000);
+    name(2);
+    run(500_000);
+    handle(new WeightEvent.Ordered(given().get(0), OrderAnswer.ACCEPTED));
+    orders = 1;
+    isBusy = true;
+    run(600_000);
+    assertThat(lastStatus().ready()).isEmpty();
+    isBusy = false;
+    version = 2;
+    run(300_000);
+    assertThat(lastStatus().ready()).hasSize(1);
+    assertThat(lastStatus().ready().get(0).version()).isEqualTo("2");
+    assertThat(given()).hasSize(1);
+  }
+
+  @Test
+  void aVersionNamedDuringALoadIsOrderedAfterIt() {
+    run(500_000);
+    name(2);
+    run(500_000);
+    handle(new WeightEvent.Ordered(given().get(0), OrderAnswer.ACCEPTED));
+    orders = 1;
+    isBusy = true;
+    name(3);
+    run(1_000_000);
+    assertThat(given()).hasSize(1);
+    isBusy = false;
+    version = 2;
+    run(2_000_000);
+    assertThat(given()).hasSize(2);
+    assertThat(given().get(1).wanted().version()).isEqualTo(3);
+    assertThat(given().get(1).expectedOrders()).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = OrderAnswer.class,
+      names = {"UNKNOWN", "NOT_SENT", "REJECTED", "BUSY_OR_CHANGED", "OTHER_SERVER", "FENCED"})
+  void anOrderWithoutEffectIsGivenAgain(OrderAnswer answer) {
+    run(500_000);
+    name(2);
+    run(500_000);
+    handle(new WeightEvent.Ordered(given().get(0), answer));
+    run(2_500_000);
+    assertThat(given().size()).isGreaterThan(1);
+    assertThat(given().get(1).expectedOrders()).isEqualTo(0);
+  }
+
+  @Test
+  void afterARejectedFenceAHigherOneIsTaken() {
+    run(500_000);
+    name(2);
+    run(500_000);
+    long first = given().get(0).fence();
+    handle(new WeightEvent.Ordered(given().get(0), OrderAnswer.FENCED));
+    run(2_000_000);
+    assertThat(given().get(1).fence()).isGreaterThan(first);
+  }
+
+  @Test
+  void withoutAFenceNothingIsOrdered() {
+    WeightKeeper cutOff =
+        new WeightKeeper("sidecar-1", ADDRESS, commands::add, DecisionJournal.NONE);
+    cutOff.handle(new WeightEvent.ServerListed(entry("engine-1", ADDRESS, 5)), nowMicros);
+    cutOff.handle(new WeightEvent.Reported(report()), nowMicros);
+    cutOff.handle(new WeightEvent.Named(new WeightVersion(MODEL, 2)), nowMicros);
+    for (int tick = 0; tick < 100; tick++) {
+      nowMicros += 50_000;
+      cutOff.handle(new WeightEvent.FenceTaken(Optional.empty()), nowMicros);
+    }
+    assertThat(given()).isEmpty();
+  }
+
+  @Test
+  void aServerThatDoesNotReportIsAnnouncedDown() {
+    run(500_000);
+    isReachable = false;
+    run(500_000);
+    assertThat(lastStatus().ready()).isEmpty();
+    assertThat(lastStatus().engineIncarnation()).isEmpty();
+    isReachable = true;
+    run(500_000);
+    assertThat(lastStatus().ready()).hasSize(1);
+  }
+
+  @Test
+  void theLengthOfTheQueueIsAnnounced() {
+    run(500_000);
+    queued = 4;
+    run(500_000);
+    assertThat(lastStatus().queueDelayMicros()).isGreaterThan(0);
+  }
+
+  @Test
+  void fewServersAreAwayAtOnce() {
+    RolloutTurn turn = new RolloutTurn();
+    List<String> servers = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i");
+    long started =
+        servers.stream()
+            .filter(server -> turn.hasCome(server, servers, 2, 0, 100_000))
+            .peek(
+                server ->
+                    turn.onStatus(new SidecarStatus(server, "1", List.of(), false, 0), 100_000))
+            .count();
+    assertThat(started).isAtMost(3);
+    assertThat(servers.stream().allMatch(one -> turn.hasCome(one, servers, 2, 0, 4_500_000)))
+        .isTrue();
+  }
+}
--- /dev/null
+++ b/state/src/test/java/org/shallothook/state/route/RouteTableTest.java
@@ -0,0 +1,76 @@
+package org.shallothook.state.route;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class RouteTableTest {
+  private final RouteTable table =
+      new RouteTable(
+          7,
+          List.of(route("short", "/a/"), route("long", "/a/b/")),
+          List.of(),
+          Optional.of(List.of(new CallerTeam("parish", List.of("key-1"), Optional.empty(), false))),
+          CallerLimits.DEFAULT);
+
+  private static Route route(String name, String prefix) {
+    return new Route(
+        name,
+        "linen.example",
+        prefix,
+        CallKind.SAFE,
+        1,
+        1,
+        1,
+        0,
+        List.of(new Route.Destination("one", 1), new Route.Destination("two", 3)),
+        1,
+        false,
+        false,
+        false);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "linen.example, /a/x, short",
+    "linen.example, /a/b/x?y=/z/, long",
+    "LINEN.example:80, /a/b/, long",
+    "linen.example, /a/b, short",
+    "linen.example, /a, ",
+    "linen.example, /b/?/a/, ",
+    "other.example, /a/x, ",
+  })
+  void theLongestPrefixMatches(String host, String target, String expected) {
+    assertThat(table.match(host, target).map(Route::name)).isEqualTo(Optional.ofNullable(expected));
+  }
+
+  @Test
+  void aKeyNamesItsTeam() {
+    assertThat(table.teamOf("key-1").map(CallerTeam::name)).hasValue("parish");
+    assertThat(table.teamOf("key-2")).isEmpty();
+  }
+
+  @Test
+  void requestsAreDividedByWeight() {
+    Route route = route("short", "/a/");
+    assertThat(
+            List.of(
+                route.serviceFor(0),
+                route.serviceFor(1),
+                route.serviceFor(2),
+                route.serviceFor(3),
+                route.serviceFor(-1)))
+        .containsExactly("one", "two", "two", "two", "two")
+        .inOrder();
+  }
+
+  @Test
+  void aPrefixWithoutSlashesIsRejected() {
+    assertThrows(IllegalArgumentException.class, () -> route("bad", "/a"));
+  }
+}
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -41,6 +41,7 @@
   private final ServerLinks servers;
   private final Map<Channel, InboundConnection> connections = new HashMap<>();
   private Runnable onQuiet = () -> {};
+  private volatile Channel listening;
 
   /**
    * Creates a gate that does not listen yet.
@@ -69,7 +70,7 @@
   public Try<InetSocketAddress> listen(InetSocketAddress address) {
     return Try.of(
         () -> {
-          Channel listening = bootstrap().bind(address).sync().channel();
+          listening = bootstrap().bind(address).sync().channel();
           loop.execute(servers::start);
           return (InetSocketAddress) listening.localAddress();
         });
@@ -81,7 +82,9 @@
   }
 
   /**
-   * Serves on, with each answer the last on its connection; later closes what is unused.
+   * Serves on, with each answer the last on its connection. After a while takes no new connection,
+   * since a balancer without another choice sends some however long it is told not to, and closes
+   * those that are unused.
    *
    * @param whenQuiet called on the loop once no connection of a caller is left
    */
@@ -90,7 +93,7 @@
         () -> {
           context.drain();
           onQuiet = whenQuiet;
-          Channels.after(loop, settings.drainQuiet(), this::closeUnused);
+          Channels.after(loop, settings.drainQuiet(), this::stopListening);
         });
   }
 
@@ -112,7 +115,8 @@
     }
   }
 
-  private void closeUnused() {
+  private void stopListening() {
+    Channels.close(listening);
     List.copyOf(connections.values()).forEach(InboundConnection::closeIfUnused);
     tellQuiet();
   }
