--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -109,7 +109,7 @@
     } else if (command instanceof ForwardCommand.Refuse refuse) {
       context.find(refuse.request()).ifPresent(exchange -> exchange.refuse(refuse.refusal()));
     } else if (command instanceof ForwardCommand.BreakOff breakOff) {
-      context.find(breakOff.request()).ifPresent(InboundExchange::breakOff);
+      context.find(breakOff.request()).ifPresent(exchange -> exchange.breakOff(breakOff.detail()));
     } else if (command instanceof ForwardCommand.Limit limit) {
       context.limit(limit.limits());
     }
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -23,7 +23,9 @@
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.protocol.caller.CallerHeaders;
 import org.shallothook.protocol.caller.ErrorForm;
+import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
 import org.shallothook.state.request.RequestId;
 import org.shallothook.transport.Channels;
 
@@ -117,9 +119,14 @@
     }
   }
 
-  /** Ends the exchange so that the caller sees an answer that is not whole. */
-  void breakOff() {
-    if (!isOver) {
+  /**
+   * Ends the exchange so that the caller sees an answer that is not whole. Where none of it was
+   * written yet, the caller is told so instead.
+   */
+  void breakOff(String detail) {
+    if (!isOver && !hasBegun) {
+      refuse(new Refusal(RefusalReason.CONNECTION_LOST, detail, Outcome.UNKNOWN, Optional.empty()));
+    } else if (!isOver) {
       end();
       connection.failed(this);
     }
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/forward/EventCutterTest.java
@@ -0,0 +1,63 @@
+package org.shallothook.transport.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Streams that are cut anywhere are passed on at whole events only. */
+final class EventCutterTest {
+  private static final String STREAM =
+      "id: 1\ndata: a\n\nversion: 2\nid: 2\ndata: b\ndata: c\n\nid: 4\r\ndata: d\r\n\r\n";
+
+  private static EventCutter cutter(Optional<Long> last) {
+    return new EventCutter(UnpooledByteBufAllocator.DEFAULT, last);
+  }
+
+  private static String cut(EventCutter cutter, String bytes) {
+    ByteBuf part = Unpooled.copiedBuffer(bytes, StandardCharsets.UTF_8);
+    ByteBuf whole = cutter.cut(part);
+    part.release();
+    String text = whole.toString(StandardCharsets.UTF_8);
+    whole.release();
+    return text;
+  }
+
+  @Property(tries = 200)
+  void wholeEventsPassHoweverTheStreamIsCut(
+      @ForAll @IntRange(max = 60) int first, @ForAll @IntRange(max = 60) int second) {
+    int from = Math.min(Math.min(first, second), STREAM.length());
+    int to = Math.min(Math.max(first, second), STREAM.length());
+    EventCutter cutter = cutter(Optional.empty());
+    String passed =
+        cut(cutter, STREAM.substring(0, from))
+            + cut(cutter, STREAM.substring(from, to))
+            + cut(cutter, STREAM.substring(to));
+    assertThat(passed).isEqualTo(STREAM);
+    assertThat(cutter.lastEvent()).hasValue(4L);
+    assertThat(cutter.holdsPartialEvent()).isFalse();
+  }
+
+  @Test
+  void anUnfinishedEventIsHeldBack() {
+    EventCutter cutter = cutter(Optional.empty());
+    assertThat(cut(cutter, "id: 1\ndata: a\n\nid: 2\ndata: b\n")).isEqualTo("id: 1\ndata: a\n\n");
+    assertThat(cutter.lastEvent()).hasValue(1L);
+    assertThat(cutter.holdsPartialEvent()).isTrue();
+    cutter.release();
+    assertThat(cutter.holdsPartialEvent()).isFalse();
+  }
+
+  @Test
+  void eventsThatTheCallerHasAreDropped() {
+    EventCutter cutter = cutter(Optional.of(2L));
+    assertThat(cut(cutter, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n")).isEqualTo("id: 3\ndata: c\n\n");
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
@@ -0,0 +1,290 @@
+package org.shallothook.transport.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.forward.Dispatch;
+import org.shallothook.coordination.forward.ForwardCommand;
+import org.shallothook.coordination.forward.ForwardEvent;
+import org.shallothook.coordination.port.CoreEvent;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.decision.EventSink;
+import org.shallothook.transport.process.Clock;
+
+/** Requests and answers over sockets, with servers that misbehave. */
+final class ForwardGateTest implements EventSink<CoreEvent> {
+  private static final int PATIENCE_MILLIS = 10_000;
+  private final EventLoops loops = EventLoops.create(1);
+  private final List<ForwardEvent> events = new CopyOnWriteArrayList<>();
+  private final CountDownLatch gone = new CountDownLatch(1);
+  private final ForwardGate gate =
+      new ForwardGate(
+          loops.internal(),
+          new PlainRequestForm(),
+          ForwardSettings.DEFAULT,
+          this,
+          Counters.NONE,
+          Clock::steadyMicros);
+  private final InetSocketAddress address =
+      gate.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
+  private volatile RawServer server;
+
+  @AfterEach
+  void close() throws IOException {
+    loops.close();
+    if (server != null) {
+      server.close();
+    }
+  }
+
+  @Override
+  public boolean offer(CoreEvent event) {
+    deliver(event);
+    return true;
+  }
+
+  /** Decides as plainly as can be: one attempt, relayed; a failure ends the request. */
+  @Override
+  public void deliver(CoreEvent event) {
+    events.add((ForwardEvent) event);
+    if (event instanceof ForwardEvent.Requested requested) {
+      Dispatch dispatch =
+          new Dispatch(
+              "server",
+              server.address(),
+              Long.MAX_VALUE,
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty(),
+              Optional.empty());
+      gate.carryOut(new ForwardCommand.Send(requested.request(), 1, dispatch));
+    } else if (event instanceof ForwardEvent.Answered answered) {
+      gate.carryOut(new ForwardCommand.Relay(answered.request(), answered.attempt()));
+    } else if (event instanceof ForwardEvent.Broken broken) {
+      boolean hasBegun =
+          events.stream()
+              .anyMatch(
+                  one ->
+                      one instanceof ForwardEvent.Answered answered
+                          && answered.request() == broken.request());
+      gate.carryOut(
+          hasBegun
+              ? new ForwardCommand.BreakOff(broken.request(), broken.detail())
+              : new ForwardCommand.Refuse(
+                  broken.request(), Refusal.notRun(RefusalReason.CONNECTION_LOST, "")));
+    } else if (event instanceof ForwardEvent.CallerGone left) {
+      gate.carryOut(new ForwardCommand.Drop(left.request(), 1));
+      gone.countDown();
+    }
+  }
+
+  @Override
+  public boolean isCongested() {
+    return false;
+  }
+
+  private static String answer(String id, String body) {
+    return "HTTP/1.1 200 OK\r\nid: "
+        + id
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static String stream(String id) {
+    return "HTTP/1.1 200 OK\r\nid: "
+        + id
+        + "\r\nContent-Type: text/event-stream\r\n"
+        + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  /** Sends bytes and returns all that comes until the other side closes the connection. */
+  private String exchange(String request) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(PATIENCE_MILLIS);
+    return socket;
+  }
+
+  private static String post(String id, String connection, String body) {
+    return "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nid: "
+        + id
+        + "\r\nConnection: "
+        + connection
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Test
+  void methodTargetBodyAndAnswerPassUnchanged() throws IOException {
+    server = new RawServer(request -> answer("1", "done"));
+    assertThat(exchange(post("1", "close", "body"))).endsWith("\r\n\r\ndone");
+    assertThat(server.requests().get(0)).startsWith("POST /a/b?c=d HTTP/1.1\r\n");
+    assertThat(server.requests().get(0)).endsWith("\r\n\r\nbody");
+  }
+
+  @Test
+  void oneConnectionCarriesRequestsInOrder() throws IOException {
+    server =
+        new RawServer(
+            request -> request.contains("id: 1") ? answer("1", "first") : answer("2", "second"));
+    String both = exchange(post("1", "keep-alive", "a") + post("2", "close", "b"));
+    assertThat(both.indexOf("first")).isLessThan(both.indexOf("second"));
+    assertThat(server.connections()).isEqualTo(1);
+  }
+
+  @Test
+  void anAnswerToAnotherRequestIsSkipped() throws IOException {
+    server = new RawServer(request -> answer("0", "late") + answer("1", "own"));
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(answer).contains("own");
+    assertThat(answer).doesNotContain("late");
+  }
+
+  @Test
+  void aConnectionWithSurplusBytesIsNotUsedAgain() throws IOException {
+    server =
+        new RawServer(
+            request ->
+                request.contains("id: 1")
+                    ? answer("1", "first") + answer("1", "again")
+                    : answer("2", "second"));
+    String both = exchange(post("1", "keep-alive", "a") + post("2", "close", "b"));
+    assertThat(both).doesNotContain("again");
+    assertThat(both).contains("second");
+  }
+
+  @Test
+  void aStreamThatBreaksWithinAnEventLooksIncomplete() throws IOException {
+    server =
+        new RawServer(
+            request ->
+                stream("1")
+                    + chunk("id: 1\ndata: a\n\n")
+                    + RawServer.PAUSE
+                    + chunk("id: 2\nda")
+                    + "zz\r\n");
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(post("1", "close", "a").getBytes(StandardCharsets.ISO_8859_1));
+      StringBuilder answer = new StringBuilder();
+      while (answer.indexOf("data: a\n\n") < 0) {
+        answer.append((char) socket.getInputStream().read());
+      }
+      server.proceed();
+      byte[] rest = socket.getInputStream().readAllBytes();
+      answer.append(new String(rest, StandardCharsets.ISO_8859_1));
+      assertThat(answer.toString()).doesNotContain("id: 2");
+      assertThat(answer.toString()).doesNotContain("\r\n0\r\n");
+    }
+  }
+
+  @Test
+  void aWholeStreamEndsWhole() throws IOException {
+    server =
+        new RawServer(
+            request ->
+                stream("1")
+                    + chunk("id: 1\ndata: a\n\n")
+                    + chunk("id: 2\ndata: b\n\n")
+                    + "0\r\n\r\n");
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(answer).contains("data: b");
+    assertThat(answer).endsWith("0\r\n\r\n");
+  }
+
+  @Test
+  void aConnectionThatEndsWithoutAnAnswerIsTold() throws IOException {
+    server = new RawServer(request -> RawServer.CLOSE);
+    assertThat(exchange(post("1", "close", "a"))).startsWith("HTTP/1.1 502 ");
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "POST /a HTTP/1.1\r\nHost: h\r\nHost: other\r\nContent-Length: 0\r\n\r\n",
+        "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "no request at all\r\n\r\n",
+      })
+  void aRequestWhoseEndIsInDoubtIsRejectedAndTheConnectionClosed(String request)
+      throws IOException {
+    server = new RawServer(any -> answer("1", "done"));
+    assertThat(exchange(request)).startsWith("HTTP/1.1 400 ");
+    assertThat(server.requests()).isEmpty();
+  }
+
+  @Test
+  void aBodyAboveTheLimitIsRejected() throws IOException {
+    server = new RawServer(any -> answer("1", "done"));
+    String head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n";
+    assertThat(exchange(head)).startsWith("HTTP/1.1 413 ");
+  }
+
+  @Test
+  void aHeadAboveTheLimitIsRejected() throws IOException {
+    server = new RawServer(any -> answer("1", "done"));
+    String head = "GET /a HTTP/1.1\r\nHost: h\r\nx: " + "y".repeat(20_000) + "\r\n\r\n";
+    assertThat(exchange(head)).startsWith("HTTP/1.1 431 ");
+  }
+
+  @Test
+  void aCallerWhoLeavesEndsTheWorkAtTheServer() throws Exception {
+    CountDownLatch received = new CountDownLatch(1);
+    CountDownLatch never = new CountDownLatch(1);
+    server =
+        new RawServer(
+            request -> {
+              received.countDown();
+              try {
+                return never.await(50, TimeUnit.MILLISECONDS) ? "" : stream("1");
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return RawServer.CLOSE;
+              }
+            });
+    Socket socket = connect();
+    socket.getOutputStream().write(post("1", "close", "a").getBytes(StandardCharsets.ISO_8859_1));
+    assertThat(received.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    socket.close();
+    assertThat(gone.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+    while (!server.isAbandoned() && System.nanoTime() < deadline) {
+      Thread.onSpinWait();
+    }
+    assertThat(server.isAbandoned()).isTrue();
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -0,0 +1,61 @@
+package org.shallothook.transport.forward;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.shallothook.coordination.forward.AnswerHead;
+import org.shallothook.coordination.forward.Dispatch;
+import org.shallothook.coordination.forward.RequestHead;
+import org.shallothook.state.request.Refusal;
+
+/**
+ * A form with one header, the request's identity.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class PlainRequestForm implements RequestForm {
+  static final String ID = "id";
+
+  @Override
+  public Either<Refusal, RequestHead> read(HttpRequest request, long contentHash, long nowMicros) {
+    return Either.right(
+        new RequestHead(
+            request.headers().get(ID, "none"),
+            request.headers().get("host", ""),
+            request.uri(),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            contentHash));
+  }
+
+  @Override
+  public HttpHeaders toServer(HttpRequest request, Dispatch dispatch, long nowMicros) {
+    return new DefaultHttpHeaders().set(ID, request.headers().get(ID, "none"));
+  }
+
+  @Override
+  public HttpHeaders toCaller(HttpResponse answer) {
+    return new DefaultHttpHeaders()
+        .set("content-type", answer.headers().get("content-type", "text/plain"));
+  }
+
+  @Override
+  public AnswerHead readAnswer(HttpResponse answer) {
+    return new AnswerHead(answer.status().code(), false, Optional.empty(), Optional.empty());
+  }
+
+  @Override
+  public boolean belongsTo(HttpResponse answer, RequestHead request) {
+    return request.id().equals(answer.headers().get(ID));
+  }
+
+  @Override
+  public Optional<Long> keptMillis(HttpResponse answer) {
+    return Optional.of(60_000L);
+  }
+}
