--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -72,6 +72,7 @@
   private Optional<RouteTable> table = Optional.empty();
   private boolean isRegistryReachable;
   private boolean knowsServers;
+  private int routers = 1;
 
   /**
    * Creates a core that knows neither configuration nor servers.
@@ -136,7 +137,9 @@
     if (event instanceof ForwardEvent.RoutesRead read) {
       onRoutes(read.table());
     } else if (event instanceof ForwardEvent.ServersRead read) {
-      servers.onRead(read.entries(), read.isWhole(), nowMicros);
+      servers
+          .onRead(read.entries(), read.isWhole(), nowMicros)
+          .forEach(restarted -> prompts.book().onEmptied(restarted));
       knowsServers |= read.isWhole();
       read.entries().forEach(this::tellServer);
       sendWaiting(nowMicros);
@@ -156,6 +159,7 @@
     } else if (event instanceof ForwardEvent.CrashHeard heard) {
       crashes.count(heard.contentHash(), heard.crash(), nowMicros);
     } else if (event instanceof ForwardEvent.RoutersCounted counted) {
+      routers = Math.max(1, counted.routers());
       retries.onRouters(counted.routers());
     }
   }
@@ -283,10 +287,9 @@
     ScopedOpenings openings = new ScopedOpenings(prompt, scopeOf(request));
     Optional<Place> chosen =
         prompts.choose(
-            request.service(),
             candidates,
             openings,
-            fetchMicrosPerToken(request.service()),
+            profileOf(request.service()),
             request.route().gapTargetMicros(),
             nowMicros);
     chosen.ifPresent(
@@ -316,12 +319,14 @@
     return chosen.isPresent();
   }
 
-  private double fetchMicrosPerToken(String service) {
-    return table
-        .flatMap(current -> current.service(service))
-        .flatMap(ServiceTraits::engine)
-        .map(EngineTraits::fetchMicrosPerToken)
-        .orElse(0.0);
+  private EngineProfile profileOf(String service) {
+    Optional<EngineTraits> engine =
+        table.flatMap(current -> current.service(service)).flatMap(ServiceTraits::engine);
+    return new EngineProfile(
+        service,
+        engine.map(EngineTraits::cacheTokens).orElse(0L),
+        engine.map(EngineTraits::fetchMicrosPerToken).orElse(0.0),
+        table.flatMap(current -> current.cacheStore(options.failureDomain())));
   }
 
   private void giveUpWaiting(OpenForward request, boolean hasNoServer, long nowMicros) {
@@ -342,8 +347,8 @@
             version,
             salt,
             prompt.map(one -> request.rank()),
-            request.place().flatMap(Place::source).map(source -> source.entry().address()),
-            Optional.empty(),
+            request.place().flatMap(Place::fetchFrom),
+            request.place().flatMap(Place::saveTo),
             request.lastEvent());
     commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
     options
@@ -366,7 +371,7 @@
             "unread",
             request.place().map(Place::unreadTokens).orElse(0),
             "source",
-            request.place().flatMap(Place::source).map(Server::name).orElse(""),
+            request.place().flatMap(Place::fetchFrom).orElse(""),
             "expected_ms",
             request.place().map(place -> (long) place.expectedMicros() / 1_000).orElse(-1L),
             "waited_ms",
@@ -416,7 +421,7 @@
     }
     long tookMicros = nowMicros - request.sentMicros();
     server.onAnswer(tookMicros, answer.isServerError(), nowMicros);
-    request.place().ifPresent(place -> onPromptRead(place, tookMicros));
+    request.place().ifPresent(place -> onPromptRead(request, place, tookMicros, nowMicros));
     boolean isWorthARetry = answer.isServerError() && request.route().isRepeatable();
     if (isWorthARetry && !request.hasBegunAnswer() && canRunOnceMore(request, nowMicros)) {
       commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
@@ -446,7 +451,9 @@
             (nowMicros - request.sentMicros()) / 1_000);
   }
 
-  private void onPromptRead(Place place, long tookMicros) {
+  private void onPromptRead(OpenForward request, Place place, long tookMicros, long nowMicros) {
+    long newTokens = (long) routers * place.unreadTokens();
+    prompts.book().onRead(request.openings(), place.server().name(), newTokens, nowMicros);
     place.server().onPromptRead(prompts.speed().readMicros(place.unreadTokens()));
     prompts.speed().onFirstOutput(place.unreadTokens(), tookMicros);
   }
@@ -587,11 +594,22 @@
   }
 
   private void divideLanes() {
-    open.values().stream()
-        .filter(request -> promptOf(request).isPresent())
-        .map(OpenForward::service)
-        .distinct()
-        .forEach(service -> prompts.lanes(service).divide(servers.listed(service)));
+    Map<String, Integer> openShort = new HashMap<>();
+    for (OpenForward request : open.values()) {
+      promptOf(request)
+          .ifPresent(
+              prompt -> {
+                double micros = prompts.speed().readMicros(prompt.promptTokens());
+                boolean isLong =
+                    prompts
+                        .lanes(request.service())
+                        .isLong(micros, request.route().gapTargetMicros());
+                openShort.merge(request.service(), isLong ? 0 : 1, Integer::sum);
+              });
+    }
+    openShort.forEach(
+        (service, count) ->
+            prompts.lanes(service).divide(servers.listed(service), count * routers));
   }
 
   private void onDeadline(OpenForward request, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
@@ -11,10 +11,12 @@
 import java.util.function.Predicate;
 
 /**
- * Which servers this router believes to have which openings of prompts cached, from what it sent.
+ * Which servers this router believes to have which openings of prompts cached, from what it sent
+ * and what other routers have told.
  *
- * <p>An entry is a guess: the server may have dropped the parts, and other routers may have sent
- * the same opening elsewhere. Nothing but speed depends on it.
+ * <p>An entry is a guess that ends with the server's memory: once so many other tokens were read
+ * there since the last use as the server can hold, the opening counts as dropped. Nothing but speed
+ * depends on it.
  *
  * <p>Invariant: holds a bounded number of openings, the least recently used dropped first. Not
  * thread-safe.
@@ -23,56 +25,72 @@
   /** Openings remembered; enough for all that servers keep for some seconds. */
   private static final int CAPACITY = 8_192;
 
-  private final Map<Long, Map<String, Long>> usedAtMicros =
-      new LinkedHashMap<>(CAPACITY, 0.75f, true);
+  /** Part of a server's memory that is counted on, as running requests take some of it. */
+  private static final double USABLE_PART = 0.6;
 
-  /** Takes in that a server reads or has read a prompt with these openings. */
+  private final Map<Long, Map<String, Entry>> holders = new LinkedHashMap<>(CAPACITY, 0.75f, true);
+  private final Map<String, Long> tokensRead = new HashMap<>();
+
+  /** When an opening was last used, by the tokens read at its server until then. */
+  private record Entry(long usedAtMicros, long tokensReadBefore, boolean isRead) {}
+
+  /** Takes in that a prompt with these openings is on its way to a server. */
   void onSent(List<Opening> openings, String server, long nowMicros) {
     for (Opening opening : openings) {
-      usedAtMicros.computeIfAbsent(opening.hash(), hash -> new HashMap<>()).put(server, nowMicros);
+      Entry known = entries(opening.hash()).get(server);
+      put(opening.hash(), server, known != null && known.isRead(), nowMicros);
     }
-    Iterator<Long> oldest = usedAtMicros.keySet().iterator();
-    while (usedAtMicros.size() > CAPACITY && oldest.hasNext()) {
+    Iterator<Long> oldest = holders.keySet().iterator();
+    while (holders.size() > CAPACITY && oldest.hasNext()) {
       oldest.next();
       oldest.remove();
     }
   }
 
-  /** Takes in that another router has sent a prompt with these openings to a server. */
-  void onTold(List<Long> openings, String server, long nowMicros) {
-    for (long opening : openings) {
-      usedAtMicros.computeIfAbsent(opening, hash -> new HashMap<>()).put(server, nowMicros);
-    }
+  /**
+   * Takes in that a server has read a prompt.
+   *
+   * @param newTokens tokens that all routers together have made the server keep meanwhile
+   */
+  void onRead(List<Opening> openings, String server, long newTokens, long nowMicros) {
+    tokensRead.merge(server, newTokens, Long::sum);
+    openings.forEach(opening -> put(opening.hash(), server, true, nowMicros));
   }
 
-  /** Returns the openings that a server is not known to have. */
-  List<Long> unknown(List<Opening> openings, String server) {
-    return openings.stream()
-        .map(Opening::hash)
-        .filter(hash -> !usedAtMicros.getOrDefault(hash, Map.of()).containsKey(server))
-        .toList();
+  /** Takes in that another router has made a server read prompts with these openings. */
+  void onTold(List<Long> openings, String server, long nowMicros) {
+    openings.forEach(opening -> put(opening, server, true, nowMicros));
   }
 
   /** Takes in that a server did not read a prompt after all. */
   void onNotRead(List<Opening> openings, String server) {
     for (Opening opening : openings) {
-      Map<String, Long> holders = usedAtMicros.get(opening.hash());
-      if (holders != null) {
-        holders.remove(server);
-      }
+      entries(opening.hash()).computeIfPresent(server, (name, one) -> one.isRead() ? one : null);
     }
   }
 
   /** Takes in that a server has lost all that it had cached. */
   void onEmptied(String server) {
-    usedAtMicros.values().forEach(holders -> holders.remove(server));
+    holders.values().forEach(entries -> entries.remove(server));
   }
 
-  /** Returns how many tokens of a prompt a server is believed to have. */
-  int cachedTokens(List<Opening> openings, String server) {
+  /** Returns the openings that a server is not known to have. */
+  List<Long> unknown(List<Opening> openings, String server) {
+    return openings.stream()
+        .map(Opening::hash)
+        .filter(hash -> !holders.getOrDefault(hash, Map.of()).containsKey(server))
+        .toList();
+  }
+
+  /**
+   * Returns how many tokens of a prompt a server is believed to have by the time it reads it.
+   *
+   * @param memoryTokens tokens that the server can hold
+   */
+  int cachedTokens(List<Opening> openings, String server, long memoryTokens) {
     int tokens = 0;
     for (Opening opening : openings) {
-      if (usedAtMicros.getOrDefault(opening.hash(), Map.of()).containsKey(server)) {
+      if (isKept(opening.hash(), server, memoryTokens)) {
         tokens = Math.max(tokens, opening.tokens());
       }
     }
@@ -80,14 +98,16 @@
   }
 
   /** Returns the server that most recently had the longest opening, among those allowed. */
-  Optional<String> holder(List<Opening> openings, Predicate<String> isAllowed) {
+  Optional<String> holder(List<Opening> openings, long memoryTokens, Predicate<String> isAllowed) {
     List<Opening> longestFirst = new ArrayList<>(openings);
     longestFirst.sort(Comparator.comparingInt(Opening::tokens).reversed());
     for (Opening opening : longestFirst) {
       Optional<String> newest =
-          usedAtMicros.getOrDefault(opening.hash(), Map.of()).entrySet().stream()
+          holders.getOrDefault(opening.hash(), Map.of()).entrySet().stream()
+              .filter(entry -> entry.getValue().isRead())
               .filter(entry -> isAllowed.test(entry.getKey()))
-              .max(Map.Entry.comparingByValue())
+              .filter(entry -> isKept(opening.hash(), entry.getKey(), memoryTokens))
+              .max(Comparator.comparingLong(entry -> entry.getValue().usedAtMicros()))
               .map(Map.Entry::getKey);
       if (newest.isPresent()) {
         return newest;
@@ -95,4 +115,22 @@
     }
     return Optional.empty();
   }
+
+  private boolean isKept(long opening, String server, long memoryTokens) {
+    Entry entry = holders.getOrDefault(opening, Map.of()).get(server);
+    if (entry == null) {
+      return false;
+    }
+    long since = tokensRead.getOrDefault(server, 0L) - entry.tokensReadBefore();
+    return memoryTokens == 0 || since < USABLE_PART * memoryTokens;
+  }
+
+  private void put(long opening, String server, boolean isRead, long nowMicros) {
+    long before = tokensRead.getOrDefault(server, 0L);
+    entries(opening).put(server, new Entry(nowMicros, before, isRead));
+  }
+
+  private Map<String, Entry> entries(long opening) {
+    return holders.computeIfAbsent(opening, hash -> new HashMap<>());
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -13,7 +13,7 @@
  * server is its queue plus the tokens that it must read; what another server has is copied, which
  * costs a fraction of reading. An opening that nobody is known to have goes to its home by
  * rendezvous hashing, where other routers send it as well, unless that has much more to do than
- * another.
+ * another; it is looked for in the store of cached parts and saved there.
  *
  * <p>Invariant: a server without a free place is never picked. Not thread-safe.
  */
@@ -45,113 +45,114 @@
     return speed;
   }
 
-  /** The server for a prompt, and whom it may copy parts from. */
+  /**
+   * The server for a prompt, and from where it may copy parts.
+   *
+   * @param server the server
+   * @param fetchFrom {@code IP:port} of another server or the store
+   * @param saveTo {@code IP:port} of the store where parts are to be kept
+   * @param cachedTokens tokens that the server is believed to have
+   * @param unreadTokens tokens that it must read
+   * @param expectedMicros time until the first output
+   */
   record Place(
       Server server,
-      Optional<Server> source,
+      Optional<String> fetchFrom,
+      Optional<String> saveTo,
       int cachedTokens,
       int unreadTokens,
       double expectedMicros) {}
 
+  /** A prompt that is to be placed. */
+  private record Query(
+      List<Server> servers,
+      ScopedOpenings prompt,
+      EngineProfile profile,
+      boolean isLong,
+      long gapTargetMicros,
+      long nowMicros) {}
+
   /**
    * Returns the best place.
    *
-   * @param service service that the servers belong to
    * @param servers servers that may begin the request
    * @param prompt openings of the prompt by server, since their scope holds the server's version
-   * @param fetchMicrosPerToken time to copy one cached token
+   * @param profile the service that the servers belong to
    * @param gapTargetMicros longest pause that streams may have
    * @param nowMicros time of the placement
    */
   Optional<Place> choose(
-      String service,
       List<Server> servers,
       ScopedOpenings prompt,
-      double fetchMicrosPerToken,
+      EngineProfile profile,
       long gapTargetMicros,
       long nowMicros) {
-    ReadingLanes lanes = lanes(service);
-    boolean isLong = lanes.isLong(speed.readMicros(prompt.promptTokens()), gapTargetMicros);
+    ReadingLanes own = lanes(profile.service());
+    boolean isLong = own.isLong(speed.readMicros(prompt.promptTokens()), gapTargetMicros);
+    Query query = new Query(servers, prompt, profile, isLong, gapTargetMicros, nowMicros);
     Optional<Place> best = Optional.empty();
     for (Server server : servers) {
       if (server.hasPlace()) {
-        double crossing = lanes.crossingMicros(server, isLong, gapTargetMicros);
-        Place place = placeAt(server, servers, prompt, fetchMicrosPerToken, crossing, nowMicros);
+        Place place = placeAt(server, query);
         if (best.filter(other -> other.expectedMicros() <= place.expectedMicros()).isEmpty()) {
           best = Optional.of(place);
         }
       }
     }
-    best.ifPresent(
-        place -> lanes.onWork(isLong, speed.readMicros(place.unreadTokens()), nowMicros));
+    best.ifPresent(place -> own.onWork(isLong, speed.readMicros(place.unreadTokens()), nowMicros));
     return best;
   }
 
-  private Place placeAt(
-      Server server,
-      List<Server> servers,
-      ScopedOpenings prompt,
-      double fetchMicrosPerToken,
-      double crossingMicros,
-      long nowMicros) {
-    List<Opening> openings = prompt.at(server);
-    int all = prompt.promptTokens();
-    int cached = Math.min(all, book.cachedTokens(openings, server.name()));
-    Opening shared = Opening.shared(openings);
-    double micros = server.waitMicros(nowMicros) + crossingMicros;
-    Optional<Server> source = Optional.empty();
+  private Place placeAt(Server server, Query query) {
+    List<Opening> openings = query.prompt().at(server);
+    EngineProfile profile = query.profile();
+    int all = query.prompt().promptTokens();
+    int cached = Math.min(all, book.cachedTokens(openings, server.name(), profile.memoryTokens()));
+    int missing = Opening.shared(openings).tokens() - cached;
+    double micros = server.waitMicros(query.nowMicros()) + server.penaltyMicros();
+    micros +=
+        lanes(profile.service()).crossingMicros(server, query.isLong(), query.gapTargetMicros());
+    micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
     int unread = all - cached;
-    if (cached < shared.tokens()) {
-      source = source(server, servers, prompt);
-      boolean isKnown = source.isPresent() && isHolder(source.get(), openings);
-      int missing = shared.tokens() - cached;
-      if (isKnown) {
+    Optional<String> fetchFrom = Optional.empty();
+    Optional<String> saveTo = Optional.empty();
+    if (missing > 0) {
+      Optional<Server> holder = holder(server, query);
+      if (holder.isPresent()) {
         unread -= missing;
-        micros += missing * fetchMicrosPerToken;
-      } else if (isHome(server, servers, shared)) {
-        micros -= HOME_PART * speed.readMicros(missing);
+        micros += missing * profile.fetchMicrosPerToken();
+        fetchFrom = Optional.of(holder.get().entry().address());
+      } else {
+        micros -= isHome(server, query, openings) ? HOME_PART * speed.readMicros(missing) : 0;
+        fetchFrom = profile.store();
+        saveTo = profile.store();
       }
     }
     micros += speed.readMicros(unread);
-    micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
-    micros += server.penaltyMicros();
-    return new Place(server, source, cached, unread, micros);
+    return new Place(server, fetchFrom, saveTo, cached, unread, micros);
   }
 
-  private boolean isHolder(Server candidate, List<Opening> openings) {
-    return book.cachedTokens(openings, candidate.name()) > 0;
-  }
-
-  /** Returns who is known to have the opening, or else who has it by its hash. */
-  private Optional<Server> source(Server target, List<Server> servers, ScopedOpenings prompt) {
-    List<Opening> openings = prompt.at(target);
-    List<Server> others =
-        servers.stream()
-            .filter(other -> other != target && prompt.isSameScope(other, target))
-            .toList();
-    Optional<String> holder =
-        book.holder(openings, name -> others.stream().anyMatch(one -> one.name().equals(name)));
-    if (holder.isPresent()) {
-      return others.stream().filter(one -> one.name().equals(holder.get())).findFirst();
+  /** Returns another server that has read the opening, with weights of the same version. */
+  private Optional<Server> holder(Server target, Query query) {
+    List<Opening> openings = query.prompt().at(target);
+    Map<String, Server> others = new HashMap<>();
+    for (Server other : query.servers()) {
+      if (other != target && query.prompt().isSameScope(other, target)) {
+        others.put(other.name(), other);
+      }
     }
-    return home(others, Opening.shared(openings));
+    List<Opening> shared = List.of(Opening.shared(openings));
+    return book.holder(shared, query.profile().memoryTokens(), others::containsKey)
+        .map(others::get);
   }
 
-  private static boolean isHome(Server server, List<Server> servers, Opening shared) {
-    return home(servers, shared).filter(home -> home == server).isPresent();
-  }
-
-  private static Optional<Server> home(List<Server> servers, Opening shared) {
-    Server home = null;
-    for (Server server : servers) {
-      boolean isHeavier =
-          home == null
-              || Long.compareUnsigned(
-                      RendezvousHash.weight(shared.hash(), server.hash()),
-                      RendezvousHash.weight(shared.hash(), home.hash()))
-                  > 0;
-      home = isHeavier ? server : home;
-    }
-    return Optional.ofNullable(home);
+  private static boolean isHome(Server server, Query query, List<Opening> openings) {
+    Opening shared = Opening.shared(openings);
+    long own = RendezvousHash.weight(shared.hash(), server.hash());
+    return query.servers().stream()
+        .filter(other -> other != server)
+        .allMatch(
+            other ->
+                Long.compareUnsigned(RendezvousHash.weight(shared.hash(), other.hash()), own) < 0);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
@@ -10,8 +10,8 @@
  *
  * <p>Pattern answered: a server reads prompts between the tokens of its streams. Where long prompts
  * come in a row, streams pause for longer than their callers accept. The servers are divided by the
- * work that short and long prompts make; every router ranks them alike, and a prompt crosses over
- * where its own servers have much more to do.
+ * work that short and long prompts make, and by the places that their streams take; every router
+ * ranks them alike, and a prompt crosses over where its own servers have much more to do.
  *
  * <p>Invariant: with both kinds of work, each has a server. Not thread-safe.
  */
@@ -31,6 +31,9 @@
   /** Difference, in servers, at which the division moves. */
   private static final double MOVE_AT = 0.75;
 
+  /** Part of its places that a server of the short ones is planned to have taken. */
+  private static final double PLANNED_PLACES = 0.4;
+
   private double shortWork;
   private double longWork;
   private long workAtMicros;
@@ -50,8 +53,13 @@
     longWork = longWork * factor + (isLong ? readMicros : 0);
   }
 
-  /** Divides the servers anew. */
-  void divide(List<Server> servers) {
+  /**
+   * Divides the servers anew.
+   *
+   * @param servers all servers of the service
+   * @param openShort streams of short prompts that all routers together have open
+   */
+  void divide(List<Server> servers, int openShort) {
     int count = servers.size();
     double all = shortWork + longWork;
     if (count < LEAST_SERVERS || all == 0 || shortWork == 0 || longWork == 0) {
@@ -59,7 +67,9 @@
       shortLane = Set.of();
       return;
     }
-    double ideal = Math.max(1, Math.min(count - 1, count * shortWork / all));
+    double places = PLANNED_PLACES * servers.get(0).entry().slots();
+    double needed = Math.max(count * shortWork / all, openShort / Math.max(1, places));
+    double ideal = Math.max(1, Math.min(count - 1, needed));
     if (shortServers == 0 || Math.abs(ideal - shortServers) > MOVE_AT) {
       shortServers = (int) Math.round(ideal);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -132,7 +132,8 @@
         && nowMicros - Math.max(silentSinceMicros, answeredAtMicros) > longestMicros;
   }
 
-  void onListed(ServerEntry newer) {
+  /** Takes in a newer entry and returns whether the server has started anew. */
+  boolean onListed(ServerEntry newer) {
     boolean hasRestarted = newer.startedAtMillis() != entry.startedAtMillis();
     if (hasRestarted) {
       versions.clear();
@@ -154,6 +155,7 @@
             newer.startedAtMillis());
     removedAtMicros = Long.MAX_VALUE;
     newer.versions().forEach(this::onVersion);
+    return hasRestarted;
   }
 
   void onRemoved(long effectiveAtMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -57,13 +57,15 @@
         .toList();
   }
 
-  void onRead(List<ServerEntry> entries, boolean isWhole, long nowMicros) {
+  /** Takes in entries and returns the identities of servers that have started anew. */
+  List<String> onRead(List<ServerEntry> entries, boolean isWhole, long nowMicros) {
+    List<String> restarted = new ArrayList<>();
     for (ServerEntry entry : entries) {
       Server known = servers.get(entry.id());
       if (known == null) {
         servers.put(entry.id(), new Server(entry));
-      } else {
-        known.onListed(entry);
+      } else if (known.onListed(entry)) {
+        restarted.add(entry.id());
       }
     }
     if (isWhole) {
@@ -73,6 +75,7 @@
           .filter(server -> !present.contains(server.name()))
           .forEach(server -> onRemoved(server.name(), nowMicros));
     }
+    return restarted;
   }
 
   void onRemoved(String id, long nowMicros) {
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.state.route.ServiceTraits.CacheStore;
 
 /**
  * Everything that one version of the forwarding configuration says.
@@ -99,6 +100,16 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns the address of a store of cached parts, of the failure domain named if it has one. */
+  public Optional<String> cacheStore(String failureDomain) {
+    return services.values().stream()
+        .flatMap(service -> service.cacheStore().stream())
+        .min(
+            Comparator.comparing(
+                (CacheStore store) -> !store.failureDomain().equals(failureDomain)))
+        .map(CacheStore::address);
+  }
+
   private static String hostName(String host) {
     int colon = host.lastIndexOf(':');
     boolean hasPort = colon > 0 && host.indexOf(']', colon) < 0;
