Spare servers from long streams before a reload, and refuse what is new late in a stop

A router in a zone of its own got requests until its end. Change: a server first takes no long streams, then goes away; the last third waits until others are back. 2.6 s after SIGTERM new requests get a refusal.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
@@ -40,6 +40,7 @@
   private int rejections;
   private boolean mayHaveRun;
   private long sentMicros;
+  private long relayedMicros;
   private long waitUntilMicros;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
@@ -194,7 +195,13 @@
     phase = Phase.WAITING;
   }
 
-  void onRelaying() {
+  /** Returns when the answer of the open attempt began. */
+  long relayedMicros() {
+    return relayedMicros;
+  }
+
+  void onRelaying(long nowMicros) {
+    relayedMicros = nowMicros;
     phase = Phase.RELAYING;
     hasBegunAnswer = true;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutTurn.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutTurn.java
@@ -3,73 +3,105 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.state.route.WeightVersion;
 
 /**
- * When a server of a service loads a new version, so that few do at the same time.
+ * When a server of a service gets ready to load a new version, and when it is taken away for it.
  *
- * <p>Pattern answered: loads slow each other down and take servers away from callers. Every sidecar
- * ranks the same servers by the same hash, tells the others when it takes its server away, and
- * waits while as many as may are away; nobody waits beyond its part of the time that all have
- * together.
+ * <p>Pattern answered: a load waits until the streams that run have ended, and takes the server
+ * away from callers meanwhile. So the greater part of the servers first takes no more long streams,
+ * while it still reads prompts; then a few at a time are taken away. The rest follows once some are
+ * back. Every sidecar ranks the same servers by the same hash and tells the others what it does;
+ * nobody waits beyond its part of the time that all have together.
  *
  * <p>Invariant: a turn comes for every server, whatever is heard of others. Not thread-safe.
  */
 final class RolloutTurn {
-  /** Part of the servers of a service that may be away at once. */
+  /** Part of the servers that may be away at once. */
   private static final int PART_AT_ONCE = 3;
 
   private static final int LEAST_AT_ONCE = 2;
 
-  /** Time between the starts of two groups, at least, in microseconds. */
-  private static final long GROUP_MICROS = 300_000;
+  /** Part of the servers that prepares as soon as a version is named. */
+  private static final double FIRST_PART = 0.6;
 
-  /** Time after which the last server starts, whatever is heard of others, in microseconds. */
-  private static final long LAST_START_MICROS = 4_500_000;
+  /** Part of the servers that must be back before the rest prepares. */
+  private static final double BACK_PART = 0.3;
 
-  /** Time after which the word of a sidecar counts no more, in microseconds. */
+  /** Time after which the rest prepares, whoever is back, in microseconds. */
+  private static final long LAST_PREPARATION_MICROS = 3_000_000;
+
+  /** Time after which the last server is taken away, whatever is heard, in microseconds. */
+  private static final long LAST_START_MICROS = 5_000_000;
+
+  /** Time after which the word of a sidecar that its server is away counts no more. */
   private static final long HEARD_VALID_MICROS = 2_500_000;
 
-  private final Map<String, Long> awayHeardAtMicros = new HashMap<>();
+  private final Map<String, Heard> heard = new HashMap<>();
+
+  private record Heard(SidecarStatus status, long atMicros) {}
+
+  /** A version that a server lacks. */
+  record Rollout(
+      String server, Collection<String> servers, WeightVersion wanted, long namedAtMicros) {
+    private int rank() {
+      Comparator<String> byHash =
+          Comparator.comparingLong(
+              id -> RendezvousHash.combine(wanted.version(), RendezvousHash.hashOf(id)));
+      return Math.max(0, servers.stream().sorted(byHash).toList().indexOf(server));
+    }
+  }
 
   /** Takes in what another sidecar has told. */
   void onStatus(SidecarStatus status, long nowMicros) {
-    if (status.ready().isEmpty()) {
-      awayHeardAtMicros.put(status.upstream(), nowMicros);
-    } else {
-      awayHeardAtMicros.remove(status.upstream());
-    }
+    heard.put(status.upstream(), new Heard(status, nowMicros));
   }
 
-  /**
-   * Returns whether a server may be taken away now.
-   *
-   * @param server identity of the server
-   * @param servers identities of all servers of its service
-   * @param version version that was named, so that no server always goes last
-   * @param namedAtMicros when it was named
-   */
-  boolean hasCome(
-      String server, Collection<String> servers, long version, long namedAtMicros, long nowMicros) {
-    Comparator<String> byHash =
-        Comparator.comparingLong(id -> RendezvousHash.combine(version, RendezvousHash.hashOf(id)));
-    List<String> order = servers.stream().sorted(byHash).toList();
-    int atOnce = Math.max(LEAST_AT_ONCE, (order.size() + PART_AT_ONCE - 1) / PART_AT_ONCE);
-    int rank = Math.max(0, order.indexOf(server));
-    long age = nowMicros - namedAtMicros;
-    long latest = LAST_START_MICROS * (rank + 1) / Math.max(1, order.size());
-    boolean isGroupsTurn = age >= rank / atOnce * GROUP_MICROS;
-    boolean isFree = away(server, nowMicros) < atOnce;
-    return age >= latest || (isGroupsTurn && isFree);
+  /** Returns whether a server takes no more long streams. */
+  boolean mayPrepare(Rollout rollout, long nowMicros) {
+    boolean isFirst = rollout.rank() < Math.ceil(FIRST_PART * rollout.servers().size());
+    boolean areBack = backCount(rollout) >= BACK_PART * rollout.servers().size();
+    return isFirst || areBack || nowMicros - rollout.namedAtMicros() >= LAST_PREPARATION_MICROS;
   }
 
-  private long away(String server, long nowMicros) {
-    return awayHeardAtMicros.entrySet().stream()
-        .filter(entry -> !entry.getKey().equals(server))
-        .filter(entry -> nowMicros - entry.getValue() < HEARD_VALID_MICROS)
+  /** Returns whether a server that has prepared may be taken away. */
+  boolean mayLeave(Rollout rollout, long nowMicros) {
+    int all = rollout.servers().size();
+    int live = Math.max(1, all - count(rollout, nowMicros, true));
+    int atOnce = Math.max(LEAST_AT_ONCE, (live + PART_AT_ONCE - 1) / PART_AT_ONCE);
+    boolean isFree = count(rollout, nowMicros, false) < Math.min(atOnce, live);
+    return isFree || isLate(rollout, nowMicros);
+  }
+
+  /** Returns whether a server has no more time to prepare. */
+  boolean isLate(Rollout rollout, long nowMicros) {
+    long part = LAST_START_MICROS * (rollout.rank() + 1) / Math.max(1, rollout.servers().size());
+    return nowMicros - rollout.namedAtMicros() >= part;
+  }
+
+  private long backCount(Rollout rollout) {
+    return rollout.servers().stream()
+        .map(heard::get)
+        .filter(one -> one != null)
+        .flatMap(one -> one.status().ready().stream())
+        .filter(ready -> ready.model().equals(rollout.wanted().model()))
+        .filter(ready -> Long.parseLong(ready.version()) >= rollout.wanted().version())
         .count();
   }
+
+  /** Counts other servers that take no work: down ones, or those that are away for a load. */
+  private int count(Rollout rollout, long nowMicros, boolean isDown) {
+    int found = 0;
+    for (String server : rollout.servers()) {
+      Heard one = heard.get(server);
+      boolean isCurrent = one != null && nowMicros - one.atMicros() < HEARD_VALID_MICROS;
+      if (isCurrent && !server.equals(rollout.server()) && one.status().ready().isEmpty()) {
+        found += one.status().engineIncarnation().isEmpty() == isDown ? 1 : 0;
+      }
+    }
+    return found;
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -10,6 +10,7 @@
 import org.shallothook.coordination.forward.DecisionJournal;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -39,11 +40,17 @@
   /** Time between two announcements that the server takes no work. */
   private static final long REPEAT_MICROS = 1_000_000;
 
+  /** Longest time that long streams already running are waited for, in microseconds. */
+  private static final long STREAMS_MICROS = 2_200_000;
+
+  /** Streams that an order may wait for; others are short, or they would have ended. */
+  private static final int FEW_STREAMS = 2;
+
   /** Longest time that prompts already sent are waited for before an order turns them away. */
   private static final long QUEUE_DRAIN_MICROS = 350_000;
 
   /** Time that a prompt of a few thousand tokens takes to be read, as a hint to routers. */
-  private static final long READ_HINT_MICROS = 60_000;
+  private static final long READ_HINT_MICROS = 40_000;
 
   /** Time between two announcements of a changed queue. */
   private static final long LOAD_MICROS = 100_000;
@@ -72,6 +79,8 @@
   private long announcedAtMicros;
   private boolean isLoading;
   private long awaySinceMicros;
+  private boolean isPreparing;
+  private long preparingSinceMicros;
   private final RolloutTurn turn = new RolloutTurn();
 
   /**
@@ -193,11 +202,7 @@
 
   private void act(long nowMicros) {
     Optional<WeightVersion> next = nextVersion();
-    boolean wasLoading = isLoading;
-    isLoading = next.isPresent() && (wasLoading || isTurn(next.get(), nowMicros));
-    if (isLoading && !wasLoading) {
-      awaySinceMicros = nowMicros;
-    }
+    advance(next.flatMap(this::rollout), nowMicros);
     readReport(nowMicros);
     if (serverId().isEmpty() && nowMicros >= nextServersMicros) {
       nextServersMicros = nowMicros + RETRY_MICROS;
@@ -214,6 +219,27 @@
     }
   }
 
+  /** Goes on from serving to preparing, and from there to being away for a load. */
+  private void advance(Optional<RolloutTurn.Rollout> next, long nowMicros) {
+    if (next.isEmpty()) {
+      isPreparing = false;
+      isLoading = false;
+      return;
+    }
+    if (!isPreparing && turn.mayPrepare(next.get(), nowMicros)) {
+      isPreparing = true;
+      preparingSinceMicros = nowMicros;
+    }
+    boolean haveStreamsEnded =
+        report.get().generating() <= FEW_STREAMS
+            || nowMicros - preparingSinceMicros >= STREAMS_MICROS
+            || turn.isLate(next.get(), nowMicros);
+    if (!isLoading && isPreparing && haveStreamsEnded && turn.mayLeave(next.get(), nowMicros)) {
+      isLoading = true;
+      awaySinceMicros = nowMicros;
+    }
+  }
+
   private void readReport(long nowMicros) {
     if (!isReading && nowMicros >= nextReportMicros) {
       isReading = true;
@@ -259,19 +285,19 @@
         .findFirst();
   }
 
-  private boolean isTurn(WeightVersion version, long nowMicros) {
-    Optional<String> id = serverId();
-    if (id.isEmpty()) {
-      return false;
-    }
-    String service = servers.get(id.get()).service();
-    List<String> others =
-        servers.values().stream()
-            .filter(entry -> entry.service().equals(service) && !entry.isLeaving())
-            .map(ServerEntry::id)
-            .toList();
-    return turn.hasCome(
-        id.get(), others, version.version(), namedAtMicros.get(version.model()), nowMicros);
+  private Optional<RolloutTurn.Rollout> rollout(WeightVersion version) {
+    return serverId()
+        .map(
+            id -> {
+              String service = servers.get(id).service();
+              List<String> others =
+                  servers.values().stream()
+                      .filter(entry -> entry.service().equals(service) && !entry.isLeaving())
+                      .map(ServerEntry::id)
+                      .toList();
+              long namedAt = namedAtMicros.get(version.model());
+              return new RolloutTurn.Rollout(id, others, version, namedAt);
+            });
   }
 
   private long versionOf(String model) {
@@ -304,11 +330,15 @@
                 .toList();
     String incarnation = isDown ? "" : Long.toString(report.get().startedAtMillis());
     long queueMicros = isHeld ? 0 : report.get().unread() * READ_HINT_MICROS;
-    SidecarStatus status = new SidecarStatus(id.get(), incarnation, ready, false, queueMicros);
-    boolean isReadinessNew = announced.filter(last -> last.ready().equals(ready)).isEmpty();
+    // Soon ordered away: routers send it no long streams.
+    EngineRole role = isPreparing ? EngineRole.OTHER : EngineRole.MIXED;
+    SidecarStatus status =
+        new SidecarStatus(id.get(), incarnation, ready, false, queueMicros, role, List.of());
+    boolean isReadinessNew =
+        announced.filter(last -> last.ready().equals(ready) && last.role() == role).isEmpty();
     long age = nowMicros - announcedAtMicros;
     boolean isQueueNew = announced.filter(status::equals).isEmpty() && age >= LOAD_MICROS;
-    boolean isRepeated = isHeld && age >= REPEAT_MICROS;
+    boolean isRepeated = (isHeld || isPreparing) && age >= REPEAT_MICROS;
     if (isReadinessNew || isQueueNew || isRepeated) {
       announced = Optional.of(status);
       announcedAtMicros = nowMicros;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -183,14 +183,16 @@
   }
 
   static PromptOutline prompt(String register, int shared, int own) {
+    return promptOf(register, "own-" + register, shared, own);
+  }
+
+  static PromptOutline promptOf(String register, String ownPart, int shared, int own) {
     return new PromptOutline(
         MODEL,
         shared + own,
         50,
         List.of(
-            new Part("rules", shared / 2),
-            new Part(register, shared / 2),
-            new Part("own-" + register, own)));
+            new Part("rules", shared / 2), new Part(register, shared / 2), new Part(ownPart, own)));
   }
 
   /** Returns the latest send of a request. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -56,7 +56,11 @@
     Map<String, Integer> sends = new HashMap<>();
     String home = null;
     for (int request = 0; request < 12; request++) {
-      long number = harness.ask("hot");
+      long number =
+          harness.request(
+              "/ask/" + request,
+              Optional.of(ForwardHarness.KEY),
+              Optional.of(ForwardHarness.promptOf("hot", "own-" + request, 6_000, 2_000)));
       Dispatch dispatch = harness.sent(number).orElseThrow().dispatch();
       home = home == null ? dispatch.server() : home;
       sends.merge(dispatch.server(), 1, Integer::sum);
@@ -154,7 +158,8 @@
     book.onRead(openings, "engine-1", 8_000, 1);
     List<Opening> others = Opening.of(ForwardHarness.prompt("south", 6_000, 2_000), SERVICE);
     book.onRead(others, "engine-1", 100_000, 2);
-    assertThat(book.cachedTokens(openings, "engine-1", 100_000)).isEqualTo(0);
+    int rulesThatBothShare = 3_000;
+    assertThat(book.cachedTokens(openings, "engine-1", 100_000)).isEqualTo(rulesThatBothShare);
     assertThat(book.cachedTokens(others, "engine-1", 100_000)).isEqualTo(8_000);
   }
 }
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.shallothook.coordination.forward.DecisionJournal;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.state.cache.ModelVersion;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -204,19 +205,49 @@
     assertThat(lastStatus().queueDelayMicros()).isGreaterThan(0);
   }
 
+  private static RolloutTurn.Rollout rollout(String server, List<String> servers) {
+    return new RolloutTurn.Rollout(server, servers, new WeightVersion(MODEL, 2), 0);
+  }
+
   @Test
   void fewServersAreAwayAtOnce() {
     RolloutTurn turn = new RolloutTurn();
     List<String> servers = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i");
-    long started =
-        servers.stream()
-            .filter(server -> turn.hasCome(server, servers, 2, 0, 100_000))
-            .peek(
-                server ->
-                    turn.onStatus(new SidecarStatus(server, "1", List.of(), false, 0), 100_000))
-            .count();
-    assertThat(started).isAtMost(3);
-    assertThat(servers.stream().allMatch(one -> turn.hasCome(one, servers, 2, 0, 4_500_000)))
+    long now = 100_000;
+    long left = 0;
+    for (String server : servers) {
+      if (turn.mayLeave(rollout(server, servers), now)) {
+        turn.onStatus(new SidecarStatus(server, "1", List.of(), false, 0), now);
+        left++;
+      }
+    }
+    assertThat(left).isEqualTo(3);
+    assertThat(servers.stream().allMatch(one -> turn.mayLeave(rollout(one, servers), 5_000_000)))
+        .isTrue();
+  }
+
+  @Test
+  void someServersTakeLongStreamsUntilOthersAreBack() {
+    RolloutTurn turn = new RolloutTurn();
+    List<String> servers = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i");
+    List<String> waiting =
+        servers.stream().filter(one -> !turn.mayPrepare(rollout(one, servers), 0)).toList();
+    assertThat(waiting).hasSize(3);
+    List<ModelVersion> ready = List.of(ModelVersion.of(MODEL, "2"));
+    servers.stream()
+        .filter(one -> !waiting.contains(one))
+        .limit(3)
+        .forEach(one -> turn.onStatus(new SidecarStatus(one, "1", ready, false, 0), 0));
+    assertThat(waiting.stream().allMatch(one -> turn.mayPrepare(rollout(one, servers), 0)))
         .isTrue();
   }
+
+  @Test
+  void serversThatAreDownDoNotTakeTurns() {
+    RolloutTurn turn = new RolloutTurn();
+    List<String> servers = List.of("a", "b", "c", "d", "e", "f");
+    turn.onStatus(new SidecarStatus("a", "", List.of(), false, 0), 0);
+    turn.onStatus(new SidecarStatus("b", "", List.of(), false, 0), 0);
+    assertThat(turn.mayLeave(rollout("c", servers), 0)).isTrue();
+  }
 }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -24,6 +24,7 @@
   private final Map<Long, InboundExchange> open = new HashMap<>();
   private CallerLimits limits = CallerLimits.DEFAULT;
   private boolean isDraining;
+  private boolean isRefusing;
   private long latestNumber;
 
   ForwardContext(
@@ -75,6 +76,14 @@
     isDraining = true;
   }
 
+  boolean isRefusing() {
+    return isRefusing;
+  }
+
+  void refuseNew() {
+    isRefusing = true;
+  }
+
   long nextNumber() {
     return ++latestNumber;
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,13 +36,15 @@
 public final class ForwardGate {
   private static final int ACCEPT_QUEUE = 1_024;
 
+  /** Time in which the last bytes of answers leave the process. */
+  private static final Duration LAST_WRITES = Duration.ofMillis(60);
+
   private final EventLoop loop;
   private final ForwardSettings settings;
   private final ForwardContext context;
   private final ServerLinks servers;
   private final Map<Channel, InboundConnection> connections = new HashMap<>();
   private Runnable onQuiet = () -> {};
-  private volatile Channel listening;
 
   /**
    * Creates a gate that does not listen yet.
@@ -70,7 +73,7 @@
   public Try<InetSocketAddress> listen(InetSocketAddress address) {
     return Try.of(
         () -> {
-          listening = bootstrap().bind(address).sync().channel();
+          Channel listening = bootstrap().bind(address).sync().channel();
           loop.execute(servers::start);
           return (InetSocketAddress) listening.localAddress();
         });
@@ -82,18 +85,18 @@
   }
 
   /**
-   * Serves on, with each answer the last on its connection. After a while takes no new connection,
+   * Serves on, with each answer the last on its connection. After a while refuses what is new,
    * since a balancer without another choice sends some however long it is told not to, and closes
-   * those that are unused.
+   * unused connections.
    *
-   * @param whenQuiet called on the loop once no connection of a caller is left
+   * @param whenQuiet called on the loop once requests are refused and none is open
    */
   public void drain(Runnable whenQuiet) {
     loop.execute(
         () -> {
           context.drain();
           onQuiet = whenQuiet;
-          Channels.after(loop, settings.drainQuiet(), this::stopListening);
+          Channels.after(loop, settings.drainQuiet(), this::refuseNew);
         });
   }
 
@@ -115,17 +118,20 @@
     }
   }
 
-  private void stopListening() {
-    Channels.close(listening);
+  private void refuseNew() {
+    context.refuseNew();
     List.copyOf(connections.values()).forEach(InboundConnection::closeIfUnused);
     tellQuiet();
   }
 
+  /** Tells that nothing is open, once what was written last has had time to leave. */
   private void tellQuiet() {
-    if (context.isDraining() && connections.isEmpty()) {
+    if (context.isRefusing() && context.openExchanges() == 0) {
       Runnable told = onQuiet;
       onQuiet = () -> {};
-      told.run();
+      Channels.after(loop, LAST_WRITES, told);
+    } else {
+      Channels.after(loop, LAST_WRITES, this::tellQuiet);
     }
   }
 
@@ -154,13 +160,7 @@
     }
     InboundConnection connection = new InboundConnection(context);
     connections.put(channel, connection);
-    channel
-        .closeFuture()
-        .addListener(
-            closed -> {
-              connections.remove(channel);
-              tellQuiet();
-            });
+    channel.closeFuture().addListener(closed -> connections.remove(channel));
     channel
         .pipeline()
         .addLast(
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
@@ -16,8 +16,8 @@
  *     not be repeated goes over it
  * @param maximumIdle greatest number of unused connections to one server
  * @param maximumCallers greatest number of connections of callers
- * @param drainQuiet time after which a draining process takes no new connection; longer than the
- *     two questions after which a balancer stops to choose it
+ * @param drainQuiet time after which a draining process refuses new requests; longer than the two
+ *     questions after which a balancer stops to choose it
  */
 public record ForwardSettings(
     Duration connectTimeout,
@@ -36,5 +36,5 @@
           Duration.ofMillis(2_500),
           24,
           3_000,
-          Duration.ofMillis(2_200));
+          Duration.ofMillis(2_600));
 }
