--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.forward;
 
 import java.util.List;
+import java.util.Optional;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.CallerLimits;
 
@@ -14,8 +15,13 @@
   /** Send a request to a server. */
   record Send(long request, int attempt, Dispatch dispatch) implements ForwardCommand {}
 
-  /** Pass the answer of an attempt on to the caller as it arrives. */
-  record Relay(long request, int attempt) implements ForwardCommand {}
+  /**
+   * Pass the answer of an attempt on to the caller as it arrives.
+   *
+   * @param stallMicros silence of the server after which the attempt counts as broken, where the
+   *     stream may go on elsewhere
+   */
+  record Relay(long request, int attempt, Optional<Long> stallMicros) implements ForwardCommand {}
 
   /** Drop an attempt and close its connection unless its whole answer is in. */
   record Drop(long request, int attempt) implements ForwardCommand {}
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -57,6 +57,15 @@
   /** Time that a server which turned a request away is given to make room. */
   private static final long REJECTED_PAUSE_MICROS = 60_000;
 
+  /** Accepted pauses of a stream after which a silent server is given up. */
+  private static final long STALL_GAPS = 3;
+
+  /** Greatest value of the least time after which a server may count as stuck; else the target. */
+  private static final double LONGEST_LEAST_MICROS = 700_000;
+
+  /** Times the expected time after which a request counts as stuck. */
+  private static final double STUCK_FACTOR = 3;
+
   /** Longest time without a sign from a server at which requests are open. */
   private static final long SILENCE_MICROS = 1_200_000;
 
@@ -450,7 +459,8 @@
       return;
     }
     request.onRelaying(nowMicros);
-    commands.accept(new ForwardCommand.Relay(request.number(), request.attempt()));
+    commands.accept(
+        new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
     options
         .journal()
         .write(
@@ -464,6 +474,12 @@
             (nowMicros - request.sentMicros()) / 1_000);
   }
 
+  /** Only a stream that may go on elsewhere gains from giving up a silent server. */
+  private static Optional<Long> stallMicros(OpenForward request) {
+    boolean mayMove = request.route().isResumable() && request.route().maximumAttempts() > 1;
+    return mayMove ? Optional.of(STALL_GAPS * request.route().gapTargetMicros()) : Optional.empty();
+  }
+
   private void onPromptRead(OpenForward request, Place place, long tookMicros, long nowMicros) {
     long newTokens = (long) routers * place.unreadTokens();
     prompts.book().onRead(request.openings(), place.server().name(), newTokens, nowMicros);
@@ -604,6 +620,7 @@
     sendWaiting(nowMicros);
     divideLanes();
     watchSilence(nowMicros);
+    giveUpStuck(nowMicros);
     servers.forget(nowMicros);
     crashes.forget(nowMicros);
   }
@@ -648,6 +665,32 @@
     }
   }
 
+  /**
+   * Sends requests elsewhere whose server has not answered anything since it got them, well beyond
+   * the time expected: it is cut off or stopped without a sign.
+   */
+  private void giveUpStuck(long nowMicros) {
+    for (OpenForward request : List.copyOf(open.values())) {
+      if (request.phase() != Phase.SENT || !request.route().isRepeatable()) {
+        continue;
+      }
+      Server server = request.server().orElseThrow();
+      double expected = request.place().map(Place::expectedMicros).orElseGet(server::answerMicros);
+      double least = Math.min(LONGEST_LEAST_MICROS, request.route().targetMicros());
+      double patience = Math.max(least, STUCK_FACTOR * expected);
+      boolean isStuck =
+          nowMicros - request.sentMicros() > patience
+              && !server.hasAnsweredSince(request.sentMicros());
+      if (isStuck && canRunOnceMore(request, nowMicros)) {
+        commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+        server.onFailure(nowMicros);
+        request.onAttemptOver(true);
+        tellFailure(request, server, "no answer");
+        retry(request, Decision.RETRY, nowMicros);
+      }
+    }
+  }
+
   private void sendWaiting(long nowMicros) {
     List<OpenForward> waiting = new ArrayList<>();
     for (OpenForward request : open.values()) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -114,7 +114,8 @@
         lanes(profile.service()).crossingMicros(server, query.isLong(), query.gapTargetMicros());
     micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
     int unread = all - cached;
-    Optional<String> fetchFrom = Optional.empty();
+    // What is believed may be gone; the store then has it, and asking it costs next to nothing.
+    Optional<String> fetchFrom = profile.store();
     Optional<String> saveTo = Optional.empty();
     if (missing > 0) {
       Optional<Server> holder = holder(server, query);
@@ -124,7 +125,6 @@
         fetchFrom = Optional.of(holder.get().entry().address());
       } else {
         micros -= isHome(server, query, openings) ? HOME_PART * speed.readMicros(missing) : 0;
-        fetchFrom = profile.store();
         saveTo = profile.store();
       }
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -165,6 +165,11 @@
     return hasRestarted;
   }
 
+  /** Returns whether any answer has come since a time. */
+  boolean hasAnsweredSince(long micros) {
+    return answeredAtMicros > micros;
+  }
+
   void onRemoved(long effectiveAtMicros) {
     removedAtMicros = Math.min(removedAtMicros, effectiveAtMicros);
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
@@ -53,7 +53,7 @@
     long request = harness.call("/book/1");
     harness.answer(request, 200);
     harness.complete(request);
-    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 1));
+    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 1, Optional.empty()));
     assertThat(harness.core.openRequests()).isEqualTo(0);
   }
 
@@ -119,14 +119,14 @@
     harness.answer(request, status);
     assertThat(harness.sends(request)).isEqualTo(2);
     harness.answer(request, status);
-    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 2));
+    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 2, Optional.empty()));
   }
 
   @Test
   void anUnsafeRequestThatAServerFailedIsAnsweredWithTheServersAnswer() {
     long request = harness.call("/book/1");
     harness.answer(request, 500);
-    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 1));
+    assertThat(harness.commands).contains(new ForwardCommand.Relay(request, 1, Optional.empty()));
   }
 
   @Test
@@ -183,6 +183,24 @@
     assertThat(harness.refusal(request)).isEmpty();
   }
 
+  @Test
+  void aRepeatableRequestLeavesAServerThatAnswersNothing() {
+    long request = harness.call("/read/1");
+    String first = harness.sent(request).get().dispatch().server();
+    harness.advance(280_000);
+    assertThat(harness.sends(request)).isEqualTo(1);
+    harness.advance(60_000);
+    assertThat(harness.sent(request).get().dispatch().server()).isNotEqualTo(first);
+    assertThat(harness.commands).contains(new ForwardCommand.Drop(request, 1));
+  }
+
+  @Test
+  void anUnsafeRequestWaitsForItsServerUntilTheDeadline() {
+    long request = harness.call("/book/1");
+    harness.advance(780_000);
+    assertThat(harness.sends(request)).isEqualTo(1);
+  }
+
   @Test
   void withoutAnyServerARequestIsRefusedSoonAsNotRun() {
     ForwardHarness none = ForwardHarness.ready(0, 0);
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package org.shallothook.transport.forward;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -100,6 +101,10 @@
     return Optional.ofNullable(open.get(number));
   }
 
+  List<InboundExchange> all() {
+    return List.copyOf(open.values());
+  }
+
   int openExchanges() {
     return open.size();
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -36,6 +36,9 @@
 public final class ForwardGate {
   private static final int ACCEPT_QUEUE = 1_024;
 
+  /** Time between two looks for streams that stand still. */
+  private static final Duration STALL_CHECK_INTERVAL = Duration.ofMillis(250);
+
   /** Time in which the last bytes of answers leave the process. */
   private static final Duration LAST_WRITES = Duration.ofMillis(60);
 
@@ -75,6 +78,7 @@
         () -> {
           Channel listening = bootstrap().bind(address).sync().channel();
           loop.execute(servers::start);
+          Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
           return (InetSocketAddress) listening.localAddress();
         });
   }
@@ -106,7 +110,9 @@
           .find(send.request())
           .ifPresent(exchange -> exchange.send(send.attempt(), send.dispatch()));
     } else if (command instanceof ForwardCommand.Relay relay) {
-      context.find(relay.request()).ifPresent(exchange -> exchange.relay(relay.attempt()));
+      context
+          .find(relay.request())
+          .ifPresent(exchange -> exchange.relay(relay.attempt(), relay.stallMicros()));
     } else if (command instanceof ForwardCommand.Drop drop) {
       context.find(drop.request()).ifPresent(exchange -> exchange.drop(drop.attempt()));
     } else if (command instanceof ForwardCommand.Refuse refuse) {
@@ -118,6 +124,11 @@
     }
   }
 
+  private void checkStalls() {
+    context.all().forEach(InboundExchange::checkStall);
+    Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
+  }
+
   private void refuseNew() {
     context.refuseNew();
     List.copyOf(connections.values()).forEach(InboundConnection::closeIfUnused);
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -62,6 +62,8 @@
   private Optional<EventCutter> events = Optional.empty();
   private boolean hasBegun;
   private boolean isOver;
+  private Optional<Long> stallMicros = Optional.empty();
+  private long receivedAtMicros;
 
   InboundExchange(
       long number, OutboundRequest request, ForwardContext context, Connection connection) {
@@ -88,7 +90,9 @@
     context.servers().send(next);
   }
 
-  void relay(int attemptNumber) {
+  void relay(int attemptNumber, Optional<Long> newStallMicros) {
+    stallMicros = newStallMicros;
+    receivedAtMicros = context.nowMicros();
     ServerAttempt current = current(attemptNumber);
     if (current == null || isOver) {
       return;
@@ -132,6 +136,20 @@
     }
   }
 
+  /** Counts the open attempt as broken where its server has been silent for too long. */
+  void checkStall() {
+    long silence = context.nowMicros() - receivedAtMicros;
+    boolean isStalled =
+        connection.channel().isWritable()
+            && stallMicros.filter(limit -> silence > limit).isPresent();
+    if (isStalled && attempt.isPresent()) {
+      ServerAttempt silent = attempt.get();
+      stallMicros = Optional.empty();
+      silent.drop();
+      broken(silent, false, "the server fell silent within the stream");
+    }
+  }
+
   /** Ends the exchange because the caller has left. */
   void abandon() {
     end();
@@ -160,6 +178,7 @@
 
   @Override
   public void received(ServerAttempt open, HttpContent content) {
+    receivedAtMicros = context.nowMicros();
     try {
       if (isCurrent(open) && content.content().isReadable()) {
         pass(content.content());
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
@@ -78,7 +78,8 @@
               Optional.empty());
       gate.carryOut(new ForwardCommand.Send(requested.request(), 1, dispatch));
     } else if (event instanceof ForwardEvent.Answered answered) {
-      gate.carryOut(new ForwardCommand.Relay(answered.request(), answered.attempt()));
+      gate.carryOut(
+          new ForwardCommand.Relay(answered.request(), answered.attempt(), Optional.empty()));
     } else if (event instanceof ForwardEvent.Broken broken) {
       boolean hasBegun =
           events.stream()
