--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -676,7 +676,7 @@
       }
       Server server = request.server().orElseThrow();
       double expected = request.place().map(Place::expectedMicros).orElseGet(server::answerMicros);
-      double least = Math.min(LONGEST_LEAST_MICROS, request.route().targetMicros());
+      double least = Math.min(LONGEST_LEAST_MICROS, (double) request.route().targetMicros());
       double patience = Math.max(least, STUCK_FACTOR * expected);
       boolean isStuck =
           nowMicros - request.sentMicros() > patience
