--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -51,6 +51,9 @@
   /** Time after which callers should come back to a router without a configuration. */
   private static final long NO_CONFIGURATION_RETURN_MICROS = 300_000;
 
+  /** Time after which a refused caller reaches another router; a retry finds one at once. */
+  private static final long LEAVING_RETURN_MICROS = 100_000;
+
   /** Servers that may turn one request away before its caller is told to come back. */
   private static final int MOST_REJECTIONS = 3;
 
@@ -81,6 +84,7 @@
   private final SplittableRandom random;
   private final Map<Long, OpenForward> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
+  private Optional<Long> leavesAtMicros = Optional.empty();
   private boolean isRegistryReachable;
   private boolean knowsServers;
   private int routers = 1;
@@ -169,6 +173,8 @@
       prompts.book().onTold(heard.openings(), heard.server(), nowMicros);
     } else if (event instanceof ForwardEvent.CrashHeard heard) {
       crashes.count(heard.contentHash(), heard.crash(), nowMicros);
+    } else if (event instanceof ForwardEvent.Leaving leaving) {
+      leavesAtMicros = Optional.of(leaving.endsAtMicros());
     } else if (event instanceof ForwardEvent.RoutersCounted counted) {
       routers = Math.max(1, counted.routers());
       retries.onRouters(counted.routers());
@@ -237,9 +243,27 @@
           event, Refusal.notRun(RefusalReason.CRASHES_UPSTREAMS, "It has crashed upstreams."));
       return;
     }
+    if (leavesAtMicros.isPresent() && !fitsBeforeTheEnd(event, route.get(), nowMicros)) {
+      refuseUnopened(
+          event,
+          Refusal.notRun(
+              RefusalReason.ROUTER_LEAVING,
+              "The router is being stopped.",
+              nowMicros + LEAVING_RETURN_MICROS));
+      return;
+    }
     open(event, route.get(), team, nowMicros);
   }
 
+  /** While streams keep a leaving process up, it also takes what is sure to end before it does. */
+  private boolean fitsBeforeTheEnd(ForwardEvent.Requested event, Route route, long nowMicros) {
+    long byRoute = nowMicros + route.timeoutMicros();
+    long latest = Math.min(byRoute, event.head().callerDeadlineMicros().orElse(byRoute));
+    boolean hasStreams =
+        open.values().stream().anyMatch(one -> one.route().kind() == CallKind.STREAMING);
+    return hasStreams && latest < leavesAtMicros.get();
+  }
+
   /** A router that cannot read the registry may lack what allows the request. */
   private Refusal unknown(RefusalReason reason, String detail, long nowMicros) {
     return isRegistryReachable
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -75,6 +75,13 @@
   /** The number of routers that share the load is known. */
   record RoutersCounted(int routers) implements ForwardEvent {}
 
+  /**
+   * The process is to end, and callers should have found others by now.
+   *
+   * @param endsAtMicros when it ends at the latest
+   */
+  record Leaving(long endsAtMicros) implements ForwardEvent {}
+
   /** Time has passed. */
   record Tick() implements ForwardEvent {}
 }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
@@ -201,6 +201,27 @@
     assertThat(harness.sends(request)).isEqualTo(1);
   }
 
+  @Test
+  void aLeavingRouterRefusesWhatIsNewAsNotRun() {
+    harness.handle(new ForwardEvent.Leaving(harness.now() + 5_000_000));
+    long request = harness.call("/book/1");
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.ROUTER_LEAVING);
+    assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
+  @Test
+  void whileStreamsKeepItUpALeavingRouterTakesWhatEndsBeforeIt() {
+    long stream = harness.ask("north");
+    harness.handle(new ForwardEvent.Leaving(harness.now() + 2_000_000));
+    assertThat(harness.sent(harness.call("/book/1"))).isPresent();
+    assertThat(harness.refusal(harness.ask("south"))).isPresent();
+    harness.advance(1_300_000);
+    assertThat(harness.refusal(harness.call("/book/2"))).isPresent();
+    harness.answer(stream, 200);
+    harness.complete(stream);
+    assertThat(harness.refusal(harness.call("/book/3"))).isPresent();
+  }
+
   @Test
   void withoutAnyServerARequestIsRefusedSoonAsNotRun() {
     ForwardHarness none = ForwardHarness.ready(0, 0);
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -278,9 +278,10 @@
   private void drain() {
     isLeaving.set(true);
     log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "draining");
-    gate.drain(stop::drained);
     Duration longest =
         Duration.ofSeconds(settings.number(HostedKeys.STOP_SECONDS)).minus(CLOSE_MARGIN);
+    long endsAtMicros = Clock.steadyMicros() + TimeUnit.NANOSECONDS.toMicros(longest.toNanos());
+    gate.drain(() -> thread.deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::drained);
     Channels.after(loops.internal(), longest, stop::drained);
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -25,7 +25,7 @@
   private final Map<Long, InboundExchange> open = new HashMap<>();
   private CallerLimits limits = CallerLimits.DEFAULT;
   private boolean isDraining;
-  private boolean isRefusing;
+  private boolean isLate;
   private long latestNumber;
 
   ForwardContext(
@@ -77,12 +77,12 @@
     isDraining = true;
   }
 
-  boolean isRefusing() {
-    return isRefusing;
+  boolean isLate() {
+    return isLate;
   }
 
-  void refuseNew() {
-    isRefusing = true;
+  void onLate() {
+    isLate = true;
   }
 
   long nextNumber() {
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -95,12 +95,12 @@
    *
    * @param whenQuiet called on the loop once requests are refused and none is open
    */
-  public void drain(Runnable whenQuiet) {
+  public void drain(Runnable whenLate, Runnable whenQuiet) {
     loop.execute(
         () -> {
           context.drain();
           onQuiet = whenQuiet;
-          Channels.after(loop, settings.drainQuiet(), this::refuseNew);
+          Channels.after(loop, settings.drainQuiet(), () -> endIdle(whenLate));
         });
   }
 
@@ -129,15 +129,16 @@
     Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
   }
 
-  private void refuseNew() {
-    context.refuseNew();
+  private void endIdle(Runnable whenLate) {
+    whenLate.run();
+    context.onLate();
     List.copyOf(connections.values()).forEach(InboundConnection::closeIfUnused);
     tellQuiet();
   }
 
   /** Tells that nothing is open, once what was written last has had time to leave. */
   private void tellQuiet() {
-    if (context.isRefusing() && context.openExchanges() == 0) {
+    if (context.isLate() && context.openExchanges() == 0) {
       Runnable told = onQuiet;
       onQuiet = () -> {};
       Channels.after(loop, LAST_WRITES, told);
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -52,9 +52,6 @@
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private static final long OVERLOAD_RETURN_MICROS = 500_000;
 
-  /** Time after which a refused caller reaches another router; a retry finds one at once. */
-  private static final long LEAVING_RETURN_MICROS = 100_000;
-
   private final ForwardContext context;
   private final Queue<Received> waiting = new ArrayDeque<>();
   private Channel channel;
@@ -247,10 +244,6 @@
     InboundExchange exchange = new InboundExchange(context.nextNumber(), request, context, this);
     current = Optional.of(exchange);
     context.opened(exchange);
-    if (context.isRefusing()) {
-      refuseNew(exchange);
-      return;
-    }
     boolean isTaken =
         context.events().offer(new ForwardEvent.Requested(exchange.number(), typed.get()));
     if (!isTaken) {
@@ -263,16 +256,6 @@
     }
   }
 
-  /** Another router takes the request; this one would be stopped before it has ended. */
-  private void refuseNew(InboundExchange exchange) {
-    context.counters().refused(RefusalReason.ROUTER_LEAVING);
-    exchange.refuse(
-        Refusal.notRun(
-            RefusalReason.ROUTER_LEAVING,
-            "The router is being stopped.",
-            context.nowMicros() + LEAVING_RETURN_MICROS));
-  }
-
   private static long contentHash(Received received) {
     HttpRequest request = received.head();
     String key = orEmpty(request.headers().get(HttpHeaderNames.AUTHORIZATION));
