Keep prompts at their holder; share the wiring of hosted processes

Short streams were planned at 26 a server and so spread over all of them. Change: a copy costs a part of the reading time it saves, the home counts more, and 42 short streams are planned on a server.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -505,7 +505,8 @@
   }
 
   private void onPromptRead(OpenForward request, Place place, long tookMicros, long nowMicros) {
-    long newTokens = (long) routers * place.unreadTokens();
+    int tokens = prompts.speed().tokensReadIn(tookMicros, place.unreadTokens());
+    long newTokens = (long) routers * tokens;
     prompts.book().onRead(request.openings(), place.server().name(), newTokens, nowMicros);
     place.server().onPromptRead(prompts.speed().readMicros(place.unreadTokens()));
     prompts.speed().onFirstOutput(place.unreadTokens(), tookMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
@@ -26,7 +26,7 @@
   private static final int CAPACITY = 8_192;
 
   /** Part of a server's memory that is counted on, as running requests take some of it. */
-  private static final double USABLE_PART = 0.6;
+  private static final double USABLE_PART = 0.75;
 
   private final Map<Long, Map<String, Entry>> holders = new LinkedHashMap<>(CAPACITY, 0.75f, true);
   private final Map<String, Long> tokensRead = new HashMap<>();
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -19,7 +19,10 @@
  */
 final class PromptPlacement {
   /** Part of the time to read an unknown opening that its home is ahead of others by. */
-  private static final double HOME_PART = 0.7;
+  private static final double HOME_PART = 1.0;
+
+  /** Part of that time that another copy of an opening costs, since it drops others from memory. */
+  private static final double COPY_PART = 0.6;
 
   /** Time by which a server of the own failure domain is ahead of others, in microseconds. */
   private static final double DOMAIN_MICROS = 3_000;
@@ -122,6 +125,7 @@
       if (holder.isPresent()) {
         unread -= missing;
         micros += missing * profile.fetchMicrosPerToken();
+        micros += COPY_PART * speed.readMicros(missing);
         fetchFrom = Optional.of(holder.get().entry().address());
       } else {
         micros -= isHome(server, query, openings) ? HOME_PART * speed.readMicros(missing) : 0;
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
@@ -32,7 +32,7 @@
   private static final double MOVE_AT = 0.75;
 
   /** Part of its places that a server of the short ones is planned to have taken. */
-  private static final double PLANNED_PLACES = 0.4;
+  private static final double PLANNED_PLACES = 0.65;
 
   private double shortWork;
   private double longWork;
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ReadingSpeed.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ReadingSpeed.java
@@ -27,6 +27,11 @@
     return tokens * microsPerToken;
   }
 
+  /** Returns how many of some tokens can have been read in a time. */
+  int tokensReadIn(long micros, int atMost) {
+    return (int) Math.min(atMost, micros / microsPerToken);
+  }
+
   /** Takes in the time from sending a prompt until its first output. */
   void onFirstOutput(int unreadTokens, long micros) {
     if (unreadTokens < LEAST_TOKENS) {
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -1,8 +1,6 @@
 package org.shallothook.router;
 
 import io.vavr.control.Try;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,29 +24,15 @@
 import org.shallothook.coordination.registry.RegistryStream;
 import org.shallothook.platform.HostedNode;
 import org.shallothook.platform.HostedRequestForm;
-import org.shallothook.platform.StoreClient;
 import org.shallothook.state.log.KeyedRecord;
-import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
-import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
-import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.admin.AdminServer;
-import org.shallothook.transport.decision.DecisionSettings;
-import org.shallothook.transport.decision.DecisionThread;
 import org.shallothook.transport.forward.ForwardGate;
 import org.shallothook.transport.forward.ForwardSettings;
-import org.shallothook.transport.logging.DecisionLog;
-import org.shallothook.transport.metrics.TransportMetrics;
-import org.shallothook.transport.peer.PeerIdentity;
-import org.shallothook.transport.peer.PeerNetwork;
-import org.shallothook.transport.peer.PeerSettings;
-import org.shallothook.transport.platform.HttpClient;
-import org.shallothook.transport.platform.HttpSettings;
 import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
-import org.shallothook.transport.process.HangupSignal;
 import org.shallothook.transport.process.Listening;
 import org.shallothook.transport.settings.CommonKeys;
 import org.shallothook.transport.settings.HostedKeys;
@@ -80,72 +64,49 @@
   private static final Duration CLOSE_MARGIN = Duration.ofMillis(700);
 
   private final Settings settings;
-  private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
-  private final TransportMetrics metrics = new TransportMetrics();
-  private final EventLoops loops = EventLoops.create(1);
   private final AtomicBoolean isLeaving = new AtomicBoolean();
   private final AtomicBoolean isReady = new AtomicBoolean();
-  private final DecisionLog log =
-      new DecisionLog(new FileOutputStream(FileDescriptor.out), metrics);
-  private final DecisionThread<CoreEvent> thread;
+  private final HostedNode node;
   private final ForwardGate gate;
   private final ForwardCore core;
   private final RegistryCore registry;
-  private final HostedNode node;
-  private final PeerNetwork peers;
   private final AdminServer admin;
-  private final GracefulStop stop = new GracefulStop(this::drain, this::close);
+  private final GracefulStop stop;
   private long latestMicros;
 
   HostedRouter(Settings settings) {
     this.settings = settings;
-    thread =
-        new DecisionThread<>(
-            new DecisionSettings(
-                "decisions",
-                settings.number(CommonKeys.RING_SIZE),
-                ForwardCore.TICK_INTERVAL_MICROS),
-            ForwardEvent.Tick::new,
-            Clock::steadyMicros,
-            metrics);
+    node =
+        new HostedNode(
+            settings,
+            InstanceRole.ROUTER,
+            ForwardCore.TICK_INTERVAL_MICROS,
+            ForwardEvent.Tick::new);
     gate =
         new ForwardGate(
-            loops.internal(),
+            node.loop(),
             new HostedRequestForm(),
             ForwardSettings.DEFAULT,
-            thread,
-            metrics,
+            node.events(),
+            node.metrics(),
             Clock::steadyMicros);
-    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
-    StoreClient store = new StoreClient(client, settings.address(HostedKeys.STORE), metrics);
-    node = new HostedNode(store, thread, log);
-    peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), node, metrics);
     core = new ForwardCore(forwardOptions(), this::carryOut);
     registry =
         new RegistryCore(
-            new RegistryOptions(self(), policies(), incarnation),
-            command -> node.carryOut(command, peers),
-            this);
+            new RegistryOptions(node.self(), policies(), node.incarnation()), node::carryOut, this);
     admin =
         new AdminServer(
-            loops.internal(), metrics.registry(), () -> isLeaving.get() || !isReady.get());
-    metrics.gauge("requests.open", core::openRequests);
+            node.loop(), node.metrics().registry(), () -> isLeaving.get() || !isReady.get());
+    node.metrics().gauge("requests.open", core::openRequests);
+    stop = new GracefulStop(this::drain, node::close);
   }
 
   /** Starts to serve; returns the failure where an address cannot be listened on. */
   Try<Void> start() {
-    log.start();
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "started");
-    thread.start(this::handle);
+    node.start(this::handle);
     return Listening.start("callers", gate::listen, settings.address(RouterSettings.LISTEN_CALLERS))
-        .flatMap(
-            done ->
-                Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
-        .flatMap(
-            done ->
-                Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS)))
-        .onSuccess(done -> stop.arm())
-        .onSuccess(done -> HangupSignal.handle(this::reload));
+        .flatMap(done -> node.listen(admin))
+        .onSuccess(done -> stop.arm());
   }
 
   @Override
@@ -162,7 +123,8 @@
 
   @Override
   public void reachable(boolean isReachable, long nowMicros) {
-    log.write(Decision.DEPENDENCY, "store", "outcome", isReachable ? "regained" : "lost");
+    node.journal()
+        .write(Decision.DEPENDENCY, "store", "outcome", isReachable ? "regained" : "lost");
     core.handle(new ForwardEvent.RegistryReachable(isReachable), nowMicros);
   }
 
@@ -175,7 +137,7 @@
     } else if (envelope.message() instanceof PeerMessage.CrashSeen seen) {
       core.handle(new ForwardEvent.CrashHeard(seen.content(), seen.crash()), nowMicros);
     } else {
-      metrics.increment("peers.unexpected-message");
+      node.metrics().increment("peers.unexpected-message");
     }
   }
 
@@ -246,51 +208,18 @@
         TimeUnit.SECONDS.toMicros(settings.number(HostedKeys.RETRY_WINDOW_SECONDS)),
         (long) (VERSION_PART * versionMicros),
         QUARANTINE_MICROS,
-        incarnation,
-        metrics,
-        log);
-  }
-
-  private Instance self() {
-    return new Instance(
-        settings.text(CommonKeys.NAME),
-        InstanceRole.ROUTER,
-        Addresses.text(settings.address(CommonKeys.LISTEN_PEERS)),
-        settings.text(CommonKeys.FAILURE_DOMAIN),
-        settings.text(CommonKeys.REGION),
-        "",
-        false);
-  }
-
-  private PeerIdentity identity() {
-    return new PeerIdentity(
-        settings.text(CommonKeys.NAME),
-        incarnation,
-        InstanceRole.ROUTER,
-        settings.text(CommonKeys.FAILURE_DOMAIN));
-  }
-
-  /** Settings are read when a process starts; none of them can change what is decided later. */
-  private void reload() {
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "reload ignored");
+        node.incarnation(),
+        node.metrics(),
+        node.journal());
   }
 
   private void drain() {
     isLeaving.set(true);
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "draining");
+    node.tell("draining");
     Duration longest =
         Duration.ofSeconds(settings.number(HostedKeys.STOP_SECONDS)).minus(CLOSE_MARGIN);
     long endsAtMicros = Clock.steadyMicros() + TimeUnit.NANOSECONDS.toMicros(longest.toNanos());
-    gate.drain(() -> thread.deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::drained);
-    Channels.after(loops.internal(), longest, stop::drained);
-  }
-
-  private void close() {
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "stopped");
-    try {
-      log.close();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    gate.drain(() -> node.events().deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::drained);
+    Channels.after(node.loop(), longest, stop::drained);
   }
 }
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -1,12 +1,9 @@
 package org.shallothook.sidecar;
 
 import io.vavr.control.Try;
-import java.io.FileDescriptor;
-import java.io.FileOutputStream;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.shallothook.coordination.forward.Decision;
 import org.shallothook.coordination.message.Envelope;
@@ -23,29 +20,12 @@
 import org.shallothook.coordination.weights.WeightKeeper;
 import org.shallothook.platform.EngineCalls;
 import org.shallothook.platform.HostedNode;
-import org.shallothook.platform.StoreClient;
 import org.shallothook.state.log.KeyedRecord;
-import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.transport.Addresses;
-import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.admin.AdminServer;
-import org.shallothook.transport.decision.DecisionSettings;
-import org.shallothook.transport.decision.DecisionThread;
-import org.shallothook.transport.logging.DecisionLog;
-import org.shallothook.transport.metrics.TransportMetrics;
-import org.shallothook.transport.peer.PeerIdentity;
-import org.shallothook.transport.peer.PeerNetwork;
-import org.shallothook.transport.peer.PeerSettings;
-import org.shallothook.transport.platform.HttpClient;
-import org.shallothook.transport.platform.HttpSettings;
-import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
-import org.shallothook.transport.process.HangupSignal;
-import org.shallothook.transport.process.Listening;
-import org.shallothook.transport.settings.CommonKeys;
-import org.shallothook.transport.settings.HostedKeys;
 import org.shallothook.transport.settings.Settings;
 
 /**
@@ -64,65 +44,40 @@
   /** Time between two reads of the registry that nothing has asked for. */
   private static final long SERVERS_INTERVAL_MICROS = 30_000_000;
 
-  private final Settings settings;
-  private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
-  private final TransportMetrics metrics = new TransportMetrics();
-  private final EventLoops loops = EventLoops.create(1);
   private final AtomicBoolean isLeaving = new AtomicBoolean();
-  private final DecisionLog log =
-      new DecisionLog(new FileOutputStream(FileDescriptor.out), metrics);
-  private final DecisionThread<CoreEvent> thread;
+  private final HostedNode node;
   private final WeightKeeper keeper;
   private final RegistryCore registry;
-  private final HostedNode node;
-  private final StoreClient store;
   private final EngineCalls engine;
-  private final PeerNetwork peers;
   private final AdminServer admin;
-  private final GracefulStop stop = new GracefulStop(this::drain, this::close);
+  private final GracefulStop stop;
   private long latestMicros;
 
   HostedSidecar(Settings settings) {
-    this.settings = settings;
-    thread =
-        new DecisionThread<>(
-            new DecisionSettings(
-                "decisions",
-                settings.number(CommonKeys.RING_SIZE),
-                WeightKeeper.TICK_INTERVAL_MICROS),
-            WeightEvent.Tick::new,
-            Clock::steadyMicros,
-            metrics);
-    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
-    store = new StoreClient(client, settings.address(HostedKeys.STORE), metrics);
-    engine = new EngineCalls(client, settings.address(HostedSidecarSettings.UPSTREAM));
-    node = new HostedNode(store, thread, log);
-    peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), node, metrics);
+    node =
+        new HostedNode(
+            settings,
+            InstanceRole.MODEL_ENGINE,
+            WeightKeeper.TICK_INTERVAL_MICROS,
+            WeightEvent.Tick::new);
+    engine = new EngineCalls(node.client(), settings.address(HostedSidecarSettings.UPSTREAM));
     keeper =
         new WeightKeeper(
-            settings.text(CommonKeys.NAME),
+            node.name(),
             Addresses.text(settings.address(HostedSidecarSettings.UPSTREAM)),
             this::carryOut,
-            log);
+            node.journal());
     registry =
         new RegistryCore(
-            new RegistryOptions(self(), policies(), incarnation),
-            command -> node.carryOut(command, peers),
-            this);
-    admin = new AdminServer(loops.internal(), metrics.registry(), isLeaving::get);
+            new RegistryOptions(node.self(), policies(), node.incarnation()), node::carryOut, this);
+    admin = new AdminServer(node.loop(), node.metrics().registry(), isLeaving::get);
+    stop = new GracefulStop(this::drain, node::close);
   }
 
   /** Starts to serve; returns the failure where an address cannot be listened on. */
   Try<Void> start() {
-    log.start();
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "started");
-    thread.start(this::handle);
-    return Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN))
-        .flatMap(
-            done ->
-                Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS)))
-        .onSuccess(done -> stop.arm())
-        .onSuccess(done -> HangupSignal.handle(this::reload));
+    node.start(this::handle);
+    return node.listen(admin).onSuccess(done -> stop.arm());
   }
 
   @Override
@@ -141,7 +96,8 @@
 
   @Override
   public void reachable(boolean isReachable, long nowMicros) {
-    log.write(Decision.DEPENDENCY, "store", "outcome", isReachable ? "regained" : "lost");
+    node.journal()
+        .write(Decision.DEPENDENCY, "store", "outcome", isReachable ? "regained" : "lost");
   }
 
   @Override
@@ -149,7 +105,7 @@
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
       keeper.handle(new WeightEvent.StatusHeard(status), nowMicros);
     } else {
-      metrics.increment("peers.unexpected-message");
+      node.metrics().increment("peers.unexpected-message");
     }
   }
 
@@ -168,7 +124,7 @@
   private void readOperator(KeyedRecord record, long nowMicros) {
     node.readOperator(
         record,
-        table -> metrics.increment("configuration.read"),
+        table -> node.metrics().increment("configuration.read"),
         version -> keeper.handle(new WeightEvent.Named(version), nowMicros));
   }
 
@@ -183,14 +139,18 @@
 
   private void carryOut(WeightCommand command) {
     if (command instanceof WeightCommand.ReadReport) {
-      engine.report(answer -> thread.deliver(new WeightEvent.Reported(answer)));
+      engine.report(answer -> node.events().deliver(new WeightEvent.Reported(answer)));
     } else if (command instanceof WeightCommand.TakeFence) {
-      store.takeNumber(
-          settings.text(CommonKeys.NAME),
-          offset -> thread.deliver(new WeightEvent.FenceTaken(offset.map(number -> number + 1))));
+      node.store()
+          .takeNumber(
+              node.name(),
+              offset ->
+                  node.events()
+                      .deliver(new WeightEvent.FenceTaken(offset.map(number -> number + 1))));
     } else if (command instanceof WeightCommand.Order order) {
       engine.order(
-          order.order(), answer -> thread.deliver(new WeightEvent.Ordered(order.order(), answer)));
+          order.order(),
+          answer -> node.events().deliver(new WeightEvent.Ordered(order.order(), answer)));
     } else if (command instanceof WeightCommand.ReadServers) {
       registry.hurry(RegistryStream.SERVERS, latestMicros);
     } else if (command instanceof WeightCommand.Announce announce) {
@@ -213,42 +173,9 @@
         RegistryStream.MEMBERS, new FollowPolicy(0, MEMBERS_INTERVAL_MICROS));
   }
 
-  private Instance self() {
-    return new Instance(
-        settings.text(CommonKeys.NAME),
-        InstanceRole.MODEL_ENGINE,
-        Addresses.text(settings.address(CommonKeys.LISTEN_PEERS)),
-        settings.text(CommonKeys.FAILURE_DOMAIN),
-        settings.text(CommonKeys.REGION),
-        "",
-        false);
-  }
-
-  private PeerIdentity identity() {
-    return new PeerIdentity(
-        settings.text(CommonKeys.NAME),
-        incarnation,
-        InstanceRole.MODEL_ENGINE,
-        settings.text(CommonKeys.FAILURE_DOMAIN));
-  }
-
-  /** Settings are read when a process starts; none of them can change what is decided later. */
-  private void reload() {
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "reload ignored");
-  }
-
   /** Nothing runs through this process, so it may end at once. */
   private void drain() {
     isLeaving.set(true);
     stop.drained();
   }
-
-  private void close() {
-    log.write(Decision.PROCESS, settings.text(CommonKeys.NAME), "outcome", "stopped");
-    try {
-      log.close();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
