--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -80,7 +80,6 @@
   private final CrashRegister crashes;
   private final PromptPlacement prompts;
   private final CallPlacement calls;
-  private final StreamLengths streams = new StreamLengths();
   private final SplittableRandom random;
   private final Map<Long, OpenForward> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
@@ -298,9 +297,8 @@
   private void sendOrWait(OpenForward request, long nowMicros) {
     List<Server> usable = servers.usable(request.service(), nowMicros);
     Optional<PromptOutline> prompt = promptOf(request);
-    List<Server> current =
+    List<Server> eligible =
         prompt.map(one -> weights.eligible(usable, one.model(), nowMicros)).orElse(usable);
-    List<Server> eligible = withoutSpared(request, current, nowMicros);
     List<Server> untried = eligible.stream().filter(server -> !request.hasTried(server)).toList();
     List<Server> candidates = untried.isEmpty() && !request.mayHaveRun() ? eligible : untried;
     boolean isSent =
@@ -318,16 +316,6 @@
     }
   }
 
-  /** Leaves out servers that are to get no long streams, unless there are no others. */
-  private List<Server> withoutSpared(OpenForward request, List<Server> candidates, long nowMicros) {
-    if (!streams.isLong(request.route().name())) {
-      return candidates;
-    }
-    List<Server> others =
-        candidates.stream().filter(server -> !server.isSpared(nowMicros)).toList();
-    return others.isEmpty() ? candidates : others;
-  }
-
   private boolean placePrompt(
       OpenForward request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
     ScopedOpenings openings = new ScopedOpenings(prompt, scopeOf(request));
@@ -482,7 +470,7 @@
       breakOff(request, "the stream could not be resumed: status " + answer.status(), nowMicros);
       return;
     }
-    request.onRelaying(nowMicros);
+    request.onRelaying();
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
     options
@@ -550,9 +538,6 @@
   }
 
   private void onCompleted(OpenForward request, long nowMicros) {
-    if (request.route().kind() == CallKind.STREAMING) {
-      streams.onEnded(request.route().name(), nowMicros - request.relayedMicros());
-    }
     request.onAttemptOver(true);
     open.remove(request.number());
     crashes.onAnswered(request.head().contentHash());
--- a/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
@@ -40,7 +40,6 @@
   private int rejections;
   private boolean mayHaveRun;
   private long sentMicros;
-  private long relayedMicros;
   private long waitUntilMicros;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
@@ -195,13 +194,7 @@
     phase = Phase.WAITING;
   }
 
-  /** Returns when the answer of the open attempt began. */
-  long relayedMicros() {
-    return relayedMicros;
-  }
-
-  void onRelaying(long nowMicros) {
-    relayedMicros = nowMicros;
+  void onRelaying() {
     phase = Phase.RELAYING;
     hasBegunAnswer = true;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -7,7 +7,6 @@
 import org.shallothook.coordination.placement.PlacementCandidate;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.state.cache.ModelVersion;
-import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.route.ServerEntry;
 
 /**
@@ -44,7 +43,6 @@
   private double sentSinceStatusMicros;
   private long statusUntilMicros;
   private boolean isHeldByStatus;
-  private boolean isSpared;
   private long answeredAtMicros;
   private long silentSinceMicros;
 
@@ -123,11 +121,6 @@
         && !isHeld;
   }
 
-  /** Returns whether the server is to get no long streams, since it is to load new weights. */
-  boolean isSpared(long nowMicros) {
-    return isSpared && nowMicros < statusUntilMicros;
-  }
-
   /** Returns whether the server is out of the registry and nothing is open at it. */
   boolean isForgettable(long nowMicros) {
     return nowMicros >= removedAtMicros && outstanding == 0;
@@ -177,7 +170,6 @@
   void onStatus(SidecarStatus status, long nowMicros) {
     statusUntilMicros = nowMicros + STATUS_VALID_MICROS;
     isHeldByStatus = status.isLeaving() || status.ready().isEmpty();
-    isSpared = status.role() == EngineRole.OTHER;
     queueDelayMicros = status.queueDelayMicros();
     sentSinceStatusMicros = 0;
     for (ModelVersion ready : status.ready()) {
--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutTurn.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutTurn.java
@@ -25,14 +25,8 @@
 
   private static final int LEAST_AT_ONCE = 2;
 
-  /** Part of the servers that prepares as soon as a version is named. */
-  private static final double FIRST_PART = 0.6;
-
-  /** Part of the servers that must be back before the rest prepares. */
-  private static final double BACK_PART = 0.3;
-
-  /** Time after which the rest prepares, whoever is back, in microseconds. */
-  private static final long LAST_PREPARATION_MICROS = 3_000_000;
+  /** Time between the starts of two groups, at least, in microseconds. */
+  private static final long GROUP_MICROS = 300_000;
 
   /** Time after which the last server is taken away, whatever is heard, in microseconds. */
   private static final long LAST_START_MICROS = 5_000_000;
@@ -60,36 +54,17 @@
     heard.put(status.upstream(), new Heard(status, nowMicros));
   }
 
-  /** Returns whether a server takes no more long streams. */
-  boolean mayPrepare(Rollout rollout, long nowMicros) {
-    boolean isFirst = rollout.rank() < Math.ceil(FIRST_PART * rollout.servers().size());
-    boolean areBack = backCount(rollout) >= BACK_PART * rollout.servers().size();
-    return isFirst || areBack || nowMicros - rollout.namedAtMicros() >= LAST_PREPARATION_MICROS;
-  }
-
-  /** Returns whether a server that has prepared may be taken away. */
-  boolean mayLeave(Rollout rollout, long nowMicros) {
+  /** Returns whether a server may be taken away now. */
+  boolean hasCome(Rollout rollout, long nowMicros) {
     int all = rollout.servers().size();
     int live = Math.max(1, all - count(rollout, nowMicros, true));
     int atOnce = Math.max(LEAST_AT_ONCE, (live + PART_AT_ONCE - 1) / PART_AT_ONCE);
+    int rank = rollout.rank();
+    long age = nowMicros - rollout.namedAtMicros();
+    boolean isGroupsTurn = age >= rank / atOnce * GROUP_MICROS;
     boolean isFree = count(rollout, nowMicros, false) < Math.min(atOnce, live);
-    return isFree || isLate(rollout, nowMicros);
-  }
-
-  /** Returns whether a server has no more time to prepare. */
-  boolean isLate(Rollout rollout, long nowMicros) {
-    long part = LAST_START_MICROS * (rollout.rank() + 1) / Math.max(1, rollout.servers().size());
-    return nowMicros - rollout.namedAtMicros() >= part;
-  }
-
-  private long backCount(Rollout rollout) {
-    return rollout.servers().stream()
-        .map(heard::get)
-        .filter(one -> one != null)
-        .flatMap(one -> one.status().ready().stream())
-        .filter(ready -> ready.model().equals(rollout.wanted().model()))
-        .filter(ready -> Long.parseLong(ready.version()) >= rollout.wanted().version())
-        .count();
+    boolean isLate = age >= LAST_START_MICROS * (rank + 1) / Math.max(1, all);
+    return isLate || (isGroupsTurn && isFree);
   }
 
   /** Counts other servers that take no work: down ones, or those that are away for a load. */
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -10,7 +10,6 @@
 import org.shallothook.coordination.forward.DecisionJournal;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.state.cache.ModelVersion;
-import org.shallothook.state.membership.EngineRole;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -40,12 +39,6 @@
   /** Time between two announcements that the server takes no work. */
   private static final long REPEAT_MICROS = 1_000_000;
 
-  /** Longest time that long streams already running are waited for, in microseconds. */
-  private static final long STREAMS_MICROS = 2_200_000;
-
-  /** Streams that an order may wait for; others are short, or they would have ended. */
-  private static final int FEW_STREAMS = 2;
-
   /** Longest time that prompts already sent are waited for before an order turns them away. */
   private static final long QUEUE_DRAIN_MICROS = 350_000;
 
@@ -79,8 +72,6 @@
   private long announcedAtMicros;
   private boolean isLoading;
   private long awaySinceMicros;
-  private boolean isPreparing;
-  private long preparingSinceMicros;
   private final RolloutTurn turn = new RolloutTurn();
 
   /**
@@ -219,23 +210,11 @@
     }
   }
 
-  /** Goes on from serving to preparing, and from there to being away for a load. */
+  /** Takes the server away from callers once its turn has come, until it has the version. */
   private void advance(Optional<RolloutTurn.Rollout> next, long nowMicros) {
-    if (next.isEmpty()) {
-      isPreparing = false;
-      isLoading = false;
-      return;
-    }
-    if (!isPreparing && turn.mayPrepare(next.get(), nowMicros)) {
-      isPreparing = true;
-      preparingSinceMicros = nowMicros;
-    }
-    boolean haveStreamsEnded =
-        report.get().generating() <= FEW_STREAMS
-            || nowMicros - preparingSinceMicros >= STREAMS_MICROS
-            || turn.isLate(next.get(), nowMicros);
-    if (!isLoading && isPreparing && haveStreamsEnded && turn.mayLeave(next.get(), nowMicros)) {
-      isLoading = true;
+    boolean wasLoading = isLoading;
+    isLoading = next.filter(rollout -> wasLoading || turn.hasCome(rollout, nowMicros)).isPresent();
+    if (isLoading && !wasLoading) {
       awaySinceMicros = nowMicros;
     }
   }
@@ -330,15 +309,11 @@
                 .toList();
     String incarnation = isDown ? "" : Long.toString(report.get().startedAtMillis());
     long queueMicros = isHeld ? 0 : report.get().unread() * READ_HINT_MICROS;
-    // Soon ordered away: routers send it no long streams.
-    EngineRole role = isPreparing ? EngineRole.OTHER : EngineRole.MIXED;
-    SidecarStatus status =
-        new SidecarStatus(id.get(), incarnation, ready, false, queueMicros, role, List.of());
-    boolean isReadinessNew =
-        announced.filter(last -> last.ready().equals(ready) && last.role() == role).isEmpty();
+    SidecarStatus status = new SidecarStatus(id.get(), incarnation, ready, false, queueMicros);
+    boolean isReadinessNew = announced.filter(last -> last.ready().equals(ready)).isEmpty();
     long age = nowMicros - announcedAtMicros;
     boolean isQueueNew = announced.filter(status::equals).isEmpty() && age >= LOAD_MICROS;
-    boolean isRepeated = (isHeld || isPreparing) && age >= REPEAT_MICROS;
+    boolean isRepeated = isHeld && age >= REPEAT_MICROS;
     if (isReadinessNew || isQueueNew || isRepeated) {
       announced = Optional.of(status);
       announcedAtMicros = nowMicros;
