--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -291,6 +291,9 @@
     long noServer = nowMicros + route.targetMicros() / NO_SERVER_WAIT_PART;
     request.waitUntil(Math.min(deadline, noServer));
     sendOrWait(request, nowMicros);
+    if (request.phase() == Phase.WAITING) {
+      options.journal().write(Decision.WAIT, request.head().id(), "service", request.service());
+    }
   }
 
   /** Sends a request where a server has a place for it; lets it wait or refuses it otherwise. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
@@ -104,48 +104,129 @@
   void everyRequestEndsOnceOnDrawnDeployments(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     ForwardHarness harness = ForwardHarness.ready(1 + random.nextInt(12), 1 + random.nextInt(6));
-    Set<Long> open = new HashSet<>();
-    Map<Long, Integer> runs = new HashMap<>();
-    List<String> targets = List.of("/book/", "/read/", "/none/");
+    DrawnCallers callers = new DrawnCallers(harness, random);
     for (int step = 0; step < 600; step++) {
+      callers.step();
+      harness.advance(random.nextInt(60_000));
+    }
+    harness.advance(20 * SECOND);
+    assertThat(harness.core.openRequests()).isEqualTo(0);
+    callers.runs.forEach(
+        (request, runs) -> assertThat(runs).isAtMost(callers.bookings.contains(request) ? 1 : 2));
+  }
+
+  /** Callers and servers that do what a seed says. */
+  private static final class DrawnCallers {
+    private static final List<String> TARGETS = List.of("/book/", "/read/", "/none/");
+
+    private final ForwardHarness harness;
+    private final SplittableRandom random;
+    private final Set<Long> open = new HashSet<>();
+    private final Set<Long> bookings = new HashSet<>();
+    private final Map<Long, Integer> runs = new HashMap<>();
+    private final Map<Long, Integer> begunAttempt = new HashMap<>();
+    private final Map<Long, Integer> endedAttempt = new HashMap<>();
+
+    DrawnCallers(ForwardHarness harness, SplittableRandom random) {
+      this.harness = harness;
+      this.random = random;
+    }
+
+    void step() {
       if (random.nextInt(3) == 0) {
-        boolean isPrompt = random.nextBoolean();
-        open.add(
-            isPrompt
-                ? harness.ask("register-" + random.nextInt(20))
-                : harness.call(targets.get(random.nextInt(3)) + step));
+        request();
       }
       for (long request : List.copyOf(open)) {
-        disturb(harness, request, random, runs);
         boolean isOver = harness.refusal(request).isPresent() || harness.isBrokenOff(request);
         if (isOver) {
           open.remove(request);
+        } else if (harness.sent(request).filter(this::isOpen).isPresent()) {
+          disturb(request, harness.sent(request).get().attempt());
+        }
+      }
+    }
+
+    private void request() {
+      if (random.nextBoolean()) {
+        open.add(harness.ask("register-" + random.nextInt(20)));
+        return;
+      }
+      String target = TARGETS.get(random.nextInt(TARGETS.size()));
+      long request = harness.call(target + random.nextInt(1_000_000));
+      open.add(request);
+      if (target.equals("/book/")) {
+        bookings.add(request);
+      }
+    }
+
+    /** Returns whether the attempt may still be at its server. */
+    private boolean isOpen(ForwardCommand.Send send) {
+      boolean isDropped =
+          harness.commands.contains(new ForwardCommand.Drop(send.request(), send.attempt()));
+      return !isDropped && endedAttempt.getOrDefault(send.request(), 0) < send.attempt();
+    }
+
+    private void disturb(long request, int attempt) {
+      if (begunAttempt.getOrDefault(request, 0) == attempt) {
+        goOn(request);
+        return;
+      }
+      switch (random.nextInt(12)) {
+        case 0 -> {
+          endedAttempt.put(request, attempt);
+          harness.unsent(request);
+        }
+        case 1 -> {
+          endedAttempt.put(request, attempt);
+          harness.reject(request, 503);
+        }
+        case 2 -> begin(request, attempt, 200);
+        case 3 -> begin(request, attempt, 500);
+        case 4 -> {
+          ran(request, attempt);
+          endedAttempt.put(request, attempt);
+          harness.broken(request, Optional.empty());
+        }
+        case 5 -> {
+          ran(request, attempt);
+          leave(request);
+        }
+        default -> {
+          // Nothing happens to this request now.
         }
       }
-      harness.advance(random.nextInt(60_000));
     }
-    harness.advance(20 * SECOND);
-    assertThat(harness.core.openRequests()).isEqualTo(0);
-    runs.values().forEach(count -> assertThat(count).isAtMost(2));
-  }
 
-  /** Lets something happen to the open attempt, if there is one. */
-  private static void disturb(
-      ForwardHarness harness, long request, SplittableRandom random, Map<Long, Integer> runs) {
-    if (harness.sent(request).isEmpty() || harness.refusal(request).isPresent()) {
-      return;
+    private void begin(long request, int attempt, int status) {
+      ran(request, attempt);
+      harness.answer(request, status);
     }
-    switch (random.nextInt(12)) {
-      case 0 -> harness.unsent(request);
-      case 1 -> harness.reject(request, 503);
-      case 2 -> {
-        harness.answer(request, 200);
-        harness.complete(request);
+
+    private void goOn(long request) {
+      switch (random.nextInt(6)) {
+        case 0 -> {
+          harness.complete(request);
+          open.remove(request);
+        }
+        case 1 -> {
+          endedAttempt.put(request, begunAttempt.get(request));
+          harness.broken(request, Optional.of(3L));
+        }
+        case 2 -> leave(request);
+        default -> {
+          // The answer goes on.
+        }
       }
-      case 3 -> harness.answer(request, 500);
-      case 4 -> harness.broken(request, Optional.of(3L));
-      case 5 -> harness.handle(new ForwardEvent.CallerGone(request));
-      default -> runs.putIfAbsent(request, 0);
+    }
+
+    private void ran(long request, int attempt) {
+      runs.merge(request, 1, Integer::sum);
+      begunAttempt.put(request, attempt);
+    }
+
+    private void leave(long request) {
+      harness.handle(new ForwardEvent.CallerGone(request));
+      open.remove(request);
     }
   }
 
