--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -45,8 +45,11 @@
  * <p>Invariant: the cores are used on the decision thread alone. Thread-safe once started.
  */
 final class HostedRouter implements RegistryListener {
-  /** Longest time that the store may hold a read of the operator's stream. */
-  private static final long OPERATOR_WAIT_MICROS = 1_500_000;
+  /**
+   * Part of the bound for configurations that the store may hold a read of the operator's stream,
+   * so that a connection that falls silent is given up within the bound.
+   */
+  private static final double OPERATOR_WAIT_PART = 0.75;
 
   /** Part of the bound for leaving servers after which the registry is read again. */
   private static final int LEAVE_READS = 4;
@@ -192,9 +195,12 @@
   }
 
   private Map<RegistryStream, FollowPolicy> policies() {
+    long configurationMicros =
+        TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.CONFIGURATION_MILLIS));
     long leaveMicros = TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.LEAVE_MILLIS));
     return Map.of(
-        RegistryStream.OPERATOR, new FollowPolicy(OPERATOR_WAIT_MICROS, 0),
+        RegistryStream.OPERATOR,
+            new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
         RegistryStream.SERVERS, new FollowPolicy(0, leaveMicros / LEAVE_READS),
         RegistryStream.MEMBERS, new FollowPolicy(0, MEMBERS_INTERVAL_MICROS));
   }
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.shallothook.coordination.forward.Decision;
 import org.shallothook.coordination.message.Envelope;
@@ -26,6 +27,7 @@
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.admin.AdminServer;
 import org.shallothook.transport.process.GracefulStop;
+import org.shallothook.transport.settings.HostedKeys;
 import org.shallothook.transport.settings.Settings;
 
 /**
@@ -35,8 +37,11 @@
  * <p>Invariant: the cores are used on the decision thread alone. Thread-safe once started.
  */
 final class HostedSidecar implements RegistryListener {
-  /** Longest time that the store may hold a read of the operator's stream. */
-  private static final long OPERATOR_WAIT_MICROS = 2_500_000;
+  /**
+   * Part of the bound for configurations that the store may hold a read of the operator's stream;
+   * only new weights are read here, whose bound is several times longer.
+   */
+  private static final double OPERATOR_WAIT_PART = 1.25;
 
   /** Time between two reads of where other processes listen. */
   private static final long MEMBERS_INTERVAL_MICROS = 20_000_000;
@@ -69,7 +74,9 @@
             node.journal());
     registry =
         new RegistryCore(
-            new RegistryOptions(node.self(), policies(), node.incarnation()), node::carryOut, this);
+            new RegistryOptions(node.self(), policies(settings), node.incarnation()),
+            node::carryOut,
+            this);
     admin = new AdminServer(node.loop(), node.metrics().registry(), isLeaving::get);
     stop = new GracefulStop(this::drain, node::close);
   }
@@ -166,9 +173,12 @@
     }
   }
 
-  private static Map<RegistryStream, FollowPolicy> policies() {
+  private static Map<RegistryStream, FollowPolicy> policies(Settings settings) {
+    long configurationMicros =
+        TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.CONFIGURATION_MILLIS));
     return Map.of(
-        RegistryStream.OPERATOR, new FollowPolicy(OPERATOR_WAIT_MICROS, 0),
+        RegistryStream.OPERATOR,
+            new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
         RegistryStream.SERVERS, new FollowPolicy(0, SERVERS_INTERVAL_MICROS),
         RegistryStream.MEMBERS, new FollowPolicy(0, MEMBERS_INTERVAL_MICROS));
   }
