--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -19,7 +19,6 @@
 import org.shallothook.state.route.PromptOutline;
 import org.shallothook.state.route.Route;
 import org.shallothook.state.route.RouteTable;
-import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.ServiceTraits;
 import org.shallothook.state.route.ServiceTraits.EngineTraits;
 import org.shallothook.state.route.WeightVersion;
@@ -74,6 +73,7 @@
 
   private final ForwardOptions options;
   private final Consumer<ForwardCommand> commands;
+  private final ForwardJournal journal;
   private final ServerDirectory servers = new ServerDirectory();
   private final WeightBoard weights;
   private final FleetRetryBudget retries;
@@ -97,6 +97,7 @@
   public ForwardCore(ForwardOptions options, Consumer<ForwardCommand> commands) {
     this.options = Objects.requireNonNull(options, "options");
     this.commands = Objects.requireNonNull(commands, "commands");
+    this.journal = new ForwardJournal(options.journal());
     this.random = new SplittableRandom(options.seed());
     this.weights = new WeightBoard(options.versionDeadlineMicros());
     this.retries =
@@ -155,11 +156,11 @@
           .onRead(read.entries(), read.isWhole(), nowMicros)
           .forEach(restarted -> prompts.book().onEmptied(restarted));
       knowsServers |= read.isWhole();
-      read.entries().forEach(this::tellServer);
+      read.entries().forEach(journal::listed);
       sendWaiting(nowMicros);
     } else if (event instanceof ForwardEvent.ServerRemoved removed) {
       servers.onRemoved(removed.id(), nowMicros);
-      options.journal().write(Decision.SERVER, removed.id(), "outcome", "removed");
+      journal.removed(removed.id());
     } else if (event instanceof ForwardEvent.VersionNamed named) {
       onVersionNamed(named.version(), nowMicros);
     } else if (event instanceof ForwardEvent.RegistryReachable reachable) {
@@ -186,33 +187,15 @@
     }
     table = Optional.of(newer);
     commands.accept(new ForwardCommand.Limit(newer.limits()));
-    options
-        .journal()
-        .write(Decision.CONFIGURATION, "routes", "version", newer.version(), "outcome", "applied");
+    journal.applied(newer);
   }
 
   private void onVersionNamed(WeightVersion version, long nowMicros) {
     if (weights.onNamed(version, nowMicros)) {
-      options.journal().write(Decision.WEIGHTS, version.model(), "version", version.version());
+      journal.wanted(version);
     }
   }
 
-  private void tellServer(ServerEntry entry) {
-    options
-        .journal()
-        .write(
-            Decision.SERVER,
-            entry.id(),
-            "service",
-            entry.service(),
-            "address",
-            entry.address(),
-            "leaving",
-            entry.isLeaving(),
-            "versions",
-            entry.versions());
-  }
-
   private void onRequested(ForwardEvent.Requested event, long nowMicros) {
     RequestHead head = event.head();
     if (table.isEmpty()) {
@@ -292,7 +275,7 @@
     request.waitUntil(Math.min(deadline, noServer));
     sendOrWait(request, nowMicros);
     if (request.phase() == Phase.WAITING) {
-      options.journal().write(Decision.WAIT, request.head().id(), "service", request.service());
+      journal.waits(request);
     }
   }
 
@@ -388,31 +371,7 @@
             request.place().flatMap(Place::saveTo),
             request.lastEvent());
     commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
-    options
-        .journal()
-        .write(
-            Decision.SEND,
-            request.head().id(),
-            "route",
-            request.route().name(),
-            "server",
-            server.name(),
-            "attempt",
-            request.attempt(),
-            "version",
-            version.orElse(0L),
-            "open",
-            server.outstanding(),
-            "cached",
-            request.place().map(Place::cachedTokens).orElse(0),
-            "unread",
-            request.place().map(Place::unreadTokens).orElse(0),
-            "source",
-            request.place().flatMap(Place::fetchFrom).orElse(""),
-            "expected_ms",
-            request.place().map(place -> (long) place.expectedMicros() / 1_000).orElse(-1L),
-            "waited_ms",
-            (nowMicros - request.arrivedMicros()) / 1_000);
+    journal.sent(request, server, version, nowMicros);
   }
 
   private static Optional<PromptOutline> promptOf(OpenForward request) {
@@ -437,16 +396,13 @@
     }
     notRead(request, server);
     request.onAttemptOver(false);
-    tellFailure(request, server, "unsent: " + detail);
+    journal.failed(request, server, "unsent: " + detail);
     retryOrEnd(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
   }
 
   private void tellCrash(CrashRegister.Suspect suspect) {
     commands.accept(new ForwardCommand.TellCrash(suspect.contentHash(), suspect.request()));
-    options
-        .journal()
-        .write(
-            Decision.CRASH, suspect.request(), "content", Long.toHexString(suspect.contentHash()));
+    journal.crashed(suspect);
   }
 
   private void onAnswered(OpenForward request, AnswerHead answer, long nowMicros) {
@@ -463,7 +419,7 @@
     if (isWorthARetry && !request.hasBegunAnswer() && canRunOnceMore(request, nowMicros)) {
       commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
       request.onAttemptOver(true);
-      tellFailure(request, server, "status " + answer.status());
+      journal.failed(request, server, "status " + answer.status());
       retry(request, Decision.RETRY, nowMicros);
       return;
     }
@@ -476,17 +432,7 @@
     request.onRelaying();
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
-    options
-        .journal()
-        .write(
-            Decision.RELAY,
-            request.head().id(),
-            "server",
-            server.name(),
-            "status",
-            answer.status(),
-            "took_ms",
-            (nowMicros - request.sentMicros()) / 1_000);
+    journal.relayed(request, server, answer, nowMicros);
   }
 
   /** Only a stream that may go on elsewhere gains from giving up a silent server. */
@@ -532,7 +478,7 @@
     commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
     notRead(request, server);
     request.onAttemptOver(false);
-    tellFailure(request, server, "not run: status " + answer.status());
+    journal.failed(request, server, "not run: status " + answer.status());
     if (retries.tryRetry(request.service(), nowMicros)) {
       retryOrEnd(request, RefusalReason.QUEUE_FULL, "Servers had no room.", nowMicros);
     } else {
@@ -544,15 +490,7 @@
     request.onAttemptOver(true);
     open.remove(request.number());
     crashes.onAnswered(request.head().contentHash());
-    options
-        .journal()
-        .write(
-            Decision.COMPLETE,
-            request.head().id(),
-            "attempts",
-            request.attempt(),
-            "took_ms",
-            (nowMicros - request.arrivedMicros()) / 1_000);
+    journal.completed(request, nowMicros);
     sendWaiting(nowMicros);
   }
 
@@ -564,7 +502,7 @@
     }
     request.onLastEvent(broken.lastEvent());
     request.onAttemptOver(true);
-    tellFailure(request, server, broken.detail());
+    journal.failed(request, server, broken.detail());
     boolean mayResume = !request.hasBegunAnswer() || request.route().isResumable();
     if (request.route().isRepeatable() && mayResume && canRunOnceMore(request, nowMicros)) {
       retry(request, request.hasBegunAnswer() ? Decision.RESUME : Decision.RETRY, nowMicros);
@@ -594,15 +532,7 @@
   }
 
   private void retry(OpenForward request, Decision decision, long nowMicros) {
-    options
-        .journal()
-        .write(
-            decision,
-            request.head().id(),
-            "attempt",
-            request.attempt() + 1,
-            "after_event",
-            request.lastEvent().orElse(-1L));
+    journal.triedAgain(decision, request);
     long patience = request.route().targetMicros() / NO_SERVER_WAIT_PART;
     request.waitUntil(Math.min(request.deadlineMicros(), nowMicros + patience));
     sendOrWait(request, nowMicros);
@@ -614,13 +544,7 @@
       request.onAttemptOver(true);
     }
     open.remove(request.number());
-    options
-        .journal()
-        .write(
-            Decision.CALLER_GONE,
-            request.head().id(),
-            "after_ms",
-            (nowMicros - request.arrivedMicros()) / 1_000);
+    journal.callerGone(request, nowMicros);
     sendWaiting(nowMicros);
   }
 
@@ -698,7 +622,7 @@
         commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
         server.onFailure(nowMicros);
         request.onAttemptOver(true);
-        tellFailure(request, server, "no answer");
+        journal.failed(request, server, "no answer");
         retry(request, Decision.RETRY, nowMicros);
       }
     }
@@ -742,15 +666,7 @@
   private void breakOff(OpenForward request, String detail, long nowMicros) {
     open.remove(request.number());
     commands.accept(new ForwardCommand.BreakOff(request.number(), detail));
-    options
-        .journal()
-        .write(
-            Decision.BREAK_OFF,
-            request.head().id(),
-            "detail",
-            detail,
-            "after_ms",
-            (nowMicros - request.arrivedMicros()) / 1_000);
+    journal.brokenOff(request, detail, nowMicros);
   }
 
   private void refuseUnopened(ForwardEvent.Requested event, Refusal refusal) {
@@ -760,33 +676,7 @@
   private void refuse(long number, RequestHead head, Refusal refusal) {
     options.counters().refused(refusal.reason());
     commands.accept(new ForwardCommand.Refuse(number, refusal));
-    options
-        .journal()
-        .write(
-            Decision.REFUSE,
-            head.id(),
-            "reason",
-            refusal.reason().code(),
-            "outcome",
-            refusal.outcome().headerValue(),
-            "detail",
-            refusal.detail(),
-            "configuration",
-            table.map(RouteTable::version).orElse(0L));
-  }
-
-  private void tellFailure(OpenForward request, Server server, String detail) {
-    options
-        .journal()
-        .write(
-            Decision.ATTEMPT_FAILED,
-            request.head().id(),
-            "server",
-            server.name(),
-            "attempt",
-            request.attempt(),
-            "detail",
-            detail);
+    journal.refused(head, refusal, table);
   }
 
   private Optional<OpenForward> find(long number) {
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -0,0 +1,159 @@
+package org.shallothook.coordination.forward;
+
+import java.util.Optional;
+import org.shallothook.coordination.forward.PromptPlacement.Place;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.route.RouteTable;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.WeightVersion;
+
+/**
+ * Writes the decisions of a forwarding router, each with the inputs that decided it.
+ *
+ * <p>Stateless, but for the journal behind it. Not thread-safe: used on the decision thread.
+ */
+final class ForwardJournal {
+  private final DecisionJournal journal;
+
+  ForwardJournal(DecisionJournal journal) {
+    this.journal = journal;
+  }
+
+  void removed(String server) {
+    journal.write(Decision.SERVER, server, "outcome", "removed");
+  }
+
+  void applied(RouteTable newer) {
+    journal.write(
+        Decision.CONFIGURATION, "routes", "version", newer.version(), "outcome", "applied");
+  }
+
+  void wanted(WeightVersion version) {
+    journal.write(Decision.WEIGHTS, version.model(), "version", version.version());
+  }
+
+  void listed(ServerEntry entry) {
+    journal.write(
+        Decision.SERVER,
+        entry.id(),
+        "service",
+        entry.service(),
+        "address",
+        entry.address(),
+        "leaving",
+        entry.isLeaving(),
+        "versions",
+        entry.versions());
+  }
+
+  void waits(OpenForward request) {
+    journal.write(Decision.WAIT, request.head().id(), "service", request.service());
+  }
+
+  void sent(OpenForward request, Server server, Optional<Long> version, long nowMicros) {
+    journal.write(
+        Decision.SEND,
+        request.head().id(),
+        "route",
+        request.route().name(),
+        "server",
+        server.name(),
+        "attempt",
+        request.attempt(),
+        "version",
+        version.orElse(0L),
+        "open",
+        server.outstanding(),
+        "cached",
+        request.place().map(Place::cachedTokens).orElse(0),
+        "unread",
+        request.place().map(Place::unreadTokens).orElse(0),
+        "source",
+        request.place().flatMap(Place::fetchFrom).orElse(""),
+        "expected_ms",
+        request.place().map(place -> (long) place.expectedMicros() / 1_000).orElse(-1L),
+        "waited_ms",
+        (nowMicros - request.arrivedMicros()) / 1_000);
+  }
+
+  void crashed(CrashRegister.Suspect suspect) {
+    journal.write(
+        Decision.CRASH, suspect.request(), "content", Long.toHexString(suspect.contentHash()));
+  }
+
+  void relayed(OpenForward request, Server server, AnswerHead answer, long nowMicros) {
+    journal.write(
+        Decision.RELAY,
+        request.head().id(),
+        "server",
+        server.name(),
+        "status",
+        answer.status(),
+        "took_ms",
+        (nowMicros - request.sentMicros()) / 1_000);
+  }
+
+  void completed(OpenForward request, long nowMicros) {
+    journal.write(
+        Decision.COMPLETE,
+        request.head().id(),
+        "attempts",
+        request.attempt(),
+        "took_ms",
+        (nowMicros - request.arrivedMicros()) / 1_000);
+  }
+
+  void triedAgain(Decision decision, OpenForward request) {
+    journal.write(
+        decision,
+        request.head().id(),
+        "attempt",
+        request.attempt() + 1,
+        "after_event",
+        request.lastEvent().orElse(-1L));
+  }
+
+  void callerGone(OpenForward request, long nowMicros) {
+    journal.write(
+        Decision.CALLER_GONE,
+        request.head().id(),
+        "after_ms",
+        (nowMicros - request.arrivedMicros()) / 1_000);
+  }
+
+  void brokenOff(OpenForward request, String detail, long nowMicros) {
+    journal.write(
+        Decision.BREAK_OFF,
+        request.head().id(),
+        "detail",
+        detail,
+        "after_ms",
+        (nowMicros - request.arrivedMicros()) / 1_000);
+  }
+
+  void refused(RequestHead head, Refusal refusal, Optional<RouteTable> table) {
+    journal.write(
+        Decision.REFUSE,
+        head.id(),
+        "reason",
+        refusal.reason().code(),
+        "outcome",
+        refusal.outcome().headerValue(),
+        "detail",
+        refusal.detail(),
+        "configuration",
+        table.map(RouteTable::version).orElse(0L));
+  }
+
+  void failed(OpenForward request, Server server, String detail) {
+    journal.write(
+        Decision.ATTEMPT_FAILED,
+        request.head().id(),
+        "server",
+        server.name(),
+        "attempt",
+        request.attempt(),
+        "detail",
+        detail);
+  }
+}
