Keep the deadline of each version of weights

Change: the router keeps the time of each version, the sidecar its place in time until it has reached the version before.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/WeightBoard.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/WeightBoard.java
@@ -1,5 +1,6 @@
 package org.shallothook.coordination.forward;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,8 @@
  * <p>Pattern answered: new weights reach the servers a few at a time. While few have them, older
  * ones serve on; as soon as enough have them, those alone; from the deadline on only they may.
  *
+ * <p>Each version has a deadline of its own, also where a newer one was named since.
+ *
  * <p>Invariant: the version wanted of a model never decreases. Not thread-safe.
  */
 final class WeightBoard {
@@ -22,7 +25,7 @@
   private static final double ENOUGH_SHARE = 0.34;
 
   private final long deadlineMicros;
-  private final Map<String, Named> named = new HashMap<>();
+  private final Map<String, List<Named>> named = new HashMap<>();
 
   private record Named(long version, long atMicros) {}
 
@@ -32,34 +35,55 @@
 
   /** Takes in a wanted version and returns whether it is newer than the one known. */
   boolean onNamed(WeightVersion wanted, long nowMicros) {
-    Named known = named.get(wanted.model());
-    if (known != null && known.version() >= wanted.version()) {
+    if (wanted(wanted.model()).filter(known -> known >= wanted.version()).isPresent()) {
       return false;
     }
-    named.put(wanted.model(), new Named(wanted.version(), nowMicros));
+    List<Named> versions = named.computeIfAbsent(wanted.model(), model -> new ArrayList<>());
+    versions.add(new Named(wanted.version(), nowMicros));
+    // Of those past their deadline only the newest matters.
+    while (versions.size() > 1 && isOverdue(versions.get(1), nowMicros)) {
+      versions.remove(0);
+    }
     return true;
   }
 
   /** Returns the version wanted of a model. */
   Optional<Long> wanted(String model) {
-    return Optional.ofNullable(named.get(model)).map(Named::version);
+    return newest(model).map(Named::version);
+  }
+
+  private Optional<Named> newest(String model) {
+    List<Named> versions = named.getOrDefault(model, List.of());
+    return versions.isEmpty() ? Optional.empty() : Optional.of(versions.get(versions.size() - 1));
+  }
+
+  private boolean isOverdue(Named version, long nowMicros) {
+    return nowMicros - version.atMicros() >= deadlineMicros;
+  }
+
+  /** Returns the oldest version that a request may still begin on. */
+  private long oldestAllowed(String model, long nowMicros) {
+    return named.getOrDefault(model, List.of()).stream()
+        .filter(version -> isOverdue(version, nowMicros))
+        .mapToLong(Named::version)
+        .max()
+        .orElse(0);
   }
 
   /** Returns the servers that may begin a request for a model now. */
   List<Server> eligible(List<Server> servers, String model, long nowMicros) {
-    Named wanted = named.get(model);
-    if (wanted == null) {
+    Optional<Named> wanted = newest(model);
+    if (wanted.isEmpty()) {
       return servers;
     }
-    List<Server> current =
-        servers.stream()
-            .filter(server -> server.version(model).orElse(0L) >= wanted.version())
-            .toList();
-    long age = nowMicros - wanted.atMicros();
-    if (age >= deadlineMicros) {
-      return current;
-    }
+    List<Server> allowed = atLeast(servers, model, oldestAllowed(model, nowMicros));
+    List<Server> current = atLeast(servers, model, wanted.get().version());
     boolean isEnough = current.size() >= Math.max(1, ENOUGH_SHARE * servers.size());
-    return age >= GRACE_MICROS && isEnough ? current : servers;
+    boolean isGraceOver = nowMicros - wanted.get().atMicros() >= GRACE_MICROS;
+    return isGraceOver && isEnough ? current : allowed;
+  }
+
+  private static List<Server> atLeast(List<Server> servers, String model, long version) {
+    return servers.stream().filter(server -> server.version(model).orElse(0L) >= version).toList();
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -115,8 +115,12 @@
   private void onNamed(WeightVersion version, long nowMicros) {
     WeightVersion known = wanted.get(version.model());
     if (known == null || known.version() < version.version()) {
+      // A server that has not reached the version before keeps its place in time.
+      boolean isUpToDate = known == null || versionOf(version.model()) >= known.version();
+      if (isUpToDate) {
+        namedAtMicros.put(version.model(), nowMicros);
+      }
       wanted.put(version.model(), version);
-      namedAtMicros.put(version.model(), nowMicros);
       nextServersMicros = nowMicros;
       nextReportMicros = nowMicros;
       journal.write(Decision.WEIGHTS, version.model(), "version", version.version());
--- a/coordination/src/test/java/org/shallothook/coordination/forward/WeightBoardTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/WeightBoardTest.java
@@ -40,6 +40,14 @@
     assertThat(eligible).hasSize(expected);
   }
 
+  @Test
+  void aVersionKeepsItsDeadlineWhenANewerOneIsNamed() {
+    board.onNamed(new WeightVersion(ForwardHarness.MODEL, 2), 0);
+    board.onNamed(new WeightVersion(ForwardHarness.MODEL, 3), 3_000_000);
+    assertThat(board.eligible(servers(2, 6), ForwardHarness.MODEL, 5_900_000)).hasSize(6);
+    assertThat(board.eligible(servers(2, 6), ForwardHarness.MODEL, 6_000_000)).hasSize(2);
+  }
+
   @Test
   void anOlderVersionIsNotWantedAgain() {
     assertThat(board.onNamed(new WeightVersion(ForwardHarness.MODEL, 3), 0)).isTrue();
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
@@ -145,6 +145,27 @@
     assertThat(given().get(1).expectedOrders()).isEqualTo(1);
   }
 
+  @Test
+  void aServerThatWaitsForItsTurnKeepsItsPlaceWhenANewerVersionIsNamed() {
+    run(500_000);
+    for (int other = 2; other <= 12; other++) {
+      handle(new WeightEvent.ServerListed(entry("engine-" + other, "10.0.0." + other + ":80", 5)));
+    }
+    List<String> away = List.of("engine-2", "engine-3", "engine-4", "engine-5");
+    name(2);
+    long named = nowMicros;
+    for (long wanted = 3; given().isEmpty() && nowMicros < named + 6_000_000; wanted++) {
+      away.forEach(
+          one ->
+              handle(
+                  new WeightEvent.StatusHeard(new SidecarStatus(one, "1", List.of(), false, 0))));
+      run(1_000_000);
+      name(wanted);
+    }
+    assertThat(given()).isNotEmpty();
+    assertThat(nowMicros - named).isAtMost(6_000_000);
+  }
+
   @ParameterizedTest
   @EnumSource(
       value = OrderAnswer.class,
