Decode and compare less, and describe turns as they are

Each sidecar decoded the whole configuration, keys' digests included, to count that it had. Each prompt compared all servers with all others for its home and its holders. The number of runs of a request was kept beside the attempts and rejections that it follows from, and its limit stood twice. The page of RolloutTurn still told of the trial taken back. Change: operator records are read by kind; home and names once a placement; the limit in OpenForward alone. Behaviour and tests stay. No time of a placement was measured.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -514,9 +514,7 @@
   }
 
   private boolean canRunOnceMore(OpenForward request, long nowMicros) {
-    boolean hasRunsLeft =
-        request.attempt() < request.route().maximumAttempts() + request.rejections();
-    return hasRunsLeft
+    return request.hasRunsLeft()
         && nowMicros < request.deadlineMicros()
         && !crashes.isBarred(request.head().contentHash(), nowMicros)
         && retries.tryRetry(request.service(), nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
@@ -36,7 +36,6 @@
   private Phase phase = Phase.WAITING;
   private Optional<Server> server = Optional.empty();
   private int attempt;
-  private int runs;
   private int rejections;
   private boolean mayHaveRun;
   private long sentMicros;
@@ -138,7 +137,12 @@
 
   /** Returns whether another server may run the request. */
   boolean mayRunAgain() {
-    return !mayHaveRun || (route.isRepeatable() && runs < route.maximumAttempts());
+    return !mayHaveRun || (route.isRepeatable() && hasRunsLeft());
+  }
+
+  /** Returns whether another run, beyond those so far, keeps to the limit of the route. */
+  boolean hasRunsLeft() {
+    return attempt - rejections < route.maximumAttempts();
   }
 
   long waitUntilMicros() {
@@ -186,11 +190,7 @@
     server.ifPresent(Server::onClosed);
     server = Optional.empty();
     mayHaveRun |= mayHaveRunThere;
-    if (mayHaveRunThere) {
-      runs++;
-    } else {
-      rejections++;
-    }
+    rejections += mayHaveRunThere ? 0 : 1;
     phase = Phase.WAITING;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -1,6 +1,9 @@
 package org.shallothook.coordination.forward;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -66,14 +69,15 @@
       int unreadTokens,
       double expectedMicros) {}
 
-  /** A prompt that is to be placed. */
+  /** A prompt that is to be placed, among servers by their names. */
   private record Query(
-      List<Server> servers,
+      Map<String, Server> servers,
       ScopedOpenings prompt,
       EngineProfile profile,
       boolean isLong,
       long gapTargetMicros,
-      long nowMicros) {}
+      long nowMicros,
+      Map<Long, Server> homes) {}
 
   /**
    * Returns the best place.
@@ -92,7 +96,10 @@
       long nowMicros) {
     ReadingLanes own = lanes(profile.service());
     boolean isLong = own.isLong(speed.readMicros(prompt.promptTokens()), gapTargetMicros);
-    Query query = new Query(servers, prompt, profile, isLong, gapTargetMicros, nowMicros);
+    Map<String, Server> byName = new LinkedHashMap<>();
+    servers.forEach(server -> byName.put(server.name(), server));
+    Query query =
+        new Query(byName, prompt, profile, isLong, gapTargetMicros, nowMicros, new HashMap<>());
     Optional<Place> best = Optional.empty();
     for (Server server : servers) {
       if (server.hasPlace()) {
@@ -138,25 +145,27 @@
 
   /** Returns another server that has read the opening, with weights of the same version. */
   private Optional<Server> holder(Server target, Query query) {
-    List<Opening> openings = query.prompt().at(target);
-    Map<String, Server> others = new HashMap<>();
-    for (Server other : query.servers()) {
-      if (other != target && query.prompt().isSameScope(other, target)) {
-        others.put(other.name(), other);
-      }
-    }
-    List<Opening> shared = List.of(Opening.shared(openings));
-    return book.holder(shared, query.profile().memoryTokens(), others::containsKey)
-        .map(others::get);
+    List<Opening> shared = List.of(Opening.shared(query.prompt().at(target)));
+    return book.holder(
+            shared,
+            query.profile().memoryTokens(),
+            name -> {
+              Server other = query.servers().get(name);
+              return other != null && other != target && query.prompt().isSameScope(other, target);
+            })
+        .map(query.servers()::get);
   }
 
   private static boolean isHome(Server server, Query query, List<Opening> openings) {
-    Opening shared = Opening.shared(openings);
-    long own = RendezvousHash.weight(shared.hash(), server.hash());
-    return query.servers().stream()
-        .filter(other -> other != server)
-        .allMatch(
-            other ->
-                Long.compareUnsigned(RendezvousHash.weight(shared.hash(), other.hash()), own) < 0);
+    long opening = Opening.shared(openings).hash();
+    Comparator<Server> byWeight =
+        (one, other) ->
+            Long.compareUnsigned(
+                RendezvousHash.weight(opening, one.hash()),
+                RendezvousHash.weight(opening, other.hash()));
+    return query
+            .homes()
+            .computeIfAbsent(opening, hash -> Collections.max(query.servers().values(), byWeight))
+        == server;
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutTurn.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutTurn.java
@@ -9,13 +9,12 @@
 import org.shallothook.state.route.WeightVersion;
 
 /**
- * When a server of a service gets ready to load a new version, and when it is taken away for it.
+ * When a server of a service is taken away from callers to load a new version.
  *
- * <p>Pattern answered: a load waits until the streams that run have ended, and takes the server
- * away from callers meanwhile. So the greater part of the servers first takes no more long streams,
- * while it still reads prompts; then a few at a time are taken away. The rest follows once some are
- * back. Every sidecar ranks the same servers by the same hash and tells the others what it does;
- * nobody waits beyond its part of the time that all have together.
+ * <p>Pattern answered: a load waits until the streams that run have ended, so a server is away for
+ * longer than the load takes. A few are away at a time, servers that are down not among them. Every
+ * sidecar ranks the same servers by the same hash and tells the others what it does; nobody waits
+ * beyond its part of the time that all have together.
  *
  * <p>Invariant: a turn comes for every server, whatever is heard of others. Not thread-safe.
  */
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -157,10 +157,10 @@
   }
 
   private void readOperator(KeyedRecord record, long nowMicros) {
-    node.readOperator(
-        record,
-        table -> core.handle(new ForwardEvent.RoutesRead(table), nowMicros),
-        version -> core.handle(new ForwardEvent.VersionNamed(version), nowMicros));
+    node.readRoutes(record)
+        .ifPresent(table -> core.handle(new ForwardEvent.RoutesRead(table), nowMicros));
+    node.readVersion(record)
+        .ifPresent(version -> core.handle(new ForwardEvent.VersionNamed(version), nowMicros));
   }
 
   private void readServers(List<KeyedRecord> changes, boolean isFirstWhole, long nowMicros) {
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -129,10 +129,8 @@
   }
 
   private void readOperator(KeyedRecord record, long nowMicros) {
-    node.readOperator(
-        record,
-        table -> node.metrics().increment("configuration.read"),
-        version -> keeper.handle(new WeightEvent.Named(version), nowMicros));
+    node.readVersion(record)
+        .ifPresent(version -> keeper.handle(new WeightEvent.Named(version), nowMicros));
   }
 
   private void readServer(KeyedRecord record, long nowMicros) {
