Take a server's turn to load by its rank among those that lack the version

Seven of eight servers were away at once; loads slow each other beyond a few, so servers came back after 2 to 6 s instead of 1.

Change: a sidecar counts, before its own rank, the servers that lack the version and are neither away nor down; it goes only where those and the ones away leave a place. Limits of ranks come from the bound for new versions. The fencing number is taken at the start, and a server is not announced away before there is one.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -72,20 +72,26 @@
   private long announcedAtMicros;
   private boolean isLoading;
   private long awaySinceMicros;
-  private final RolloutTurn turn = new RolloutTurn();
+  private final RolloutTurn turn;
 
   /**
    * Creates a keeper that knows nothing of its server.
    *
    * @param name name of this process
    * @param address {@code IP:port} of the server
+   * @param boundMicros time after which no request may begin on older weights, in microseconds
    * @param commands takes each command in order
    * @param journal takes a line for each decision
    */
   public WeightKeeper(
-      String name, String address, Consumer<WeightCommand> commands, DecisionJournal journal) {
+      String name,
+      String address,
+      long boundMicros,
+      Consumer<WeightCommand> commands,
+      DecisionJournal journal) {
     this.name = Objects.requireNonNull(name, "name");
     this.address = Objects.requireNonNull(address, "address");
+    this.turn = new RolloutTurn(boundMicros);
     this.commands = Objects.requireNonNull(commands, "commands");
     this.journal = Objects.requireNonNull(journal, "journal");
   }
@@ -203,7 +209,8 @@
       nextServersMicros = nowMicros + RETRY_MICROS;
       commands.accept(new WeightCommand.ReadServers());
     }
-    if (next.isPresent() && fence.isEmpty() && !isTakingFence && nowMicros >= nextFenceMicros) {
+    // Taken ahead of need, so that an outage of the store keeps no server from new weights.
+    if (fence.isEmpty() && !isTakingFence && nowMicros >= nextFenceMicros) {
       isTakingFence = true;
       nextFenceMicros = nowMicros + RETRY_MICROS;
       commands.accept(new WeightCommand.TakeFence());
@@ -217,7 +224,9 @@
   /** Takes the server away from callers once its turn has come, until it has the version. */
   private void advance(Optional<RolloutTurn.Rollout> next, long nowMicros) {
     boolean wasLoading = isLoading;
-    isLoading = next.filter(rollout -> wasLoading || turn.hasCome(rollout, nowMicros)).isPresent();
+    isLoading =
+        fence.isPresent()
+            && next.filter(rollout -> wasLoading || turn.hasCome(rollout, nowMicros)).isPresent();
     if (isLoading && !wasLoading) {
       awaySinceMicros = nowMicros;
     }
@@ -273,13 +282,12 @@
         .map(
             id -> {
               String service = servers.get(id).service();
-              List<String> others =
+              List<ServerEntry> all =
                   servers.values().stream()
                       .filter(entry -> entry.service().equals(service) && !entry.isLeaving())
-                      .map(ServerEntry::id)
                       .toList();
               long namedAt = namedAtMicros.get(version.model());
-              return new RolloutTurn.Rollout(id, others, version, namedAt);
+              return new RolloutTurn.Rollout(id, all, version, namedAt);
             });
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
@@ -21,7 +21,7 @@
   private static final String MODEL = "linen";
   private final List<WeightCommand> commands = new ArrayList<>();
   private final WeightKeeper keeper =
-      new WeightKeeper("sidecar-1", ADDRESS, this::take, DecisionJournal.NONE);
+      new WeightKeeper("sidecar-1", ADDRESS, 8_000_000, this::take, DecisionJournal.NONE);
   private long nowMicros = 1_000_000;
   private long version = 1;
   private long orders;
@@ -30,6 +30,7 @@
   private int queued;
   private long nextFence = 10;
   private boolean isReachable = true;
+  private boolean isStoreReachable = true;
   private int answered;
 
   private void take(WeightCommand command) {
@@ -51,7 +52,9 @@
         if (command instanceof WeightCommand.ReadReport) {
           handle(new WeightEvent.Reported(report()));
         } else if (command instanceof WeightCommand.TakeFence) {
-          handle(new WeightEvent.FenceTaken(Optional.of(nextFence++)));
+          handle(
+              new WeightEvent.FenceTaken(
+                  isStoreReachable ? Optional.of(nextFence++) : Optional.empty()));
         } else if (command instanceof WeightCommand.ReadServers) {
           handle(new WeightEvent.ServerListed(entry("engine-1", ADDRESS, startedAt)));
         }
@@ -194,7 +197,7 @@
   @Test
   void withoutAFenceNothingIsOrdered() {
     WeightKeeper cutOff =
-        new WeightKeeper("sidecar-1", ADDRESS, commands::add, DecisionJournal.NONE);
+        new WeightKeeper("sidecar-1", ADDRESS, 8_000_000, commands::add, DecisionJournal.NONE);
     cutOff.handle(new WeightEvent.ServerListed(entry("engine-1", ADDRESS, 5)), nowMicros);
     cutOff.handle(new WeightEvent.Reported(report()), nowMicros);
     cutOff.handle(new WeightEvent.Named(new WeightVersion(MODEL, 2)), nowMicros);
@@ -205,6 +208,27 @@
     assertThat(given()).isEmpty();
   }
 
+  @Test
+  void withoutAFenceTheServerServesOn() {
+    isStoreReachable = false;
+    run(500_000);
+    name(2);
+    run(2_000_000);
+    assertThat(lastStatus().ready()).hasSize(1);
+    isStoreReachable = true;
+    run(2_000_000);
+    assertThat(given()).isNotEmpty();
+  }
+
+  @Test
+  void theFenceIsTakenBeforeItIsNeeded() {
+    run(500_000);
+    isStoreReachable = false;
+    name(2);
+    run(500_000);
+    assertThat(given()).hasSize(1);
+  }
+
   @Test
   void aServerThatDoesNotReportIsAnnouncedDown() {
     run(500_000);
@@ -224,34 +248,4 @@
     run(500_000);
     assertThat(lastStatus().queueDelayMicros()).isGreaterThan(0);
   }
-
-  private static RolloutTurn.Rollout rollout(String server, List<String> servers) {
-    return new RolloutTurn.Rollout(server, servers, new WeightVersion(MODEL, 2), 0);
-  }
-
-  @Test
-  void fewServersAreAwayAtOnce() {
-    RolloutTurn turn = new RolloutTurn();
-    List<String> servers = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i");
-    long now = 1_000_000;
-    long left = 0;
-    for (String server : servers) {
-      if (turn.hasCome(rollout(server, servers), now)) {
-        turn.onStatus(new SidecarStatus(server, "1", List.of(), false, 0), now);
-        left++;
-      }
-    }
-    assertThat(left).isEqualTo(3);
-    assertThat(servers.stream().allMatch(one -> turn.hasCome(rollout(one, servers), 5_000_000)))
-        .isTrue();
-  }
-
-  @Test
-  void serversThatAreDownDoNotTakeTurns() {
-    RolloutTurn turn = new RolloutTurn();
-    List<String> servers = List.of("a", "b", "c", "d", "e", "f");
-    turn.onStatus(new SidecarStatus("a", "", List.of(), false, 0), 0);
-    turn.onStatus(new SidecarStatus("b", "", List.of(), false, 0), 0);
-    assertThat(turn.hasCome(rollout("c", servers), 0)).isTrue();
-  }
 }
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -70,6 +70,7 @@
         new WeightKeeper(
             node.name(),
             Addresses.text(settings.address(HostedSidecarSettings.UPSTREAM)),
+            TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.VERSION_MILLIS)),
             this::carryOut,
             node.journal());
     registry =
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecarSettings.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecarSettings.java
@@ -18,7 +18,8 @@
 
   /** Every setting of the file. */
   static final List<SettingKey> KEYS =
-      Stream.concat(HostedKeys.COMMON.stream(), Stream.of(UPSTREAM)).toList();
+      Stream.concat(HostedKeys.COMMON.stream(), Stream.of(HostedKeys.VERSION_MILLIS, UPSTREAM))
+          .toList();
 
   private HostedSidecarSettings() {}
 }
