Count servers with older weights as later instead of leaving them out

Change: until the deadline of the version older servers stay eligible and count as a quarter of the target later, from the end of the grace on.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -311,6 +311,9 @@
             openings,
             profileOf(request.service()),
             request.route().gapTargetMicros(),
+            server ->
+                weights.olderMicros(
+                    server, prompt.model(), request.route().targetMicros(), nowMicros),
             nowMicros);
     chosen.ifPresent(
         place -> {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import org.shallothook.coordination.placement.RendezvousHash;
 
 /**
@@ -76,6 +77,7 @@
       EngineProfile profile,
       boolean isLong,
       long gapTargetMicros,
+      ToDoubleFunction<Server> handicapMicros,
       long nowMicros,
       Map<Long, Server> homes) {}
 
@@ -86,6 +88,7 @@
    * @param prompt openings of the prompt by server, since their scope holds the server's version
    * @param profile the service that the servers belong to
    * @param gapTargetMicros longest pause that streams may have
+   * @param handicapMicros by how much each server counts as later for other reasons
    * @param nowMicros time of the placement
    */
   Optional<Place> choose(
@@ -93,13 +96,22 @@
       ScopedOpenings prompt,
       EngineProfile profile,
       long gapTargetMicros,
+      ToDoubleFunction<Server> handicapMicros,
       long nowMicros) {
     ReadingLanes own = lanes(profile.service());
     boolean isLong = own.isLong(speed.readMicros(prompt.promptTokens()), gapTargetMicros);
     Map<String, Server> byName = new LinkedHashMap<>();
     servers.forEach(server -> byName.put(server.name(), server));
     Query query =
-        new Query(byName, prompt, profile, isLong, gapTargetMicros, nowMicros, new HashMap<>());
+        new Query(
+            byName,
+            prompt,
+            profile,
+            isLong,
+            gapTargetMicros,
+            handicapMicros,
+            nowMicros,
+            new HashMap<>());
     Optional<Place> best = Optional.empty();
     for (Server server : servers) {
       if (server.hasPlace()) {
@@ -122,6 +134,7 @@
     double micros = server.waitMicros(query.nowMicros()) + server.penaltyMicros();
     micros +=
         lanes(profile.service()).crossingMicros(server, query.isLong(), query.gapTargetMicros());
+    micros += query.handicapMicros().applyAsDouble(server);
     micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
     int unread = all - cached;
     // What is believed may be gone; the store then has it, and asking it costs next to nothing.
--- a/coordination/src/main/java/org/shallothook/coordination/forward/WeightBoard.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/WeightBoard.java
@@ -10,8 +10,9 @@
 /**
  * Which versions of weights are wanted, and which servers may therefore begin a request.
  *
- * <p>Pattern answered: new weights reach the servers a few at a time. While few have them, older
- * ones serve on; as soon as enough have them, those alone; from the deadline on only they may.
+ * <p>Pattern answered: new weights reach the servers a few at a time, and those that have them
+ * start without cached parts. Older ones serve on until the deadline, but count as later than they
+ * are, so that they take what would come late elsewhere.
  *
  * <p>Each version has a deadline of its own, also where a newer one was named since.
  *
@@ -21,8 +22,8 @@
   /** Time for which answers of older weights keep most of their worth, in microseconds. */
   private static final long GRACE_MICROS = 1_200_000;
 
-  /** Share of the servers that can carry the load of all for a while. */
-  private static final double ENOUGH_SHARE = 0.34;
+  /** Part of a request's target by which a server with older weights counts as later. */
+  private static final double OLDER_PART = 0.25;
 
   private final long deadlineMicros;
   private final Map<String, List<Named>> named = new HashMap<>();
@@ -76,14 +77,17 @@
     if (wanted.isEmpty()) {
       return servers;
     }
-    List<Server> allowed = atLeast(servers, model, oldestAllowed(model, nowMicros));
-    List<Server> current = atLeast(servers, model, wanted.get().version());
-    boolean isEnough = current.size() >= Math.max(1, ENOUGH_SHARE * servers.size());
-    boolean isGraceOver = nowMicros - wanted.get().atMicros() >= GRACE_MICROS;
-    return isGraceOver && isEnough ? current : allowed;
+    long oldest = oldestAllowed(model, nowMicros);
+    return servers.stream().filter(server -> server.version(model).orElse(0L) >= oldest).toList();
   }
 
-  private static List<Server> atLeast(List<Server> servers, String model, long version) {
-    return servers.stream().filter(server -> server.version(model).orElse(0L) >= version).toList();
+  /** Returns by how much a server counts as later for the age of its weights, in microseconds. */
+  double olderMicros(Server server, String model, long targetMicros, long nowMicros) {
+    boolean isOlder =
+        newest(model)
+            .filter(wanted -> nowMicros - wanted.atMicros() >= GRACE_MICROS)
+            .filter(wanted -> server.version(model).orElse(0L) < wanted.version())
+            .isPresent();
+    return isOlder ? OLDER_PART * targetMicros : 0;
   }
 }
