Refuse at once the prompts that every server would read too late

Queues were also underestimated, since sidecars count prompts without lengths (156 ms expected, 1.2 to 3.6 s taken, right after a load).

Ruled out: waiting in the router instead; the caller cannot come back elsewhere meanwhile.

Change: PromptAdmission refuses a prompt at its arrival whose wait before reading would exceed its target less its own reading time (half of the target at least); Retry-After is the time until the queue has shrunk to that. The word of sidecars is scaled by what the router's own waiting prompts need on average (UnreadPrompts). Attempts after the first are never refused for the queue.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -274,7 +274,7 @@
     long noServer = nowMicros + route.targetMicros() / NO_SERVER_WAIT_PART;
     request.waitUntil(Math.min(deadline, noServer));
     sendOrWait(request, nowMicros);
-    if (request.phase() == Phase.WAITING) {
+    if (request.phase() == Phase.WAITING && open.containsKey(request.number())) {
       journal.waits(request);
     }
   }
@@ -287,11 +287,11 @@
         prompt.map(one -> weights.eligible(usable, one.model(), nowMicros)).orElse(usable);
     List<Server> untried = eligible.stream().filter(server -> !request.hasTried(server)).toList();
     List<Server> candidates = untried.isEmpty() && !request.mayHaveRun() ? eligible : untried;
-    boolean isSent =
+    boolean isDecided =
         prompt.isPresent()
             ? placePrompt(request, prompt.get(), candidates, nowMicros)
             : placeCall(request, candidates, nowMicros);
-    if (isSent) {
+    if (isDecided) {
       return;
     }
     if (nowMicros >= request.waitUntilMicros()) {
@@ -302,6 +302,7 @@
     }
   }
 
+  /** Sends or refuses a prompt; returns false where no server has a place for it. */
   private boolean placePrompt(
       OpenForward request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
     ScopedOpenings openings = new ScopedOpenings(prompt, scopeOf(request));
@@ -315,6 +316,18 @@
                 weights.olderMicros(
                     server, prompt.model(), request.route().targetMicros(), nowMicros),
             nowMicros);
+    Optional<Long> stayAwayMicros =
+        chosen.filter(place -> request.attempt() == 0).flatMap(place -> stayAway(request, place));
+    if (stayAwayMicros.isPresent()) {
+      long comeBackMicros = nowMicros + stayAwayMicros.get();
+      end(
+          request,
+          RefusalReason.QUEUE_FULL,
+          "Every server would begin to read it too late.",
+          comeBackMicros,
+          nowMicros);
+      return true;
+    }
     chosen.ifPresent(
         place -> {
           Server server = place.server();
@@ -327,6 +340,13 @@
     return chosen.isPresent();
   }
 
+  private Optional<Long> stayAway(OpenForward request, Place place) {
+    return PromptAdmission.stayAwayMicros(
+        place.waitMicros(),
+        prompts.speed().readMicros(place.unreadTokens()),
+        request.route().targetMicros());
+  }
+
   /** Tells what other prompts may share; the last opening is the request's own. */
   private void tellOpenings(List<Opening> openings, Server server) {
     List<Opening> shared = openings.subList(0, Math.max(1, openings.size() - 1));
@@ -575,6 +595,10 @@
                         .lanes(request.service())
                         .isLong(micros, request.route().gapTargetMicros());
                 openShort.merge(request.service(), isLong ? 0 : 1, Integer::sum);
+                if (request.phase() == Phase.SENT) {
+                  int unread = request.place().map(Place::unreadTokens).orElse(0);
+                  prompts.unread().onWaiting(request.service(), prompts.speed().readMicros(unread));
+                }
               });
     }
     openShort.forEach(
@@ -645,6 +669,16 @@
 
   /** Gives a request its final answer; the outcome named is true over all attempts. */
   private void end(OpenForward request, RefusalReason reason, String detail, long nowMicros) {
+    long comeBackMicros = nowMicros + NO_SERVER_RETURN_MICROS;
+    end(request, reason, detail, comeBackMicros, nowMicros);
+  }
+
+  private void end(
+      OpenForward request,
+      RefusalReason reason,
+      String detail,
+      long comeBackMicros,
+      long nowMicros) {
     open.remove(request.number());
     if (request.hasBegunAnswer()) {
       breakOff(request, detail, nowMicros);
@@ -652,8 +686,7 @@
     }
     RefusalReason told = truthful(reason, request.mayHaveRun());
     Outcome outcome = request.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-    Optional<Long> comeBack =
-        request.mayHaveRun() ? Optional.empty() : Optional.of(nowMicros + NO_SERVER_RETURN_MICROS);
+    Optional<Long> comeBack = request.mayHaveRun() ? Optional.empty() : Optional.of(comeBackMicros);
     refuse(request.number(), request.head(), new Refusal(told, detail, outcome, comeBack));
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -34,6 +34,7 @@
   private final String failureDomain;
   private final PrefixBook book = new PrefixBook();
   private final ReadingSpeed speed = new ReadingSpeed();
+  private final UnreadPrompts unread = new UnreadPrompts();
   private final Map<String, ReadingLanes> lanes = new HashMap<>();
 
   PromptPlacement(String failureDomain) {
@@ -48,6 +49,10 @@
     return lanes.computeIfAbsent(service, name -> new ReadingLanes());
   }
 
+  UnreadPrompts unread() {
+    return unread;
+  }
+
   ReadingSpeed speed() {
     return speed;
   }
@@ -60,6 +65,7 @@
    * @param saveTo {@code IP:port} of the store where parts are to be kept
    * @param cachedTokens tokens that the server is believed to have
    * @param unreadTokens tokens that it must read
+   * @param waitMicros time before the prompt is read
    * @param expectedMicros time until the first output
    */
   record Place(
@@ -68,6 +74,7 @@
       Optional<String> saveTo,
       int cachedTokens,
       int unreadTokens,
+      double waitMicros,
       double expectedMicros) {}
 
   /** A prompt that is to be placed, among servers by their names. */
@@ -131,19 +138,20 @@
     int all = query.prompt().promptTokens();
     int cached = Math.min(all, book.cachedTokens(openings, server.name(), profile.memoryTokens()));
     int missing = Opening.shared(openings).tokens() - cached;
-    double micros = server.waitMicros(query.nowMicros()) + server.penaltyMicros();
+    double waitMicros = server.waitMicros(unread.scale(profile.service()), query.nowMicros());
+    double micros = waitMicros + server.penaltyMicros();
     micros +=
         lanes(profile.service()).crossingMicros(server, query.isLong(), query.gapTargetMicros());
     micros += query.handicapMicros().applyAsDouble(server);
     micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
-    int unread = all - cached;
+    int unreadTokens = all - cached;
     // What is believed may be gone; the store then has it, and asking it costs next to nothing.
     Optional<String> fetchFrom = profile.store();
     Optional<String> saveTo = Optional.empty();
     if (missing > 0) {
       Optional<Server> holder = holder(server, query);
       if (holder.isPresent()) {
-        unread -= missing;
+        unreadTokens -= missing;
         micros += missing * profile.fetchMicrosPerToken();
         micros += COPY_PART * speed.readMicros(missing);
         fetchFrom = Optional.of(holder.get().entry().address());
@@ -152,8 +160,8 @@
         saveTo = profile.store();
       }
     }
-    micros += speed.readMicros(unread);
-    return new Place(server, fetchFrom, saveTo, cached, unread, micros);
+    micros += speed.readMicros(unreadTokens);
+    return new Place(server, fetchFrom, saveTo, cached, unreadTokens, waitMicros, micros);
   }
 
   /** Returns another server that has read the opening, with weights of the same version. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -86,10 +86,15 @@
     return outstanding < entry.slots();
   }
 
-  /** Returns the time until a new prompt would be read, from the latest word and own sends. */
-  double waitMicros(long nowMicros) {
+  /**
+   * Returns the time until a new prompt would be read, from the latest word and own sends.
+   *
+   * @param scale factor on the word of the sidecar, which knows no lengths
+   * @param nowMicros time of the question
+   */
+  double waitMicros(double scale, long nowMicros) {
     boolean isFresh = nowMicros < statusUntilMicros;
-    return (isFresh ? queueDelayMicros : 0) + sentSinceStatusMicros;
+    return (isFresh ? scale * queueDelayMicros : 0) + sentSinceStatusMicros;
   }
 
   /** Returns by how much the server counts as later than it promises, for its failures. */
--- a/coordination/src/main/java/org/shallothook/coordination/weights/EngineReport.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/EngineReport.java
@@ -23,6 +23,9 @@
     int running,
     int generating,
     long startedAtMillis) {
+  /** Time that a prompt of medium length takes to be read; routers scale it by those they know. */
+  public static final long READ_HINT_MICROS = 40_000;
+
   public EngineReport {
     versions = Map.copyOf(versions);
   }
@@ -31,4 +34,9 @@
   public int unread() {
     return queued + Math.max(0, running - generating);
   }
+
+  /** Returns the time until a new prompt would be read, were all of medium length. */
+  long queueDelayMicros() {
+    return unread() * READ_HINT_MICROS;
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -42,9 +42,6 @@
   /** Longest time that prompts already sent are waited for before an order turns them away. */
   private static final long QUEUE_DRAIN_MICROS = 350_000;
 
-  /** Time that a prompt of a few thousand tokens takes to be read, as a hint to routers. */
-  private static final long READ_HINT_MICROS = 40_000;
-
   /** Time between two announcements of a changed queue. */
   private static final long LOAD_MICROS = 100_000;
 
@@ -320,7 +317,7 @@
                 .map(entry -> ModelVersion.of(entry.getKey(), Long.toString(entry.getValue())))
                 .toList();
     String incarnation = isDown ? "" : Long.toString(report.get().startedAtMillis());
-    long queueMicros = isHeld ? 0 : report.get().unread() * READ_HINT_MICROS;
+    long queueMicros = isHeld ? 0 : report.get().queueDelayMicros();
     SidecarStatus status = new SidecarStatus(id.get(), incarnation, ready, false, queueMicros);
     boolean isReadinessNew = announced.filter(last -> last.ready().equals(ready)).isEmpty();
     long age = nowMicros - announcedAtMicros;
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptAdmissionTest.java
@@ -0,0 +1,78 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.coordination.weights.EngineReport;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.RefusalReason;
+
+/** Load pattern: more prompts than the servers can read. */
+final class PromptAdmissionTest {
+  private static final int ENGINES = 3;
+
+  @ParameterizedTest(name = "a wait of {0} ms before {1} ms of reading, target 800 ms: {2} ms away")
+  @CsvSource({"0, 200, -1", "600, 200, -1", "700, 200, 100", "1600, 200, 1000", "390, 3000, -1"})
+  void whatWouldWaitBeyondItsTargetStaysAway(long wait, long read, long expected) {
+    Optional<Long> stayAway =
+        PromptAdmission.stayAwayMicros(wait * 1_000.0, read * 1_000.0, 800_000);
+    assertThat(stayAway.map(micros -> micros / 1_000).orElse(-1L)).isEqualTo(expected);
+  }
+
+  private static void tellQueue(ForwardHarness harness, int unread) {
+    for (int engine = 1; engine <= ENGINES; engine++) {
+      harness.handle(
+          new ForwardEvent.StatusHeard(
+              new SidecarStatus(
+                  "engine-" + engine,
+                  "1",
+                  List.of(ModelVersion.of(ForwardHarness.MODEL, "1")),
+                  false,
+                  unread * EngineReport.READ_HINT_MICROS)));
+    }
+  }
+
+  @Test
+  void whatEveryServerWouldReadTooLateIsRefusedAtOnceAsNotRun() {
+    ForwardHarness harness = ForwardHarness.ready(ENGINES, 0);
+    tellQueue(harness, 50);
+    long request = harness.ask("register");
+    assertThat(harness.sends(request)).isEqualTo(0);
+    assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.QUEUE_FULL);
+    assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(harness.refusal(request).get().retryAtMicros().get()).isGreaterThan(harness.now());
+    assertThat(harness.core.openRequests()).isEqualTo(0);
+  }
+
+  @Test
+  void whatIsAcceptedInABurstCanBeReadInTime() {
+    ForwardHarness harness = ForwardHarness.ready(ENGINES, 0);
+    List<Long> sent = new ArrayList<>();
+    for (int index = 0; index < 200; index++) {
+      long request = harness.ask("register-" + index);
+      if (harness.sends(request) > 0) {
+        sent.add(request);
+      }
+    }
+    // 8,000 tokens at 40 microseconds each: two prompts fit the target of a server, a third waits.
+    assertThat(sent.size()).isAtLeast(2 * ENGINES);
+    assertThat(sent.size()).isAtMost(4 * ENGINES);
+  }
+
+  @Test
+  void aSecondAttemptIsNotRefusedForTheQueue() {
+    ForwardHarness harness = ForwardHarness.ready(ENGINES, 0);
+    long request = harness.ask("register");
+    tellQueue(harness, 50);
+    harness.reject(request, 503);
+    assertThat(harness.refusal(request)).isEmpty();
+    assertThat(harness.sends(request)).isEqualTo(2);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/UnreadPromptsTest.java
@@ -0,0 +1,27 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.shallothook.coordination.weights.EngineReport;
+
+/** Load pattern: queues of long prompts, of which sidecars know only the number. */
+final class UnreadPromptsTest {
+  private final UnreadPrompts unread = new UnreadPrompts();
+
+  @Test
+  void beforeAnythingWaitedTheWordOfSidecarsStands() {
+    assertThat(unread.scale("engines")).isEqualTo(1.0);
+  }
+
+  @ParameterizedTest(name = "prompts of {0} ms: {1} times")
+  @CsvSource({"80, 2", "200, 5", "1, 0.5", "10000, 8"})
+  void theWordIsScaledByWhatWaits(long readMillis, double expected) {
+    unread.onWaiting("engines", readMillis * 1_000.0);
+    assertThat(unread.scale("engines")).isWithin(0.01).of(expected);
+    assertThat(unread.scale("others")).isEqualTo(1.0);
+    assertThat(EngineReport.READ_HINT_MICROS).isEqualTo(40_000);
+  }
+}
