Tell other routers again of openings that are still in use

Cause: routers told each other of an opening once; what a router believes ends with the tokens read at the server, so others took it for dropped while it was in use there (four routers each see a quarter of the requests). Send lines now name the shared opening.

Change: a use is told again after a fifth of the server's memory was read since the last word.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -332,8 +332,7 @@
         place -> {
           Server server = place.server();
           request.onPlaced(place, openings.at(server));
-          tellOpenings(request.openings(), server);
-          prompts.book().onSent(request.openings(), server.name(), nowMicros);
+          noteOpenings(request, server, nowMicros);
           server.onPromptSent(prompts.speed().readMicros(place.unreadTokens()));
           send(request, server, Optional.of(openings.scopeAt(server)), nowMicros);
         });
@@ -347,12 +346,16 @@
         request.route().targetMicros());
   }
 
-  /** Tells what other prompts may share; the last opening is the request's own. */
-  private void tellOpenings(List<Opening> openings, Server server) {
+  /** Notes what a server will have, and tells what other prompts may share. */
+  private void noteOpenings(OpenForward request, Server server, long nowMicros) {
+    List<Opening> openings = request.openings();
     List<Opening> shared = openings.subList(0, Math.max(1, openings.size() - 1));
-    List<Long> unknown = prompts.book().unknown(shared, server.name());
-    if (!unknown.isEmpty()) {
-      commands.accept(new ForwardCommand.TellOpenings(server.name(), unknown));
+    List<Opening> own = openings.subList(shared.size(), openings.size());
+    long memoryTokens = profileOf(request.service()).memoryTokens();
+    List<Long> toTell = prompts.book().onSent(shared, server.name(), memoryTokens, nowMicros);
+    prompts.book().onSent(own, server.name(), memoryTokens, nowMicros);
+    if (!toTell.isEmpty()) {
+      commands.accept(new ForwardCommand.TellOpenings(server.name(), toTell));
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -64,6 +64,10 @@
         version.orElse(0L),
         "open",
         server.outstanding(),
+        "opening",
+        request.openings().isEmpty()
+            ? ""
+            : Long.toHexString(Opening.shared(request.openings()).hash()),
         "cached",
         request.place().map(Place::cachedTokens).orElse(0),
         "unread",
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
@@ -31,20 +31,40 @@
   private final Map<Long, Map<String, Entry>> holders = new LinkedHashMap<>(CAPACITY, 0.75f, true);
   private final Map<String, Long> tokensRead = new HashMap<>();
 
-  /** When an opening was last used, by the tokens read at its server until then. */
-  private record Entry(long usedAtMicros, long tokensReadBefore, boolean isRead) {}
+  /** Part of a server's memory after whose reading other routers are told of a use again. */
+  private static final double TELL_PART = 0.2;
 
-  /** Takes in that a prompt with these openings is on its way to a server. */
-  void onSent(List<Opening> openings, String server, long nowMicros) {
+  /**
+   * When an opening was last used, and when all routers last knew of a use, each by the tokens read
+   * at its server until then.
+   */
+  private record Entry(long usedAtMicros, long tokensReadBefore, long toldBefore, boolean isRead) {}
+
+  /**
+   * Takes in that a prompt with these openings is on its way to a server.
+   *
+   * @return the openings that other routers would soon take for dropped there
+   */
+  List<Long> onSent(List<Opening> openings, String server, long memoryTokens, long nowMicros) {
+    List<Long> toTell = new ArrayList<>();
+    long read = tokensRead.getOrDefault(server, 0L);
     for (Opening opening : openings) {
       Entry known = entries(opening.hash()).get(server);
-      put(opening.hash(), server, known != null && known.isRead(), nowMicros);
+      boolean isTold =
+          known == null || read - known.toldBefore() >= TELL_PART * Math.max(1, memoryTokens);
+      if (isTold) {
+        toTell.add(opening.hash());
+      }
+      long toldBefore = isTold ? read : known.toldBefore();
+      boolean isRead = known != null && known.isRead();
+      entries(opening.hash()).put(server, new Entry(nowMicros, read, toldBefore, isRead));
     }
     Iterator<Long> oldest = holders.keySet().iterator();
     while (holders.size() > CAPACITY && oldest.hasNext()) {
       oldest.next();
       oldest.remove();
     }
+    return toTell;
   }
 
   /**
@@ -54,12 +74,19 @@
    */
   void onRead(List<Opening> openings, String server, long newTokens, long nowMicros) {
     tokensRead.merge(server, newTokens, Long::sum);
-    openings.forEach(opening -> put(opening.hash(), server, true, nowMicros));
+    for (Opening opening : openings) {
+      Entry known = entries(opening.hash()).get(server);
+      long read = tokensRead.get(server);
+      long toldBefore = known == null ? read : known.toldBefore();
+      entries(opening.hash()).put(server, new Entry(nowMicros, read, toldBefore, true));
+    }
   }
 
-  /** Takes in that another router has made a server read prompts with these openings. */
+  /** Takes in that another router has sent a server a prompt with these openings. */
   void onTold(List<Long> openings, String server, long nowMicros) {
-    openings.forEach(opening -> put(opening, server, true, nowMicros));
+    long read = tokensRead.getOrDefault(server, 0L);
+    openings.forEach(
+        opening -> entries(opening).put(server, new Entry(nowMicros, read, read, true)));
   }
 
   /** Takes in that a server did not read a prompt after all. */
@@ -74,14 +101,6 @@
     holders.values().forEach(entries -> entries.remove(server));
   }
 
-  /** Returns the openings that a server is not known to have. */
-  List<Long> unknown(List<Opening> openings, String server) {
-    return openings.stream()
-        .map(Opening::hash)
-        .filter(hash -> !holders.getOrDefault(hash, Map.of()).containsKey(server))
-        .toList();
-  }
-
   /**
    * Returns how many tokens of a prompt a server is believed to have by the time it reads it.
    *
@@ -125,11 +144,6 @@
     return memoryTokens == 0 || since < USABLE_PART * memoryTokens;
   }
 
-  private void put(long opening, String server, boolean isRead, long nowMicros) {
-    long before = tokensRead.getOrDefault(server, 0L);
-    entries(opening).put(server, new Entry(nowMicros, before, isRead));
-  }
-
   private Map<String, Entry> entries(long opening) {
     return holders.computeIfAbsent(opening, hash -> new HashMap<>());
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -135,7 +135,7 @@
   void anOpeningIsForgottenWithTheServersCache() {
     PrefixBook book = new PrefixBook();
     List<Opening> openings = Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), SERVICE);
-    book.onSent(openings, "engine-1", 1);
+    book.onSent(openings, "engine-1", 100_000, 1);
     assertThat(book.cachedTokens(openings, "engine-1", 100_000)).isEqualTo(8_000);
     book.onEmptied("engine-1");
     assertThat(book.cachedTokens(openings, "engine-1", 100_000)).isEqualTo(0);
@@ -145,12 +145,38 @@
   void anOpeningIsCopiedOnlyOnceItWasRead() {
     PrefixBook book = new PrefixBook();
     List<Opening> openings = Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), SERVICE);
-    book.onSent(openings, "engine-1", 1);
+    book.onSent(openings, "engine-1", 100_000, 1);
     assertThat(book.holder(openings, 100_000, name -> true).isPresent()).isFalse();
     book.onRead(openings, "engine-1", 8_000, 2);
     assertThat(book.holder(openings, 100_000, name -> true)).hasValue("engine-1");
   }
 
+  @Test
+  void otherRoutersAreToldAgainOfAnOpeningThatIsStillUsed() {
+    PrefixBook book = new PrefixBook();
+    List<Opening> shared =
+        Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), SERVICE).subList(0, 2);
+    List<Opening> others = Opening.of(ForwardHarness.prompt("south", 6_000, 2_000), "other");
+    assertThat(book.onSent(shared, "engine-1", 100_000, 1)).hasSize(2);
+    book.onRead(shared, "engine-1", 8_000, 2);
+    assertThat(book.onSent(shared, "engine-1", 100_000, 3)).isEmpty();
+    book.onRead(others, "engine-1", 30_000, 4);
+    assertThat(book.onSent(shared, "engine-1", 100_000, 5)).hasSize(2);
+    assertThat(book.onSent(shared, "engine-1", 100_000, 6)).isEmpty();
+  }
+
+  @Test
+  void anOpeningThatAnotherRouterUsesStaysKnown() {
+    PrefixBook book = new PrefixBook();
+    List<Opening> openings = Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), SERVICE);
+    List<Opening> others = Opening.of(ForwardHarness.prompt("south", 6_000, 2_000), "other");
+    book.onRead(openings, "engine-1", 8_000, 1);
+    book.onRead(others, "engine-1", 70_000, 2);
+    book.onTold(openings.stream().map(Opening::hash).toList(), "engine-1", 3);
+    book.onRead(others, "engine-1", 70_000, 4);
+    assertThat(book.cachedTokens(openings, "engine-1", 100_000)).isEqualTo(8_000);
+  }
+
   @Test
   void anOpeningIsForgottenOnceOthersHaveFilledTheMemory() {
     PrefixBook book = new PrefixBook();
