Read no long prompt where it would make the streams of short ones pause

Change: on a server of short prompts a long one is read only if the reading in a row stays below 0.6 of the accepted pause; where no other server is in time either it is refused. Servers are divided anew among those that may begin requests, no longer among all listed.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -340,6 +340,9 @@
   }
 
   private Optional<Long> stayAway(OpenForward request, Place place) {
+    if (place.stallsStreams()) {
+      return Optional.of(request.route().gapTargetMicros());
+    }
     return PromptAdmission.stayAwayMicros(
         place.waitMicros(),
         prompts.speed().readMicros(place.unreadTokens()),
@@ -579,14 +582,14 @@
       }
     }
     sendWaiting(nowMicros);
-    divideLanes();
+    divideLanes(nowMicros);
     watchSilence(nowMicros);
     giveUpStuck(nowMicros);
     servers.forget(nowMicros);
     crashes.forget(nowMicros);
   }
 
-  private void divideLanes() {
+  private void divideLanes(long nowMicros) {
     Map<String, Integer> openShort = new HashMap<>();
     for (OpenForward request : open.values()) {
       promptOf(request)
@@ -606,7 +609,7 @@
     }
     openShort.forEach(
         (service, count) ->
-            prompts.lanes(service).divide(servers.listed(service), count * routers));
+            prompts.lanes(service).divide(servers.usable(service, nowMicros), count * routers));
   }
 
   private void onDeadline(OpenForward request, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -66,6 +66,7 @@
    * @param cachedTokens tokens that the server is believed to have
    * @param unreadTokens tokens that it must read
    * @param waitMicros time before the prompt is read
+   * @param stallsStreams whether reading it would make streams there pause for too long
    * @param expectedMicros time until the first output
    */
   record Place(
@@ -75,7 +76,15 @@
       int cachedTokens,
       int unreadTokens,
       double waitMicros,
-      double expectedMicros) {}
+      boolean stallsStreams,
+      double expectedMicros) {
+
+    boolean isBetterThan(Place other) {
+      return stallsStreams == other.stallsStreams
+          ? expectedMicros < other.expectedMicros
+          : other.stallsStreams;
+    }
+  }
 
   /** A prompt that is to be placed, among servers by their names. */
   private record Query(
@@ -123,7 +132,7 @@
     for (Server server : servers) {
       if (server.hasPlace()) {
         Place place = placeAt(server, query);
-        if (best.filter(other -> other.expectedMicros() <= place.expectedMicros()).isEmpty()) {
+        if (best.filter(other -> !place.isBetterThan(other)).isEmpty()) {
           best = Optional.of(place);
         }
       }
@@ -160,8 +169,19 @@
         saveTo = profile.store();
       }
     }
-    micros += speed.readMicros(unreadTokens);
-    return new Place(server, fetchFrom, saveTo, cached, unreadTokens, waitMicros, micros);
+    double readMicros = speed.readMicros(unreadTokens);
+    boolean stallsStreams =
+        lanes(profile.service())
+            .wouldStall(server, query.isLong(), waitMicros + readMicros, query.gapTargetMicros());
+    return new Place(
+        server,
+        fetchFrom,
+        saveTo,
+        cached,
+        unreadTokens,
+        waitMicros,
+        stallsStreams,
+        micros + readMicros);
   }
 
   /** Returns another server that has read the opening, with weights of the same version. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ReadingLanes.java
@@ -22,6 +22,9 @@
   /** Part of the accepted pause that a prompt may take to be read and still count as short. */
   private static final double SHORT_PART = 0.2;
 
+  /** Part of the accepted pause for which a server of the short ones may read in a row. */
+  private static final double LONGEST_READING_PART = 0.6;
+
   /** Part of the accepted pause that a server of the other kind counts as later. */
   private static final double CROSSING_PART = 0.4;
 
@@ -56,7 +59,7 @@
   /**
    * Divides the servers anew.
    *
-   * @param servers all servers of the service
+   * @param servers servers that may begin requests
    * @param openShort streams of short prompts that all routers together have open
    */
   void divide(List<Server> servers, int openShort) {
@@ -81,6 +84,17 @@
     shortLane = lane;
   }
 
+  /**
+   * Returns whether a long prompt would make the streams of short ones pause for too long.
+   *
+   * @param readingMicros time that the server would read in a row, with the prompt
+   */
+  boolean wouldStall(Server server, boolean isLong, double readingMicros, long gapTargetMicros) {
+    return isLong
+        && shortLane.contains(server.name())
+        && readingMicros > LONGEST_READING_PART * gapTargetMicros;
+  }
+
   /** Returns by how much a server counts as later for a prompt, in microseconds. */
   double crossingMicros(Server server, boolean isLong, long gapTargetMicros) {
     boolean isCrossing = !shortLane.isEmpty() && shortLane.contains(server.name()) == isLong;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -122,6 +122,39 @@
     assertThat(both).isEmpty();
   }
 
+  @Test
+  void aBurstOfLongPromptsLeavesTheServersOfShortOnesAlone() {
+    ForwardHarness harness = ForwardHarness.ready(6, 0);
+    Set<String> withShort = new HashSet<>();
+    for (int round = 0; round < 40; round++) {
+      long longOne = harness.ask("register-" + round % 7);
+      long shortOne =
+          harness.request(
+              "/draft/1",
+              Optional.of(ForwardHarness.KEY),
+              Optional.of(ForwardHarness.prompt("letter-" + round % 9, 200, 600)));
+      if (round >= 20) {
+        withShort.add(serverOf(harness, shortOne));
+      }
+      harness.advance(300_000);
+      finish(harness, longOne);
+      finish(harness, shortOne);
+    }
+    int refused = 0;
+    int crossed = 0;
+    for (int index = 0; index < 60; index++) {
+      long request = harness.ask("burst-" + index);
+      if (harness.refusal(request).isPresent()) {
+        refused++;
+      } else if (withShort.contains(serverOf(harness, request))) {
+        crossed++;
+      }
+    }
+    assertThat(refused).isGreaterThan(0);
+    // One is read within a pause that is accepted; a second one in a row is not.
+    assertThat(crossed).isAtMost(withShort.size());
+  }
+
   @Test
   void theSpeedOfReadingIsLearntFromQuickAnswers() {
     ReadingSpeed speed = new ReadingSpeed();
