Save openings while the store lacks them, and count on those it has

Placement did not know what the store had and expected such prompts to be read in full.

Change: the store is a place in PrefixBook with its own size. A prompt is saved where the store is not believed to have its opening, also when it is copied from a server; routers tell each other of it; the belief ends after 30 s or with the store's size. What the store has counts as copied, not read.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -20,6 +20,7 @@
 import org.shallothook.state.route.Route;
 import org.shallothook.state.route.RouteTable;
 import org.shallothook.state.route.ServiceTraits;
+import org.shallothook.state.route.ServiceTraits.CacheStore;
 import org.shallothook.state.route.ServiceTraits.EngineTraits;
 import org.shallothook.state.route.WeightVersion;
 
@@ -357,8 +358,17 @@
     long memoryTokens = profileOf(request.service()).memoryTokens();
     List<Long> toTell = prompts.book().onSent(shared, server.name(), memoryTokens, nowMicros);
     prompts.book().onSent(own, server.name(), memoryTokens, nowMicros);
-    if (!toTell.isEmpty()) {
-      commands.accept(new ForwardCommand.TellOpenings(server.name(), toTell));
+    tellOpenings(server.name(), toTell);
+    Optional<CacheStore> store = profileOf(request.service()).store();
+    if (request.place().flatMap(Place::saveTo).isPresent() && store.isPresent()) {
+      long saved = (long) routers * promptOf(request).orElseThrow().promptTokens();
+      tellOpenings(store.get().address(), prompts.onSaved(shared, store.get(), saved, nowMicros));
+    }
+  }
+
+  private void tellOpenings(String place, List<Long> openings) {
+    if (!openings.isEmpty()) {
+      commands.accept(new ForwardCommand.TellOpenings(place, openings));
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PrefixBook.java
@@ -116,6 +116,18 @@
     return tokens;
   }
 
+  /**
+   * Returns whether a place is believed to have an opening, told of within a time.
+   *
+   * @param sinceMicros time before which what was told does not count
+   */
+  boolean hasSince(Opening opening, String place, long memoryTokens, long sinceMicros) {
+    Entry entry = holders.getOrDefault(opening.hash(), Map.of()).get(place);
+    return entry != null
+        && entry.usedAtMicros() >= sinceMicros
+        && isKept(opening.hash(), place, memoryTokens);
+  }
+
   /** Returns the server that most recently had the longest opening, among those allowed. */
   Optional<String> holder(List<Opening> openings, long memoryTokens, Predicate<String> isAllowed) {
     List<Opening> longestFirst = new ArrayList<>(openings);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.state.route.ServiceTraits.CacheStore;
 
 /**
  * Places requests with prompts where their first output comes earliest.
@@ -28,6 +29,12 @@
   /** Part of that time that another copy of an opening costs, since it drops others from memory. */
   private static final double COPY_PART = 0.6;
 
+  /** Slowness of a copy from the store, whose link all servers share, beside one from a server. */
+  private static final double STORE_SLOWNESS = 2;
+
+  /** Time for which an opening counts as stored, as the store may lose all; in microseconds. */
+  private static final long STORED_MICROS = 30_000_000;
+
   /** Time by which a server of the own failure domain is ahead of others, in microseconds. */
   private static final double DOMAIN_MICROS = 3_000;
 
@@ -155,8 +162,10 @@
     micros += server.failureDomain().equals(failureDomain) ? 0 : DOMAIN_MICROS;
     int unreadTokens = all - cached;
     // What is believed may be gone; the store then has it, and asking it costs next to nothing.
-    Optional<String> fetchFrom = profile.store();
-    Optional<String> saveTo = Optional.empty();
+    Optional<String> store = profile.store().map(CacheStore::address);
+    Optional<String> fetchFrom = store;
+    boolean isStored = isStored(Opening.shared(openings), query);
+    Optional<String> saveTo = missing > 0 && !isStored ? store : Optional.empty();
     if (missing > 0) {
       Optional<Server> holder = holder(server, query);
       if (holder.isPresent()) {
@@ -166,7 +175,8 @@
         fetchFrom = Optional.of(holder.get().entry().address());
       } else {
         micros -= isHome(server, query, openings) ? HOME_PART * speed.readMicros(missing) : 0;
-        saveTo = profile.store();
+        unreadTokens -= isStored ? missing : 0;
+        micros += isStored ? STORE_SLOWNESS * missing * profile.fetchMicrosPerToken() : 0;
       }
     }
     double readMicros = speed.readMicros(unreadTokens);
@@ -184,6 +194,27 @@
         micros + readMicros);
   }
 
+  private boolean isStored(Opening opening, Query query) {
+    return query
+        .profile()
+        .store()
+        .filter(
+            store ->
+                book.hasSince(
+                    opening,
+                    store.address(),
+                    store.cacheTokens(),
+                    query.nowMicros() - STORED_MICROS))
+        .isPresent();
+  }
+
+  /** Takes in that a prompt is being saved, and returns the openings to tell other routers of. */
+  List<Long> onSaved(List<Opening> shared, CacheStore store, long newTokens, long nowMicros) {
+    List<Long> toTell = book.onSent(shared, store.address(), store.cacheTokens(), nowMicros);
+    book.onRead(shared, store.address(), newTokens, nowMicros);
+    return toTell;
+  }
+
   /** Returns another server that has read the opening, with weights of the same version. */
   private Optional<Server> holder(Server target, Query query) {
     List<Opening> shared = List.of(Opening.shared(query.prompt().at(target)));
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.route.ServiceTraits.CacheStore;
 
 /** Load patterns: shared openings, a hot opening, and long prompts beside streams. */
 final class PromptPlacementTest {
@@ -155,6 +156,37 @@
     assertThat(crossed).isAtMost(withShort.size());
   }
 
+  private static final String STORE = "10.9.0.1:80";
+
+  private static Optional<PromptPlacement.Place> place(PromptPlacement prompts, long nowMicros) {
+    Server engine = new Server(ForwardHarness.engine("engine-1", 1, 1));
+    return prompts.choose(
+        List.of(engine),
+        new ScopedOpenings(ForwardHarness.prompt("north", 6_000, 2_000), "scope"),
+        new EngineProfile(
+            SERVICE, 100_000, 3.5, Optional.of(new CacheStore(STORE, "domain-a", 500_000))),
+        500_000,
+        server -> 0,
+        nowMicros);
+  }
+
+  @Test
+  void anOpeningIsSavedUntilTheStoreHasItAndAgainOnceTheStoreMayHaveLostIt() {
+    PromptPlacement prompts = new PromptPlacement("domain-a");
+    PromptPlacement.Place first = place(prompts, 1).orElseThrow();
+    assertThat(first.saveTo()).hasValue(STORE);
+    assertThat(first.unreadTokens()).isEqualTo(8_000);
+    List<Opening> shared =
+        Opening.of(ForwardHarness.prompt("north", 6_000, 2_000), "scope/1").subList(0, 2);
+    CacheStore store = new CacheStore(STORE, "domain-a", 500_000);
+    assertThat(prompts.onSaved(shared, store, 8_000, 2)).hasSize(2);
+    PromptPlacement.Place later = place(prompts, 1_000_000).orElseThrow();
+    assertThat(later.saveTo()).isEmpty();
+    assertThat(later.fetchFrom()).hasValue(STORE);
+    assertThat(later.unreadTokens()).isEqualTo(2_000);
+    assertThat(place(prompts, 40_000_000).orElseThrow().saveTo()).hasValue(STORE);
+  }
+
   @Test
   void theSpeedOfReadingIsLearntFromQuickAnswers() {
     ReadingSpeed speed = new ReadingSpeed();
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -100,14 +100,13 @@
     return Optional.ofNullable(services.get(name));
   }
 
-  /** Returns the address of a store of cached parts, of the failure domain named if it has one. */
-  public Optional<String> cacheStore(String failureDomain) {
+  /** Returns a store of cached parts, of the failure domain named if it has one. */
+  public Optional<CacheStore> cacheStore(String failureDomain) {
     return services.values().stream()
         .flatMap(service -> service.cacheStore().stream())
         .min(
             Comparator.comparing(
-                (CacheStore store) -> !store.failureDomain().equals(failureDomain)))
-        .map(CacheStore::address);
+                (CacheStore store) -> !store.failureDomain().equals(failureDomain)));
   }
 
   private static String hostName(String host) {
--- a/state/src/main/java/org/shallothook/state/route/ServiceTraits.java
+++ b/state/src/main/java/org/shallothook/state/route/ServiceTraits.java
@@ -40,8 +40,9 @@
    *
    * @param address {@code IP:port} of the store
    * @param failureDomain failure domain that it stands in
+   * @param cacheTokens tokens that it can hold
    */
-  public record CacheStore(String address, String failureDomain) {}
+  public record CacheStore(String address, String failureDomain, long cacheTokens) {}
 
   public ServiceTraits {
     Objects.requireNonNull(name, "name");
