--- a/coordination/src/main/java/org/shallothook/coordination/forward/FleetRetryBudget.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/FleetRetryBudget.java
@@ -29,11 +29,11 @@
     this.windowMicros = windowMicros;
   }
 
-  /** Divides the fixed number among so many routers from now on, in windows that start empty. */
+  /** Divides the fixed number among so many routers from now on; what was spent still counts. */
   void onRouters(int count) {
     if (count > routers) {
       routers = count;
-      byService.clear();
+      byService.values().forEach(budget -> budget.changeMinimum(ownSlack()));
     }
   }
 
@@ -47,8 +47,10 @@
 
   private RetryBudget budget(String service) {
     return byService.computeIfAbsent(
-        service,
-        name ->
-            new RetryBudget(SAFE_PART * ratio, (int) (SAFE_PART * slack / routers), windowMicros));
+        service, name -> new RetryBudget(SAFE_PART * ratio, ownSlack(), windowMicros));
+  }
+
+  private int ownSlack() {
+    return (int) (SAFE_PART * slack / routers);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/retry/RetryBudget.java
+++ b/coordination/src/main/java/org/shallothook/coordination/retry/RetryBudget.java
@@ -10,7 +10,7 @@
   private static final int SLOTS = 10;
 
   private final double share;
-  private final int minimum;
+  private int minimum;
   private final long slotMicros;
   private final long[] successes = new long[SLOTS];
   private final long[] retries = new long[SLOTS];
@@ -29,6 +29,11 @@
     this.slotMicros = Math.max(1, windowMicros / SLOTS);
   }
 
+  /** Changes the retries allowed without any success; those already taken still count. */
+  public void changeMinimum(int newMinimum) {
+    minimum = newMinimum;
+  }
+
   /** Counts a success. */
   public void onSuccess(long nowMicros) {
     successes[slotAt(nowMicros)]++;
