Tell a request's story from logs, and measure the steps of its way

shallothook-router trace ID FILE... reads the decision logs of several processes and prints the lines of one request in order, how it ended and why, and the lines on configuration, servers, orders and dependencies that bear on it. Tests find the cause of three kinds of failed request from the lines alone: a booking of unknown outcome, a stream broken midway, a refusal though servers seemed free.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.shallothook.coordination.forward.OpenForward.Phase;
 import org.shallothook.coordination.forward.PromptPlacement.Place;
+import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -411,6 +412,13 @@
             request.lastEvent());
     commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
     journal.sent(request, server, version, nowMicros);
+    if (request.attempt() == 1) {
+      took(LatencyStep.PLACEMENT, request, nowMicros);
+    }
+  }
+
+  private void took(LatencyStep step, OpenForward request, long nowMicros) {
+    options.counters().took(step, nowMicros - request.arrivedMicros());
   }
 
   private static Optional<PromptOutline> promptOf(OpenForward request) {
@@ -472,6 +480,7 @@
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
     journal.relayed(request, server, answer, nowMicros);
+    took(LatencyStep.FIRST_OUTPUT, request, nowMicros);
   }
 
   /** Only a stream that may go on elsewhere gains from giving up a silent server. */
@@ -530,6 +539,7 @@
     open.remove(request.number());
     crashes.onAnswered(request.head().contentHash());
     journal.completed(request, nowMicros);
+    took(LatencyStep.WHOLE_ANSWER, request, nowMicros);
     sendWaiting(nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Counters.java
@@ -28,6 +28,14 @@
     }
   }
 
+  /**
+   * Takes in how long a step has taken; does nothing unless overridden.
+   *
+   * @param step the step
+   * @param micros its time in microseconds
+   */
+  default void took(LatencyStep step, long micros) {}
+
   /** Counts a refusal by its reason. */
   default void refused(RefusalReason reason) {
     increment("refusals." + reason.code());
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -42,6 +42,10 @@
   private long nextRequest = 1;
 
   ForwardHarness() {
+    this(DecisionJournal.NONE);
+  }
+
+  ForwardHarness(DecisionJournal journal) {
     core =
         new ForwardCore(
             new ForwardOptions(
@@ -53,13 +57,17 @@
                 60 * SECOND,
                 1,
                 Counters.NONE,
-                DecisionJournal.NONE),
+                journal),
             this::take);
   }
 
   /** Returns a core that knows its configuration, and servers of both services. */
   static ForwardHarness ready(int engines, int services) {
-    ForwardHarness harness = new ForwardHarness();
+    return ready(engines, services, DecisionJournal.NONE);
+  }
+
+  static ForwardHarness ready(int engines, int services, DecisionJournal journal) {
+    ForwardHarness harness = new ForwardHarness(journal);
     harness.publish(1);
     List<ServerEntry> entries = new ArrayList<>();
     for (int index = 1; index <= engines; index++) {
--- a/router/src/main/java/org/shallothook/router/RouterMain.java
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -20,6 +20,7 @@
       "  shallothook-router check --settings router.ini",
       "  shallothook-router serve --settings router.ini",
       "  shallothook-router serve-hosted --settings /etc/shallothook/local.toml",
+      "  shallothook-router trace 48bf1efc3e7e3739 router-1.log sidecar-1.log",
       "",
       "Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 conflicting change."
     })
@@ -45,6 +46,7 @@
         .addSubcommand(new PageCommand.History())
         .addSubcommand(new PageCommand.Show())
         .addSubcommand(new PageCommand.Status())
-        .addSubcommand(new PageCommand.Explain());
+        .addSubcommand(new PageCommand.Explain())
+        .addSubcommand(new TraceCommand());
   }
 }
--- /dev/null
+++ b/router/src/main/java/org/shallothook/router/TraceCommand.java
@@ -0,0 +1,84 @@
+package org.shallothook.router;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.ByteBuffer;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.shallothook.transport.command.ExitCode;
+import org.shallothook.transport.logging.DecisionLine;
+import org.shallothook.transport.logging.RequestStory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * The verb {@code trace}: tells one request's story from the log files of several processes.
+ *
+ * <p>Not thread-safe: used on the thread of the command line.
+ */
+@Command(
+    name = "trace",
+    mixinStandardHelpOptions = true,
+    description =
+        "Tells a request's story from decision logs. Exit code 0 if it is found, 1 if not.",
+    footerHeading = "%nExample:%n",
+    footer = "  shallothook-router trace 48bf1efc3e7e3739 router-1.log router-2.log sidecar-1.log")
+final class TraceCommand implements Callable<Integer> {
+  @Parameters(index = "0", paramLabel = "REQUEST_ID", description = "Id of the caller's attempt.")
+  private String request;
+
+  @Parameters(
+      index = "1..*",
+      arity = "1..*",
+      paramLabel = "FILE",
+      description = "Log of a process; the file's name stands for the process.")
+  private List<Path> files;
+
+  @Spec private CommandSpec specification;
+
+  @Override
+  public Integer call() {
+    PrintWriter errors = specification.commandLine().getErr();
+    List<DecisionLine> lines = new ArrayList<>();
+    for (Path file : files) {
+      try {
+        read(file, lines);
+      } catch (IOException e) {
+        errors.println(file + ": cannot be read: " + e.getMessage() + ". Name a readable file.");
+        return ExitCode.USAGE;
+      }
+    }
+    Optional<RequestStory> story = RequestStory.find(request, lines);
+    if (story.isEmpty()) {
+      errors.println(
+          "No line names request "
+              + request
+              + ". Add the logs of all routers; each retry of a caller has an id of its own.");
+      return ExitCode.FAILURE;
+    }
+    specification.commandLine().getOut().print(story.get().text());
+    specification.commandLine().getOut().flush();
+    return ExitCode.SUCCESS;
+  }
+
+  /** Reads a log; bytes that are no text are replaced, since crashed processes leave such. */
+  private static void read(Path file, List<DecisionLine> lines) throws IOException {
+    String text =
+        StandardCharsets.UTF_8
+            .newDecoder()
+            .onMalformedInput(CodingErrorAction.REPLACE)
+            .onUnmappableCharacter(CodingErrorAction.REPLACE)
+            .decode(ByteBuffer.wrap(Files.readAllBytes(file)))
+            .toString();
+    String process = String.valueOf(file.getFileName());
+    text.lines().forEach(line -> DecisionLine.read(process, line).ifPresent(lines::add));
+  }
+}
--- a/router/src/test/java/org/shallothook/router/RouterMainTest.java
+++ b/router/src/test/java/org/shallothook/router/RouterMainTest.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -33,4 +34,37 @@
     assertThat(errors.toString()).contains(expected);
     assertThat(errors.toString()).contains("router.ini: ");
   }
+
+  @ParameterizedTest
+  @CsvSource({
+    "one, 0, 'Refused as no-upstream', ''",
+    "two, 1, '', 'No line names request two'",
+  })
+  void traceTellsTheStoryOfARequest(
+      String request, int expectedCode, String expectedOutput, String expectedError)
+      throws IOException {
+    Path file =
+        Files.writeString(
+            folder.resolve("router-1.log"),
+            "Listening for callers\n"
+                + "{\"time\":\"2026-08-20T10:04:43Z\",\"decision\":\"refuse\",\"id\":\"one\","
+                + "\"reason\":\"no-upstream\",\"outcome\":\"not-run\"}\n");
+    StringWriter output = new StringWriter();
+    StringWriter errors = new StringWriter();
+    CommandLine commandLine =
+        RouterMain.commandLine().setOut(new PrintWriter(output)).setErr(new PrintWriter(errors));
+
+    assertThat(commandLine.execute("trace", request, file.toString())).isEqualTo(expectedCode);
+    assertThat(output.toString()).contains(expectedOutput);
+    assertThat(errors.toString()).contains(expectedError);
+  }
+
+  @Test
+  void traceNamesAFileThatCannotBeRead() {
+    StringWriter errors = new StringWriter();
+    CommandLine commandLine = RouterMain.commandLine().setErr(new PrintWriter(errors));
+    String missing = folder.resolve("missing.log").toString();
+    assertThat(commandLine.execute("trace", "one", missing)).isEqualTo(2);
+    assertThat(errors.toString()).contains("missing.log: cannot be read");
+  }
 }
--- a/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
+++ b/transport/src/main/java/org/shallothook/transport/metrics/TransportMetrics.java
@@ -4,9 +4,12 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.coordination.retry.RetryReason;
 import org.shallothook.state.request.RefusalReason;
 
@@ -24,6 +27,7 @@
 
   private final MetricRegistry registry = new MetricRegistry();
   private final Timer timeToFirstToken;
+  private final Map<LatencyStep, Timer> steps = new EnumMap<>(LatencyStep.class);
 
   /** Creates the metrics of one process. */
   public TransportMetrics() {
@@ -33,6 +37,9 @@
     for (RetryReason reason : RetryReason.values()) {
       registry.counter(reason.counter());
     }
+    for (LatencyStep step : LatencyStep.values()) {
+      steps.put(step, registry.timer(step.code(), () -> new Timer(new HdrReservoir())));
+    }
     timeToFirstToken = registry.timer(TIME_TO_FIRST_TOKEN, TransportMetrics::newTimer);
   }
 
@@ -41,6 +48,11 @@
     registry.counter(name).inc();
   }
 
+  @Override
+  public void took(LatencyStep step, long micros) {
+    steps.get(step).update(Math.max(0, micros), TimeUnit.MICROSECONDS);
+  }
+
   /** Returns the value of a counter; 0 where nothing was counted. */
   public long count(String name) {
     return registry.counter(name).getCount();
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestStoryTest.java
@@ -0,0 +1,188 @@
+package org.shallothook.transport.logging;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.forward.AnswerHead;
+import org.shallothook.coordination.forward.ForwardCommand;
+import org.shallothook.coordination.forward.ForwardCore;
+import org.shallothook.coordination.forward.ForwardEvent;
+import org.shallothook.coordination.forward.ForwardOptions;
+import org.shallothook.coordination.forward.RequestHead;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.route.CallKind;
+import org.shallothook.state.route.CallerLimits;
+import org.shallothook.state.route.Route;
+import org.shallothook.state.route.RouteTable;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.ServiceTraits;
+
+/** From a failed request's id to its cause, by the lines alone that a router has written. */
+final class RequestStoryTest {
+  private static final long SECOND = 1_000_000;
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final DecisionLog log = new DecisionLog(output, Counters.NONE);
+  private final List<ForwardCommand> commands = new ArrayList<>();
+  private final ForwardCore core =
+      new ForwardCore(
+          new ForwardOptions(
+              "domain-a", 0.2, 50, 10 * SECOND, 6 * SECOND, 60 * SECOND, 1, Counters.NONE, log),
+          commands::add);
+  private long nowMicros = 100 * SECOND;
+
+  private void handle(ForwardEvent event) {
+    core.handle(event, nowMicros);
+  }
+
+  private static Route route(String name, CallKind kind) {
+    return new Route(
+        name,
+        "linen.example",
+        "/" + name + "/",
+        kind,
+        5 * SECOND,
+        300_000,
+        500_000,
+        1,
+        List.of(new Route.Destination("bookings", 1)),
+        1,
+        true,
+        false,
+        false);
+  }
+
+  private static ServerEntry server(boolean isLeaving) {
+    return new ServerEntry(
+        "server-1", "bookings", "10.0.0.1:80", "domain-a", 4, isLeaving, Map.of(), 1);
+  }
+
+  private void start(boolean isLeaving) {
+    log.start();
+    handle(
+        new ForwardEvent.RoutesRead(
+            new RouteTable(
+                7,
+                List.of(route("book", CallKind.UNSAFE), route("draft", CallKind.STREAMING)),
+                List.of(new ServiceTraits("bookings", 96, Optional.empty(), Optional.empty())),
+                Optional.empty(),
+                CallerLimits.DEFAULT)));
+    handle(new ForwardEvent.RegistryReachable(true));
+    handle(new ForwardEvent.ServersRead(List.of(server(isLeaving)), true));
+  }
+
+  private void request(String target) {
+    handle(
+        new ForwardEvent.Requested(
+            1,
+            new RequestHead(
+                "attempt-1",
+                "linen.example",
+                target,
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                5)));
+  }
+
+  private RequestStory story() throws InterruptedException {
+    log.close();
+    List<DecisionLine> lines = new ArrayList<>();
+    output
+        .toString(StandardCharsets.UTF_8)
+        .lines()
+        .forEach(line -> DecisionLine.read("router-1", line).ifPresent(lines::add));
+    return RequestStory.find("attempt-1", lines).orElseThrow();
+  }
+
+  private static List<String> decisions(List<DecisionLine> lines) {
+    return lines.stream().map(DecisionLine::decision).toList();
+  }
+
+  @Test
+  void aBookingWhoseOutcomeIsUnknown() throws InterruptedException {
+    start(false);
+    request("/book/1");
+    handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.empty()));
+    RequestStory story = story();
+    assertThat(story.end()).isEqualTo(StoryEnd.REFUSED);
+    assertThat(decisions(story.steps()))
+        .containsExactly("send", "attempt-failed", "refuse")
+        .inOrder();
+    assertThat(story.text()).contains("connection-lost");
+    assertThat(story.text()).contains("at server-1: connection reset");
+    assertThat(story.text()).contains("Whether it has run is not known");
+    assertThat(decisions(story.beliefs())).containsAtLeast("configuration", "server");
+  }
+
+  @Test
+  void aStreamBrokenMidway() throws InterruptedException {
+    start(false);
+    request("/draft/1");
+    handle(
+        new ForwardEvent.Answered(
+            1, 1, new AnswerHead(200, false, Optional.empty(), Optional.empty())));
+    handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.of(4L)));
+    RequestStory story = story();
+    assertThat(story.end()).isEqualTo(StoryEnd.BROKEN_OFF);
+    assertThat(story.text()).contains("broken off: connection reset; at server-1");
+    assertThat(story.text()).contains("No other server went on");
+  }
+
+  @Test
+  void aRequestRefusedThoughServersSeemedFree() throws InterruptedException {
+    start(true);
+    request("/book/1");
+    while (core.openRequests() > 0) {
+      nowMicros += ForwardCore.TICK_INTERVAL_MICROS;
+      handle(new ForwardEvent.Tick());
+    }
+    RequestStory story = story();
+    assertThat(story.end()).isEqualTo(StoryEnd.REFUSED);
+    assertThat(story.text()).contains("no-upstream");
+    assertThat(story.text()).contains("It has not run.");
+    assertThat(story.text()).contains("leaving=true");
+    assertThat(story.text()).contains("version=7");
+  }
+
+  @Test
+  void aRequestThatNoLineNamesHasNoStory() {
+    assertThat(RequestStory.find("attempt-9", List.of())).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "plain text",
+        "{",
+        "{\"time\":\"yesterday\",\"decision\":\"send\",\"id\":\"one\"}",
+        "{\"decision\":\"send\"}",
+        "{\"time\":",
+        "[1]"
+      })
+  void aLineOfAnotherKindIsPassedOver(String line) {
+    assertThat(DecisionLine.read("router-1", line)).isEmpty();
+  }
+
+  @Test
+  void whatACollectorPutsBeforeALineIsLeftOut() {
+    DecisionLine line =
+        DecisionLine.read(
+                "router-1",
+                " 12.5 node {\"time\":\"2026-08-20T10:04:43Z\",\"decision\":\"send\",\"id\":\"one\","
+                    + "\"server\":\"s\",\"open\":3}")
+            .orElseThrow();
+    assertThat(line.subject()).isEqualTo("one");
+    assertThat(line.field("open")).isEqualTo("3");
+    assertThat(line.text()).contains("open=3 server=s");
+  }
+}
