--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.shallothook.coordination.forward.OpenForward.Phase;
 import org.shallothook.coordination.forward.PromptPlacement.Place;
@@ -325,7 +326,9 @@
       end(
           request,
           RefusalReason.QUEUE_FULL,
-          "Every server would begin to read it too late.",
+          "The best server would begin to read it in "
+              + TimeUnit.MICROSECONDS.toMillis((long) chosen.get().waitMicros())
+              + " ms.",
           comeBackMicros,
           nowMicros);
       return true;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptAdmissionTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptAdmissionTest.java
@@ -47,6 +47,7 @@
     assertThat(harness.sends(request)).isEqualTo(0);
     assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.QUEUE_FULL);
     assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(harness.refusal(request).get().detail()).contains("in 2000 ms");
     assertThat(harness.refusal(request).get().retryAtMicros().get()).isGreaterThan(harness.now());
     assertThat(harness.core.openRequests()).isEqualTo(0);
   }
