--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -467,15 +467,13 @@
     request.place().ifPresent(place -> onPromptRead(request, place, tookMicros, nowMicros));
     boolean isWorthARetry = answer.isServerError() && request.route().isRepeatable();
     if (isWorthARetry && !request.hasBegunAnswer() && canRunOnceMore(request, nowMicros)) {
-      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
-      request.onAttemptOver(true);
+      dropAttempt(request, true);
       journal.failed(request, server, "status " + answer.status());
       retry(request, Decision.RETRY, nowMicros);
       return;
     }
     if (request.hasBegunAnswer() && answer.status() >= 300) {
-      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
-      request.onAttemptOver(true);
+      dropAttempt(request, true);
       breakOff(request, "the stream could not be resumed: status " + answer.status(), nowMicros);
       return;
     }
@@ -526,9 +524,8 @@
     } else {
       server.pause(nowMicros + REJECTED_PAUSE_MICROS);
     }
-    commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
     notRead(request, server);
-    request.onAttemptOver(false);
+    dropAttempt(request, false);
     journal.failed(request, server, "not run: status " + answer.status());
     if (retries.tryRetry(request.service(), nowMicros)) {
       retryOrEnd(request, RefusalReason.QUEUE_FULL, "Servers had no room.", nowMicros);
@@ -565,6 +562,12 @@
     }
   }
 
+  /** Lets go of the open attempt, so that its server stops to work on it. */
+  private void dropAttempt(OpenForward request, boolean mayHaveRun) {
+    commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
+    request.onAttemptOver(mayHaveRun);
+  }
+
   private boolean canRunOnceMore(OpenForward request, long nowMicros) {
     return request.hasRunsLeft()
         && nowMicros < request.deadlineMicros()
@@ -590,8 +593,7 @@
 
   private void onCallerGone(OpenForward request, long nowMicros) {
     if (request.phase() != Phase.WAITING) {
-      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
-      request.onAttemptOver(true);
+      dropAttempt(request, true);
     }
     open.remove(request.number());
     journal.callerGone(request, nowMicros);
@@ -605,41 +607,40 @@
       }
     }
     sendWaiting(nowMicros);
-    divideLanes(nowMicros);
+    surveyPrompts(nowMicros);
     watchSilence(nowMicros);
     giveUpStuck(nowMicros);
     servers.forget(nowMicros);
     crashes.forget(nowMicros);
   }
 
-  private void divideLanes(long nowMicros) {
+  /** Learns from the open prompts what the servers of each service have to do. */
+  private void surveyPrompts(long nowMicros) {
     Map<String, Integer> openShort = new HashMap<>();
     for (OpenForward request : open.values()) {
-      promptOf(request)
-          .ifPresent(
-              prompt -> {
-                double micros = prompts.speed().readMicros(prompt.promptTokens());
-                boolean isLong =
-                    prompts
-                        .lanes(request.service())
-                        .isLong(micros, request.route().gapTargetMicros());
-                openShort.merge(request.service(), isLong ? 0 : 1, Integer::sum);
-                if (request.phase() == Phase.SENT) {
-                  int unread = request.place().map(Place::unreadTokens).orElse(0);
-                  prompts.unread().onWaiting(request.service(), prompts.speed().readMicros(unread));
-                }
-              });
+      promptOf(request).ifPresent(prompt -> surveyPrompt(request, prompt, openShort));
     }
     openShort.forEach(
         (service, count) ->
             prompts.lanes(service).divide(servers.usable(service, nowMicros), count * routers));
   }
 
+  private void surveyPrompt(
+      OpenForward request, PromptOutline prompt, Map<String, Integer> openShort) {
+    String service = request.service();
+    double micros = prompts.speed().readMicros(prompt.promptTokens());
+    boolean isLong = prompts.lanes(service).isLong(micros, request.route().gapTargetMicros());
+    openShort.merge(service, isLong ? 0 : 1, Integer::sum);
+    if (request.phase() == Phase.SENT) {
+      int unread = request.place().map(Place::unreadTokens).orElse(0);
+      prompts.unread().onWaiting(service, prompts.speed().readMicros(unread));
+    }
+  }
+
   private void onDeadline(OpenForward request, long nowMicros) {
     boolean wasSent = request.phase() != Phase.WAITING;
     if (wasSent) {
-      commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
-      request.onAttemptOver(true);
+      dropAttempt(request, true);
     }
     if (request.hasBegunAnswer()) {
       breakOff(request, "the deadline has passed", nowMicros);
@@ -673,9 +674,8 @@
           nowMicros - request.sentMicros() > patience
               && !server.hasAnsweredSince(request.sentMicros());
       if (isStuck && canRunOnceMore(request, nowMicros)) {
-        commands.accept(new ForwardCommand.Drop(request.number(), request.attempt()));
         server.onFailure(nowMicros);
-        request.onAttemptOver(true);
+        dropAttempt(request, true);
         journal.failed(request, server, "no answer");
         retry(request, Decision.RETRY, nowMicros);
       }
