Begin nothing that was read right after the event loop stood still

A router that was paused for longer than half a second (any reason: a frozen instance, a slow share of a core) finds both the request and the end of its connection; the bytes come first, and the decision was carried out before the loop had read again.

Change: the event loop beats every 50 ms; after more than 200 ms without a beat requests wait 20 ms, in which the loop reads the ends of connections. Without pauses nothing waits.

Test: a caller who leaves while the loop stands still is not served (failed before).

--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -22,6 +22,7 @@
   private final EventSink<CoreEvent> events;
   private final Counters counters;
   private final LongSupplier clockMicros;
+  private final LoopPauses pauses;
   private final Map<Long, InboundExchange> open = new HashMap<>();
   private CallerLimits limits = CallerLimits.DEFAULT;
   private boolean isDraining;
@@ -39,6 +40,7 @@
     this.events = events;
     this.counters = counters;
     this.clockMicros = clockMicros;
+    this.pauses = new LoopPauses(clockMicros.getAsLong());
   }
 
   RequestForm form() {
@@ -61,6 +63,10 @@
     return clockMicros.getAsLong();
   }
 
+  LoopPauses pauses() {
+    return pauses;
+  }
+
   CallerLimits limits() {
     return limits;
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -78,6 +78,7 @@
         () -> {
           Channel listening = bootstrap().bind(address).sync().channel();
           loop.execute(servers::start);
+          loop.execute(this::beat);
           Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
           return (InetSocketAddress) listening.localAddress();
         });
@@ -124,6 +125,11 @@
     }
   }
 
+  private void beat() {
+    context.pauses().beat(context.nowMicros());
+    Channels.after(loop, Duration.ofMillis(LoopPauses.BEAT_MILLIS), this::beat);
+  }
+
   private void checkStalls() {
     context.all().forEach(InboundExchange::checkStall);
     Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -221,10 +222,16 @@
     if (current.isPresent() || isEnding || !channel.isActive()) {
       return;
     }
-    Received request = waiting.poll();
-    if (request == null) {
+    if (waiting.isEmpty()) {
       return;
     }
+    if (!context.pauses().isSettled(context.nowMicros())) {
+      // Its caller may have left while the process stood still; that is read next.
+      Channels.after(
+          channel.eventLoop(), Duration.ofMillis(LoopPauses.SETTLE_MILLIS), this::runNext);
+      return;
+    }
+    Received request = waiting.remove();
     channel.config().setAutoRead(true);
     isLastRequest = !HttpUtil.isKeepAlive(request.head());
     open(request);
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
@@ -262,6 +262,34 @@
     assertThat(exchange(head)).startsWith("HTTP/1.1 431 ");
   }
 
+  @Test
+  void aCallerWhoLeftDuringAPauseOfTheProcessIsNotServed() throws Exception {
+    server = new RawServer(request -> answer(request.contains("id: 1") ? "1" : "3", "whole"));
+    Socket socket = connect();
+    socket.getOutputStream().write(post("1", "keep", "a").getBytes(StandardCharsets.ISO_8859_1));
+    assertThat(socket.getInputStream().readNBytes(8)).hasLength(8);
+    CountDownLatch paused = new CountDownLatch(1);
+    CountDownLatch goesOn = new CountDownLatch(1);
+    loops
+        .internal()
+        .execute(
+            () -> {
+              paused.countDown();
+              try {
+                goesOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+    assertThat(paused.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    socket.getOutputStream().write(post("2", "keep", "b").getBytes(StandardCharsets.ISO_8859_1));
+    socket.shutdownOutput();
+    TimeUnit.MILLISECONDS.sleep(300);
+    goesOn.countDown();
+    assertThat(exchange(post("3", "close", "c"))).contains("whole");
+    assertThat(server.requests().stream().anyMatch(request -> request.contains("id: 2"))).isFalse();
+  }
+
   @Test
   void aCallerWhoLeavesEndsTheWorkAtTheServer() throws Exception {
     CountDownLatch received = new CountDownLatch(1);
