Move decisions' lines to the ports and drop what nothing calls

Cause: decision lines stood in the package of the forwarding router while the weight keeper and the adapter write them as well; some methods had no callers, and the same copy of a server's entry was written out three times.

Change: Decision and DecisionJournal are ports; withLeaving, isMisdirected, tellStore and the policy for members stand once.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/AnswerHead.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/AnswerHead.java
@@ -14,8 +14,14 @@
  */
 public record AnswerHead(
     int status, boolean isNotRun, Optional<String> instance, Optional<Long> weightVersion) {
+  private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** Returns whether the server is not the one, or has not the weights, that was asked for. */
+  public boolean isMisdirected() {
+    return status == MISDIRECTED;
+  }
+
   /** Returns whether the server failed while it ran the request. */
   public boolean isServerError() {
     return !isNotRun && status >= FIRST_SERVER_ERROR;
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.shallothook.coordination.forward.OpenForward.Phase;
 import org.shallothook.coordination.forward.PromptPlacement.Place;
+import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
@@ -309,11 +310,12 @@
   private boolean placePrompt(
       OpenForward request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
     ScopedOpenings openings = new ScopedOpenings(prompt, scopeOf(request));
+    EngineProfile profile = profileOf(request.service());
     Optional<Place> chosen =
         prompts.choose(
             candidates,
             openings,
-            profileOf(request.service()),
+            profile,
             request.route().gapTargetMicros(),
             server ->
                 weights.olderMicros(
@@ -337,7 +339,7 @@
         place -> {
           Server server = place.server();
           request.onPlaced(place, openings.at(server));
-          noteOpenings(request, server, nowMicros);
+          noteOpenings(request, server, profile, nowMicros);
           server.onPromptSent(prompts.speed().readMicros(place.unreadTokens()));
           send(request, server, Optional.of(openings.scopeAt(server)), nowMicros);
         });
@@ -355,15 +357,16 @@
   }
 
   /** Notes what a server will have, and tells what other prompts may share. */
-  private void noteOpenings(OpenForward request, Server server, long nowMicros) {
+  private void noteOpenings(
+      OpenForward request, Server server, EngineProfile profile, long nowMicros) {
     List<Opening> openings = request.openings();
     List<Opening> shared = openings.subList(0, Math.max(1, openings.size() - 1));
     List<Opening> own = openings.subList(shared.size(), openings.size());
-    long memoryTokens = profileOf(request.service()).memoryTokens();
+    long memoryTokens = profile.memoryTokens();
     List<Long> toTell = prompts.book().onSent(shared, server.name(), memoryTokens, nowMicros);
     prompts.book().onSent(own, server.name(), memoryTokens, nowMicros);
     tellOpenings(server.name(), toTell);
-    Optional<CacheStore> store = profileOf(request.service()).store();
+    Optional<CacheStore> store = profile.store();
     if (request.place().flatMap(Place::saveTo).isPresent() && store.isPresent()) {
       long saved = (long) routers * promptOf(request).orElseThrow().promptTokens();
       tellOpenings(store.get().address(), prompts.onSaved(shared, store.get(), saved, nowMicros));
@@ -518,7 +521,7 @@
     boolean isOther = answer.instance().filter(id -> !id.equals(server.name())).isPresent();
     if (isOther) {
       server.onRemoved(nowMicros);
-    } else if (answer.status() == 421 && request.expectedVersion().isPresent()) {
+    } else if (answer.isMisdirected() && request.expectedVersion().isPresent()) {
       String model = promptOf(request).orElseThrow().model();
       server.onWrongVersion(model, request.expectedVersion().get(), weights.wanted(model));
     } else {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -1,7 +1,10 @@
 package org.shallothook.coordination.forward;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.shallothook.coordination.forward.PromptPlacement.Place;
+import org.shallothook.coordination.port.Decision;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.RouteTable;
 import org.shallothook.state.route.ServerEntry;
@@ -77,7 +80,7 @@
         "expected_ms",
         request.place().map(place -> (long) place.expectedMicros() / 1_000).orElse(-1L),
         "waited_ms",
-        (nowMicros - request.arrivedMicros()) / 1_000);
+        millisSince(request.arrivedMicros(), nowMicros));
   }
 
   void crashed(CrashRegister.Suspect suspect) {
@@ -94,7 +97,7 @@
         "status",
         answer.status(),
         "took_ms",
-        (nowMicros - request.sentMicros()) / 1_000);
+        millisSince(request.sentMicros(), nowMicros));
   }
 
   void completed(OpenForward request, long nowMicros) {
@@ -104,7 +107,7 @@
         "attempts",
         request.attempt(),
         "took_ms",
-        (nowMicros - request.arrivedMicros()) / 1_000);
+        millisSince(request.arrivedMicros(), nowMicros));
   }
 
   void triedAgain(Decision decision, OpenForward request) {
@@ -122,7 +125,7 @@
         Decision.CALLER_GONE,
         request.head().id(),
         "after_ms",
-        (nowMicros - request.arrivedMicros()) / 1_000);
+        millisSince(request.arrivedMicros(), nowMicros));
   }
 
   void brokenOff(OpenForward request, String detail, long nowMicros) {
@@ -132,7 +135,7 @@
         "detail",
         detail,
         "after_ms",
-        (nowMicros - request.arrivedMicros()) / 1_000);
+        millisSince(request.arrivedMicros(), nowMicros));
   }
 
   void refused(RequestHead head, Refusal refusal, Optional<RouteTable> table) {
@@ -160,4 +163,8 @@
         "detail",
         detail);
   }
+
+  private static long millisSince(long micros, long nowMicros) {
+    return TimeUnit.MICROSECONDS.toMillis(nowMicros - micros);
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 
 /**
  * Settings of a forwarding router.
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -1,13 +1,12 @@
 package org.shallothook.coordination.forward;
 
-import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
+import org.shallothook.coordination.placement.PlacementCandidate;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.state.route.ServiceTraits.CacheStore;
 
@@ -102,7 +101,7 @@
       long gapTargetMicros,
       ToDoubleFunction<Server> handicapMicros,
       long nowMicros,
-      Map<Long, Server> homes) {}
+      Map<Long, PlacementCandidate> homes) {}
 
   /**
    * Returns the best place.
@@ -229,15 +228,12 @@
   }
 
   private static boolean isHome(Server server, Query query, List<Opening> openings) {
-    long opening = Opening.shared(openings).hash();
-    Comparator<Server> byWeight =
-        (one, other) ->
-            Long.compareUnsigned(
-                RendezvousHash.weight(opening, one.hash()),
-                RendezvousHash.weight(opening, other.hash()));
+    Map<String, Server> servers = query.servers();
     return query
             .homes()
-            .computeIfAbsent(opening, hash -> Collections.max(query.servers().values(), byWeight))
+            .computeIfAbsent(
+                Opening.shared(openings).hash(),
+                opening -> RendezvousHash.ranks(List.copyOf(servers.values()), opening, 1).get(0))
         == server;
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -148,16 +148,7 @@
     }
     // A leaving server does not come back under the same life.
     boolean isLeaving = newer.isLeaving() || (entry.isLeaving() && !hasRestarted);
-    entry =
-        new ServerEntry(
-            newer.id(),
-            newer.service(),
-            newer.address(),
-            newer.failureDomain(),
-            newer.slots(),
-            isLeaving,
-            newer.versions(),
-            newer.startedAtMillis());
+    entry = newer.withLeaving(isLeaving);
     removedAtMicros = Long.MAX_VALUE;
     newer.versions().forEach(this::onVersion);
     return hasRestarted;
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -50,13 +50,6 @@
     return usable;
   }
 
-  /** Returns the servers of a service that are not leaving, usable now or not. */
-  List<Server> listed(String service) {
-    return servers.values().stream()
-        .filter(server -> server.entry().service().equals(service) && !server.entry().isLeaving())
-        .toList();
-  }
-
   /** Takes in entries and returns the identities of servers that have started anew. */
   List<String> onRead(List<ServerEntry> entries, boolean isWhole, long nowMicros) {
     List<String> restarted = new ArrayList<>();
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -1,4 +1,4 @@
-package org.shallothook.coordination.forward;
+package org.shallothook.coordination.port;
 
 import java.util.Locale;
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/DecisionJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/DecisionJournal.java
@@ -1,4 +1,4 @@
-package org.shallothook.coordination.forward;
+package org.shallothook.coordination.port;
 
 /**
  * Takes a line for each decision on a request or belief.
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -38,7 +38,6 @@
   private long beganAtOffset;
   private long readFromOffset;
   private long nextAtMicros;
-  private long readAtMicros = Long.MIN_VALUE / 2;
   private int failuresInRow;
 
   /** Creates a follower that has read nothing. */
@@ -63,11 +62,6 @@
     return failuresInRow > 0;
   }
 
-  /** Returns when the stream was last read, in microseconds. */
-  long readAtMicros() {
-    return readAtMicros;
-  }
-
   /** Returns the read that is due, which is then open. */
   Optional<RegistryCommand> next(long nowMicros) {
     if (isReading || nowMicros < nextAtMicros) {
@@ -138,7 +132,6 @@
 
   private void succeeded(long nowMicros) {
     failuresInRow = 0;
-    readAtMicros = nowMicros;
     nextAtMicros = nowMicros;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -53,7 +53,6 @@
   private boolean isReachable;
   private boolean isMemberWritten;
   private boolean isPutting;
-  private boolean hasGreeted;
   private long nextPutMicros;
   private long nextAskMicros;
 
@@ -78,16 +77,6 @@
                 followers.put(stream, new KeyedFollower(stream, policy, random.split())));
   }
 
-  /** Returns whether the store could be read at the latest try. */
-  public boolean isReachable() {
-    return isReachable;
-  }
-
-  /** Returns how long ago a stream was read, in microseconds. */
-  public long ageMicros(RegistryStream stream, long nowMicros) {
-    return nowMicros - followers.get(stream).readAtMicros();
-  }
-
   /** Returns the offset below which the operator's stream is known. */
   public long configurationOffset() {
     return operator().state().nextOffset();
@@ -185,8 +174,7 @@
       PeerMessage message = recordsOf(changes);
       somePeers(nowMicros).forEach(name -> send(name, message));
     }
-    if (stream == RegistryStream.MEMBERS && isFirstWhole && !hasGreeted) {
-      hasGreeted = true;
+    if (stream == RegistryStream.MEMBERS && isFirstWhole) {
       greet(nowMicros);
     }
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.shallothook.coordination.port.Decision;
 
 /** Each decision of a router writes a line that names what it is about and what decided it. */
 final class DecisionCoverageTest {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.CallKind;
 import org.shallothook.state.route.CallerLimits;
@@ -92,15 +93,7 @@
   }
 
   static ServerEntry leaving(ServerEntry entry) {
-    return new ServerEntry(
-        entry.id(),
-        entry.service(),
-        entry.address(),
-        entry.failureDomain(),
-        entry.slots(),
-        true,
-        entry.versions(),
-        entry.startedAtMillis());
+    return entry.withLeaving(true);
   }
 
   void publish(long version) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Decision;
 
 /** Load patterns that concern calls without a prompt, and the fleet's retries. */
 final class LoadPatternsTest {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -28,6 +28,13 @@
     harness.complete(request);
   }
 
+  private static long draft(ForwardHarness harness, String letter) {
+    return harness.request(
+        "/draft/1",
+        Optional.of(ForwardHarness.KEY),
+        Optional.of(ForwardHarness.prompt(letter, 200, 600)));
+  }
+
   @Test
   void promptsThatShareAnOpeningMeet() {
     ForwardHarness harness = ForwardHarness.ready(6, 0);
@@ -104,11 +111,7 @@
     Set<String> withShort = new HashSet<>();
     for (int round = 0; round < 60; round++) {
       long longOne = harness.ask("register-" + round % 7);
-      long shortOne =
-          harness.request(
-              "/draft/1",
-              Optional.of(ForwardHarness.KEY),
-              Optional.of(ForwardHarness.prompt("letter-" + round % 9, 200, 600)));
+      long shortOne = draft(harness, "letter-" + round % 9);
       if (round >= 20) {
         withLong.add(serverOf(harness, longOne));
         withShort.add(serverOf(harness, shortOne));
@@ -129,11 +132,7 @@
     Set<String> withShort = new HashSet<>();
     for (int round = 0; round < 40; round++) {
       long longOne = harness.ask("register-" + round % 7);
-      long shortOne =
-          harness.request(
-              "/draft/1",
-              Optional.of(ForwardHarness.KEY),
-              Optional.of(ForwardHarness.prompt("letter-" + round % 9, 200, 600)));
+      long shortOne = draft(harness, "letter-" + round % 9);
       if (round >= 20) {
         withShort.add(serverOf(harness, shortOne));
       }
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
@@ -10,8 +10,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.shallothook.coordination.forward.DecisionJournal;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.shallothook.coordination.forward.Decision;
 import org.shallothook.coordination.forward.ForwardCommand;
 import org.shallothook.coordination.forward.ForwardCore;
 import org.shallothook.coordination.forward.ForwardEvent;
@@ -54,9 +53,6 @@
   /** Part of the bound for leaving servers after which the registry is read again. */
   private static final int LEAVE_READS = 4;
 
-  /** Time between two reads of where other processes listen. */
-  private static final long MEMBERS_INTERVAL_MICROS = 20_000_000;
-
   /** Part of the bound of new weights that is left for requests on their way. */
   private static final double VERSION_PART = 0.8;
 
@@ -126,8 +122,7 @@
 
   @Override
   public void reachable(boolean isReachable, long nowMicros) {
-    node.journal()
-        .write(Decision.DEPENDENCY, "store", "outcome", isReachable ? "regained" : "lost");
+    node.tellStore(isReachable);
     core.handle(new ForwardEvent.RegistryReachable(isReachable), nowMicros);
   }
 
@@ -202,7 +197,7 @@
         RegistryStream.OPERATOR,
             new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
         RegistryStream.SERVERS, new FollowPolicy(0, leaveMicros / LEAVE_READS),
-        RegistryStream.MEMBERS, new FollowPolicy(0, MEMBERS_INTERVAL_MICROS));
+        RegistryStream.MEMBERS, HostedNode.MEMBERS_POLICY);
   }
 
   private ForwardOptions forwardOptions() {
--- a/router/src/main/java/org/shallothook/router/TraceCommand.java
+++ b/router/src/main/java/org/shallothook/router/TraceCommand.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.nio.ByteBuffer;
-import java.nio.charset.CodingErrorAction;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -71,13 +69,7 @@
 
   /** Reads a log; bytes that are no text are replaced, since crashed processes leave such. */
   private static void read(Path file, List<DecisionLine> lines) throws IOException {
-    String text =
-        StandardCharsets.UTF_8
-            .newDecoder()
-            .onMalformedInput(CodingErrorAction.REPLACE)
-            .onUnmappableCharacter(CodingErrorAction.REPLACE)
-            .decode(ByteBuffer.wrap(Files.readAllBytes(file)))
-            .toString();
+    String text = new String(Files.readAllBytes(file), StandardCharsets.UTF_8);
     String process = String.valueOf(file.getFileName());
     text.lines().forEach(line -> DecisionLine.read(process, line).ifPresent(lines::add));
   }
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.shallothook.coordination.forward.Decision;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.CoreEvent;
@@ -43,9 +42,6 @@
    */
   private static final double OPERATOR_WAIT_PART = 1.25;
 
-  /** Time between two reads of where other processes listen. */
-  private static final long MEMBERS_INTERVAL_MICROS = 20_000_000;
-
   /** Time between two reads of the registry that nothing has asked for. */
   private static final long SERVERS_INTERVAL_MICROS = 30_000_000;
 
@@ -104,8 +100,7 @@
 
   @Override
   public void reachable(boolean isReachable, long nowMicros) {
-    node.journal()
-        .write(Decision.DEPENDENCY, "store", "outcome", isReachable ? "regained" : "lost");
+    node.tellStore(isReachable);
   }
 
   @Override
@@ -179,7 +174,7 @@
         RegistryStream.OPERATOR,
             new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
         RegistryStream.SERVERS, new FollowPolicy(0, SERVERS_INTERVAL_MICROS),
-        RegistryStream.MEMBERS, new FollowPolicy(0, MEMBERS_INTERVAL_MICROS));
+        RegistryStream.MEMBERS, HostedNode.MEMBERS_POLICY);
   }
 
   /** Nothing runs through this process, so it may end at once. */
--- a/state/src/main/java/org/shallothook/state/route/ServerEntry.java
+++ b/state/src/main/java/org/shallothook/state/route/ServerEntry.java
@@ -31,4 +31,10 @@
     Objects.requireNonNull(address, "address");
     versions = Map.copyOf(versions);
   }
+
+  /** Returns the entry with another word on whether the server is leaving. */
+  public ServerEntry withLeaving(boolean leaves) {
+    return new ServerEntry(
+        id, service, address, failureDomain, slots, leaves, versions, startedAtMillis);
+  }
 }
--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -1,13 +1,19 @@
 package org.shallothook.transport;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundInvoker;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.shallothook.transport.logging.Part;
 
 /**
@@ -20,6 +26,30 @@
 
   private Channels() {}
 
+  /**
+   * Returns what opens connections to other processes.
+   *
+   * @param loop loop that they run on
+   * @param connectTimeout longest wait for a connection
+   * @param pipeline adds the handlers of a new connection
+   */
+  public static Bootstrap client(
+      EventLoop loop, Duration connectTimeout, Consumer<SocketChannel> pipeline) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.ALLOCATOR, EventLoops.ALLOCATOR)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                pipeline.accept(channel);
+              }
+            });
+  }
+
   /** Closes a connection. */
   public static void close(ChannelOutboundInvoker connection) {
     connection
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -32,11 +32,11 @@
 import net.openhft.hashing.LongHashFunction;
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.forward.RequestHead;
-import org.shallothook.protocol.caller.ErrorForm;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.state.request.RequestId;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.logging.Part;
 
 /**
  * One connection of a caller: reads whole requests and answers them in order.
@@ -142,6 +142,8 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+    context.counters().increment("caller.connection-failed");
+    Part.CALLER.debug("A connection failed: {}.", cause.getMessage());
     Channels.close(handlerContext);
   }
 
@@ -295,14 +297,7 @@
   private void write(Refusal refusal) {
     context.counters().refused(refusal.reason());
     FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(refusal.reason().status()),
-            ByteBufUtil.writeUtf8(
-                channel.alloc(), ErrorForm.body(new RequestId("unread"), refusal)));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        RefusalResponse.of(new RequestId("unread"), refusal, true, channel.alloc());
     Channels.writeAndFlush(channel, response);
     Channels.closeAfterWrites((SocketChannel) channel);
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -1,10 +1,8 @@
 package org.shallothook.transport.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -12,7 +10,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -22,7 +19,6 @@
 import org.shallothook.coordination.forward.Dispatch;
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.protocol.caller.CallerHeaders;
-import org.shallothook.protocol.caller.ErrorForm;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -267,21 +263,13 @@
   }
 
   private FullHttpResponse refusalResponse(Refusal refusal, boolean isLast) {
-    String body = ErrorForm.body(new RequestId(request.typed().id()), refusal);
     FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(refusal.reason().status()),
-            ByteBufUtil.writeUtf8(connection.channel().alloc(), body));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        RefusalResponse.of(
+            new RequestId(request.typed().id()), refusal, isLast, connection.channel().alloc());
     response.headers().set(CallerHeaders.OUTCOME, refusal.outcome().headerValue());
     refusal
         .retryAtMicros()
         .ifPresent(at -> response.headers().set(HttpHeaderNames.RETRY_AFTER, secondsUntil(at)));
-    if (isLast) {
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
     return response;
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerLinks.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerLinks.java
@@ -1,12 +1,7 @@
 package org.shallothook.transport.forward;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -21,7 +16,6 @@
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
-import org.shallothook.transport.EventLoops;
 
 /**
  * Connections to servers, kept for the next request while their server surely keeps them.
@@ -123,7 +117,12 @@
     ServerLink link = new ServerLink(this, form, address);
     ChannelFuture connecting;
     try {
-      connecting = bootstrap(link).connect(Addresses.parse(address));
+      connecting =
+          Channels.client(
+                  loop,
+                  settings.connectTimeout(),
+                  channel -> channel.pipeline().addLast(new HttpClientCodec(), link))
+              .connect(Addresses.parse(address));
     } catch (IllegalArgumentException e) {
       attempt.onUnsent(String.valueOf(e.getMessage()));
       return;
@@ -140,22 +139,6 @@
         });
   }
 
-  private Bootstrap bootstrap(ServerLink link) {
-    return new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.ALLOCATOR, EventLoops.ALLOCATOR)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeout().toMillis())
-        .handler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), link);
-              }
-            });
-  }
-
   private void sweep() {
     for (Deque<ServerLink> links : List.copyOf(free.values())) {
       for (Iterator<ServerLink> each = links.iterator(); each.hasNext(); ) {
--- a/transport/src/main/java/org/shallothook/transport/logging/DecisionLog.java
+++ b/transport/src/main/java/org/shallothook/transport/logging/DecisionLog.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.shallothook.coordination.forward.Decision;
-import org.shallothook.coordination.forward.DecisionJournal;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Decision;
+import org.shallothook.coordination.port.DecisionJournal;
 
 /**
  * Writes decisions as lines of JSON, one object a line, from a thread of its own.
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -1,15 +1,10 @@
 package org.shallothook.transport.platform;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -19,7 +14,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.shallothook.transport.Channels;
-import org.shallothook.transport.EventLoops;
 
 /**
  * Small HTTP/1.1 client that keeps a few connections and says whether a failed call was sent.
@@ -55,15 +49,15 @@
 
   /** Sends a call whose answer is taken as a whole. */
   public void send(HttpCall call, Consumer<HttpResult> result) {
-    WholeAnswer answer = new WholeAnswer(settings.maximumAnswerBytes(), result);
-    HttpExchange exchange = new HttpExchange(call, answer, false, this::keep);
-    answer.setExchange(exchange);
-    loop.execute(() -> open(exchange));
+    send(call, new WholeAnswer(settings.maximumAnswerBytes(), result));
   }
 
   /** Sends a call whose answer is taken as a whole and may hold any bytes. */
   public void sendForBytes(HttpCall call, Consumer<HttpResult> result) {
-    WholeAnswer answer = WholeAnswer.ofBytes(settings.maximumAnswerBytes(), result);
+    send(call, WholeAnswer.ofBytes(settings.maximumAnswerBytes(), result));
+  }
+
+  private void send(HttpCall call, WholeAnswer answer) {
     HttpExchange exchange = new HttpExchange(call, answer, false, this::keep);
     answer.setExchange(exchange);
     loop.execute(() -> open(exchange));
@@ -88,7 +82,12 @@
         return;
       }
     }
-    ChannelFuture connecting = bootstrap().connect(call.address());
+    ChannelFuture connecting =
+        Channels.client(
+                loop,
+                settings.connectTimeout(),
+                channel -> channel.pipeline().addLast(new HttpClientCodec()))
+            .connect(call.address());
     connecting.addListener(
         done -> {
           if (!done.isSuccess()) {
@@ -101,22 +100,6 @@
         });
   }
 
-  private Bootstrap bootstrap() {
-    return new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.ALLOCATOR, EventLoops.ALLOCATOR)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeout().toMillis())
-        .handler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec());
-              }
-            });
-  }
-
   private void write(Channel channel, HttpExchange exchange) {
     FullHttpRequest request;
     try {
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
@@ -201,7 +201,9 @@
       socket.getOutputStream().write(post("1", "close", "a").getBytes(StandardCharsets.ISO_8859_1));
       StringBuilder answer = new StringBuilder();
       while (answer.indexOf("data: a\n\n") < 0) {
-        answer.append((char) socket.getInputStream().read());
+        int next = socket.getInputStream().read();
+        assertThat(next).isAtLeast(0);
+        answer.append((char) next);
       }
       server.proceed();
       byte[] rest = socket.getInputStream().readAllBytes();
