--- a/router/src/main/java/org/shallothook/router/RouterMain.java
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -2,6 +2,7 @@
 
 import org.shallothook.transport.command.CheckCommand;
 import org.shallothook.transport.command.ServeCommand;
+import org.shallothook.transport.command.Verbs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -25,28 +26,35 @@
       "Exit codes: 0 done, 1 failed, 2 wrong command line or settings, 3 conflicting change."
     })
 public final class RouterMain {
+  private static final Verbs VERBS =
+      new Verbs()
+          .add(
+              "serve",
+              () ->
+                  new ServeCommand(
+                      RouterSettings.KEYS, settings -> new RouterProcess(settings).start()))
+          .add("check", () -> new CheckCommand(RouterSettings.KEYS))
+          .add(
+              "serve-hosted",
+              () ->
+                  new ServeCommand(
+                      HostedRouterSettings.KEYS, settings -> new HostedRouter(settings).start()))
+          .add("check-hosted", () -> new CheckCommand(HostedRouterSettings.KEYS))
+          .add("publish", PublishCommand::new)
+          .add("history", PageCommand.History::new)
+          .add("show", PageCommand.Show::new)
+          .add("status", PageCommand.Status::new)
+          .add("explain", PageCommand.Explain::new)
+          .add("trace", TraceCommand::new);
+
   private RouterMain() {}
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
-    System.exit(commandLine().execute(arguments));
+    System.exit(VERBS.commandLine(new RouterMain(), arguments).execute(arguments));
   }
 
   static CommandLine commandLine() {
-    return new CommandLine(new RouterMain())
-        .addSubcommand(
-            new ServeCommand(RouterSettings.KEYS, settings -> new RouterProcess(settings).start()))
-        .addSubcommand(new CheckCommand(RouterSettings.KEYS))
-        .addSubcommand(
-            "serve-hosted",
-            new ServeCommand(
-                HostedRouterSettings.KEYS, settings -> new HostedRouter(settings).start()))
-        .addSubcommand("check-hosted", new CheckCommand(HostedRouterSettings.KEYS))
-        .addSubcommand(new PublishCommand())
-        .addSubcommand(new PageCommand.History())
-        .addSubcommand(new PageCommand.Show())
-        .addSubcommand(new PageCommand.Status())
-        .addSubcommand(new PageCommand.Explain())
-        .addSubcommand(new TraceCommand());
+    return VERBS.commandLine(new RouterMain());
   }
 }
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
@@ -2,6 +2,7 @@
 
 import org.shallothook.transport.command.CheckCommand;
 import org.shallothook.transport.command.ServeCommand;
+import org.shallothook.transport.command.Verbs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -24,23 +25,29 @@
       "Exit codes: 0 done, 1 failed, 2 wrong command line or settings."
     })
 public final class SidecarMain {
+  private static final Verbs VERBS =
+      new Verbs()
+          .add(
+              "serve",
+              () ->
+                  new ServeCommand(
+                      SidecarSettings.KEYS, settings -> new SidecarProcess(settings).start()))
+          .add("check", () -> new CheckCommand(SidecarSettings.KEYS))
+          .add(
+              "serve-hosted",
+              () ->
+                  new ServeCommand(
+                      HostedSidecarSettings.KEYS, settings -> new HostedSidecar(settings).start()))
+          .add("check-hosted", () -> new CheckCommand(HostedSidecarSettings.KEYS));
+
   private SidecarMain() {}
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
-    System.exit(commandLine().execute(arguments));
+    System.exit(VERBS.commandLine(new SidecarMain(), arguments).execute(arguments));
   }
 
   static CommandLine commandLine() {
-    return new CommandLine(new SidecarMain())
-        .addSubcommand(
-            new ServeCommand(
-                SidecarSettings.KEYS, settings -> new SidecarProcess(settings).start()))
-        .addSubcommand(new CheckCommand(SidecarSettings.KEYS))
-        .addSubcommand(
-            "serve-hosted",
-            new ServeCommand(
-                HostedSidecarSettings.KEYS, settings -> new HostedSidecar(settings).start()))
-        .addSubcommand("check-hosted", new CheckCommand(HostedSidecarSettings.KEYS));
+    return VERBS.commandLine(new SidecarMain());
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/admin/MetricsHandler.java
+++ b/transport/src/main/java/org/shallothook/transport/admin/MetricsHandler.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.json.MetricsModule;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.Lazy;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -19,9 +20,9 @@
   private static final String JSON = "application/json";
 
   private final MetricRegistry registry;
-  private final ObjectMapper mapper =
-      new ObjectMapper()
-          .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+
+  /** Made at the first question for JSON, since loading it takes a good part of a start. */
+  private final Lazy<ObjectMapper> mapper = Lazy.of(MetricsHandler::newMapper);
 
   MetricsHandler(MetricRegistry registry) {
     this.registry = registry;
@@ -32,6 +33,11 @@
     return CompletableFuture.completedFuture(isJson(request) ? json() : text());
   }
 
+  private static ObjectMapper newMapper() {
+    return new ObjectMapper()
+        .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+  }
+
   private static boolean isJson(AdminRequest request) {
     return request.query().contains("format=json")
         || request.accept().filter(accept -> accept.contains(JSON)).isPresent();
@@ -43,7 +49,7 @@
 
   private AdminAnswer json() {
     try {
-      return AdminAnswer.ok(mapper.writeValueAsString(registry));
+      return AdminAnswer.ok(mapper.get().writeValueAsString(registry));
     } catch (JsonProcessingException e) {
       return AdminAnswer.json(500, "{\"error\":\"The metrics cannot be written as JSON.\"}");
     }
