Wake up less often while nothing is due

Cause: most of an idle process's processor time was wake-ups: the log polled each 100 ms, the loop beat each 50 ms, sidecars ticked each 50 ms and told every router of each prompt more or less in their server's queue.

Change: the log's thread sleeps until there is a line; beats and ticks are half as often; a queue that changed by one prompt is told within 400 ms rather than 100 ms, one that changed by two or more as before.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -25,7 +25,7 @@
  */
 public final class WeightKeeper {
   /** Longest time between two ticks, in microseconds. */
-  public static final long TICK_INTERVAL_MICROS = 50_000;
+  public static final long TICK_INTERVAL_MICROS = 100_000;
 
   /** Time between two reports, which cost nothing from the same machine. */
   private static final long REPORT_MICROS = 100_000;
@@ -42,9 +42,15 @@
   /** Longest time that prompts already sent are waited for before an order turns them away. */
   private static final long QUEUE_DRAIN_MICROS = 350_000;
 
-  /** Time between two announcements of a changed queue. */
+  /** Time between two announcements of a queue that has changed by much. */
   private static final long LOAD_MICROS = 100_000;
 
+  /** Time between two announcements of a queue that has changed by less. */
+  private static final long SMALL_LOAD_MICROS = 400_000;
+
+  /** Change of a queue's delay that routers hear of soon, in microseconds. */
+  private static final long LARGE_CHANGE_MICROS = 2 * EngineReport.READ_HINT_MICROS;
+
   /** Reports that must fail in a row before the server counts as down. */
   private static final int FAILURES_OF_A_DOWN_SERVER = 2;
 
@@ -302,6 +308,18 @@
         .findFirst();
   }
 
+  /**
+   * Returns how soon a status follows the last one: every router takes a message for each, so small
+   * changes of a queue, which routers see in their own answers as well, wait longer.
+   */
+  private long announcementGapMicros(SidecarStatus status) {
+    long change =
+        announced
+            .map(last -> Math.abs(last.queueDelayMicros() - status.queueDelayMicros()))
+            .orElse(Long.MAX_VALUE);
+    return change >= LARGE_CHANGE_MICROS ? LOAD_MICROS : SMALL_LOAD_MICROS;
+  }
+
   /** Tells routers what has changed, and repeats it while the server takes no work. */
   private void announce(long nowMicros) {
     Optional<String> id = serverId();
@@ -321,7 +339,8 @@
     SidecarStatus status = new SidecarStatus(id.get(), incarnation, ready, false, queueMicros);
     boolean isReadinessNew = announced.filter(last -> last.ready().equals(ready)).isEmpty();
     long age = nowMicros - announcedAtMicros;
-    boolean isQueueNew = announced.filter(status::equals).isEmpty() && age >= LOAD_MICROS;
+    boolean isQueueNew =
+        announced.filter(status::equals).isEmpty() && age >= announcementGapMicros(status);
     boolean isRepeated = isHeld && age >= REPEAT_MICROS;
     if (isReadinessNew || isQueueNew || isRepeated) {
       announced = Optional.of(status);
--- a/transport/src/main/java/org/shallothook/transport/forward/LoopPauses.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/LoopPauses.java
@@ -13,13 +13,13 @@
  */
 final class LoopPauses {
   /** Time between two beats, in milliseconds. */
-  static final long BEAT_MILLIS = 50;
+  static final long BEAT_MILLIS = 100;
 
   /** Time that the loop needs to read what has piled up, in milliseconds. */
   static final long SETTLE_MILLIS = 20;
 
   /** Time without a beat from which on callers may have left unseen; well below half a second. */
-  private static final long PAUSE_MICROS = TimeUnit.MILLISECONDS.toMicros(200);
+  private static final long PAUSE_MICROS = TimeUnit.MILLISECONDS.toMicros(250);
 
   private long beatAtMicros;
   private long settledAtMicros;
--- a/transport/src/main/java/org/shallothook/transport/logging/DecisionLog.java
+++ b/transport/src/main/java/org/shallothook/transport/logging/DecisionLog.java
@@ -41,6 +41,9 @@
   private final Thread writer = new Thread(this::writeLines, "decision-log");
   private volatile boolean isClosed;
 
+  /** The line that the writer woke up for. Used on its thread alone. */
+  private String held;
+
   /**
    * Creates a log that does not write yet.
    *
@@ -72,6 +75,7 @@
   @Override
   public void close() throws InterruptedException {
     isClosed = true;
+    writer.interrupt();
     writer.join(TimeUnit.SECONDS.toMillis(1));
   }
 
@@ -98,32 +102,39 @@
     StringBuilder gathered = new StringBuilder();
     try {
       while (!isClosed || !lines.isEmpty()) {
-        String first = lines.poll(GATHER_MILLIS, TimeUnit.MILLISECONDS);
-        if (first != null) {
-          gather(first, gathered);
-          output.write(gathered.toString().getBytes(StandardCharsets.UTF_8));
-          output.flush();
-        }
+        awaitLines();
+        gather(gathered);
+        output.write(gathered.toString().getBytes(StandardCharsets.UTF_8));
+        output.flush();
       }
     } catch (IOException e) {
       // Nobody reads the log any more; lines are dropped and counted from here on.
       counters.increment("log.write-failed");
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
-  private void gather(String first, StringBuilder gathered) throws InterruptedException {
-    if (!isClosed) {
-      TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
+  /** Waits for a line and a little longer for those that follow; ends at once when closed. */
+  private void awaitLines() {
+    try {
+      held = isClosed ? null : lines.take();
+      if (!isClosed) {
+        TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      // Only close() interrupts; what waits is then written without further waiting.
+      counters.increment("log.closed");
     }
+  }
+
+  private void gather(StringBuilder gathered) {
     gathered.setLength(0);
     long lost = dropped.getAndSet(0);
     if (lost > 0) {
       gathered.append("{\"decision\":\"process\",\"id\":\"log\",\"dropped\":").append(lost);
       gathered.append("}\n");
     }
-    String line = first;
+    String line = held == null ? lines.poll() : held;
+    held = null;
     while (line != null) {
       gathered.append(line);
       line = gathered.length() < LARGEST_WRITE_BYTES ? lines.poll() : null;
