Heed servers that leave or close for a time; read bounds that are fractions

Settings of small twins held slack = 44.17, which ended every process with code 2.

Change: a server that says it leaves gets nothing more in that life, and other routers are told; one that names a time gets nothing for it, whatever its sidecar says, and where all servers of a service are closed for longer than a request may wait it is refused at once with the time of the first to reopen.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/AnswerHead.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/AnswerHead.java
@@ -11,9 +11,16 @@
  * @param isNotRun whether the server says that it did not run the request
  * @param instance identity of the server where it names another than expected
  * @param weightVersion version of the weights that the answer was made with
+ * @param isLeaving whether the server says that it is being stopped
+ * @param closedMicros time for which the server wants no further requests, in microseconds
  */
 public record AnswerHead(
-    int status, boolean isNotRun, Optional<String> instance, Optional<Long> weightVersion) {
+    int status,
+    boolean isNotRun,
+    Optional<String> instance,
+    Optional<Long> weightVersion,
+    boolean isLeaving,
+    Optional<Long> closedMicros) {
   private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/FleetRetryBudget.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/FleetRetryBudget.java
@@ -18,12 +18,12 @@
   private static final double SAFE_PART = 0.8;
 
   private final double ratio;
-  private final int slack;
+  private final double slack;
   private final long windowMicros;
   private final Map<String, RetryBudget> byService = new HashMap<>();
   private int routers = 1;
 
-  FleetRetryBudget(double ratio, int slack, long windowMicros) {
+  FleetRetryBudget(double ratio, double slack, long windowMicros) {
     this.ratio = ratio;
     this.slack = slack;
     this.windowMicros = windowMicros;
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -42,6 +42,13 @@
   /** Tell the other routers that a request has crashed a server. */
   record TellCrash(long contentHash, String crash) implements ForwardCommand {}
 
+  /**
+   * Tell the other routers that a server is being stopped.
+   *
+   * @param incarnation life of the server, as its entry names it
+   */
+  record TellLeaving(String server, String incarnation) implements ForwardCommand {}
+
   /** Apply the bounds of what callers may send. */
   record Limit(CallerLimits limits) implements ForwardCommand {}
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -40,7 +40,7 @@
  */
 public final class ForwardCore {
   /** Longest time between two ticks, in microseconds. */
-  public static final long TICK_INTERVAL_MICROS = 20_000;
+  public static final long TICK_INTERVAL_MICROS = 40_000;
 
   /** Part of a request's target that it may wait where no server of its service is usable. */
   private static final int NO_SERVER_WAIT_PART = 8;
@@ -298,7 +298,14 @@
     if (isDecided) {
       return;
     }
-    if (nowMicros >= request.waitUntilMicros()) {
+    Optional<Long> reopensAt =
+        candidates.isEmpty()
+            ? servers.reopensAtMicros(request.service(), nowMicros)
+            : Optional.empty();
+    if (reopensAt.filter(at -> at > request.waitUntilMicros()).isPresent()) {
+      String detail = "Every server has asked for a pause.";
+      end(request, RefusalReason.NO_UPSTREAM, detail, reopensAt.get(), nowMicros);
+    } else if (nowMicros >= request.waitUntilMicros()) {
       giveUpWaiting(request, eligible.isEmpty(), nowMicros);
     } else if (!candidates.isEmpty()) {
       long patience = (request.deadlineMicros() - request.arrivedMicros()) / PLACE_WAIT_PART;
@@ -461,6 +468,7 @@
   private void onAnswered(OpenForward request, AnswerHead answer, long nowMicros) {
     Server server = request.server().orElseThrow();
     noteVersion(request, server, answer);
+    noteAvailability(request, server, answer, nowMicros);
     if (answer.isNotRun()) {
       onRejected(request, server, answer, nowMicros);
       return;
@@ -517,6 +525,22 @@
                     .ifPresent(version -> server.onVersion(prompt.model(), version)));
   }
 
+  /** Takes in what a server says of itself beside its answer: that it leaves, or is full. */
+  private void noteAvailability(
+      OpenForward request, Server server, AnswerHead answer, long nowMicros) {
+    if (answer.isLeaving() && server.onLeaving()) {
+      journal.leaving(server, request);
+      commands.accept(new ForwardCommand.TellLeaving(server.name(), server.incarnation()));
+    }
+    answer
+        .closedMicros()
+        .ifPresent(
+            micros -> {
+              server.closeUntil(nowMicros + micros);
+              journal.closed(server, micros, request);
+            });
+  }
+
   private void onRejected(OpenForward request, Server server, AnswerHead answer, long nowMicros) {
     boolean isOther = answer.instance().filter(id -> !id.equals(server.name())).isPresent();
     if (isOther) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -164,6 +164,23 @@
         detail);
   }
 
+  void leaving(Server server, OpenForward request) {
+    journal.write(
+        Decision.SERVER, server.name(), "outcome", "leaving", "request", request.head().id());
+  }
+
+  void closed(Server server, long closedMicros, OpenForward request) {
+    journal.write(
+        Decision.SERVER,
+        server.name(),
+        "outcome",
+        "closed",
+        "for_ms",
+        TimeUnit.MICROSECONDS.toMillis(closedMicros),
+        "request",
+        request.head().id());
+  }
+
   private static long millisSince(long micros, long nowMicros) {
     return TimeUnit.MICROSECONDS.toMillis(nowMicros - micros);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
@@ -22,7 +22,7 @@
 public record ForwardOptions(
     String failureDomain,
     double retryRatio,
-    int retrySlack,
+    double retrySlack,
     long retryWindowMicros,
     long versionDeadlineMicros,
     long quarantineMicros,
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -38,6 +38,7 @@
   private double failureShare;
   private double answerMicros;
   private long pausedUntilMicros;
+  private long closedUntilMicros;
   private long removedAtMicros = Long.MAX_VALUE;
   private long queueDelayMicros;
   private double sentSinceStatusMicros;
@@ -123,6 +124,7 @@
     return !entry.isLeaving()
         && nowMicros < removedAtMicros
         && nowMicros >= pausedUntilMicros
+        && nowMicros >= closedUntilMicros
         && !isHeld;
   }
 
@@ -166,6 +168,9 @@
   void onStatus(SidecarStatus status, long nowMicros) {
     statusUntilMicros = nowMicros + STATUS_VALID_MICROS;
     isHeldByStatus = status.isLeaving() || status.ready().isEmpty();
+    if (status.isLeaving() && status.engineIncarnation().equals(incarnation())) {
+      onLeaving();
+    }
     queueDelayMicros = status.queueDelayMicros();
     sentSinceStatusMicros = 0;
     for (ModelVersion ready : status.ready()) {
@@ -232,7 +237,35 @@
     pausedUntilMicros = Math.max(pausedUntilMicros, nowMicros + pause);
   }
 
-  /** Leaves the server alone for a time that it or the router names. */
+  /** Takes in that the server is being stopped; returns whether that is news. */
+  boolean onLeaving() {
+    boolean isNew = !entry.isLeaving();
+    entry = entry.withLeaving(true);
+    return isNew;
+  }
+
+  /** Returns the present life of the server, as peers are told of it. */
+  String incarnation() {
+    return Long.toString(entry.startedAtMillis());
+  }
+
+  /**
+   * Sends nothing until a time that the server has named. Unlike a pause of the router's own, it
+   * holds whatever is heard of the server meanwhile.
+   */
+  void closeUntil(long untilMicros) {
+    closedUntilMicros = Math.max(closedUntilMicros, untilMicros);
+  }
+
+  /** Returns when the server takes requests again, if only its own word keeps them away. */
+  Optional<Long> reopensAtMicros(long nowMicros) {
+    boolean isListed = !entry.isLeaving() && nowMicros < removedAtMicros;
+    return isListed && nowMicros < closedUntilMicros
+        ? Optional.of(closedUntilMicros)
+        : Optional.empty();
+  }
+
+  /** Leaves the server alone for a time that the router names. */
   void pause(long untilMicros) {
     pausedUntilMicros = Math.max(pausedUntilMicros, untilMicros);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -50,6 +50,19 @@
     return usable;
   }
 
+  /** Returns when the first closed server of a service reopens, where all that are listed are. */
+  Optional<Long> reopensAtMicros(String service, long nowMicros) {
+    List<Optional<Long>> listed =
+        servers.values().stream()
+            .filter(server -> server.entry().service().equals(service))
+            .filter(server -> !server.entry().isLeaving())
+            .map(server -> server.reopensAtMicros(nowMicros))
+            .toList();
+    return listed.stream().allMatch(Optional::isPresent)
+        ? listed.stream().flatMap(Optional::stream).min(Long::compare)
+        : Optional.empty();
+  }
+
   /** Takes in entries and returns the identities of servers that have started anew. */
   List<String> onRead(List<ServerEntry> entries, boolean isWhole, long nowMicros) {
     List<String> restarted = new ArrayList<>();
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -216,11 +216,15 @@
   }
 
   void answer(long request, int status) {
-    answer(request, new AnswerHead(status, false, Optional.empty(), Optional.empty()));
+    answer(
+        request,
+        new AnswerHead(status, false, Optional.empty(), Optional.empty(), false, Optional.empty()));
   }
 
   void reject(long request, int status) {
-    answer(request, new AnswerHead(status, true, Optional.empty(), Optional.empty()));
+    answer(
+        request,
+        new AnswerHead(status, true, Optional.empty(), Optional.empty(), false, Optional.empty()));
   }
 
   void answer(long request, AnswerHead head) {
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ServerAvailabilityTest.java
@@ -0,0 +1,130 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.route.ServerEntry;
+
+/** What servers say of themselves beside their answers: that they leave, or want no requests. */
+final class ServerAvailabilityTest {
+  private static AnswerHead head(int status, boolean isNotRun, boolean isLeaving, long closedMs) {
+    Optional<Long> closed =
+        closedMs > 0 ? Optional.of(closedMs * ForwardHarness.MILLI) : Optional.empty();
+    return new AnswerHead(status, isNotRun, Optional.empty(), Optional.empty(), isLeaving, closed);
+  }
+
+  private static String serverOf(ForwardHarness harness, long request) {
+    return harness.sent(request).orElseThrow().dispatch().server();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"200, false", "500, false", "503, true"})
+  void nothingFollowsAnAnswerOfALeavingServer(int status, boolean isNotRun) {
+    ForwardHarness harness = ForwardHarness.ready(0, 2);
+    long first = harness.call("/book/1");
+    String leaving = serverOf(harness, first);
+
+    harness.answer(first, head(status, isNotRun, true, 0));
+
+    for (int round = 0; round < 6; round++) {
+      long next = harness.call("/book/" + round);
+      assertThat(serverOf(harness, next)).isNotEqualTo(leaving);
+      harness.answer(next, 200);
+      harness.complete(next);
+      harness.advance(ForwardHarness.SECOND);
+    }
+    assertThat(harness.commands).contains(new ForwardCommand.TellLeaving(leaving, "1"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, true", "7, false"})
+  void anotherRoutersWordOfALeavingServerHoldsForItsPresentLife(
+      String incarnation, boolean isBelieved) {
+    ForwardHarness harness = ForwardHarness.ready(0, 1);
+
+    harness.handle(
+        new ForwardEvent.StatusHeard(
+            new SidecarStatus("service-1", incarnation, List.of(), true, 0)));
+    harness.advance(5 * ForwardHarness.SECOND);
+
+    assertThat(harness.sent(harness.call("/book/1")).isEmpty()).isEqualTo(isBelieved);
+  }
+
+  @Test
+  void aServerThatStartedAnewUnderItsNameIsUsedAgain() {
+    ForwardHarness harness = ForwardHarness.ready(0, 1);
+    long first = harness.call("/book/1");
+    harness.answer(first, head(200, false, true, 0));
+    harness.complete(first);
+    ServerEntry entry = ForwardHarness.service("service-1", 1);
+    ServerEntry restarted =
+        new ServerEntry(
+            entry.id(),
+            entry.service(),
+            entry.address(),
+            entry.failureDomain(),
+            entry.slots(),
+            false,
+            entry.versions(),
+            2);
+
+    harness.handle(new ForwardEvent.ServersRead(List.of(restarted), false));
+
+    assertThat(harness.sent(harness.call("/book/2"))).isPresent();
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aServerThatNamesATimeIsLeftAloneForThatTime(boolean isNotRun) {
+    ForwardHarness harness = ForwardHarness.ready(0, 2);
+    long first = harness.call("/book/1");
+    String closed = serverOf(harness, first);
+    harness.answer(first, head(503, isNotRun, false, 3_000));
+
+    for (int round = 0; round < 14; round++) {
+      harness.advance(200 * ForwardHarness.MILLI);
+      long next = harness.call("/book/" + round);
+      assertThat(serverOf(harness, next)).isNotEqualTo(closed);
+      harness.answer(next, 200);
+      harness.complete(next);
+    }
+  }
+
+  @Test
+  void wordOfItsSidecarDoesNotOpenAClosedServer() {
+    ForwardHarness harness = ForwardHarness.ready(1, 0);
+    long first = harness.ask("one");
+    harness.answer(first, head(503, true, false, 3_000));
+
+    harness.handle(
+        new ForwardEvent.StatusHeard(
+            new SidecarStatus(
+                "engine-1", "1", List.of(ModelVersion.of(ForwardHarness.MODEL, "1")), false, 0)));
+
+    assertThat(harness.sent(harness.ask("two"))).isEmpty();
+    harness.advance(3 * ForwardHarness.SECOND);
+    assertThat(harness.sent(harness.ask("three"))).isPresent();
+  }
+
+  @Test
+  void aRequestIsRefusedAtOnceWhereEveryServerIsClosedForLonger() {
+    ForwardHarness harness = ForwardHarness.ready(0, 1);
+    long first = harness.call("/book/1");
+    harness.answer(first, head(503, true, false, 3_000));
+    harness.advance(100 * ForwardHarness.MILLI);
+
+    long next = harness.call("/book/2");
+
+    assertThat(harness.refusal(next).orElseThrow().reason()).isEqualTo(RefusalReason.NO_UPSTREAM);
+    assertThat(harness.refusal(next).orElseThrow().retryAtMicros())
+        .hasValue(harness.now() + 2_900 * ForwardHarness.MILLI);
+  }
+}
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -51,7 +51,7 @@
   private static final double OPERATOR_WAIT_PART = 0.75;
 
   /** Part of the bound for leaving servers after which the registry is read again. */
-  private static final int LEAVE_READS = 4;
+  private static final int LEAVE_READS = 3;
 
   /** Part of the bound of new weights that is left for requests on their way. */
   private static final double VERSION_PART = 0.8;
@@ -59,8 +59,8 @@
   /** How long a request that crashes servers is refused, in microseconds. */
   private static final long QUARANTINE_MICROS = 60_000_000;
 
-  /** Time that is left for closing before the process is killed. */
-  private static final Duration CLOSE_MARGIN = Duration.ofMillis(700);
+  /** Time that is left for closing before the process is killed, in microseconds. */
+  private static final long CLOSE_MARGIN_MICROS = 700_000;
 
   private final Settings settings;
   private final AtomicBoolean isLeaving = new AtomicBoolean();
@@ -181,6 +181,11 @@
     if (command instanceof ForwardCommand.TellOpenings openings) {
       registry.sendToRouters(
           new PeerMessage.OpeningsHeld(openings.server(), openings.openings()), latestMicros);
+    } else if (command instanceof ForwardCommand.TellLeaving leaving) {
+      registry.sendToRouters(
+          new PeerMessage.SidecarStatus(
+              leaving.server(), leaving.incarnation(), List.of(), true, 0),
+          latestMicros);
     } else if (command instanceof ForwardCommand.TellCrash crash) {
       registry.sendToRouters(
           new PeerMessage.CrashSeen(crash.contentHash(), crash.crash()), latestMicros);
@@ -191,8 +196,8 @@
 
   private Map<RegistryStream, FollowPolicy> policies() {
     long configurationMicros =
-        TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.CONFIGURATION_MILLIS));
-    long leaveMicros = TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.LEAVE_MILLIS));
+        settings.micros(HostedKeys.CONFIGURATION_MILLIS, TimeUnit.MILLISECONDS);
+    long leaveMicros = settings.micros(HostedKeys.LEAVE_MILLIS, TimeUnit.MILLISECONDS);
     return Map.of(
         RegistryStream.OPERATOR,
             new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
@@ -201,12 +206,12 @@
   }
 
   private ForwardOptions forwardOptions() {
-    long versionMicros = TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.VERSION_MILLIS));
+    long versionMicros = settings.micros(HostedKeys.VERSION_MILLIS, TimeUnit.MILLISECONDS);
     return new ForwardOptions(
         settings.text(CommonKeys.FAILURE_DOMAIN),
-        settings.share(HostedKeys.RETRY_SHARE),
-        settings.number(HostedKeys.RETRY_SLACK),
-        TimeUnit.SECONDS.toMicros(settings.number(HostedKeys.RETRY_WINDOW_SECONDS)),
+        settings.amount(HostedKeys.RETRY_SHARE),
+        settings.amount(HostedKeys.RETRY_SLACK),
+        settings.micros(HostedKeys.RETRY_WINDOW_SECONDS, TimeUnit.SECONDS),
         (long) (VERSION_PART * versionMicros),
         QUARANTINE_MICROS,
         node.incarnation(),
@@ -217,10 +222,13 @@
   private void drain() {
     isLeaving.set(true);
     node.tell("draining");
-    Duration longest =
-        Duration.ofSeconds(settings.number(HostedKeys.STOP_SECONDS)).minus(CLOSE_MARGIN);
-    long endsAtMicros = Clock.steadyMicros() + TimeUnit.NANOSECONDS.toMicros(longest.toNanos());
+    long longestMicros =
+        settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS) - CLOSE_MARGIN_MICROS;
+    long endsAtMicros = Clock.steadyMicros() + longestMicros;
     gate.drain(() -> node.events().deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::drained);
-    Channels.after(node.loop(), longest, stop::drained);
+    Channels.after(
+        node.loop(),
+        Duration.ofMillis(TimeUnit.MICROSECONDS.toMillis(longestMicros)),
+        stop::drained);
   }
 }
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -131,8 +131,8 @@
             TimeUnit.MILLISECONDS.toMicros(settings.number(RouterSettings.FIRST_TOKEN_MILLIS)))
         .logRetentionMicros(
             TimeUnit.SECONDS.toMicros(settings.number(CommonKeys.LOG_RETENTION_SECONDS)))
-        .retryShare(settings.share(RouterSettings.RETRY_SHARE))
-        .ejectionShare(settings.share(RouterSettings.EJECTION_SHARE))
+        .retryShare(settings.amount(RouterSettings.RETRY_SHARE))
+        .ejectionShare(settings.amount(RouterSettings.EJECTION_SHARE))
         .seed(incarnation)
         .counters(metrics)
         .build();
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -66,7 +66,7 @@
         new WeightKeeper(
             node.name(),
             Addresses.text(settings.address(HostedSidecarSettings.UPSTREAM)),
-            TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.VERSION_MILLIS)),
+            settings.micros(HostedKeys.VERSION_MILLIS, TimeUnit.MILLISECONDS),
             this::carryOut,
             node.journal());
     registry =
@@ -169,7 +169,7 @@
 
   private static Map<RegistryStream, FollowPolicy> policies(Settings settings) {
     long configurationMicros =
-        TimeUnit.MILLISECONDS.toMicros(settings.number(HostedKeys.CONFIGURATION_MILLIS));
+        settings.micros(HostedKeys.CONFIGURATION_MILLIS, TimeUnit.MILLISECONDS);
     return Map.of(
         RegistryStream.OPERATOR,
             new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
--- a/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
@@ -14,28 +14,28 @@
       SettingKey.withDefault(
           "bounds",
           "leave-millis",
-          SettingType.POSITIVE,
+          SettingType.DURATION,
           "2000",
           "Time after which no request may reach a leaving server, in milliseconds.");
   public static final SettingKey CONFIGURATION_MILLIS =
       SettingKey.withDefault(
           "bounds",
           "configuration-millis",
-          SettingType.POSITIVE,
+          SettingType.DURATION,
           "2000",
           "Time after which a configuration must be in force, in milliseconds.");
   public static final SettingKey VERSION_MILLIS =
       SettingKey.withDefault(
           "bounds",
           "version-millis",
-          SettingType.POSITIVE,
+          SettingType.DURATION,
           "8000",
           "Time after which no request may begin on older weights, in milliseconds.");
   public static final SettingKey STOP_SECONDS =
       SettingKey.withDefault(
           "bounds",
           "stop-seconds",
-          SettingType.POSITIVE,
+          SettingType.DURATION,
           "8",
           "Time between the signal to stop and the end of the process, in seconds.");
   public static final SettingKey RETRY_SHARE =
@@ -49,14 +49,14 @@
       SettingKey.withDefault(
           "retries",
           "slack",
-          SettingType.POSITIVE,
+          SettingType.AMOUNT,
           "10",
           "Retries allowed to all routers together beyond that share.");
   public static final SettingKey RETRY_WINDOW_SECONDS =
       SettingKey.withDefault(
           "retries",
           "window-seconds",
-          SettingType.POSITIVE,
+          SettingType.DURATION,
           "10",
           "Length of the window in which retries are counted, in seconds.");
 
--- a/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
@@ -75,6 +75,28 @@
       return number;
     }
   },
+  /** A length of time in the unit of its key, which may have a fraction. */
+  DURATION("Write a number above zero; it may have a fraction.") {
+    @Override
+    Object parse(String text) {
+      double duration = Double.parseDouble(text);
+      if (!(duration > 0 && duration <= Integer.MAX_VALUE)) {
+        throw new IllegalArgumentException("no duration");
+      }
+      return duration;
+    }
+  },
+  /** A number from zero on, which may have a fraction. */
+  AMOUNT("Write a number from 0 on; it may have a fraction.") {
+    @Override
+    Object parse(String text) {
+      double amount = Double.parseDouble(text);
+      if (!(amount >= 0 && amount <= Integer.MAX_VALUE)) {
+        throw new IllegalArgumentException("no amount");
+      }
+      return amount;
+    }
+  },
   /** A share between zero and one. */
   SHARE("Write a number from 0 to 1.") {
     @Override
--- a/transport/src/main/java/org/shallothook/transport/settings/Settings.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/Settings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Checked values of a settings file.
@@ -37,11 +38,20 @@
     return (Integer) value(key);
   }
 
-  /** Returns the value of a share. */
-  public double share(SettingKey key) {
+  /** Returns the value of a share or an amount. */
+  public double amount(SettingKey key) {
     return (Double) value(key);
   }
 
+  /**
+   * Returns a duration in microseconds.
+   *
+   * @param unit the unit that the key is written in
+   */
+  public long micros(SettingKey key, TimeUnit unit) {
+    return (long) (amount(key) * unit.toMicros(1));
+  }
+
   private Object value(SettingKey key) {
     Object value = values.get(key);
     if (value == null) {
--- a/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -46,7 +46,8 @@
 
   @Override
   public AnswerHead readAnswer(HttpResponse answer) {
-    return new AnswerHead(answer.status().code(), false, Optional.empty(), Optional.empty());
+    return new AnswerHead(
+        answer.status().code(), false, Optional.empty(), Optional.empty(), false, Optional.empty());
   }
 
   @Override
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestStoryTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestStoryTest.java
@@ -129,7 +129,10 @@
     request("/draft/1");
     handle(
         new ForwardEvent.Answered(
-            1, 1, new AnswerHead(200, false, Optional.empty(), Optional.empty())));
+            1,
+            1,
+            new AnswerHead(
+                200, false, Optional.empty(), Optional.empty(), false, Optional.empty())));
     handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.of(4L)));
     RequestStory story = story();
     assertThat(story.end()).isEqualTo(StoryEnd.BROKEN_OFF);
