End requests whose server sends bytes without end; tell peers in batches

Each prompt sent woke up every other router, and sidecars read their server's report ten times a second.

Change: at most 32 heads and 1 MB that belong to no request before an answer, 64 KB for an event, 256 KB held before a decision; only whole events are progress of a stream. Prefixes are announced in batches of 120 ms, reports of a serving server read each 200 ms, changes of its queue told after 200 or 800 ms.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -3,10 +3,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -75,6 +78,9 @@
   /** Longest time without a sign from a server at which requests are open. */
   private static final long SILENCE_MICROS = 1_200_000;
 
+  /** Least time between two rounds of telling other routers of openings, in microseconds. */
+  private static final long TELL_INTERVAL_MICROS = 120_000;
+
   private final ForwardOptions options;
   private final Consumer<ForwardCommand> commands;
   private final ForwardJournal journal;
@@ -86,6 +92,8 @@
   private final CallPlacement calls;
   private final SplittableRandom random;
   private final Map<Long, OpenForward> open = new HashMap<>();
+  private final Map<String, Set<Long>> untold = new LinkedHashMap<>();
+  private long nextTellMicros;
   private Optional<RouteTable> table = Optional.empty();
   private Optional<Long> leavesAtMicros = Optional.empty();
   private boolean isRegistryReachable;
@@ -382,7 +390,18 @@
 
   private void tellOpenings(String place, List<Long> openings) {
     if (!openings.isEmpty()) {
-      commands.accept(new ForwardCommand.TellOpenings(place, openings));
+      untold.computeIfAbsent(place, name -> new LinkedHashSet<>()).addAll(openings);
+    }
+  }
+
+  /** Tells what has gathered: each message wakes up every other router. */
+  private void tellGathered(long nowMicros) {
+    if (nowMicros >= nextTellMicros && !untold.isEmpty()) {
+      nextTellMicros = nowMicros + TELL_INTERVAL_MICROS;
+      untold.forEach(
+          (place, openings) ->
+              commands.accept(new ForwardCommand.TellOpenings(place, List.copyOf(openings))));
+      untold.clear();
     }
   }
 
@@ -634,6 +653,7 @@
       }
     }
     sendWaiting(nowMicros);
+    tellGathered(nowMicros);
     surveyPrompts(nowMicros);
     watchSilence(nowMicros);
     giveUpStuck(nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -27,9 +27,12 @@
   /** Longest time between two ticks, in microseconds. */
   public static final long TICK_INTERVAL_MICROS = 100_000;
 
-  /** Time between two reports, which cost nothing from the same machine. */
+  /** Time between two reports while the server is away for new weights or down. */
   private static final long REPORT_MICROS = 100_000;
 
+  /** Time between two reports of a server that serves. */
+  private static final long SERVING_REPORT_MICROS = 200_000;
+
   /** Time between two tries to take a number or to find the server's identity. */
   private static final long RETRY_MICROS = 500_000;
 
@@ -43,10 +46,10 @@
   private static final long QUEUE_DRAIN_MICROS = 350_000;
 
   /** Time between two announcements of a queue that has changed by much. */
-  private static final long LOAD_MICROS = 100_000;
+  private static final long LOAD_MICROS = 200_000;
 
   /** Time between two announcements of a queue that has changed by less. */
-  private static final long SMALL_LOAD_MICROS = 400_000;
+  private static final long SMALL_LOAD_MICROS = 800_000;
 
   /** Change of a queue's delay that routers hear of soon, in microseconds. */
   private static final long LARGE_CHANGE_MICROS = 2 * EngineReport.READ_HINT_MICROS;
@@ -238,7 +241,8 @@
   private void readReport(long nowMicros) {
     if (!isReading && nowMicros >= nextReportMicros) {
       isReading = true;
-      nextReportMicros = nowMicros + REPORT_MICROS;
+      boolean isServing = !isLoading && failedReports == 0 && report.isPresent();
+      nextReportMicros = nowMicros + (isServing ? SERVING_REPORT_MICROS : REPORT_MICROS);
       commands.accept(new WeightCommand.ReadReport());
     }
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/EventCutter.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/EventCutter.java
@@ -17,7 +17,7 @@
  */
 final class EventCutter {
   /** Greatest size of one event. */
-  private static final int LARGEST_EVENT_BYTES = 1 << 20;
+  private static final int LARGEST_EVENT_BYTES = 64 << 10;
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -174,7 +174,6 @@
 
   @Override
   public void received(ServerAttempt open, HttpContent content) {
-    receivedAtMicros = context.nowMicros();
     try {
       if (isCurrent(open) && content.content().isReadable()) {
         pass(content.content());
@@ -241,6 +240,7 @@
 
   private void pass(ByteBuf bytes) {
     if (events.isEmpty()) {
+      receivedAtMicros = context.nowMicros();
       Channels.writeAndFlush(connection.channel(), new DefaultHttpContent(bytes.retain()));
       return;
     }
@@ -256,6 +256,8 @@
       return;
     }
     if (whole.isReadable()) {
+      // Bytes that never make up an event are no progress.
+      receivedAtMicros = context.nowMicros();
       Channels.writeAndFlush(connection.channel(), new DefaultHttpContent(whole));
     } else {
       whole.release();
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
@@ -33,12 +33,16 @@
     void broken(ServerAttempt attempt, boolean isReset, String detail);
   }
 
+  /** Bytes that are held for a decision before reading stops. */
+  private static final int MOST_HELD_BYTES = 256 << 10;
+
   private final int number;
   private final Dispatch dispatch;
   private final OutboundRequest request;
   private final Owner owner;
   private final Queue<HttpContent> held = new ArrayDeque<>();
   private Optional<ServerLink> link = Optional.empty();
+  private int heldBytes;
   private boolean isRelayed;
   private boolean hasWholeAnswer;
   private boolean isOver;
@@ -73,6 +77,9 @@
   /** Passes on what is held, and then everything as it arrives. */
   void relay() {
     isRelayed = true;
+    if (heldBytes > MOST_HELD_BYTES) {
+      pause(false);
+    }
     HttpContent next = held.poll();
     while (next != null) {
       owner.received(this, next);
@@ -120,7 +127,11 @@
     } else if (isRelayed) {
       owner.received(this, content);
     } else {
+      heldBytes += content.content().readableBytes();
       held.add(content);
+      if (heldBytes > MOST_HELD_BYTES) {
+        pause(true);
+      }
     }
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerLink.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerLink.java
@@ -35,6 +35,12 @@
     void closed(ServerLink link);
   }
 
+  /** Interim and foreign heads that may come before the answer. */
+  private static final int MOST_SKIPPED_HEADS = 32;
+
+  /** Bytes of foreign answers that may come before the answer. */
+  private static final long MOST_SKIPPED_BYTES = 1 << 20;
+
   private final Pool pool;
   private final RequestForm form;
   private final String address;
@@ -47,6 +53,8 @@
   private boolean isWritten;
   private boolean isKept;
   private boolean hasHead;
+  private int skippedHeads;
+  private long skippedBytes;
 
   ServerLink(Pool pool, RequestForm form, String address) {
     this.pool = pool;
@@ -76,6 +84,8 @@
   void send(ServerAttempt attempt, long nowMicros) {
     current = Optional.of(attempt);
     hasHead = false;
+    skippedHeads = 0;
+    skippedBytes = 0;
     isWritten = false;
     attempt.attach(this);
     OutboundRequest request = attempt.request();
@@ -156,11 +166,18 @@
       boolean isForeign = !isInterim && !form.belongsTo(head, attempt.request().typed());
       isSkipping = isInterim || isForeign;
       isTainted |= isForeign;
+      skippedHeads += isSkipping ? 1 : 0;
       if (!isSkipping) {
         onHead(attempt, head);
       }
     }
-    if (part instanceof HttpContent content) {
+    if (isSkipping && part instanceof HttpContent content) {
+      skippedBytes += content.content().readableBytes();
+    }
+    if (skippedHeads > MOST_SKIPPED_HEADS || skippedBytes > MOST_SKIPPED_BYTES) {
+      ReferenceCountUtil.release(part);
+      breakCurrent(false, "the server sends what belongs to no request");
+    } else if (part instanceof HttpContent content) {
       onContent(attempt, content);
     }
   }
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
@@ -12,9 +12,12 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.forward.Dispatch;
 import org.shallothook.coordination.forward.ForwardCommand;
@@ -318,4 +321,47 @@
     }
     assertThat(server.isAbandoned()).isTrue();
   }
+
+  private static Stream<Arguments> answersWithoutEnd() {
+    String interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    String foreign = "HTTP/1.1 200 OK\r\nid: other\r\n";
+    return Stream.of(
+        Arguments.of("head", "HTTP/1.1 200 OK\r\n" + RawServer.FOREVER + "x: y\r\n"),
+        Arguments.of("status line", RawServer.FOREVER + "HTTP/1.1 200 O"),
+        Arguments.of("interim heads", RawServer.FOREVER + interim),
+        Arguments.of("foreign body", foreign + "\r\n" + RawServer.FOREVER + "x".repeat(1_000)),
+        Arguments.of(
+            "foreign chunks",
+            foreign + "Transfer-Encoding: chunked\r\n\r\n" + RawServer.FOREVER + chunk("abc")),
+        Arguments.of("event", stream("a") + RawServer.FOREVER + chunk("data: abc\n")),
+        Arguments.of("chunk size", stream("a") + "1;" + RawServer.FOREVER + "x".repeat(1_000)),
+        Arguments.of("trailer", stream("a") + "0\r\n" + RawServer.FOREVER + "x: y\r\n"));
+  }
+
+  /** Bytes that are no answer end the request and the connection, and cost bounded memory. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("answersWithoutEnd")
+  void bytesWithoutEndEndTheRequest(String place, String answer)
+      throws IOException, InterruptedException {
+    server = new RawServer(request -> answer);
+
+    String received = exchange(post("a", "close", "one"));
+
+    assertThat(received).doesNotContain("0\r\n\r\n");
+    assertThat(server.awaitCutOff(PATIENCE_MILLIS)).isTrue();
+  }
+
+  /** What follows a whole answer without end reaches nobody, and the next caller is served. */
+  @Test
+  void bytesWithoutEndAfterAnAnswerAreDropped() throws IOException {
+    server =
+        new RawServer(
+            request ->
+                request.contains("id: a\r\n")
+                    ? answer("a", "first") + RawServer.FOREVER + "x".repeat(1_000)
+                    : answer("b", "second"));
+
+    assertThat(exchange(post("a", "close", "one"))).endsWith("first");
+    assertThat(exchange(post("b", "close", "two"))).endsWith("second");
+  }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /**
@@ -24,6 +26,10 @@
   /** Between two parts of an answer, of which the second waits for {@link #proceed}. */
   static final String PAUSE = "\0";
 
+  /** Before the last part of an answer, which is sent again and again until the socket closes. */
+  static final String FOREVER = "\1";
+
+  private final CountDownLatch cutOff = new CountDownLatch(1);
   private final Semaphore proceeding = new Semaphore(0);
   private final ServerSocket listening;
   private final Function<String, String> script;
@@ -91,16 +97,28 @@
       }
     } catch (IOException e) {
       // The other side has closed the connection.
-      return;
+      cutOff.countDown();
     }
   }
 
+  /** Waits until the other side has closed a connection that this one still wrote to. */
+  boolean awaitCutOff(long millis) throws InterruptedException {
+    return cutOff.await(millis, TimeUnit.MILLISECONDS);
+  }
+
   /** Lets the rest of a paused answer go. */
   void proceed() {
     proceeding.release();
   }
 
   private void write(Socket socket, String answer) throws IOException {
+    int endless = answer.indexOf(FOREVER);
+    if (endless >= 0) {
+      write(socket, answer.substring(0, endless));
+      while (true) {
+        write(socket, answer.substring(endless + 1));
+      }
+    }
     int pause = answer.indexOf(PAUSE);
     String first = pause < 0 ? answer : answer.substring(0, pause);
     socket.getOutputStream().write(first.getBytes(StandardCharsets.ISO_8859_1));
