Let a router bring servers without a sidecar to new weights

Change: of the routers that reach each other one keeps each model server that no sidecar was heard of for 12 s, by rendezvous hash, after two turns of holders have passed; it has a fence of its own and reads reports only while a version lacks.

--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -88,6 +88,16 @@
     return (int) others + (options.self().role() == InstanceRole.ROUTER ? 1 : 0);
   }
 
+  /** Returns whether a peer is a router; one that is not known is taken for one. */
+  public boolean isRouter(String peer) {
+    return !peers.containsKey(peer) || peers.get(peer).role == InstanceRole.ROUTER;
+  }
+
+  /** Returns the names of the other routers that can be reached. */
+  public List<String> reachableRouters(long nowMicros) {
+    return reachablePeers(nowMicros).stream().filter(this::isRouter).toList();
+  }
+
   /** Makes the next read of a stream due at once. */
   public void hurry(RegistryStream stream, long nowMicros) {
     followers.get(stream).hurry(nowMicros);
@@ -152,9 +162,7 @@
 
   /** Sends a message to each router that can be reached. */
   public void sendToRouters(PeerMessage message, long nowMicros) {
-    reachablePeers(nowMicros).stream()
-        .filter(name -> peers.get(name).role == InstanceRole.ROUTER)
-        .forEach(name -> send(name, message));
+    reachableRouters(nowMicros).forEach(name -> send(name, message));
   }
 
   private void onPage(RegistryEvent.PageRead read, long nowMicros) {
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
@@ -0,0 +1,225 @@
+package org.shallothook.coordination.weights;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.coordination.port.Decision;
+import org.shallothook.coordination.port.DecisionJournal;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.WeightVersion;
+
+/**
+ * Brings model servers to new weights that have no sidecar beside them.
+ *
+ * <p>Of the routers that reach each other one keeps each such server, by the same hash everywhere.
+ * A router that becomes the keeper waits for longer than turns of holders may follow each other, so
+ * that an earlier keeper has noticed by then; fencing numbers reject what it sends late. A server
+ * whose sidecar was ever heard of is left to that sidecar.
+ *
+ * <p>Invariant: a keeper exists only for a server that lacks a wanted version, at the router that
+ * is its keeper. Not thread-safe: one decision thread owns it.
+ */
+public final class UnattendedServers {
+  /** Time after which a server without word of a sidecar counts as without one. */
+  private static final long SIDECAR_START_MICROS = 12_000_000;
+
+  /** Turns of holders that a router waits for before it keeps a server. */
+  private static final int TURNS_TO_WAIT = 2;
+
+  private final String name;
+  private final long boundMicros;
+  private final long turnMicros;
+  private final BiConsumer<String, WeightCommand> commands;
+  private final DecisionJournal journal;
+  private final Map<String, Watched> watched = new HashMap<>();
+  private final Map<String, WeightVersion> wanted = new HashMap<>();
+  private final Set<String> attendedHosts = new HashSet<>();
+  private Set<String> routers = Set.of();
+
+  /** A listed server, and since when this router is the one to keep it. */
+  private static final class Watched {
+    private final long listedAtMicros;
+    private ServerEntry entry;
+    private boolean isAttended;
+    private Optional<Long> ownSinceMicros = Optional.empty();
+    private Optional<WeightKeeper> keeper = Optional.empty();
+
+    private Watched(ServerEntry entry, long nowMicros) {
+      this.entry = entry;
+      this.listedAtMicros = nowMicros;
+    }
+  }
+
+  /**
+   * Creates a part that knows no servers.
+   *
+   * @param name name of this router
+   * @param boundMicros time after which no request may begin on older weights, in microseconds
+   * @param turnMicros least time between orders of two holders, in microseconds
+   * @param commands takes each command, with the address of the server that it concerns
+   * @param journal takes a line for each decision
+   */
+  public UnattendedServers(
+      String name,
+      long boundMicros,
+      long turnMicros,
+      BiConsumer<String, WeightCommand> commands,
+      DecisionJournal journal) {
+    this.name = Objects.requireNonNull(name, "name");
+    this.boundMicros = boundMicros;
+    this.turnMicros = turnMicros;
+    this.commands = Objects.requireNonNull(commands, "commands");
+    this.journal = Objects.requireNonNull(journal, "journal");
+  }
+
+  /** Takes in that operators want a version. */
+  public void onNamed(WeightVersion version) {
+    wanted.merge(
+        version.model(), version, (one, other) -> one.version() >= other.version() ? one : other);
+  }
+
+  /** Takes in an entry of the registry; servers without weights are nobody's to keep. */
+  public void onListed(ServerEntry entry, long nowMicros) {
+    if (entry.versions().isEmpty()) {
+      return;
+    }
+    Watched server = watched.computeIfAbsent(entry.id(), id -> new Watched(entry, nowMicros));
+    server.entry = entry;
+    keepers().forEach(keeper -> keeper.handle(new WeightEvent.ServerListed(entry), nowMicros));
+  }
+
+  /** Takes in that an entry of the registry was removed. */
+  public void onRemoved(String id, long nowMicros) {
+    watched.remove(id);
+    keepers().forEach(keeper -> keeper.handle(new WeightEvent.ServerRemoved(id), nowMicros));
+  }
+
+  /** Takes in where a sidecar runs: beside its server, on the same host. */
+  public void onSidecar(String address) {
+    attendedHosts.add(hostOf(address));
+  }
+
+  /**
+   * Takes in the state of a server.
+   *
+   * @param isFromSidecar whether the sidecar beside the server tells it, rather than a router
+   */
+  public void onStatus(SidecarStatus status, boolean isFromSidecar, long nowMicros) {
+    Watched server = watched.get(status.upstream());
+    if (server != null) {
+      server.isAttended |= isFromSidecar;
+    }
+    keepers().forEach(keeper -> keeper.handle(new WeightEvent.StatusHeard(status), nowMicros));
+  }
+
+  /** Takes in what has happened at a server that this router keeps. */
+  public void handle(String address, WeightEvent event, long nowMicros) {
+    for (Watched server : watched.values()) {
+      if (server.entry.address().equals(address)) {
+        server.keeper.ifPresent(keeper -> keeper.handle(event, nowMicros));
+      }
+    }
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param reachableRouters names of the other routers that can be reached
+   */
+  public void onTick(Collection<String> reachableRouters, long nowMicros) {
+    routers = Set.copyOf(reachableRouters);
+    for (Watched server : List.copyOf(watched.values())) {
+      noteOwner(server, nowMicros);
+      boolean isKept = mayKeep(server, nowMicros) && lacksVersion(server.entry);
+      if (isKept && server.keeper.isEmpty()) {
+        keep(server, nowMicros);
+      } else if (!isKept && server.keeper.isPresent()) {
+        server.keeper = Optional.empty();
+        write(server, "left");
+      }
+    }
+    keepers().forEach(keeper -> keeper.handle(new WeightEvent.Tick(), nowMicros));
+  }
+
+  private void noteOwner(Watched server, long nowMicros) {
+    boolean isUnattended =
+        !server.isAttended
+            && !attendedHosts.contains(hostOf(server.entry.address()))
+            && nowMicros - server.listedAtMicros >= SIDECAR_START_MICROS;
+    if (!isUnattended || !isOwn(server.entry)) {
+      server.ownSinceMicros = Optional.empty();
+    } else if (server.ownSinceMicros.isEmpty()) {
+      server.ownSinceMicros = Optional.of(nowMicros);
+    }
+  }
+
+  private boolean isOwn(ServerEntry entry) {
+    long server = RendezvousHash.hashOf(entry.id());
+    long own = RendezvousHash.weight(server, RendezvousHash.hashOf(name));
+    return routers.stream()
+        .map(router -> RendezvousHash.weight(server, RendezvousHash.hashOf(router)))
+        .allMatch(other -> Long.compareUnsigned(own, other) >= 0);
+  }
+
+  private boolean mayKeep(Watched server, long nowMicros) {
+    return server
+        .ownSinceMicros
+        .filter(since -> nowMicros - since >= TURNS_TO_WAIT * turnMicros)
+        .isPresent();
+  }
+
+  private boolean lacksVersion(ServerEntry entry) {
+    return entry.versions().entrySet().stream()
+        .anyMatch(
+            held -> {
+              WeightVersion version = wanted.get(held.getKey());
+              return version != null && held.getValue() < version.version();
+            });
+  }
+
+  private void keep(Watched server, long nowMicros) {
+    String address = server.entry.address();
+    WeightKeeper keeper =
+        new WeightKeeper(
+            name, address, boundMicros, command -> commands.accept(address, command), journal);
+    server.keeper = Optional.of(keeper);
+    write(server, "kept");
+    for (Watched other : watched.values()) {
+      keeper.handle(new WeightEvent.ServerListed(other.entry), nowMicros);
+    }
+    for (WeightVersion version : wanted.values()) {
+      keeper.handle(new WeightEvent.Named(version), nowMicros);
+    }
+  }
+
+  private List<WeightKeeper> keepers() {
+    List<WeightKeeper> keepers = new ArrayList<>();
+    watched.values().forEach(server -> server.keeper.ifPresent(keepers::add));
+    return keepers;
+  }
+
+  private void write(Watched server, String outcome) {
+    journal.write(
+        Decision.SERVER,
+        server.entry.id(),
+        "outcome",
+        outcome,
+        "versions",
+        server.entry.versions(),
+        "routers",
+        routers.size());
+  }
+
+  private static String hostOf(String address) {
+    return address.substring(0, address.lastIndexOf(':'));
+  }
+}
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.shallothook.coordination.forward.ForwardCommand;
 import org.shallothook.coordination.forward.ForwardCore;
 import org.shallothook.coordination.forward.ForwardEvent;
@@ -21,11 +22,18 @@
 import org.shallothook.coordination.registry.RegistryListener;
 import org.shallothook.coordination.registry.RegistryOptions;
 import org.shallothook.coordination.registry.RegistryStream;
+import org.shallothook.coordination.weights.UnattendedServers;
+import org.shallothook.coordination.weights.WeightCommand;
+import org.shallothook.coordination.weights.WeightEvent;
+import org.shallothook.coordination.weights.WeightKeeper;
+import org.shallothook.platform.EngineCalls;
 import org.shallothook.platform.HostedNode;
 import org.shallothook.platform.HostedRequestForm;
 import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
+import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
 import org.shallothook.transport.admin.AdminServer;
 import org.shallothook.transport.forward.ForwardGate;
@@ -69,9 +77,14 @@
   private final ForwardGate gate;
   private final ForwardCore core;
   private final RegistryCore registry;
+  private final UnattendedServers unattended;
   private final AdminServer admin;
   private final GracefulStop stop;
   private long latestMicros;
+  private long nextKeepingMicros;
+
+  /** An event of a server that this router orders, which has no sidecar. */
+  private record KeptServerEvent(String address, WeightEvent event) implements CoreEvent {}
 
   HostedRouter(Settings settings) {
     this.settings = settings;
@@ -93,6 +106,13 @@
     registry =
         new RegistryCore(
             new RegistryOptions(node.self(), policies(), node.incarnation()), node::carryOut, this);
+    unattended =
+        new UnattendedServers(
+            node.name(),
+            settings.micros(HostedKeys.VERSION_MILLIS, TimeUnit.MILLISECONDS),
+            settings.micros(HostedKeys.ORDER_TURN_MILLIS, TimeUnit.MILLISECONDS),
+            this::carryOut,
+            node.journal());
     admin =
         new AdminServer(
             node.loop(), node.metrics().registry(), () -> isLeaving.get() || !isReady.get());
@@ -130,6 +150,7 @@
   public void received(Envelope envelope, long nowMicros) {
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
       core.handle(new ForwardEvent.StatusHeard(status), nowMicros);
+      unattended.onStatus(status, !registry.isRouter(envelope.sender()), nowMicros);
     } else if (envelope.message() instanceof PeerMessage.OpeningsHeld held) {
       core.handle(new ForwardEvent.OpeningsHeard(held.upstream(), held.openings()), nowMicros);
     } else if (envelope.message() instanceof PeerMessage.CrashSeen seen) {
@@ -145,17 +166,45 @@
       core.handle(forward, nowMicros);
       if (event instanceof ForwardEvent.Tick) {
         registry.onTick(nowMicros);
+        keepUnattended(nowMicros);
       }
+    } else if (event instanceof KeptServerEvent kept) {
+      unattended.handle(kept.address(), kept.event(), nowMicros);
     } else if (event instanceof RegistryEvent read) {
       registry.handle(read, nowMicros);
     }
   }
 
+  private void keepUnattended(long nowMicros) {
+    if (nowMicros >= nextKeepingMicros) {
+      nextKeepingMicros = nowMicros + WeightKeeper.TICK_INTERVAL_MICROS;
+      unattended.onTick(registry.reachableRouters(nowMicros), nowMicros);
+    }
+  }
+
+  private void carryOut(String address, WeightCommand command) {
+    EngineCalls engine = new EngineCalls(node.client(), Addresses.parse(address));
+    Consumer<WeightEvent> answer =
+        event -> node.events().deliver(new KeptServerEvent(address, event));
+    if (command instanceof WeightCommand.Announce announce) {
+      core.handle(new ForwardEvent.StatusHeard(announce.status()), latestMicros);
+      registry.sendToRouters(announce.status(), latestMicros);
+    } else if (command instanceof WeightCommand.ReadServers) {
+      registry.hurry(RegistryStream.SERVERS, latestMicros);
+    } else {
+      node.carryOut(command, engine, answer);
+    }
+  }
+
   private void readOperator(KeyedRecord record, long nowMicros) {
     node.readRoutes(record)
         .ifPresent(table -> core.handle(new ForwardEvent.RoutesRead(table), nowMicros));
     node.readVersion(record)
-        .ifPresent(version -> core.handle(new ForwardEvent.VersionNamed(version), nowMicros));
+        .ifPresent(
+            version -> {
+              core.handle(new ForwardEvent.VersionNamed(version), nowMicros);
+              unattended.onNamed(version);
+            });
   }
 
   private void readServers(List<KeyedRecord> changes, boolean isFirstWhole, long nowMicros) {
@@ -163,7 +212,9 @@
     for (KeyedRecord record : changes) {
       Optional<ServerEntry> entry = node.readServer(record);
       entry.ifPresent(entries::add);
+      entry.ifPresent(listed -> unattended.onListed(listed, nowMicros));
       if (entry.isEmpty()) {
+        unattended.onRemoved(record.key(), nowMicros);
         core.handle(new ForwardEvent.ServerRemoved(record.key()), nowMicros);
       }
     }
@@ -172,11 +223,18 @@
 
   private void readMembers(List<KeyedRecord> changes, long nowMicros) {
     for (KeyedRecord record : changes) {
-      node.readMember(record).ifPresent(member -> registry.onMember(member, nowMicros));
+      node.readMember(record).ifPresent(member -> onMember(member, nowMicros));
     }
     core.handle(new ForwardEvent.RoutersCounted(registry.routers()), nowMicros);
   }
 
+  private void onMember(Instance member, long nowMicros) {
+    registry.onMember(member, nowMicros);
+    if (member.role() == InstanceRole.MODEL_ENGINE) {
+      unattended.onSidecar(member.address());
+    }
+  }
+
   private void carryOut(ForwardCommand command) {
     if (command instanceof ForwardCommand.TellOpenings openings) {
       registry.sendToRouters(
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -139,23 +139,12 @@
   }
 
   private void carryOut(WeightCommand command) {
-    if (command instanceof WeightCommand.ReadReport) {
-      engine.report(answer -> node.events().deliver(new WeightEvent.Reported(answer)));
-    } else if (command instanceof WeightCommand.TakeFence) {
-      node.store()
-          .takeNumber(
-              node.name(),
-              offset ->
-                  node.events()
-                      .deliver(new WeightEvent.FenceTaken(offset.map(number -> number + 1))));
-    } else if (command instanceof WeightCommand.Order order) {
-      engine.order(
-          order.order(),
-          answer -> node.events().deliver(new WeightEvent.Ordered(order.order(), answer)));
-    } else if (command instanceof WeightCommand.ReadServers) {
+    if (command instanceof WeightCommand.ReadServers) {
       registry.hurry(RegistryStream.SERVERS, latestMicros);
     } else if (command instanceof WeightCommand.Announce announce) {
       announce(announce);
+    } else {
+      node.carryOut(command, engine, node.events()::deliver);
     }
   }
 
--- a/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
@@ -60,6 +60,14 @@
           "10",
           "Length of the window in which retries are counted, in seconds.");
 
+  public static final SettingKey ORDER_TURN_MILLIS =
+      SettingKey.withDefault(
+          "bounds",
+          "order-turn-millis",
+          SettingType.DURATION,
+          "3000",
+          "Least time between orders of two holders to one server, in milliseconds.");
+
   /** Settings that routers and sidecars share with processes elsewhere. */
   public static final List<SettingKey> COMMON =
       List.of(
