Tell keepers of servers without a sidecar of later versions; poll the registry long

The registry was read each third of the bound, and nearly every read was empty.

Change: keepers hear of each version; reads of the registry wait at the store for 0.4 of the bound for leaving servers, a quarter of it apart.

UnattendedServersTest with versions in quick succession passes (it was not run against the code before).

--- a/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
@@ -82,9 +82,10 @@
   }
 
   /** Takes in that operators want a version. */
-  public void onNamed(WeightVersion version) {
+  public void onNamed(WeightVersion version, long nowMicros) {
     wanted.merge(
         version.model(), version, (one, other) -> one.version() >= other.version() ? one : other);
+    keepers().forEach(keeper -> keeper.handle(new WeightEvent.Named(version), nowMicros));
   }
 
   /** Takes in an entry of the registry; servers without weights are nobody's to keep. */
--- a/coordination/src/test/java/org/shallothook/coordination/weights/UnattendedServersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/UnattendedServersTest.java
@@ -53,7 +53,7 @@
                     .computeIfAbsent(name + "|" + address, key -> new ArrayList<>())
                     .add(command),
             DecisionJournal.NONE);
-    router.onNamed(new WeightVersion(MODEL, 1));
+    router.onNamed(new WeightVersion(MODEL, 1), nowMicros);
     routers.put(name, router);
   }
 
@@ -73,7 +73,9 @@
   }
 
   private void name(long version) {
-    routers.values().forEach(router -> router.onNamed(new WeightVersion(MODEL, version)));
+    routers
+        .values()
+        .forEach(router -> router.onNamed(new WeightVersion(MODEL, version), nowMicros));
   }
 
   /** Lets time pass; servers carry orders out at once, and the registry tells soon. */
@@ -161,6 +163,21 @@
     assertOneHolderAtATime();
   }
 
+  /** Versions that are named while servers are still on their way to earlier ones. */
+  @ParameterizedTest
+  @ValueSource(longs = {100_000, 700_000, 2_000_000, 4_000_000})
+  void versionsInQuickSuccessionEndAtTheNewest(long gapMicros) {
+    start(3);
+    run(20 * SECOND);
+    for (long version = 2; version <= 5; version++) {
+      name(version);
+      run(gapMicros);
+    }
+    run(10 * SECOND);
+    assertThat(versions.values().stream().distinct().toList()).containsExactly(5L);
+    assertOneHolderAtATime();
+  }
+
   @Test
   void anotherRouterTakesOverOnlyAfterTheTurnOfTheOneThatWent() {
     start(4);
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -58,8 +58,14 @@
    */
   private static final double OPERATOR_WAIT_PART = 0.75;
 
-  /** Part of the bound for leaving servers after which the registry is read again. */
-  private static final int LEAVE_READS = 3;
+  /**
+   * Part of the bound for leaving servers that the store may hold a read of the registry; most
+   * reads find nothing new.
+   */
+  private static final double SERVERS_WAIT_PART = 0.4;
+
+  /** Part of that bound between two reads, since each new version rewrites every entry. */
+  private static final double SERVERS_INTERVAL_PART = 0.25;
 
   /** Part of the bound of new weights that is left for requests on their way. */
   private static final double VERSION_PART = 0.8;
@@ -203,7 +209,7 @@
         .ifPresent(
             version -> {
               core.handle(new ForwardEvent.VersionNamed(version), nowMicros);
-              unattended.onNamed(version);
+              unattended.onNamed(version, nowMicros);
             });
   }
 
@@ -259,7 +265,10 @@
     return Map.of(
         RegistryStream.OPERATOR,
             new FollowPolicy((long) (OPERATOR_WAIT_PART * configurationMicros), 0),
-        RegistryStream.SERVERS, new FollowPolicy(0, leaveMicros / LEAVE_READS),
+        RegistryStream.SERVERS,
+            new FollowPolicy(
+                (long) (SERVERS_WAIT_PART * leaveMicros),
+                (long) (SERVERS_INTERVAL_PART * leaveMicros)),
         RegistryStream.MEMBERS, HostedNode.MEMBERS_POLICY);
   }
 
