Look at waiting requests with the tick rather than with each status

Change: statuses change beliefs only; the tick, 25 times a second, and freed places send what waits. Reports and large changes each 250 ms.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -179,8 +179,8 @@
       isRegistryReachable = reachable.isReachable();
       servers.onReachable(reachable.isReachable(), nowMicros);
     } else if (event instanceof ForwardEvent.StatusHeard heard) {
+      // Waiting requests are looked at with the next tick; in large fleets statuses come too often.
       servers.onStatus(heard.status(), nowMicros);
-      sendWaiting(nowMicros);
     } else if (event instanceof ForwardEvent.OpeningsHeard heard) {
       prompts.book().onTold(heard.openings(), heard.server(), nowMicros);
     } else if (event instanceof ForwardEvent.CrashHeard heard) {
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -31,7 +31,7 @@
   private static final long REPORT_MICROS = 100_000;
 
   /** Time between two reports of a server that serves. */
-  private static final long SERVING_REPORT_MICROS = 200_000;
+  private static final long SERVING_REPORT_MICROS = 250_000;
 
   /** Time between two tries to take a number or to find the server's identity. */
   private static final long RETRY_MICROS = 500_000;
@@ -46,7 +46,7 @@
   private static final long QUEUE_DRAIN_MICROS = 350_000;
 
   /** Time between two announcements of a queue that has changed by much. */
-  private static final long LOAD_MICROS = 200_000;
+  private static final long LOAD_MICROS = 250_000;
 
   /** Time between two announcements of a queue that has changed by less. */
   private static final long SMALL_LOAD_MICROS = 800_000;
