Send nothing for callers who left while the event loop stood still

A loop that takes long over one round reads requests at its start and carries out their sends at its end, before it reads that the callers have closed.

Change: a send waits, as a request does, until the loop has settled after a pause; an attempt that was dropped meanwhile is not begun.

Measured: ForwardGateTest, a caller who leaves while the loop stands still: failed before (the server got the request), passes.

--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -31,7 +31,8 @@
  * gate.carryOut(command);
  * }</pre>
  *
- * <p>Invariant: commands are carried out in the order given. Thread-safe.
+ * <p>Invariant: commands of one request are carried out in the order given, but for attempts that
+ * wait for the loop; those are not begun once they were dropped. Thread-safe.
  */
 public final class ForwardGate {
   private static final int ACCEPT_QUEUE = 1_024;
@@ -107,9 +108,7 @@
 
   private void act(ForwardCommand command) {
     if (command instanceof ForwardCommand.Send send) {
-      context
-          .find(send.request())
-          .ifPresent(exchange -> exchange.send(send.attempt(), send.dispatch()));
+      send(send);
     } else if (command instanceof ForwardCommand.Relay relay) {
       context
           .find(relay.request())
@@ -125,6 +124,20 @@
     }
   }
 
+  /**
+   * Begins an attempt. A loop that stood still may not have read yet that the caller has left, so
+   * the attempt then waits until it has.
+   */
+  private void send(ForwardCommand.Send send) {
+    if (context.pauses().isSettled(context.nowMicros())) {
+      context
+          .find(send.request())
+          .ifPresent(exchange -> exchange.send(send.attempt(), send.dispatch()));
+    } else {
+      Channels.after(loop, Duration.ofMillis(LoopPauses.SETTLE_MILLIS), () -> send(send));
+    }
+  }
+
   private void beat() {
     context.pauses().beat(context.nowMicros());
     Channels.after(loop, Duration.ofMillis(LoopPauses.BEAT_MILLIS), this::beat);
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -61,6 +61,9 @@
   private Optional<Long> stallMicros = Optional.empty();
   private long receivedAtMicros;
 
+  /** Attempts up to this one are over, begun or not. */
+  private int latestDropped;
+
   InboundExchange(
       long number, OutboundRequest request, ForwardContext context, Connection connection) {
     this.number = number;
@@ -78,7 +81,7 @@
   }
 
   void send(int attemptNumber, Dispatch dispatch) {
-    if (isOver) {
+    if (isOver || attemptNumber <= latestDropped) {
       return;
     }
     ServerAttempt next = new ServerAttempt(attemptNumber, dispatch, request, this);
@@ -101,6 +104,7 @@
   }
 
   void drop(int attemptNumber) {
+    latestDropped = Math.max(latestDropped, attemptNumber);
     ServerAttempt current = current(attemptNumber);
     if (current != null) {
       current.drop();
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardGateTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -36,6 +37,10 @@
   private final EventLoops loops = EventLoops.create(1);
   private final List<ForwardEvent> events = new CopyOnWriteArrayList<>();
   private final CountDownLatch gone = new CountDownLatch(1);
+
+  /** Time that the clock has passed beyond the real one, as if the loop had stood still. */
+  private final AtomicLong pausedMicros = new AtomicLong();
+
   private final ForwardGate gate =
       new ForwardGate(
           loops.internal(),
@@ -43,10 +48,11 @@
           ForwardSettings.DEFAULT,
           this,
           Counters.NONE,
-          Clock::steadyMicros);
+          () -> Clock.steadyMicros() + pausedMicros.get());
   private final InetSocketAddress address =
       gate.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
   private volatile RawServer server;
+  private volatile Runnable onRequested = () -> {};
 
   @AfterEach
   void close() throws IOException {
@@ -67,6 +73,9 @@
   public void deliver(CoreEvent event) {
     events.add((ForwardEvent) event);
     if (event instanceof ForwardEvent.Requested requested) {
+      Runnable before = onRequested;
+      onRequested = () -> {};
+      before.run();
       Dispatch dispatch =
           new Dispatch(
               "server",
@@ -364,4 +373,40 @@
     assertThat(exchange(post("a", "close", "one"))).endsWith("first");
     assertThat(exchange(post("b", "close", "two"))).endsWith("second");
   }
+
+  /** Pattern: a loop that is slow after a restart carries out sends for callers who have left. */
+  @Test
+  void nothingIsSentForACallerWhoLeftWhileTheLoopStoodStill() throws Exception {
+    server = new RawServer(request -> answer("a", "done"));
+    CountDownLatch asked = new CountDownLatch(1);
+    CountDownLatch blocked = new CountDownLatch(1);
+    CountDownLatch callerLeft = new CountDownLatch(1);
+    onRequested =
+        () -> {
+          // The decision has been made while the loop stands still.
+          loops.internal().execute(() -> standStill(blocked, callerLeft));
+          asked.countDown();
+        };
+    Socket socket = connect();
+    socket.getOutputStream().write(post("a", "close", "a").getBytes(StandardCharsets.ISO_8859_1));
+    assertThat(asked.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(blocked.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    socket.close();
+    callerLeft.countDown();
+
+    assertThat(gone.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(exchange(post("a", "close", "next"))).endsWith("done");
+    assertThat(server.requests()).hasSize(1);
+    assertThat(server.requests().get(0)).endsWith("next");
+  }
+
+  private void standStill(CountDownLatch blocked, CountDownLatch callerLeft) {
+    blocked.countDown();
+    try {
+      callerLeft.await();
+      pausedMicros.addAndGet(TimeUnit.SECONDS.toMicros(1));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
