--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -3,13 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -78,9 +75,6 @@
   /** Longest time without a sign from a server at which requests are open. */
   private static final long SILENCE_MICROS = 1_200_000;
 
-  /** Least time between two rounds of telling other routers of openings, in microseconds. */
-  private static final long TELL_INTERVAL_MICROS = 120_000;
-
   private final ForwardOptions options;
   private final Consumer<ForwardCommand> commands;
   private final ForwardJournal journal;
@@ -89,11 +83,10 @@
   private final FleetRetryBudget retries;
   private final CrashRegister crashes;
   private final PromptPlacement prompts;
+  private final OpeningAnnouncements announcements;
   private final CallPlacement calls;
   private final SplittableRandom random;
   private final Map<Long, OpenForward> open = new HashMap<>();
-  private final Map<String, Set<Long>> untold = new LinkedHashMap<>();
-  private long nextTellMicros;
   private Optional<RouteTable> table = Optional.empty();
   private Optional<Long> leavesAtMicros = Optional.empty();
   private boolean isRegistryReachable;
@@ -117,6 +110,7 @@
             options.retryRatio(), options.retrySlack(), options.retryWindowMicros());
     this.crashes = new CrashRegister(options.quarantineMicros());
     this.prompts = new PromptPlacement(options.failureDomain());
+    this.announcements = new OpeningAnnouncements(commands);
     this.calls = new CallPlacement(options.failureDomain(), random.split());
   }
 
@@ -380,28 +374,12 @@
     long memoryTokens = profile.memoryTokens();
     List<Long> toTell = prompts.book().onSent(shared, server.name(), memoryTokens, nowMicros);
     prompts.book().onSent(own, server.name(), memoryTokens, nowMicros);
-    tellOpenings(server.name(), toTell);
+    announcements.add(server.name(), toTell);
     Optional<CacheStore> store = profile.store();
     if (request.place().flatMap(Place::saveTo).isPresent() && store.isPresent()) {
       long saved = (long) routers * promptOf(request).orElseThrow().promptTokens();
-      tellOpenings(store.get().address(), prompts.onSaved(shared, store.get(), saved, nowMicros));
-    }
-  }
-
-  private void tellOpenings(String place, List<Long> openings) {
-    if (!openings.isEmpty()) {
-      untold.computeIfAbsent(place, name -> new LinkedHashSet<>()).addAll(openings);
-    }
-  }
-
-  /** Tells what has gathered: each message wakes up every other router. */
-  private void tellGathered(long nowMicros) {
-    if (nowMicros >= nextTellMicros && !untold.isEmpty()) {
-      nextTellMicros = nowMicros + TELL_INTERVAL_MICROS;
-      untold.forEach(
-          (place, openings) ->
-              commands.accept(new ForwardCommand.TellOpenings(place, List.copyOf(openings))));
-      untold.clear();
+      announcements.add(
+          store.get().address(), prompts.onSaved(shared, store.get(), saved, nowMicros));
     }
   }
 
@@ -653,7 +631,7 @@
       }
     }
     sendWaiting(nowMicros);
-    tellGathered(nowMicros);
+    announcements.onTick(nowMicros);
     surveyPrompts(nowMicros);
     watchSilence(nowMicros);
     giveUpStuck(nowMicros);
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/OpeningAnnouncements.java
@@ -0,0 +1,48 @@
+package org.shallothook.coordination.forward;
+
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Openings that other routers have still to be told of, gathered by the place that has them.
+ *
+ * <p>Pattern answered: many routers and prompts. Each message wakes up every other router, so what
+ * comes up within a short time goes out together.
+ *
+ * <p>Invariant: each opening added is told once, with the next round. Not thread-safe.
+ */
+final class OpeningAnnouncements {
+  /** Least time between two rounds, in microseconds. */
+  static final long INTERVAL_MICROS = 120_000;
+
+  private final Consumer<ForwardCommand> commands;
+  private final Map<String, Set<Long>> untold = new LinkedHashMap<>();
+  private long nextMicros;
+
+  /** Creates announcements that have gathered nothing. */
+  OpeningAnnouncements(Consumer<ForwardCommand> commands) {
+    this.commands = commands;
+  }
+
+  /** Takes in openings that a server, or the store of cached parts, will have. */
+  void add(String place, List<Long> openings) {
+    if (!openings.isEmpty()) {
+      untold.computeIfAbsent(place, name -> new LinkedHashSet<>()).addAll(openings);
+    }
+  }
+
+  /** Tells what has gathered, if a round is due. */
+  void onTick(long nowMicros) {
+    if (nowMicros >= nextMicros && !untold.isEmpty()) {
+      nextMicros = nowMicros + INTERVAL_MICROS;
+      untold.forEach(
+          (place, openings) ->
+              commands.accept(new ForwardCommand.TellOpenings(place, List.copyOf(openings))));
+      untold.clear();
+    }
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -121,13 +121,16 @@
   /** Returns whether new requests may be sent. */
   boolean isUsable(long nowMicros) {
     boolean isHeld = isHeldByStatus && nowMicros < statusUntilMicros;
-    return !entry.isLeaving()
-        && nowMicros < removedAtMicros
+    return isListed(nowMicros)
         && nowMicros >= pausedUntilMicros
         && nowMicros >= closedUntilMicros
         && !isHeld;
   }
 
+  private boolean isListed(long nowMicros) {
+    return !entry.isLeaving() && nowMicros < removedAtMicros;
+  }
+
   /** Returns whether the server is out of the registry and nothing is open at it. */
   boolean isForgettable(long nowMicros) {
     return nowMicros >= removedAtMicros && outstanding == 0;
@@ -263,8 +266,7 @@
 
   /** Returns when the server takes requests again, if only its own word keeps them away. */
   Optional<Long> reopensAtMicros(long nowMicros) {
-    boolean isListed = !entry.isLeaving() && nowMicros < removedAtMicros;
-    return isListed && nowMicros < closedUntilMicros
+    return isListed(nowMicros) && nowMicros < closedUntilMicros
         ? Optional.of(closedUntilMicros)
         : Optional.empty();
   }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
@@ -36,6 +36,7 @@
   private static final int TURNS_TO_WAIT = 2;
 
   private final String name;
+  private final long ownHash;
   private final long boundMicros;
   private final long turnMicros;
   private final BiConsumer<String, WeightCommand> commands;
@@ -43,7 +44,7 @@
   private final Map<String, Watched> watched = new HashMap<>();
   private final Map<String, WeightVersion> wanted = new HashMap<>();
   private final Set<String> attendedHosts = new HashSet<>();
-  private Set<String> routers = Set.of();
+  private List<Long> routerHashes = List.of();
 
   /** A listed server, and since when this router is the one to keep it. */
   private static final class Watched {
@@ -75,6 +76,7 @@
       BiConsumer<String, WeightCommand> commands,
       DecisionJournal journal) {
     this.name = Objects.requireNonNull(name, "name");
+    this.ownHash = RendezvousHash.hashOf(name);
     this.boundMicros = boundMicros;
     this.turnMicros = turnMicros;
     this.commands = Objects.requireNonNull(commands, "commands");
@@ -137,7 +139,7 @@
    * @param reachableRouters names of the other routers that can be reached
    */
   public void onTick(Collection<String> reachableRouters, long nowMicros) {
-    routers = Set.copyOf(reachableRouters);
+    routerHashes = reachableRouters.stream().map(RendezvousHash::hashOf).toList();
     for (Watched server : List.copyOf(watched.values())) {
       noteOwner(server, nowMicros);
       boolean isKept = mayKeep(server, nowMicros) && lacksVersion(server.entry);
@@ -165,9 +167,9 @@
 
   private boolean isOwn(ServerEntry entry) {
     long server = RendezvousHash.hashOf(entry.id());
-    long own = RendezvousHash.weight(server, RendezvousHash.hashOf(name));
-    return routers.stream()
-        .map(router -> RendezvousHash.weight(server, RendezvousHash.hashOf(router)))
+    long own = RendezvousHash.weight(server, ownHash);
+    return routerHashes.stream()
+        .map(router -> RendezvousHash.weight(server, router))
         .allMatch(other -> Long.compareUnsigned(own, other) >= 0);
   }
 
@@ -217,7 +219,7 @@
         "versions",
         server.entry.versions(),
         "routers",
-        routers.size());
+        routerHashes.size());
   }
 
   private static String hostOf(String address) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -36,11 +36,7 @@
     harness.answer(served, 200);
     harness.complete(served);
 
-    long draft =
-        harness.request(
-            "/draft/1",
-            Optional.of(ForwardHarness.KEY),
-            Optional.of(ForwardHarness.prompt("letter", 200, 600)));
+    long draft = harness.draft("letter");
     harness.answer(draft, 200);
     harness.broken(draft, Optional.of(2L));
 
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
@@ -142,11 +142,7 @@
 
   @Test
   void aBrokenStreamThatMayNotBeResumedIsBrokenOff() {
-    long request =
-        harness.request(
-            "/draft/1",
-            Optional.of(ForwardHarness.KEY),
-            Optional.of(ForwardHarness.prompt("north", 200, 600)));
+    long request = harness.draft("north");
     harness.answer(request, 200);
     harness.broken(request, Optional.of(7L));
     assertThat(harness.sends(request)).isEqualTo(1);
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -183,6 +183,10 @@
     return request("/ask/1", Optional.of(KEY), Optional.of(prompt(register, 6_000, 2_000)));
   }
 
+  long draft(String letter) {
+    return request("/draft/1", Optional.of(KEY), Optional.of(prompt(letter, 200, 600)));
+  }
+
   static PromptOutline prompt(String register, int shared, int own) {
     return promptOf(register, "own-" + register, shared, own);
   }
@@ -201,6 +205,11 @@
     return Optional.ofNullable(latestSends.get(request));
   }
 
+  /** Returns the server of the latest send of a request. */
+  String serverOf(long request) {
+    return sent(request).orElseThrow().dispatch().server();
+  }
+
   long sends(long request) {
     return commands.stream()
         .filter(command -> command instanceof ForwardCommand.Send send && send.request() == request)
--- a/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/PromptPlacementTest.java
@@ -19,29 +19,18 @@
 final class PromptPlacementTest {
   private static final String SERVICE = "engines";
 
-  private static String serverOf(ForwardHarness harness, long request) {
-    return harness.sent(request).orElseThrow().dispatch().server();
-  }
-
   private static void finish(ForwardHarness harness, long request) {
     harness.answer(request, 200);
     harness.complete(request);
   }
 
-  private static long draft(ForwardHarness harness, String letter) {
-    return harness.request(
-        "/draft/1",
-        Optional.of(ForwardHarness.KEY),
-        Optional.of(ForwardHarness.prompt(letter, 200, 600)));
-  }
-
   @Test
   void promptsThatShareAnOpeningMeet() {
     ForwardHarness harness = ForwardHarness.ready(6, 0);
     Set<String> servers = new HashSet<>();
     for (int turn = 0; turn < 20; turn++) {
       long request = harness.ask("north");
-      servers.add(serverOf(harness, request));
+      servers.add(harness.serverOf(request));
       harness.advance(200_000);
       finish(harness, request);
     }
@@ -54,7 +43,7 @@
       ForwardHarness one = ForwardHarness.ready(6, 0);
       ForwardHarness other = ForwardHarness.ready(6, 0);
       String name = "register-" + register;
-      assertThat(serverOf(one, one.ask(name))).isEqualTo(serverOf(other, other.ask(name)));
+      assertThat(one.serverOf(one.ask(name))).isEqualTo(other.serverOf(other.ask(name)));
     }
   }
 
@@ -89,18 +78,18 @@
     harness.handle(
         new ForwardEvent.OpeningsHeard(
             "engine-4", openings.subList(0, 2).stream().map(Opening::hash).toList()));
-    assertThat(serverOf(harness, harness.ask("north"))).isEqualTo("engine-4");
+    assertThat(harness.serverOf(harness.ask("north"))).isEqualTo("engine-4");
   }
 
   @Test
   void aServerThatReportsALongQueueIsAvoided() {
     ForwardHarness harness = ForwardHarness.ready(3, 0);
-    String home = serverOf(harness, harness.ask("north"));
+    String home = harness.serverOf(harness.ask("north"));
     harness.handle(
         new ForwardEvent.StatusHeard(
             new SidecarStatus(
                 home, "1", List.of(ModelVersion.of(ForwardHarness.MODEL, "1")), false, 3_000_000)));
-    assertThat(serverOf(harness, harness.ask("north"))).isNotEqualTo(home);
+    assertThat(harness.serverOf(harness.ask("north"))).isNotEqualTo(home);
   }
 
   @ParameterizedTest
@@ -111,10 +100,10 @@
     Set<String> withShort = new HashSet<>();
     for (int round = 0; round < 60; round++) {
       long longOne = harness.ask("register-" + round % 7);
-      long shortOne = draft(harness, "letter-" + round % 9);
+      long shortOne = harness.draft("letter-" + round % 9);
       if (round >= 20) {
-        withLong.add(serverOf(harness, longOne));
-        withShort.add(serverOf(harness, shortOne));
+        withLong.add(harness.serverOf(longOne));
+        withShort.add(harness.serverOf(shortOne));
       }
       harness.advance(300_000);
       finish(harness, longOne);
@@ -132,9 +121,9 @@
     Set<String> withShort = new HashSet<>();
     for (int round = 0; round < 40; round++) {
       long longOne = harness.ask("register-" + round % 7);
-      long shortOne = draft(harness, "letter-" + round % 9);
+      long shortOne = harness.draft("letter-" + round % 9);
       if (round >= 20) {
-        withShort.add(serverOf(harness, shortOne));
+        withShort.add(harness.serverOf(shortOne));
       }
       harness.advance(300_000);
       finish(harness, longOne);
@@ -146,7 +135,7 @@
       long request = harness.ask("burst-" + index);
       if (harness.refusal(request).isPresent()) {
         refused++;
-      } else if (withShort.contains(serverOf(harness, request))) {
+      } else if (withShort.contains(harness.serverOf(request))) {
         crossed++;
       }
     }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ServerAvailabilityTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ServerAvailabilityTest.java
@@ -21,22 +21,18 @@
     return new AnswerHead(status, isNotRun, Optional.empty(), Optional.empty(), isLeaving, closed);
   }
 
-  private static String serverOf(ForwardHarness harness, long request) {
-    return harness.sent(request).orElseThrow().dispatch().server();
-  }
-
   @ParameterizedTest
   @CsvSource({"200, false", "500, false", "503, true"})
   void nothingFollowsAnAnswerOfALeavingServer(int status, boolean isNotRun) {
     ForwardHarness harness = ForwardHarness.ready(0, 2);
     long first = harness.call("/book/1");
-    String leaving = serverOf(harness, first);
+    String leaving = harness.serverOf(first);
 
     harness.answer(first, head(status, isNotRun, true, 0));
 
     for (int round = 0; round < 6; round++) {
       long next = harness.call("/book/" + round);
-      assertThat(serverOf(harness, next)).isNotEqualTo(leaving);
+      assertThat(harness.serverOf(next)).isNotEqualTo(leaving);
       harness.answer(next, 200);
       harness.complete(next);
       harness.advance(ForwardHarness.SECOND);
@@ -85,13 +81,13 @@
   void aServerThatNamesATimeIsLeftAloneForThatTime(boolean isNotRun) {
     ForwardHarness harness = ForwardHarness.ready(0, 2);
     long first = harness.call("/book/1");
-    String closed = serverOf(harness, first);
+    String closed = harness.serverOf(first);
     harness.answer(first, head(503, isNotRun, false, 3_000));
 
     for (int round = 0; round < 14; round++) {
       harness.advance(200 * ForwardHarness.MILLI);
       long next = harness.call("/book/" + round);
-      assertThat(serverOf(harness, next)).isNotEqualTo(closed);
+      assertThat(harness.serverOf(next)).isNotEqualTo(closed);
       harness.answer(next, 200);
       harness.complete(next);
     }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -2,13 +2,13 @@
 
 import io.vavr.control.Try;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import org.shallothook.coordination.forward.ForwardCommand;
 import org.shallothook.coordination.forward.ForwardCore;
 import org.shallothook.coordination.forward.ForwardEvent;
@@ -189,16 +189,15 @@
   }
 
   private void carryOut(String address, WeightCommand command) {
-    EngineCalls engine = new EngineCalls(node.client(), Addresses.parse(address));
-    Consumer<WeightEvent> answer =
-        event -> node.events().deliver(new KeptServerEvent(address, event));
     if (command instanceof WeightCommand.Announce announce) {
       core.handle(new ForwardEvent.StatusHeard(announce.status()), latestMicros);
       registry.sendToRouters(announce.status(), latestMicros);
     } else if (command instanceof WeightCommand.ReadServers) {
       registry.hurry(RegistryStream.SERVERS, latestMicros);
     } else {
-      node.carryOut(command, engine, answer);
+      EngineCalls engine = new EngineCalls(node.client(), Addresses.parse(address));
+      node.carryOut(
+          command, engine, event -> node.events().deliver(new KeptServerEvent(address, event)));
     }
   }
 
@@ -217,9 +216,10 @@
     List<ServerEntry> entries = new ArrayList<>();
     for (KeyedRecord record : changes) {
       Optional<ServerEntry> entry = node.readServer(record);
-      entry.ifPresent(entries::add);
-      entry.ifPresent(listed -> unattended.onListed(listed, nowMicros));
-      if (entry.isEmpty()) {
+      if (entry.isPresent()) {
+        entries.add(entry.get());
+        unattended.onListed(entry.get(), nowMicros);
+      } else {
         unattended.onRemoved(record.key(), nowMicros);
         core.handle(new ForwardEvent.ServerRemoved(record.key()), nowMicros);
       }
@@ -293,9 +293,6 @@
         settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS) - CLOSE_MARGIN_MICROS;
     long endsAtMicros = Clock.steadyMicros() + longestMicros;
     gate.drain(() -> node.events().deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::drained);
-    Channels.after(
-        node.loop(),
-        Duration.ofMillis(TimeUnit.MICROSECONDS.toMillis(longestMicros)),
-        stop::drained);
+    Channels.after(node.loop(), Duration.of(longestMicros, ChronoUnit.MICROS), stop::drained);
   }
 }
--- a/router/src/main/java/org/shallothook/router/RouterMain.java
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -1,7 +1,5 @@
 package org.shallothook.router;
 
-import org.shallothook.transport.command.CheckCommand;
-import org.shallothook.transport.command.ServeCommand;
 import org.shallothook.transport.command.Verbs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -28,18 +26,16 @@
 public final class RouterMain {
   private static final Verbs VERBS =
       new Verbs()
-          .add(
+          .addProcess(
               "serve",
-              () ->
-                  new ServeCommand(
-                      RouterSettings.KEYS, settings -> new RouterProcess(settings).start()))
-          .add("check", () -> new CheckCommand(RouterSettings.KEYS))
-          .add(
+              "check",
+              RouterSettings.KEYS,
+              settings -> new RouterProcess(settings).start())
+          .addProcess(
               "serve-hosted",
-              () ->
-                  new ServeCommand(
-                      HostedRouterSettings.KEYS, settings -> new HostedRouter(settings).start()))
-          .add("check-hosted", () -> new CheckCommand(HostedRouterSettings.KEYS))
+              "check-hosted",
+              HostedRouterSettings.KEYS,
+              settings -> new HostedRouter(settings).start())
           .add("publish", PublishCommand::new)
           .add("history", PageCommand.History::new)
           .add("show", PageCommand.Show::new)
@@ -51,10 +47,10 @@
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
-    System.exit(VERBS.commandLine(new RouterMain(), arguments).execute(arguments));
+    System.exit(commandLine(arguments).execute(arguments));
   }
 
-  static CommandLine commandLine() {
-    return VERBS.commandLine(new RouterMain());
+  static CommandLine commandLine(String... arguments) {
+    return VERBS.commandLine(new RouterMain(), arguments);
   }
 }
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
@@ -1,7 +1,5 @@
 package org.shallothook.sidecar;
 
-import org.shallothook.transport.command.CheckCommand;
-import org.shallothook.transport.command.ServeCommand;
 import org.shallothook.transport.command.Verbs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -27,27 +25,25 @@
 public final class SidecarMain {
   private static final Verbs VERBS =
       new Verbs()
-          .add(
+          .addProcess(
               "serve",
-              () ->
-                  new ServeCommand(
-                      SidecarSettings.KEYS, settings -> new SidecarProcess(settings).start()))
-          .add("check", () -> new CheckCommand(SidecarSettings.KEYS))
-          .add(
+              "check",
+              SidecarSettings.KEYS,
+              settings -> new SidecarProcess(settings).start())
+          .addProcess(
               "serve-hosted",
-              () ->
-                  new ServeCommand(
-                      HostedSidecarSettings.KEYS, settings -> new HostedSidecar(settings).start()))
-          .add("check-hosted", () -> new CheckCommand(HostedSidecarSettings.KEYS));
+              "check-hosted",
+              HostedSidecarSettings.KEYS,
+              settings -> new HostedSidecar(settings).start());
 
   private SidecarMain() {}
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
-    System.exit(VERBS.commandLine(new SidecarMain(), arguments).execute(arguments));
+    System.exit(commandLine(arguments).execute(arguments));
   }
 
-  static CommandLine commandLine() {
-    return VERBS.commandLine(new SidecarMain());
+  static CommandLine commandLine(String... arguments) {
+    return VERBS.commandLine(new SidecarMain(), arguments);
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/command/Verbs.java
+++ b/transport/src/main/java/org/shallothook/transport/command/Verbs.java
@@ -1,8 +1,13 @@
 package org.shallothook.transport.command;
 
+import io.vavr.control.Try;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.function.Supplier;
+import org.shallothook.transport.settings.SettingKey;
+import org.shallothook.transport.settings.Settings;
 import picocli.CommandLine;
 
 /**
@@ -22,18 +27,27 @@
     return this;
   }
 
-  /** Returns a command line with every verb. */
-  public CommandLine commandLine(Object main) {
-    CommandLine line = new CommandLine(main);
-    verbs.forEach((name, command) -> line.addSubcommand(name, command.get()));
-    return line;
+  /**
+   * Adds the verbs that run a process and that check its settings.
+   *
+   * @param serve name of the verb that runs it
+   * @param check name of the verb that checks its settings
+   * @param keys settings that the process declares
+   * @param start starts the process, which ends itself when it is told to stop
+   */
+  public Verbs addProcess(
+      String serve, String check, List<SettingKey> keys, Function<Settings, Try<Void>> start) {
+    return add(serve, () -> new ServeCommand(keys, start)).add(check, () -> new CheckCommand(keys));
   }
 
   /** Returns a command line with the verb that the arguments begin with, else with every verb. */
   public CommandLine commandLine(Object main, String... arguments) {
-    Supplier<Object> asked = arguments.length == 0 ? null : verbs.get(arguments[0]);
-    return asked == null
-        ? commandLine(main)
-        : new CommandLine(main).addSubcommand(arguments[0], asked.get());
+    CommandLine line = new CommandLine(main);
+    if (arguments.length > 0 && verbs.containsKey(arguments[0])) {
+      line.addSubcommand(arguments[0], verbs.get(arguments[0]).get());
+    } else {
+      verbs.forEach((name, command) -> line.addSubcommand(name, command.get()));
+    }
+    return line;
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -134,13 +134,13 @@
           .find(send.request())
           .ifPresent(exchange -> exchange.send(send.attempt(), send.dispatch()));
     } else {
-      Channels.after(loop, Duration.ofMillis(LoopPauses.SETTLE_MILLIS), () -> send(send));
+      Channels.after(loop, LoopPauses.SETTLE, () -> send(send));
     }
   }
 
   private void beat() {
     context.pauses().beat(context.nowMicros());
-    Channels.after(loop, Duration.ofMillis(LoopPauses.BEAT_MILLIS), this::beat);
+    Channels.after(loop, LoopPauses.BEAT, this::beat);
   }
 
   private void checkStalls() {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -24,7 +24,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -229,8 +228,7 @@
     }
     if (!context.pauses().isSettled(context.nowMicros())) {
       // Its caller may have left while the process stood still; that is read next.
-      Channels.after(
-          channel.eventLoop(), Duration.ofMillis(LoopPauses.SETTLE_MILLIS), this::runNext);
+      Channels.after(channel.eventLoop(), LoopPauses.SETTLE, this::runNext);
       return;
     }
     Received request = waiting.remove();
--- a/transport/src/main/java/org/shallothook/transport/forward/LoopPauses.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/LoopPauses.java
@@ -1,5 +1,6 @@
 package org.shallothook.transport.forward;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -12,11 +13,11 @@
  * <p>Invariant: without pauses everything may be begun at once. Used on the loop alone.
  */
 final class LoopPauses {
-  /** Time between two beats, in milliseconds. */
-  static final long BEAT_MILLIS = 100;
+  /** Time between two beats. */
+  static final Duration BEAT = Duration.ofMillis(100);
 
-  /** Time that the loop needs to read what has piled up, in milliseconds. */
-  static final long SETTLE_MILLIS = 20;
+  /** Time that the loop needs to read what has piled up. */
+  static final Duration SETTLE = Duration.ofMillis(20);
 
   /** Time without a beat from which on callers may have left unseen; well below half a second. */
   private static final long PAUSE_MICROS = TimeUnit.MILLISECONDS.toMicros(250);
@@ -33,7 +34,7 @@
   /** Takes in that the loop runs. */
   void beat(long nowMicros) {
     if (isPaused(nowMicros)) {
-      settledAtMicros = nowMicros + TimeUnit.MILLISECONDS.toMicros(SETTLE_MILLIS);
+      settledAtMicros = nowMicros + TimeUnit.NANOSECONDS.toMicros(SETTLE.toNanos());
     }
     beatAtMicros = nowMicros;
   }
--- a/transport/src/main/java/org/shallothook/transport/logging/DecisionLog.java
+++ b/transport/src/main/java/org/shallothook/transport/logging/DecisionLog.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -41,9 +42,6 @@
   private final Thread writer = new Thread(this::writeLines, "decision-log");
   private volatile boolean isClosed;
 
-  /** The line that the writer woke up for. Used on its thread alone. */
-  private String held;
-
   /**
    * Creates a log that does not write yet.
    *
@@ -102,8 +100,9 @@
     StringBuilder gathered = new StringBuilder();
     try {
       while (!isClosed || !lines.isEmpty()) {
-        awaitLines();
-        gather(gathered);
+        Optional<String> first = takeFirst();
+        awaitMore();
+        gather(first, gathered);
         output.write(gathered.toString().getBytes(StandardCharsets.UTF_8));
         output.flush();
       }
@@ -113,28 +112,36 @@
     }
   }
 
-  /** Waits for a line and a little longer for those that follow; ends at once when closed. */
-  private void awaitLines() {
+  /** Waits for a line; returns none where the log is closed first. */
+  private Optional<String> takeFirst() {
+    try {
+      return isClosed ? Optional.empty() : Optional.of(lines.take());
+    } catch (InterruptedException e) {
+      // Only close() interrupts; what waits is then written without further waiting.
+      return Optional.empty();
+    }
+  }
+
+  /** Gives the lines that follow a first one a little time, unless the log is closed. */
+  private void awaitMore() {
     try {
-      held = isClosed ? null : lines.take();
       if (!isClosed) {
         TimeUnit.MILLISECONDS.sleep(GATHER_MILLIS);
       }
     } catch (InterruptedException e) {
-      // Only close() interrupts; what waits is then written without further waiting.
+      // As above.
       return;
     }
   }
 
-  private void gather(StringBuilder gathered) {
+  private void gather(Optional<String> first, StringBuilder gathered) {
     gathered.setLength(0);
     long lost = dropped.getAndSet(0);
     if (lost > 0) {
       gathered.append("{\"decision\":\"process\",\"id\":\"log\",\"dropped\":").append(lost);
       gathered.append("}\n");
     }
-    String line = held == null ? lines.poll() : held;
-    held = null;
+    String line = first.orElseGet(lines::poll);
     while (line != null) {
       gathered.append(line);
       line = gathered.length() < LARGEST_WRITE_BYTES ? lines.poll() : null;
--- a/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/SettingType.java
@@ -79,33 +79,21 @@
   DURATION("Write a number above zero; it may have a fraction.") {
     @Override
     Object parse(String text) {
-      double duration = Double.parseDouble(text);
-      if (!(duration > 0 && duration <= Integer.MAX_VALUE)) {
-        throw new IllegalArgumentException("no duration");
-      }
-      return duration;
+      return numberWithin(text, Double.MIN_VALUE, Integer.MAX_VALUE);
     }
   },
   /** A number from zero on, which may have a fraction. */
   AMOUNT("Write a number from 0 on; it may have a fraction.") {
     @Override
     Object parse(String text) {
-      double amount = Double.parseDouble(text);
-      if (!(amount >= 0 && amount <= Integer.MAX_VALUE)) {
-        throw new IllegalArgumentException("no amount");
-      }
-      return amount;
+      return numberWithin(text, 0, Integer.MAX_VALUE);
     }
   },
   /** A share between zero and one. */
   SHARE("Write a number from 0 to 1.") {
     @Override
     Object parse(String text) {
-      double share = Double.parseDouble(text);
-      if (!(share >= 0 && share <= 1)) {
-        throw new IllegalArgumentException("no share");
-      }
-      return share;
+      return numberWithin(text, 0, 1);
     }
   };
 
@@ -124,6 +112,14 @@
 
   abstract Object parse(String text) throws Exception;
 
+  private static double numberWithin(String text, double least, double most) {
+    double number = Double.parseDouble(text);
+    if (!(number >= least && number <= most)) {
+      throw new IllegalArgumentException("not from " + least + " to " + most);
+    }
+    return number;
+  }
+
   Try<Object> read(String text) {
     return Try.of(() -> parse(text));
   }
