Tell late event loops, slow connections and the phase a caller left in

Change: the line caller-gone names phase, attempts and the time since the last send; summaries latency_loop_delay and latency_server_connection; a counter of callers who left before their request was decided on.

No decision changes.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -616,11 +616,11 @@
   }
 
   private void onCallerGone(OpenForward request, long nowMicros) {
+    journal.callerGone(request, nowMicros);
     if (request.phase() != Phase.WAITING) {
       dropAttempt(request, true);
     }
     open.remove(request.number());
-    journal.callerGone(request, nowMicros);
     sendWaiting(nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -124,8 +124,14 @@
     journal.write(
         Decision.CALLER_GONE,
         request.head().id(),
+        "phase",
+        request.phase().code(),
+        "attempts",
+        request.attempt(),
         "after_ms",
-        millisSince(request.arrivedMicros(), nowMicros));
+        millisSince(request.arrivedMicros(), nowMicros),
+        "sent_ms",
+        request.attempt() == 0 ? -1L : millisSince(request.sentMicros(), nowMicros));
   }
 
   void brokenOff(OpenForward request, String detail, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/OpenForward.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.shallothook.state.route.CallerTeam;
@@ -17,7 +18,12 @@
   enum Phase {
     WAITING,
     SENT,
-    RELAYING
+    RELAYING;
+
+    /** Returns the form used in log lines. */
+    String code() {
+      return name().toLowerCase(Locale.ROOT);
+    }
   }
 
   private static final int LOWEST_RANK = 9;
--- a/coordination/src/main/java/org/shallothook/coordination/port/LatencyStep.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/LatencyStep.java
@@ -14,6 +14,10 @@
   FIRST_OUTPUT,
   /** From a whole request to the end of its answer. */
   WHOLE_ANSWER,
+  /** From the beginning of an attempt to the connection that its request is written to. */
+  SERVER_CONNECTION,
+  /** How late the event loop of callers and servers comes to a task that was due. */
+  LOOP_DELAY,
   /** One read of the platform's store that does not wait for records. */
   STORE_READ,
   /** One append to the platform's store. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -19,10 +19,17 @@
 
   private final Map<Decision, Integer> fieldsOf = new HashMap<>();
 
+  private final Map<String, Object> departure = new HashMap<>();
+
   private void write(Decision decision, String subject, Object... fields) {
     assertThat(subject).isNotEmpty();
     assertThat(fields.length % 2).isEqualTo(0);
     fieldsOf.merge(decision, fields.length / 2, Math::max);
+    if (decision == Decision.CALLER_GONE) {
+      for (int index = 0; index < fields.length; index += 2) {
+        departure.put((String) fields[index], fields[index + 1]);
+      }
+    }
   }
 
   @Test
@@ -70,6 +77,23 @@
     assertThat(fieldsOf).containsKey(Decision.CRASH);
   }
 
+  /** The phase is the one in which the caller left, so that the line tells what it ended. */
+  @Test
+  void aDepartureTellsHowFarTheRequestHadCome() {
+    ForwardHarness harness = ForwardHarness.ready(1, 1, this::write);
+    long sent = harness.call("/read/1");
+    harness.advance(200_000);
+    harness.handle(new ForwardEvent.CallerGone(sent));
+    assertThat(departure)
+        .containsExactly("phase", "sent", "attempts", 1, "after_ms", 200L, "sent_ms", 200L);
+
+    harness.handle(new ForwardEvent.ServerRemoved("service-1"));
+    long waiting = harness.call("/read/2");
+    harness.handle(new ForwardEvent.CallerGone(waiting));
+    assertThat(departure)
+        .containsExactly("phase", "waiting", "attempts", 0, "after_ms", 0L, "sent_ms", -1L);
+  }
+
   @Test
   void theEnumSaysWhichLinesAreDroppedFirst() {
     assertThat(
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -14,10 +14,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.forward.ForwardCommand;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Channels;
 import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.decision.EventSink;
@@ -79,7 +81,7 @@
         () -> {
           Channel listening = bootstrap().bind(address).sync().channel();
           loop.execute(servers::start);
-          loop.execute(this::beat);
+          loop.execute(() -> beat(context.nowMicros()));
           Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
           return (InetSocketAddress) listening.localAddress();
         });
@@ -138,9 +140,12 @@
     }
   }
 
-  private void beat() {
-    context.pauses().beat(context.nowMicros());
-    Channels.after(loop, LoopPauses.BEAT, this::beat);
+  private void beat(long dueMicros) {
+    long nowMicros = context.nowMicros();
+    context.counters().took(LatencyStep.LOOP_DELAY, nowMicros - dueMicros);
+    context.pauses().beat(nowMicros);
+    long nextMicros = nowMicros + TimeUnit.NANOSECONDS.toMicros(LoopPauses.BEAT.toNanos());
+    Channels.after(loop, LoopPauses.BEAT, () -> beat(nextMicros));
   }
 
   private void checkStalls() {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -124,7 +124,11 @@
   public void channelInactive(ChannelHandlerContext handlerContext) {
     stopTimer();
     releaseBody();
-    waiting.forEach(request -> request.body().release());
+    waiting.forEach(
+        request -> {
+          context.counters().increment("callers.left-unopened");
+          request.body().release();
+        });
     waiting.clear();
     current.ifPresent(
         exchange -> {
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerLinks.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerLinks.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
 
@@ -59,6 +60,7 @@
     String address = attempt.dispatch().address();
     Optional<ServerLink> kept = take(address, attempt.request().isRead());
     if (kept.isPresent()) {
+      counters.took(LatencyStep.SERVER_CONNECTION, 0);
       kept.get().send(attempt, clockMicros.getAsLong());
     } else {
       connect(attempt, address);
@@ -113,6 +115,7 @@
   }
 
   private void connect(ServerAttempt attempt, String address) {
+    long beganMicros = clockMicros.getAsLong();
     counters.increment("servers.connections");
     ServerLink link = new ServerLink(this, form, address);
     ChannelFuture connecting;
@@ -134,7 +137,9 @@
           } else if (attempt.isOver()) {
             free(link);
           } else {
-            link.send(attempt, clockMicros.getAsLong());
+            long nowMicros = clockMicros.getAsLong();
+            counters.took(LatencyStep.SERVER_CONNECTION, nowMicros - beganMicros);
+            link.send(attempt, nowMicros);
           }
         });
   }
