Reproduce requests sent on for callers who had left, known red

The test holds the event loop between reading a request and writing it to a server, lets the caller close its connection meanwhile, and asks that the server never sees the request. The clock of the test stands still, so that the loop counts as settled throughout.

--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/forward/DepartedCallerTest.java
@@ -0,0 +1,187 @@
+package org.shallothook.transport.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.shallothook.coordination.forward.Dispatch;
+import org.shallothook.coordination.forward.ForwardCommand;
+import org.shallothook.coordination.forward.ForwardEvent;
+import org.shallothook.coordination.port.CoreEvent;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.decision.EventSink;
+
+/** A busy event loop that has read a request, but not yet that its caller has left. */
+final class DepartedCallerTest implements EventSink<CoreEvent> {
+  private static final long PATIENCE_MILLIS = 10_000;
+  private static final String DEPARTED = "departed";
+
+  /** How the server is reached, and so when the request is written. */
+  private enum Way {
+    /** The caller leaves before the request is written to a kept connection. */
+    KEPT_CONNECTION(false),
+    /** The caller leaves while a connection to the server is opened. */
+    NEW_CONNECTION(true);
+
+    private final boolean isConnecting;
+
+    Way(boolean isConnecting) {
+      this.isConnecting = isConnecting;
+    }
+
+    boolean isConnecting() {
+      return isConnecting;
+    }
+  }
+
+  private final EventLoops loops = EventLoops.create(1);
+  private final CountDownLatch isSending = new CountDownLatch(1);
+  private final CountDownLatch hasLeft = new CountDownLatch(1);
+  private final CountDownLatch isToldGone = new CountDownLatch(1);
+
+  /** The clock stands still: the loop is busy, but never seems to have been paused. */
+  private final ForwardGate gate =
+      new ForwardGate(
+          loops.internal(),
+          new PlainRequestForm(),
+          ForwardSettings.DEFAULT,
+          this,
+          Counters.NONE,
+          () -> 1);
+
+  private InetSocketAddress address;
+  private RawServer server;
+  private volatile Way way;
+
+  @BeforeEach
+  void listen() throws IOException {
+    address = gate.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
+    server =
+        new RawServer(
+            request ->
+                "HTTP/1.1 200 OK\r\nid: " + idOf(request) + "\r\nContent-Length: 4\r\n\r\ndone");
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    loops.close();
+    server.close();
+  }
+
+  @Override
+  public boolean offer(CoreEvent event) {
+    deliver(event);
+    return true;
+  }
+
+  @Override
+  public void deliver(CoreEvent event) {
+    if (event instanceof ForwardEvent.Requested requested) {
+      boolean willLeave = requested.head().id().equals(DEPARTED);
+      if (willLeave && !way.isConnecting()) {
+        loops.internal().execute(this::waitForDeparture);
+      }
+      gate.carryOut(new ForwardCommand.Send(requested.request(), 1, dispatch()));
+      if (willLeave && way.isConnecting()) {
+        loops.internal().execute(this::waitForDeparture);
+      }
+    } else if (event instanceof ForwardEvent.Answered answered) {
+      gate.carryOut(
+          new ForwardCommand.Relay(answered.request(), answered.attempt(), Optional.empty()));
+    } else if (event instanceof ForwardEvent.CallerGone) {
+      isToldGone.countDown();
+    }
+  }
+
+  @Override
+  public boolean isCongested() {
+    return false;
+  }
+
+  /** Guards against work at servers for callers who left before it was sent (GONE). */
+  @ParameterizedTest
+  @EnumSource(Way.class)
+  void nothingIsSentOnOnceTheCallersConnectionHasEnded(Way shownWay) throws Exception {
+    way = shownWay;
+    if (!way.isConnecting()) {
+      assertThat(exchange("first")).endsWith("done");
+    }
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(post(DEPARTED, "keep-alive"));
+      assertThat(isSending.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+    hasLeft.countDown();
+
+    assertThat(isToldGone.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(exchange("last")).endsWith("done");
+    List<String> served = server.requests().stream().map(DepartedCallerTest::idOf).toList();
+    assertThat(served).doesNotContain(DEPARTED);
+  }
+
+  private void waitForDeparture() {
+    isSending.countDown();
+    try {
+      assertThat(hasLeft.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Dispatch dispatch() {
+    return new Dispatch(
+        "server",
+        server.address(),
+        Long.MAX_VALUE,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty());
+  }
+
+  private String exchange(String id) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(post(id, "close"));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout((int) PATIENCE_MILLIS);
+    return socket;
+  }
+
+  private static byte[] post(String id, String connection) {
+    String text =
+        "POST /a HTTP/1.1\r\nHost: h\r\nid: "
+            + id
+            + "\r\nConnection: "
+            + connection
+            + "\r\nContent-Length: 1\r\n\r\na";
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  private static String idOf(String request) {
+    return request
+        .lines()
+        .filter(line -> line.startsWith("id: "))
+        .map(line -> line.substring("id: ".length()))
+        .findFirst()
+        .orElse("");
+  }
+}
