Ask for the caller right before a request is written to a server

Cause: whether a caller is still there was read in one round of the event loop and used in a later task, with nothing in between that looked again. The loop reads a request, carries out its send with the tasks of the same round, and reads the end of the caller's connection one round later; a connect's callback did not look at all. LoopPauses guarded only against gaps of 250 ms between two of its beats, and by waiting.

Class of fault: a belief is checked when it is read, not when it is acted on.

Change: the one place that writes a request asks the exchange whether it is awaited, and that reads the caller's connection to what has arrived by then; before a connection is opened, and again before it is written to. LoopPauses and its waits go; so does the memory of dropped attempts, since commands are in order again. A connection that was opened for nothing is kept as used just now.

--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -2,11 +2,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundInvoker;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.EventExecutor;
@@ -79,6 +81,18 @@
     after(connection.eventLoop(), LINGER, () -> close(connection));
   }
 
+  /**
+   * Reads what has arrived on a connection by now, and returns whether it is still open after that.
+   * The event loop would read it only after the tasks of its present round. Used on the loop alone;
+   * a connection that is not to be read is left alone.
+   */
+  public static boolean isOpenAfterReading(Channel connection) {
+    if (connection.isActive() && connection.config().isAutoRead()) {
+      ((AbstractNioChannel) connection).unsafe().read();
+    }
+    return connection.isActive();
+  }
+
   /** Hands a message over for the next flush; closes the connection where it cannot be written. */
   public static void write(ChannelOutboundInvoker connection, Object message) {
     connection.write(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -22,7 +22,6 @@
   private final EventSink<CoreEvent> events;
   private final Counters counters;
   private final LongSupplier clockMicros;
-  private final LoopPauses pauses;
   private final Map<Long, InboundExchange> open = new HashMap<>();
   private CallerLimits limits = CallerLimits.DEFAULT;
   private boolean isDraining;
@@ -40,7 +39,6 @@
     this.events = events;
     this.counters = counters;
     this.clockMicros = clockMicros;
-    this.pauses = new LoopPauses(clockMicros.getAsLong());
   }
 
   RequestForm form() {
@@ -63,10 +61,6 @@
     return clockMicros.getAsLong();
   }
 
-  LoopPauses pauses() {
-    return pauses;
-  }
-
   CallerLimits limits() {
     return limits;
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardGate.java
@@ -33,8 +33,8 @@
  * gate.carryOut(command);
  * }</pre>
  *
- * <p>Invariant: commands of one request are carried out in the order given, but for attempts that
- * wait for the loop; those are not begun once they were dropped. Thread-safe.
+ * <p>Invariant: commands of one request are carried out in the order given, and nothing is written
+ * to a server for a caller whose connection has ended. Thread-safe.
  */
 public final class ForwardGate {
   private static final int ACCEPT_QUEUE = 1_024;
@@ -42,6 +42,9 @@
   /** Time between two looks for streams that stand still. */
   private static final Duration STALL_CHECK_INTERVAL = Duration.ofMillis(250);
 
+  /** Time between two measures of how late the loop is. */
+  private static final Duration DELAY_INTERVAL = Duration.ofMillis(100);
+
   /** Time in which the last bytes of answers leave the process. */
   private static final Duration LAST_WRITES = Duration.ofMillis(60);
 
@@ -81,7 +84,7 @@
         () -> {
           Channel listening = bootstrap().bind(address).sync().channel();
           loop.execute(servers::start);
-          loop.execute(() -> beat(context.nowMicros()));
+          loop.execute(() -> measureDelay(context.nowMicros()));
           Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
           return (InetSocketAddress) listening.localAddress();
         });
@@ -110,7 +113,9 @@
 
   private void act(ForwardCommand command) {
     if (command instanceof ForwardCommand.Send send) {
-      send(send);
+      context
+          .find(send.request())
+          .ifPresent(exchange -> exchange.send(send.attempt(), send.dispatch()));
     } else if (command instanceof ForwardCommand.Relay relay) {
       context
           .find(relay.request())
@@ -126,26 +131,12 @@
     }
   }
 
-  /**
-   * Begins an attempt. A loop that stood still may not have read yet that the caller has left, so
-   * the attempt then waits until it has.
-   */
-  private void send(ForwardCommand.Send send) {
-    if (context.pauses().isSettled(context.nowMicros())) {
-      context
-          .find(send.request())
-          .ifPresent(exchange -> exchange.send(send.attempt(), send.dispatch()));
-    } else {
-      Channels.after(loop, LoopPauses.SETTLE, () -> send(send));
-    }
-  }
-
-  private void beat(long dueMicros) {
+  /** Measures how late the loop comes to a task that is due. */
+  private void measureDelay(long dueMicros) {
     long nowMicros = context.nowMicros();
     context.counters().took(LatencyStep.LOOP_DELAY, nowMicros - dueMicros);
-    context.pauses().beat(nowMicros);
-    long nextMicros = nowMicros + TimeUnit.NANOSECONDS.toMicros(LoopPauses.BEAT.toNanos());
-    Channels.after(loop, LoopPauses.BEAT, () -> beat(nextMicros));
+    long nextMicros = nowMicros + TimeUnit.NANOSECONDS.toMicros(DELAY_INTERVAL.toNanos());
+    Channels.after(loop, DELAY_INTERVAL, () -> measureDelay(nextMicros));
   }
 
   private void checkStalls() {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -230,11 +230,6 @@
     if (waiting.isEmpty()) {
       return;
     }
-    if (!context.pauses().isSettled(context.nowMicros())) {
-      // Its caller may have left while the process stood still; that is read next.
-      Channels.after(channel.eventLoop(), LoopPauses.SETTLE, this::runNext);
-      return;
-    }
     Received request = waiting.remove();
     channel.config().setAutoRead(true);
     isLastRequest = !HttpUtil.isKeepAlive(request.head());
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -61,9 +61,6 @@
   private Optional<Long> stallMicros = Optional.empty();
   private long receivedAtMicros;
 
-  /** Attempts up to this one are over, begun or not. */
-  private int latestDropped;
-
   InboundExchange(
       long number, OutboundRequest request, ForwardContext context, Connection connection) {
     this.number = number;
@@ -81,7 +78,7 @@
   }
 
   void send(int attemptNumber, Dispatch dispatch) {
-    if (isOver || attemptNumber <= latestDropped) {
+    if (isOver) {
       return;
     }
     ServerAttempt next = new ServerAttempt(attemptNumber, dispatch, request, this);
@@ -104,7 +101,6 @@
   }
 
   void drop(int attemptNumber) {
-    latestDropped = Math.max(latestDropped, attemptNumber);
     ServerAttempt current = current(attemptNumber);
     if (current != null) {
       current.drop();
@@ -160,6 +156,11 @@
     attempt.ifPresent(open -> open.pause(!isWritable));
   }
 
+  @Override
+  public boolean isAwaited() {
+    return !isOver && Channels.isOpenAfterReading(connection.channel());
+  }
+
   @Override
   public void unsent(ServerAttempt ended, String detail) {
     deliver(ended, new ForwardEvent.Unsent(number, ended.number(), detail));
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
@@ -17,6 +17,9 @@
 final class ServerAttempt {
   /** Takes what becomes of an attempt. */
   interface Owner {
+    /** Returns whether the caller waits for an answer, by all that has arrived from it by now. */
+    boolean isAwaited();
+
     /** Nothing of the request was written. */
     void unsent(ServerAttempt attempt, String detail);
 
@@ -66,8 +69,9 @@
     return request;
   }
 
-  boolean isOver() {
-    return isOver;
+  /** Returns whether the request should still be written. */
+  boolean isWanted() {
+    return !isOver && owner.isAwaited();
   }
 
   void attach(ServerLink newLink) {
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerLink.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerLink.java
@@ -47,7 +47,7 @@
   private Channel channel;
   private Optional<ServerAttempt> current = Optional.empty();
   private Optional<Long> keptMillis = Optional.empty();
-  private long freeSinceNanos;
+  private long freeSinceNanos = System.nanoTime();
   private boolean isSkipping;
   private boolean isTainted;
   private boolean isWritten;
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerLinks.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerLinks.java
@@ -55,8 +55,14 @@
     Channels.after(loop, SWEEP_INTERVAL, this::sweep);
   }
 
-  /** Sends an attempt over a kept connection or a new one. */
+  /**
+   * Sends an attempt over a kept connection or a new one. Just before anything is written it asks
+   * whether the attempt is wanted: a decision may be old by then, after a backlog or a connect.
+   */
   void send(ServerAttempt attempt) {
+    if (!isWanted(attempt)) {
+      return;
+    }
     String address = attempt.dispatch().address();
     Optional<ServerLink> kept = take(address, attempt.request().isRead());
     if (kept.isPresent()) {
@@ -134,7 +140,7 @@
         done -> {
           if (!done.isSuccess()) {
             attempt.onUnsent(String.valueOf(done.cause().getMessage()));
-          } else if (attempt.isOver()) {
+          } else if (!isWanted(attempt)) {
             free(link);
           } else {
             long nowMicros = clockMicros.getAsLong();
@@ -144,6 +150,14 @@
         });
   }
 
+  private boolean isWanted(ServerAttempt attempt) {
+    boolean isWanted = attempt.isWanted();
+    if (!isWanted) {
+      counters.increment("servers.sends-unwanted");
+    }
+    return isWanted;
+  }
+
   private void sweep() {
     for (Deque<ServerLink> links : List.copyOf(free.values())) {
       for (Iterator<ServerLink> each = links.iterator(); each.hasNext(); ) {
