Survive a hang-up signal while a process starts

Cause: the handler was set once all addresses were bound; until then the runtime's own handler ends the process. The platform sends the signal when settings change, which may be at any time.

Change: a process verb handles the signal from its first step on; the later handler, which writes to the decision log, takes over as before.

Test: VerbsTest.aHangupDoesNotEndAProcessThatStarts failed with the handler taken out (exit code of the signal), passes with it. Signals within the runtime's own start, before any code of ours runs, still end the process.

--- a/router/src/main/java/org/shallothook/router/RouterMain.java
+++ b/router/src/main/java/org/shallothook/router/RouterMain.java
@@ -47,7 +47,7 @@
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
-    System.exit(commandLine(arguments).execute(arguments));
+    System.exit(VERBS.run(new RouterMain(), arguments));
   }
 
   static CommandLine commandLine(String... arguments) {
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarMain.java
@@ -40,7 +40,7 @@
 
   /** Runs a command and ends the process with its exit code. */
   public static void main(String[] arguments) {
-    System.exit(commandLine(arguments).execute(arguments));
+    System.exit(VERBS.run(new SidecarMain(), arguments));
   }
 
   static CommandLine commandLine(String... arguments) {
--- a/transport/src/main/java/org/shallothook/transport/command/Verbs.java
+++ b/transport/src/main/java/org/shallothook/transport/command/Verbs.java
@@ -1,11 +1,15 @@
 package org.shallothook.transport.command;
 
 import io.vavr.control.Try;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.shallothook.transport.logging.Part;
+import org.shallothook.transport.process.HangupSignal;
 import org.shallothook.transport.settings.SettingKey;
 import org.shallothook.transport.settings.Settings;
 import picocli.CommandLine;
@@ -20,6 +24,7 @@
  */
 public final class Verbs {
   private final Map<String, Supplier<Object>> verbs = new LinkedHashMap<>();
+  private final Set<String> processes = new HashSet<>();
 
   /** Adds a verb. */
   public Verbs add(String name, Supplier<Object> command) {
@@ -37,9 +42,21 @@
    */
   public Verbs addProcess(
       String serve, String check, List<SettingKey> keys, Function<Settings, Try<Void>> start) {
+    processes.add(serve);
     return add(serve, () -> new ServeCommand(keys, start)).add(check, () -> new CheckCommand(keys));
   }
 
+  /**
+   * Runs a command and returns its exit code. A hang-up signal ends a process no more from here on,
+   * also while it still starts.
+   */
+  public int run(Object main, String... arguments) {
+    if (arguments.length > 0 && processes.contains(arguments[0])) {
+      HangupSignal.handle(() -> Part.PROCESS.info("Hang-up ignored: settings are read at starts."));
+    }
+    return commandLine(main, arguments).execute(arguments);
+  }
+
   /** Returns a command line with the verb that the arguments begin with, else with every verb. */
   public CommandLine commandLine(Object main, String... arguments) {
     CommandLine line = new CommandLine(main);
--- a/transport/src/test/java/org/shallothook/transport/command/VerbsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/command/VerbsTest.java
@@ -2,9 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.BufferedReader;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import picocli.CommandLine;
@@ -36,4 +39,31 @@
         .containsExactlyElementsIn(expected.split(" "))
         .inOrder();
   }
+
+  /** Guards against processes that end when settings change while they start. */
+  @Test
+  void aHangupDoesNotEndAProcessThatStarts() throws Exception {
+    String classPath =
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    String java = ProcessHandle.current().info().command().orElse("java");
+    Process process =
+        new ProcessBuilder(java, "-cp", classPath, StartingProcess.class.getName())
+            .redirectError(ProcessBuilder.Redirect.DISCARD)
+            .start();
+    try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
+      String line = output.readLine();
+      while (line != null && !line.equals(StartingProcess.STARTING)) {
+        line = output.readLine();
+      }
+      assertThat(line).isEqualTo(StartingProcess.STARTING);
+
+      String pid = Long.toString(process.pid());
+      assertThat(new ProcessBuilder("kill", "-HUP", pid).start().waitFor()).isEqualTo(0);
+      process.outputWriter(StandardCharsets.UTF_8).append('\n').close();
+
+      assertThat(process.waitFor()).isEqualTo(StartingProcess.DONE);
+    } finally {
+      process.destroyForcibly();
+    }
+  }
 }
