Space announcements of prefixes by the number of routers

Each router told every other one of new prefixes each 0.12 s, so that messages grow with the square of the fleet: up to 158 a second to each of 20 routers, 267 of 33.

Change: rounds are 15 ms apart for each router, 0.12 s at least: a router hears at most 67 rounds a second whatever the size of the fleet.

Test: OpeningAnnouncementsTest, with 4 to 380 routers.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -631,7 +631,7 @@
       }
     }
     sendWaiting(nowMicros);
-    announcements.onTick(nowMicros);
+    announcements.onTick(routers, nowMicros);
     surveyPrompts(nowMicros);
     watchSilence(nowMicros);
     giveUpStuck(nowMicros);
--- a/coordination/src/test/java/org/shallothook/coordination/forward/OpeningAnnouncementsTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/OpeningAnnouncementsTest.java
@@ -5,25 +5,29 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Load pattern: many prompts with new openings, of which every other router is told. */
 final class OpeningAnnouncementsTest {
+  private static final int ROUTERS = 4;
+
   private final List<ForwardCommand> commands = new ArrayList<>();
   private final OpeningAnnouncements announcements = new OpeningAnnouncements(commands::add);
 
   @Test
   void whatComesUpWithinAnIntervalGoesOutTogetherAndOnce() {
     announcements.add("engine-1", List.of(1L, 2L));
-    announcements.onTick(1);
+    announcements.onTick(ROUTERS, 1);
     announcements.add("engine-1", List.of(3L));
     announcements.add("store", List.of(3L));
     announcements.add("engine-1", List.of(3L, 4L));
-    announcements.onTick(OpeningAnnouncements.INTERVAL_MICROS);
+    announcements.onTick(ROUTERS, OpeningAnnouncements.INTERVAL_MICROS);
     assertThat(commands)
         .containsExactly(new ForwardCommand.TellOpenings("engine-1", List.of(1L, 2L)));
 
-    announcements.onTick(1 + OpeningAnnouncements.INTERVAL_MICROS);
-    announcements.onTick(1 + 3 * OpeningAnnouncements.INTERVAL_MICROS);
+    announcements.onTick(ROUTERS, 1 + OpeningAnnouncements.INTERVAL_MICROS);
+    announcements.onTick(ROUTERS, 1 + 3 * OpeningAnnouncements.INTERVAL_MICROS);
     assertThat(commands)
         .containsExactly(
             new ForwardCommand.TellOpenings("engine-1", List.of(1L, 2L)),
@@ -32,10 +36,24 @@
         .inOrder();
   }
 
+  /** Load pattern: a fleet that grows, each router of which has something new all the time. */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 8, 20, 33, 380})
+  void aRouterHearsNoMoreRoundsInALargerFleet(int routers) {
+    long second = 1_000_000;
+    long seconds = 60;
+    for (long now = 1; now <= seconds * second; now += ForwardCore.TICK_INTERVAL_MICROS) {
+      announcements.add("engine-1", List.of(now));
+      announcements.onTick(routers, now);
+    }
+    long roundsHeard = (routers - 1) * (long) commands.size() / seconds;
+    assertThat(roundsHeard).isAtMost(second / OpeningAnnouncements.INTERVAL_PER_ROUTER_MICROS);
+  }
+
   @Test
   void nothingIsToldWhereNothingIsNew() {
     announcements.add("engine-1", List.of());
-    announcements.onTick(1);
+    announcements.onTick(ROUTERS, 1);
     assertThat(commands).isEmpty();
   }
 }
