Read what has arrived before an unused connection is closed

What callers saw (in a test): a request sent on a kept connection as a stopping router closes its unused ones was read after that and dropped, so that the caller saw its connection end without an answer.

Whether a connection is unused was known from an earlier round of the event loop; a request that had arrived since lay unread while the end was written. The idle timer did the same.

Change: a connection is read to what has arrived right before it counts as unused. What is still on its way then finds the connection closed, as HTTP/1.1 has it; callers see an orderly end, not a reset.

Test: PlannedStopTest failed before (end of the connection in place of 503), passes with the change.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -83,7 +83,9 @@
 
   /** Closes the connection if no request is open or being read. */
   void closeIfUnused() {
-    if (current.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
+    // A request that has already arrived would otherwise be dropped unread.
+    boolean isOpen = Channels.isOpenAfterReading(channel);
+    if (isOpen && current.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
       isEnding = true;
       Channels.closeAfterWrites((SocketChannel) channel);
     }
--- /dev/null
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -0,0 +1,147 @@
+package org.shallothook.transport.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.shallothook.coordination.forward.ForwardCommand;
+import org.shallothook.coordination.forward.ForwardEvent;
+import org.shallothook.coordination.port.CoreEvent;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.decision.EventSink;
+import org.shallothook.transport.process.Clock;
+
+/** Load pattern: callers go on using their connections while the process is being stopped. */
+final class PlannedStopTest implements EventSink<CoreEvent> {
+  private static final int PATIENCE_MILLIS = 10_000;
+  private static final Duration QUIET = Duration.ofMillis(1_500);
+  private static final String BUSY = "busy";
+
+  private final EventLoops loops = EventLoops.create(1);
+  private final CountDownLatch isBusy = new CountDownLatch(1);
+  private final CountDownLatch goesOn = new CountDownLatch(1);
+  private final ForwardGate gate =
+      new ForwardGate(
+          loops.internal(),
+          new PlainRequestForm(),
+          settings(),
+          this,
+          Counters.NONE,
+          Clock::steadyMicros);
+  private final InetSocketAddress address =
+      gate.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
+
+  @AfterEach
+  void close() {
+    loops.close();
+  }
+
+  private static ForwardSettings settings() {
+    ForwardSettings defaults = ForwardSettings.DEFAULT;
+    return new ForwardSettings(
+        defaults.connectTimeout(),
+        defaults.idleTimeout(),
+        defaults.longestIdle(),
+        defaults.freshIdle(),
+        defaults.maximumIdle(),
+        defaults.maximumCallers(),
+        QUIET);
+  }
+
+  @Override
+  public boolean offer(CoreEvent event) {
+    deliver(event);
+    return true;
+  }
+
+  @Override
+  public void deliver(CoreEvent event) {
+    if (event instanceof ForwardEvent.Requested requested) {
+      if (requested.head().id().equals(BUSY)) {
+        standStill();
+      }
+      Refusal refusal =
+          Refusal.notRun(RefusalReason.ROUTER_LEAVING, "The router is being stopped.");
+      gate.carryOut(new ForwardCommand.Refuse(requested.request(), refusal));
+    }
+  }
+
+  @Override
+  public boolean isCongested() {
+    return false;
+  }
+
+  /** Guards against requests that are dropped unread when unused connections are closed. */
+  @Test
+  void aRequestThatArrivesAsUnusedConnectionsAreClosedIsAnswered() throws Exception {
+    try (Socket kept = connect();
+        Socket busy = connect()) {
+      write(kept, "first");
+      assertThat(readStatus(kept)).isEqualTo("HTTP/1.1 503");
+
+      long quietAtNanos = System.nanoTime() + QUIET.toNanos();
+      gate.drain(() -> {}, () -> {});
+      loops.internal().submit(() -> {}).sync();
+      write(busy, BUSY);
+      assertThat(isBusy.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+      write(kept, "second");
+      TimeUnit.NANOSECONDS.sleep(quietAtNanos - System.nanoTime() + QUIET.toNanos() / 10);
+      goesOn.countDown();
+
+      assertThat(readStatus(kept)).isEqualTo("HTTP/1.1 503");
+    }
+  }
+
+  private void standStill() {
+    isBusy.countDown();
+    try {
+      assertThat(goesOn.await(PATIENCE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(PATIENCE_MILLIS);
+    return socket;
+  }
+
+  private static void write(Socket socket, String id) throws IOException {
+    String request = "POST /a HTTP/1.1\r\nHost: h\r\nid: " + id + "\r\nContent-Length: 0\r\n\r\n";
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Reads one answer whole and returns the beginning of its first line; empty at the end. */
+  private static String readStatus(Socket socket) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        return "";
+      }
+      head.append((char) next);
+    }
+    int length =
+        head.toString()
+            .lines()
+            .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+            .mapToInt(line -> Integer.parseInt(line.substring(line.indexOf(':') + 1).trim()))
+            .findFirst()
+            .orElse(0);
+    socket.getInputStream().readNBytes(length);
+    return head.substring(0, "HTTP/1.1 503".length());
+  }
+}
