Add a randomized fault soak of the real programs

Routers and sidecars run as processes against stand-ins of the platform's store and servers on loopback. Links delay, go silent, lose one direction or are reset; processes get STOP, KILL, TERM and HUP; servers crash, leave, and spoil answers (cut, reset, stalled, dripping, a second copy, bytes without end, errors). What callers and servers see is checked against seven promises. Clocks are not disturbed.

Found so far: a hang-up signal ended a process that was starting. Faults of the stand-ins found on the way and mended: request ids drawn twice, a plain answer with false bytes within its length, a link that passed bytes on behind a gap.

--- /dev/null
+++ b/soak/src/main/java/org/shallothook/soak/standin/HttpStandin.java
@@ -0,0 +1,77 @@
+package org.shallothook.soak.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.tinylog.Logger;
+
+/**
+ * Listens on loopback and hands whole requests over.
+ *
+ * <p>Invariant: all stand-ins of a run share one loop, so that none needs a lock.
+ */
+final class HttpStandin {
+  private static final int LARGEST_BODY_BYTES = 4 << 20;
+
+  private final Channel listening;
+
+  HttpStandin(EventLoopGroup loop, Consumer<HttpCall> handler) {
+    listening =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    channel
+                        .pipeline()
+                        .addLast(
+                            new HttpRequestDecoder(),
+                            new HttpObjectAggregator(LARGEST_BODY_BYTES),
+                            new Connection(handler));
+                  }
+                })
+            .bind(InetAddress.getLoopbackAddress(), 0)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listening.localAddress();
+  }
+
+  void close() {
+    var unused = listening.close();
+  }
+
+  private static final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final Consumer<HttpCall> handler;
+
+    Connection(Consumer<HttpCall> handler) {
+      this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      handler.accept(new HttpCall(context, request));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Logger.debug("stand-in: a connection failed: {}", cause.getMessage());
+      var unused = context.close();
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/test/java/org/shallothook/soak/SoakTest.java
@@ -0,0 +1,26 @@
+package org.shallothook.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Short runs of the real programs, and each seed that ever broke a promise. */
+final class SoakTest {
+  private static final int SECONDS = 15;
+
+  @ParameterizedTest(name = "seed {0}: {1}")
+  @CsvSource({
+    "1, disturbances of all kinds",
+    "3, a process that got a hang-up signal while it started ended",
+  })
+  void everyPromiseHolds(long seed, String unusedReason) throws Exception {
+    Path folder = Path.of("target", "soak", "seed-" + seed);
+    SoakRun.Report report =
+        new SoakRun(new SoakOptions(seed, SECONDS, false, 3, 3, 2, 12, folder)).run();
+
+    assertThat(report.violations()).isEmpty();
+    assertThat(report.outcomes()).containsKey(Outcome.SERVED);
+  }
+}
