Keep the soak's links in order and its ports to itself

Change: tasks of a link run in the order given; ports come from the block that process tests already reserve, which moves to the stand-ins.

--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
+++ b/benchmarks/src/test/java/org/shallothook/benchmarks/process/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.shallothook.standins.PortBlock;
 
 /**
  * A small deployment on loopback, every process on its own: two routers, engines and booking
--- a/soak/src/main/java/org/shallothook/soak/Deployment.java
+++ b/soak/src/main/java/org/shallothook/soak/Deployment.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -20,6 +19,7 @@
 import org.shallothook.soak.standin.Ledger;
 import org.shallothook.soak.standin.ServerStandin;
 import org.shallothook.soak.standin.StoreStandin;
+import org.shallothook.standins.PortBlock;
 
 /**
  * A whole deployment on loopback: store and servers as stand-ins within this process, routers and
@@ -47,6 +47,7 @@
           "-XX:-UsePerfData");
 
   private final Path folder;
+  private final PortBlock ports = PortBlock.reserve();
   private final NioEventLoopGroup loop =
       new NioEventLoopGroup(1, new DefaultThreadFactory("stand-ins", true));
   private final Ledger ledger = new Ledger();
@@ -203,6 +204,7 @@
     all.forEach(process -> process.signal("CONT"));
     all.forEach(ManagedProcess::kill);
     var unused = loop.shutdownGracefully();
+    ports.close();
   }
 
   private ServerStandin server(String service, String id, long seed) {
@@ -227,7 +229,7 @@
   }
 
   private ManagedProcess router(int index) throws IOException {
-    InetSocketAddress address = freeAddress();
+    InetSocketAddress address = nextAddress();
     callers.add(address);
     String settings =
         head("router-" + index, "callers = " + text(address) + "\n")
@@ -241,7 +243,7 @@
   }
 
   private String head(String name, String callersLine) throws IOException {
-    InetSocketAddress admin = freeAddress();
+    InetSocketAddress admin = nextAddress();
     if (!callersLine.isEmpty()) {
       admins.add(admin);
     }
@@ -250,7 +252,7 @@
         + "\nfailure-domain = domain-a\nregion = region\n[listen]\n"
         + callersLine
         + "peers = "
-        + text(freeAddress())
+        + text(nextAddress())
         + "\nadmin = "
         + text(admin)
         + "\n";
@@ -274,10 +276,7 @@
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 
-  /** Returns an address that was free a moment ago and that the system gives out again late. */
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return (InetSocketAddress) socket.getLocalSocketAddress();
-    }
+  private InetSocketAddress nextAddress() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.next());
   }
 }
--- a/soak/src/main/java/org/shallothook/soak/standin/FaultProxy.java
+++ b/soak/src/main/java/org/shallothook/soak/standin/FaultProxy.java
@@ -15,7 +15,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -110,7 +112,7 @@
   private final class Relay extends ChannelInboundHandlerAdapter {
     private final Channel other;
     private final BooleanSupplier isPassing;
-    private long latestDueNanos = System.nanoTime();
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
 
     Relay(Channel other, BooleanSupplier isPassing) {
       this.other = other;
@@ -132,13 +134,14 @@
           });
     }
 
-    /** Runs a task after the delay of the link, and never before one that was given earlier. */
+    /** Runs a task after the delay of the link, in the order given. */
     private void later(ChannelHandlerContext context, Runnable task) {
-      long nowNanos = System.nanoTime();
-      long delayNanos = TimeUnit.MILLISECONDS.toNanos(fault.delayMillis());
-      latestDueNanos = Math.max(latestDueNanos, nowNanos + delayNanos);
+      tasks.add(task);
+      // Timers may fire in another order than they were set; the tasks keep theirs.
       var unused =
-          context.executor().schedule(task, latestDueNanos - nowNanos, TimeUnit.NANOSECONDS);
+          context
+              .executor()
+              .schedule(() -> tasks.remove().run(), fault.delayMillis(), TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/benchmarks/src/test/java/org/shallothook/benchmarks/process/PortBlock.java
+++ b/standins/src/main/java/org/shallothook/standins/PortBlock.java
@@ -1,4 +1,4 @@
-package org.shallothook.benchmarks.process;
+package org.shallothook.standins;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -8,12 +8,13 @@
 import org.tinylog.Logger;
 
 /**
- * Ports for the processes of one test, below those that the system gives to outgoing connections.
+ * Ports for the processes of one run on loopback, below those that the system gives to outgoing
+ * connections.
  *
- * <p>Invariant: the first port of the block is held open until {@link #close}, so that no other
- * test on the machine reserves the same block meanwhile. Not thread-safe.
+ * <p>Invariant: the first port of the block is held open until {@link #close}, so that no other run
+ * on the machine reserves the same block meanwhile. Not thread-safe.
  */
-final class PortBlock implements AutoCloseable {
+public final class PortBlock implements AutoCloseable {
   private static final int FIRST_PORT = 22_000;
   private static final int BLOCK_PORTS = 50;
   private static final int BLOCKS = 200;
@@ -26,8 +27,8 @@
     this.next = guard.getLocalPort() + 1;
   }
 
-  /** Reserves the first block that no other test holds, from a random one on. */
-  static PortBlock reserve() {
+  /** Reserves the first block that no other run holds, from a random one on. */
+  public static PortBlock reserve() {
     int first = ThreadLocalRandom.current().nextInt(BLOCKS);
     for (int tried = 0; tried < BLOCKS; tried++) {
       int port = FIRST_PORT + (first + tried) % BLOCKS * BLOCK_PORTS;
@@ -41,7 +42,7 @@
   }
 
   /** Returns the next port of the block that no other program listens at. */
-  int next() {
+  public int next() {
     while (next < guard.getLocalPort() + BLOCK_PORTS) {
       int port = next++;
       if (isFree(port)) {
