Space announcements of queues by the number of servers

Change: a changed queue is told after 20 ms for each server of the service, and not sooner than before; readiness is told at once as it was.

Test: WeightKeeperTest, queues that change all the time in services of 1 to 100 servers.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightKeeper.java
@@ -51,6 +51,12 @@
   /** Time between two announcements of a queue that has changed by less. */
   private static final long SMALL_LOAD_MICROS = 800_000;
 
+  /**
+   * Time between two announcements of a changed queue for each server of the service, in
+   * microseconds, so that routers of larger services hear no more of them.
+   */
+  static final long LOAD_PER_SERVER_MICROS = 20_000;
+
   /** Change of a queue's delay that routers hear of soon, in microseconds. */
   private static final long LARGE_CHANGE_MICROS = 2 * EngineReport.READ_HINT_MICROS;
 
@@ -321,7 +327,8 @@
         announced
             .map(last -> Math.abs(last.queueDelayMicros() - status.queueDelayMicros()))
             .orElse(Long.MAX_VALUE);
-    return change >= LARGE_CHANGE_MICROS ? LOAD_MICROS : SMALL_LOAD_MICROS;
+    long gap = change >= LARGE_CHANGE_MICROS ? LOAD_MICROS : SMALL_LOAD_MICROS;
+    return Math.max(gap, servers.size() * LOAD_PER_SERVER_MICROS);
   }
 
   /** Tells routers what has changed, and repeats it while the server takes no work. */
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightKeeperTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.route.ServerEntry;
@@ -248,4 +249,25 @@
     run(500_000);
     assertThat(lastStatus().queueDelayMicros()).isGreaterThan(0);
   }
+
+  /** Load pattern: queues that change all the time, in services of any size. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 8, 37, 100})
+  void routersHearNoMoreOfTheQueuesOfALargerService(int servers) {
+    run(500_000);
+    for (int index = 2; index <= servers; index++) {
+      String id = "engine-" + index;
+      handle(new WeightEvent.ServerListed(entry(id, "10.0.0." + index + ":80", startedAt)));
+    }
+    commands.clear();
+    answered = 0;
+    int seconds = 20;
+    for (int step = 0; step < 10 * seconds; step++) {
+      queued = 10 * (step % 2);
+      run(100_000);
+    }
+    long announced = commands.stream().filter(WeightCommand.Announce.class::isInstance).count();
+    long mostHeard = 1_000_000 / WeightKeeper.LOAD_PER_SERVER_MICROS;
+    assertThat(servers * announced / seconds).isAtMost(mostHeard);
+  }
 }
