--- a/soak/src/main/java/org/shallothook/soak/Disturbance.java
+++ b/soak/src/main/java/org/shallothook/soak/Disturbance.java
@@ -30,8 +30,8 @@
     @Override
     Runnable begin(Deployment deployment, SplittableRandom random) {
       ManagedProcess router = Draws.oneOf(deployment.routers(), random);
-      router.signal("TERM");
-      return () -> restartOnceEnded(deployment, router);
+      Process life = router.stop();
+      return () -> restartOnceEnded(deployment, router, life);
     }
   },
   HANG_UP_ROUTER {
@@ -157,13 +157,15 @@
     return process::start;
   }
 
-  private static void restartOnceEnded(Deployment deployment, ManagedProcess process) {
+  private static void restartOnceEnded(
+      Deployment deployment, ManagedProcess process, Process life) {
     long beganNanos = System.nanoTime();
-    boolean hasEnded = process.awaitEnd(STOP_MILLIS);
-    if (!hasEnded && !process.wasDisturbedSince(beganNanos)) {
-      deployment.ledger().violated("a planned stop ends in time", process.name());
+    if (!process.awaitEnd(life, STOP_MILLIS)) {
+      if (!process.wasDisturbedSince(beganNanos)) {
+        deployment.ledger().violated("a planned stop ends in time", process.name());
+      }
+      process.kill();
     }
-    process.kill();
     process.start();
   }
 }
--- a/soak/src/main/java/org/shallothook/soak/ManagedProcess.java
+++ b/soak/src/main/java/org/shallothook/soak/ManagedProcess.java
@@ -13,6 +13,9 @@
  * <p>Invariant: at most one process runs at a time; all its lives write to one log. Thread-safe.
  */
 final class ManagedProcess {
+  /** Time in which the system ends a killed process. */
+  private static final long KILL_MILLIS = 5_000;
+
   private final String name;
   private final List<String> command;
   private final Path log;
@@ -90,7 +93,7 @@
   synchronized void kill() {
     if (isAlive()) {
       process.destroyForcibly();
-      awaitEnd(5_000);
+      awaitEnd(process, KILL_MILLIS);
     }
   }
 
@@ -103,14 +106,16 @@
     return isAlive() && !isStopping;
   }
 
-  /** Waits for the end of the process; returns whether it came. */
-  boolean awaitEnd(long millis) {
-    Process current;
-    synchronized (this) {
-      current = process;
-    }
+  /** Begins a planned stop and returns the life that is to end. */
+  synchronized Process stop() {
+    signal("TERM");
+    return process;
+  }
+
+  /** Waits for the end of a life; returns whether it came. */
+  boolean awaitEnd(Process life, long millis) {
     try {
-      return current.waitFor(millis, TimeUnit.MILLISECONDS);
+      return life.waitFor(millis, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Logger.debug("soak: interrupted while {} ends", name);
       Thread.currentThread().interrupt();
