Let waits for a sidecar and for an earlier keeper run side by side

Three of them were listed anew after a crash, counted as without a sidecar only 12 s later, and the wait for two turns of holders, 6 s, began only then: 18 s at a bound of 8 s.

Cause: the first wait belonged to the entry of a server, which a crash removes, though a sidecar belongs to its host; and the second wait began after the first, though both are about what others may do meanwhile.

Change: the first wait counts from the first server of a host; both run at once.

Tests: UnattendedServersTest, a server that comes back on a known host, and one on a new host: both failed before (version 1 in place of 2), both pass.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/UnattendedServers.java
@@ -29,7 +29,7 @@
  * is its keeper. Not thread-safe: one decision thread owns it.
  */
 public final class UnattendedServers {
-  /** Time after which a server without word of a sidecar counts as without one. */
+  /** Time after which a host of servers without word of a sidecar counts as without one. */
   private static final long SIDECAR_START_MICROS = 12_000_000;
 
   /** Turns of holders that a router waits for before it keeps a server. */
@@ -44,19 +44,21 @@
   private final Map<String, Watched> watched = new HashMap<>();
   private final Map<String, WeightVersion> wanted = new HashMap<>();
   private final Set<String> attendedHosts = new HashSet<>();
+
+  /** Since when a host has had servers; a sidecar belongs to a host and outlives its servers. */
+  private final Map<String, Long> firstListedMicros = new HashMap<>();
+
   private List<Long> routerHashes = List.of();
 
   /** A listed server, and since when this router is the one to keep it. */
   private static final class Watched {
-    private final long listedAtMicros;
     private ServerEntry entry;
     private boolean isAttended;
     private Optional<Long> ownSinceMicros = Optional.empty();
     private Optional<WeightKeeper> keeper = Optional.empty();
 
-    private Watched(ServerEntry entry, long nowMicros) {
+    private Watched(ServerEntry entry) {
       this.entry = entry;
-      this.listedAtMicros = nowMicros;
     }
   }
 
@@ -95,8 +97,9 @@
     if (entry.versions().isEmpty()) {
       return;
     }
-    Watched server = watched.computeIfAbsent(entry.id(), id -> new Watched(entry, nowMicros));
+    Watched server = watched.computeIfAbsent(entry.id(), id -> new Watched(entry));
     server.entry = entry;
+    firstListedMicros.putIfAbsent(hostOf(entry.address()), nowMicros);
     keepers().forEach(keeper -> keeper.handle(new WeightEvent.ServerListed(entry), nowMicros));
   }
 
@@ -154,11 +157,9 @@
   }
 
   private void noteOwner(Watched server, long nowMicros) {
-    boolean isUnattended =
-        !server.isAttended
-            && !attendedHosts.contains(hostOf(server.entry.address()))
-            && nowMicros - server.listedAtMicros >= SIDECAR_START_MICROS;
-    if (!isUnattended || !isOwn(server.entry)) {
+    boolean isAttended =
+        server.isAttended || attendedHosts.contains(hostOf(server.entry.address()));
+    if (isAttended || !isOwn(server.entry)) {
       server.ownSinceMicros = Optional.empty();
     } else if (server.ownSinceMicros.isEmpty()) {
       server.ownSinceMicros = Optional.of(nowMicros);
@@ -174,10 +175,12 @@
   }
 
   private boolean mayKeep(Watched server, long nowMicros) {
-    return server
-        .ownSinceMicros
-        .filter(since -> nowMicros - since >= TURNS_TO_WAIT * turnMicros)
-        .isPresent();
+    long hostSince = firstListedMicros.get(hostOf(server.entry.address()));
+    return nowMicros - hostSince >= SIDECAR_START_MICROS
+        && server
+            .ownSinceMicros
+            .filter(since -> nowMicros - since >= TURNS_TO_WAIT * turnMicros)
+            .isPresent();
   }
 
   private boolean lacksVersion(ServerEntry entry) {
--- a/coordination/src/test/java/org/shallothook/coordination/weights/UnattendedServersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/UnattendedServersTest.java
@@ -194,6 +194,34 @@
     assertOneHolderAtATime();
   }
 
+  /** Guards against servers that crash and stay on older weights beyond the bound. */
+  @Test
+  void aServerThatComesBackOnAKnownHostReachesTheVersionWithinTheBound() {
+    start(3);
+    run(20 * SECOND);
+    name(2);
+    run(10 * SECOND);
+
+    versions.put(address(1), 1L);
+    given.remove(address(1));
+    routers.values().forEach(router -> router.onRemoved("engine-1", nowMicros));
+    run(8 * SECOND);
+
+    assertThat(versions.get(address(1))).isEqualTo(2L);
+    assertOneHolderAtATime();
+  }
+
+  /** Guards against one wait after the other for a server on a host that nobody knew. */
+  @Test
+  void aServerOnANewHostIsKeptOnceASidecarWouldHaveBeenHeardOf() {
+    start(3);
+    name(2);
+    run(13 * SECOND);
+
+    assertThat(versions.values().stream().distinct().toList()).containsExactly(2L);
+    assertOneHolderAtATime();
+  }
+
   @Test
   void aServerWithASidecarIsLeftToIt() {
     start(2);
