Name the platform's headers once in the soak's stand-ins

Callers of the soak spelled the platform's header names themselves; they now stand in one class of the stand-ins, whose package is named like the module. No behaviour changes.

--- a/soak/src/main/java/org/shallothook/soak/CallRecord.java
+++ b/soak/src/main/java/org/shallothook/soak/CallRecord.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import org.shallothook.soak.standin.Ledger;
+import org.shallothook.soak.standins.Ledger;
 
 /**
  * How all requests ended, checked at the end against what servers saw.
--- a/soak/src/main/java/org/shallothook/soak/Caller.java
+++ b/soak/src/main/java/org/shallothook/soak/Caller.java
@@ -17,7 +17,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.IntStream;
-import org.shallothook.soak.standin.ServerStandin;
+import org.shallothook.soak.standins.PlatformHeaders;
+import org.shallothook.soak.standins.ServerStandin;
 
 /**
  * One caller: sends a request at a time, over connections that it keeps, and checks each answer.
@@ -99,14 +100,14 @@
         HttpRequest.newBuilder(URI.create("http://" + address + kind.path() + "page?id=" + id))
             .header("Host", Deployment.HOST)
             .header("Authorization", "Token " + Deployment.KEY)
-            .header("X-Shallothook-Request-Id", id)
-            .header("X-Shallothook-Request-Deadline", Long.toString(Deployment.TIMEOUT_MILLIS))
+            .header(PlatformHeaders.REQUEST_ID, id)
+            .header(PlatformHeaders.TIME_LEFT, Long.toString(Deployment.TIMEOUT_MILLIS))
             .POST(HttpRequest.BodyPublishers.ofString("body of " + id));
     if (kind.isStream()) {
       request
-          .header("X-Shallothook-Model", ServerStandin.MODEL)
-          .header("X-Shallothook-Token-Counts", "300,40")
-          .header("X-Shallothook-Prompt-Prefix", "a1:100,b" + random.nextInt(20) + ":100,c:100");
+          .header(PlatformHeaders.MODEL, ServerStandin.MODEL)
+          .header(PlatformHeaders.TOKEN_COUNTS, "300,40")
+          .header(PlatformHeaders.PROMPT_PARTS, "a1:100,b" + random.nextInt(20) + ":100,c:100");
     }
     return request.build();
   }
@@ -128,10 +129,10 @@
 
   private void checkOwn(RequestKind kind, String id, HttpResponse<String> answer) {
     boolean isOwn =
-        answer.headers().firstValue("X-Shallothook-Request-Id").filter(id::equals).isPresent()
+        answer.headers().firstValue(PlatformHeaders.REQUEST_ID).filter(id::equals).isPresent()
             && answer
                 .headers()
-                .firstValue("X-Shallothook-Response-Signature")
+                .firstValue(PlatformHeaders.SIGNATURE)
                 .filter(signature -> signature.endsWith("." + id))
                 .isPresent();
     if (!isOwn || !answer.body().equals(kind.expectedBody(id))) {
--- a/soak/src/main/java/org/shallothook/soak/Deployment.java
+++ b/soak/src/main/java/org/shallothook/soak/Deployment.java
@@ -11,14 +11,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicLong;
 import org.shallothook.router.RouterMain;
 import org.shallothook.sidecar.SidecarMain;
-import org.shallothook.soak.standin.FaultProxy;
-import org.shallothook.soak.standin.Ledger;
-import org.shallothook.soak.standin.ServerStandin;
-import org.shallothook.soak.standin.StoreStandin;
+import org.shallothook.soak.standins.FaultProxy;
+import org.shallothook.soak.standins.Ledger;
+import org.shallothook.soak.standins.ServerStandin;
+import org.shallothook.soak.standins.StoreStandin;
 import org.shallothook.standins.PortBlock;
 
 /**
@@ -130,7 +131,7 @@
     Future<Long> version = loop.submit(server::version);
     try {
       return version.get();
-    } catch (java.util.concurrent.ExecutionException e) {
+    } catch (ExecutionException e) {
       throw new IllegalStateException(e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/soak/src/main/java/org/shallothook/soak/Disturbance.java
+++ b/soak/src/main/java/org/shallothook/soak/Disturbance.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import org.shallothook.soak.standin.AnswerFault;
-import org.shallothook.soak.standin.LinkFault;
-import org.shallothook.soak.standin.ServerStandin;
-import org.shallothook.soak.standin.StoreFault;
+import org.shallothook.soak.standins.AnswerFault;
+import org.shallothook.soak.standins.LinkFault;
+import org.shallothook.soak.standins.ServerStandin;
+import org.shallothook.soak.standins.StoreFault;
 
 /**
  * What a run does to the deployment. Each begins something and returns what ends it.
--- a/soak/src/main/java/org/shallothook/soak/RequestKind.java
+++ b/soak/src/main/java/org/shallothook/soak/RequestKind.java
@@ -1,8 +1,9 @@
 package org.shallothook.soak;
 
 import com.google.gson.JsonObject;
-import org.shallothook.soak.standin.ExpectedAnswer;
-import org.shallothook.soak.standin.ServerStandin;
+import java.util.Locale;
+import org.shallothook.soak.standins.ExpectedAnswer;
+import org.shallothook.soak.standins.ServerStandin;
 
 /**
  * Kinds of requests, each with a route of its own.
@@ -32,7 +33,7 @@
   }
 
   String path() {
-    return "/" + name().toLowerCase(java.util.Locale.ROOT).replace('_', '-') + "/";
+    return "/" + name().toLowerCase(Locale.ROOT).replace('_', '-') + "/";
   }
 
   boolean isStream() {
--- a/soak/src/main/java/org/shallothook/soak/standin/AnswerFault.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/AnswerFault.java
@@ -1,4 +1,4 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 /**
  * Ways in which a server spoils an answer. {@code whole} is the answer that was due.
--- a/soak/src/main/java/org/shallothook/soak/standin/HttpCall.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/HttpCall.java
@@ -1,4 +1,4 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -29,7 +30,7 @@
     this.context = context;
     this.method = request.method().name();
     this.target = new QueryStringDecoder(request.uri());
-    this.headers = new java.util.TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    this.headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     request.headers().forEach(header -> headers.put(header.getKey(), header.getValue()));
     this.body = ByteBufUtil.getBytes(request.content());
   }
--- a/soak/src/main/java/org/shallothook/soak/standin/HttpStandin.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/HttpStandin.java
@@ -1,4 +1,4 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
--- a/soak/src/main/java/org/shallothook/soak/standin/Ledger.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/Ledger.java
@@ -1,4 +1,4 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 import java.util.List;
 import java.util.Map;
--- a/soak/src/main/java/org/shallothook/soak/standin/LinkFault.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/LinkFault.java
@@ -1,4 +1,4 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 /**
  * Ways in which a link disturbs the connections over it.
--- a/soak/src/main/java/org/shallothook/soak/standin/ServerStandin.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/ServerStandin.java
@@ -1,10 +1,11 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +35,6 @@
   private static final long EVENT_GAP_MILLIS = 12;
   private static final long WORK_MILLIS = 25;
   private static final int SLOTS = 32;
-  private static final String NOT_RUN = "X-Shallothook-Not-Executed";
 
   private final EventLoopGroup loop;
   private final StoreStandin store;
@@ -182,8 +182,7 @@
 
   private void order(HttpCall call) {
     JsonObject order =
-        JsonParser.parseString(new String(call.body(), java.nio.charset.StandardCharsets.UTF_8))
-            .getAsJsonObject();
+        JsonParser.parseString(new String(call.body(), StandardCharsets.UTF_8)).getAsJsonObject();
     long fence = order.get("fencing_token").getAsLong();
     long wanted = order.get("version").getAsLong();
     if (isForAnother(call)) {
@@ -214,26 +213,27 @@
   }
 
   private boolean isForAnother(HttpCall call) {
-    return call.header("X-Shallothook-Expected-Instance").filter(id::equals).isEmpty();
+    return call.header(PlatformHeaders.EXPECTED_INSTANCE).filter(id::equals).isEmpty();
   }
 
   private void serve(HttpCall call) {
-    String request = call.header("X-Shallothook-Request-Id").orElse("");
+    String request = call.header(PlatformHeaders.REQUEST_ID).orElse("");
     boolean isOtherVersion =
-        call.header("X-Shallothook-Expected-Version")
+        call.header(PlatformHeaders.EXPECTED_VERSION)
             .filter(expected -> !expected.equals(Long.toString(version)))
             .isPresent();
     if (isForAnother(call) || isOtherVersion) {
-      call.answer(421, Map.of(NOT_RUN, "1", "X-Shallothook-Instance-Id", id), new byte[0]);
+      call.answer(
+          421, Map.of(PlatformHeaders.NOT_RUN, "1", PlatformHeaders.INSTANCE, id), new byte[0]);
       return;
     }
     if (isBusy) {
-      call.answer(503, Map.of(NOT_RUN, "1"), new byte[0]);
+      call.answer(503, Map.of(PlatformHeaders.NOT_RUN, "1"), new byte[0]);
       return;
     }
     checkLeaving(request);
     ledger.ran(request, id);
-    long after = call.header("Last-Event-Id").map(Long::parseLong).orElse(0L);
+    long after = call.header(PlatformHeaders.LAST_EVENT).map(Long::parseLong).orElse(0L);
     boolean isStream = service.equals(MODELS);
     boolean isSpoiled = fault.isPresent() && random.nextDouble() < faultShare;
     String whole =
@@ -268,18 +268,18 @@
 
   private Map<String, String> headers(String request) {
     Map<String, String> headers = new LinkedHashMap<>();
-    headers.put("X-Shallothook-Request-Id", request);
-    headers.put("X-Shallothook-Response-Signature", id + "." + request);
+    headers.put(PlatformHeaders.REQUEST_ID, request);
+    headers.put(PlatformHeaders.SIGNATURE, id + "." + request);
     headers.put("Keep-Alive", "timeout=20");
     if (leavesAtNanos.isPresent()) {
-      headers.put("Server-Leaving", "1");
+      headers.put(PlatformHeaders.LEAVING, "1");
     }
     return headers;
   }
 
   private String streamHead(String request) {
     Map<String, String> headers = headers(request);
-    headers.put("X-Shallothook-Weight-Versions", Long.toString(version));
+    headers.put(PlatformHeaders.WEIGHT_VERSION, Long.toString(version));
     headers.put("Content-Type", "text/event-stream");
     headers.put("Transfer-Encoding", "chunked");
     return HttpCall.head(200, headers) + "\r\n";
--- a/soak/src/main/java/org/shallothook/soak/standin/StoreFault.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/StoreFault.java
@@ -1,4 +1,6 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
+
+import java.util.Map;
 
 /**
  * Ways in which the store fails the processes; the operator is always served.
@@ -12,7 +14,7 @@
   BUSY {
     @Override
     boolean intercepts(HttpCall call) {
-      call.answer(503, java.util.Map.of(), new byte[0]);
+      call.answer(503, Map.of(), new byte[0]);
       return true;
     }
   },
--- a/soak/src/main/java/org/shallothook/soak/standin/StoreStandin.java
+++ b/soak/src/main/java/org/shallothook/soak/standins/StoreStandin.java
@@ -1,4 +1,4 @@
-package org.shallothook.soak.standin;
+package org.shallothook.soak.standins;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -142,7 +143,7 @@
           byte[] record = topic.records.get(offset);
           int start = 1 + record[0];
           if (record.length > start) {
-            byte[] value = java.util.Arrays.copyOfRange(record, start, record.length);
+            byte[] value = Arrays.copyOfRange(record, start, record.length);
             JsonObject item = new JsonObject();
             item.addProperty("key", key);
             item.addProperty("value", Base64.getEncoder().encodeToString(value));
