--- a/coordination/src/test/java/org/shallothook/coordination/forward/OpeningAnnouncementsTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/OpeningAnnouncementsTest.java
@@ -47,8 +47,8 @@
       announcements.onTick(routers, now);
     }
     // The time is counted from the first round on.
-    long laterRounds = commands.size() - 1;
-    long roundsHeard = (routers - 1) * laterRounds / seconds;
+    int laterRounds = commands.size() - 1;
+    long roundsHeard = (routers - 1L) * laterRounds / seconds;
     assertThat(roundsHeard).isAtMost(second / OpeningAnnouncements.INTERVAL_PER_ROUTER_MICROS);
   }
 
