Log what a broken attempt had and whether its crash was confirmed; export metrics to the platform

Both roles listen for the platform's metrics reader; the settings file names the address. No decision is changed.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/CrashRegister.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/CrashRegister.java
@@ -82,16 +82,22 @@
     byContent.remove(contentHash);
   }
 
-  /** Removes expired crashes and suspects. */
-  void removeExpired(long nowMicros) {
+  /**
+   * Removes expired crashes and suspects. Returns the number of suspects of each server that was
+   * not found down within the attribution window.
+   */
+  Map<String, Integer> removeExpired(long nowMicros) {
     byContent.values().removeIf(crashRecord -> nowMicros >= crashRecord.expiresAtMicros);
-    suspects
-        .values()
-        .removeIf(
-            list ->
-                list.stream()
-                    .allMatch(
-                        suspect ->
-                            nowMicros - suspect.brokenAtMicros() >= ATTRIBUTION_WINDOW_MICROS));
+    Map<String, Integer> unconfirmed = new HashMap<>();
+    suspects.forEach(
+        (server, list) -> {
+          if (list.stream()
+              .allMatch(
+                  suspect -> nowMicros - suspect.brokenAtMicros() >= ATTRIBUTION_WINDOW_MICROS)) {
+            unconfirmed.put(server, list.size());
+          }
+        });
+    suspects.keySet().removeAll(unconfirmed.keySet());
+    return unconfirmed;
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -490,11 +490,22 @@
     }
     onPrefillCanceled(request, server);
     request.onAttemptEnded(false);
-    journal.failed(request, server, "unsent: " + detail);
+    journal.failed(request, server, "unsent: " + detail, nowMicros);
     retryOrEnd(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
   }
 
+  private void reportUnconfirmedCrashes(long nowMicros) {
+    crashes
+        .removeExpired(nowMicros)
+        .forEach(
+            (server, requests) -> {
+              options.counters().increment("crashes.unconfirmed");
+              journal.crashUnconfirmed(server, requests);
+            });
+  }
+
   private void announceCrash(CrashRegister.Suspect suspect) {
+    options.counters().increment("crashes.recorded");
     commands.accept(new ForwardCommand.AnnounceCrash(suspect.contentHash(), suspect.request()));
     journal.crashed(suspect);
   }
@@ -515,7 +526,7 @@
     boolean isRetryable = response.isServerError() && request.route().isRepeatable();
     if (isRetryable && !request.hasStartedResponse() && tryAcquireRetry(request, nowMicros)) {
       dropAttempt(request, true);
-      journal.failed(request, server, "status " + response.status());
+      journal.failed(request, server, "status " + response.status(), nowMicros);
       retry(request, Decision.RETRY, nowMicros);
       return;
     }
@@ -524,7 +535,7 @@
       breakOff(request, "the stream could not be resumed: status " + response.status(), nowMicros);
       return;
     }
-    request.onRelaying();
+    request.onRelaying(nowMicros);
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
     journal.relayed(request, server, response, nowMicros);
@@ -608,7 +619,7 @@
     }
     onPrefillCanceled(request, server);
     dropAttempt(request, false);
-    journal.failed(request, server, "not run: status " + response.status());
+    journal.failed(request, server, "not run: status " + response.status(), nowMicros);
     if (retries.tryRetry(request.service(), nowMicros)) {
       retryOrEnd(
           request, RefusalReason.QUEUE_FULL, "The last server rejected the request.", nowMicros);
@@ -639,7 +650,7 @@
     }
     request.onLastEvent(broken.lastEvent());
     request.onAttemptEnded(true);
-    journal.failed(request, server, broken.detail());
+    journal.failed(request, server, broken.detail(), nowMicros);
     boolean mayResume = !request.hasStartedResponse() || request.route().isResumable();
     if (request.route().isRepeatable() && mayResume && tryAcquireRetry(request, nowMicros)) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
@@ -701,7 +712,7 @@
     pauseSilentServers(nowMicros);
     retryStuckRequests(nowMicros);
     servers.removeUnlisted(nowMicros);
-    crashes.removeExpired(nowMicros);
+    reportUnconfirmedCrashes(nowMicros);
   }
 
   /** Updates the prefill backlog and the server partition of each service from the open prompts. */
@@ -773,7 +784,7 @@
       if (isStuck && tryAcquireRetry(request, nowMicros)) {
         server.onFailure(nowMicros);
         dropAttempt(request, true);
-        journal.failed(request, server, "no response");
+        journal.failed(request, server, "no response", nowMicros);
         retry(request, Decision.RETRY, nowMicros);
       }
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -1,11 +1,15 @@
 package org.shallothook.coordination.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.shallothook.coordination.forward.PromptPlacement.Placement;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
+import org.shallothook.state.route.PromptOutline;
+import org.shallothook.state.route.PromptOutline.Part;
 import org.shallothook.state.route.RouteTable;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
@@ -85,7 +89,12 @@
 
   void crashed(CrashRegister.Suspect suspect) {
     journal.write(
-        Decision.CRASH, suspect.request(), "content", Long.toHexString(suspect.contentHash()));
+        Decision.CRASH,
+        suspect.request(),
+        "content",
+        Long.toHexString(suspect.contentHash()),
+        "outcome",
+        "recorded");
   }
 
   void relayed(PendingRequest request, Server server, ResponseHead response, long nowMicros) {
@@ -158,7 +167,7 @@
         table.map(RouteTable::version).orElse(0L));
   }
 
-  void failed(PendingRequest request, Server server, String detail) {
+  void failed(PendingRequest request, Server server, String detail, long nowMicros) {
     journal.write(
         Decision.ATTEMPT_FAILED,
         request.head().id(),
@@ -167,7 +176,27 @@
         "attempt",
         request.attempt(),
         "detail",
-        detail);
+        detail,
+        "sent_ms",
+        millisSince(request.sentMicros(), nowMicros),
+        "began_ms",
+        request.respondedMicros().map(at -> millisSince(at, nowMicros)).orElse(-1L),
+        "parts",
+        sharedParts(request));
+  }
+
+  /** Returns the identifiers of the parts of a prompt that other prompts may have. */
+  private static String sharedParts(PendingRequest request) {
+    List<Part> parts = request.head().prompt().map(PromptOutline::parts).orElse(List.of());
+    return parts.stream()
+        .limit(Math.max(0, parts.size() - 1))
+        .map(Part::id)
+        .collect(Collectors.joining(" "));
+  }
+
+  /** Logs broken connections to a server that were not followed by a refused one. */
+  void crashUnconfirmed(String server, int requests) {
+    journal.write(Decision.CRASH, server, "outcome", "unconfirmed", "requests", requests);
   }
 
   void leaving(Server server, PendingRequest request) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -45,6 +45,7 @@
   private int rejections;
   private boolean mayHaveRun;
   private long sentMicros;
+  private Optional<Long> respondedMicros = Optional.empty();
   private long waitUntilMicros;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
@@ -114,6 +115,11 @@
     return sentMicros;
   }
 
+  /** Returns when the head of the latest attempt's response arrived; empty if it has none. */
+  Optional<Long> respondedMicros() {
+    return respondedMicros;
+  }
+
   Optional<Long> lastEvent() {
     return lastEvent;
   }
@@ -193,6 +199,7 @@
     attempt++;
     phase = Phase.SENT;
     sentMicros = nowMicros;
+    respondedMicros = Optional.empty();
     target.onOpened(nowMicros);
   }
 
@@ -205,7 +212,8 @@
     phase = Phase.WAITING;
   }
 
-  void onRelaying() {
+  void onRelaying(long nowMicros) {
+    respondedMicros = Optional.of(nowMicros);
     phase = Phase.RELAYING;
     hasStartedResponse = true;
   }
--- a/soak/src/main/java/org/shallothook/soak/SoakDeployment.java
+++ b/soak/src/main/java/org/shallothook/soak/SoakDeployment.java
@@ -257,6 +257,8 @@
         + format(nextAddress())
         + "\nadmin = "
         + format(admin)
+        + "\nmetrics = "
+        + format(nextAddress())
         + "\n";
   }
 
--- a/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
@@ -14,9 +14,11 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import org.shallothook.transport.Channels;
 import org.shallothook.transport.EventLoops;
@@ -34,7 +36,8 @@
  * <p>A handler also receives requests to the paths below its own. The server does not authenticate
  * requests, so it should listen only on a loopback address.
  *
- * <p>Handlers must be added before {@link #listen}. Otherwise thread-safe.
+ * <p>Handlers must be added before {@link #listen}, which may be called for several addresses.
+ * Otherwise thread-safe.
  */
 public final class AdminServer implements AutoCloseable {
   private static final int MAX_BODY_BYTES = 4 << 20;
@@ -43,7 +46,7 @@
   private final EventLoop loop;
   private final Map<String, AdminHandler> gets = new TreeMap<>();
   private final Map<String, AdminHandler> posts = new TreeMap<>();
-  private Channel listening;
+  private final List<Channel> listening = new CopyOnWriteArrayList<>();
 
   /**
    * Creates a server that does not listen yet.
@@ -74,17 +77,16 @@
   public Try<InetSocketAddress> listen(InetSocketAddress address) {
     return Try.of(
         () -> {
-          listening = bootstrap().bind(address).sync().channel();
-          return (InetSocketAddress) listening.localAddress();
+          Channel channel = bootstrap().bind(address).sync().channel();
+          listening.add(channel);
+          return (InetSocketAddress) channel.localAddress();
         });
   }
 
   /** Stops listening; open connections are not closed. */
   @Override
   public void close() {
-    if (listening != null) {
-      Channels.close(listening);
-    }
+    listening.forEach(Channels::close);
   }
 
   private static AdminResponse health(BooleanSupplier isLeaving) {
--- a/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
@@ -10,6 +10,9 @@
 public final class HostedKeys {
   public static final SettingKey STORE =
       SettingKey.required("store", "address", SettingType.ADDRESS, "The platform's store.");
+  public static final SettingKey LISTEN_METRICS =
+      SettingKey.required(
+          "listen", "metrics", SettingType.ADDRESS, "Where the platform reads metrics.");
   public static final SettingKey LEAVE_MILLIS =
       SettingKey.withDefault(
           "bounds",
@@ -76,6 +79,7 @@
           CommonKeys.REGION,
           CommonKeys.LISTEN_PEERS,
           CommonKeys.LISTEN_ADMIN,
+          LISTEN_METRICS,
           CommonKeys.RING_SIZE,
           CommonKeys.LOG_FORM,
           CommonKeys.LOG_LEVEL,
