--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -0,0 +1,354 @@
+package org.shallothook.coordination.forward;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
+import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
+import org.shallothook.state.route.PromptOutline;
+import org.shallothook.state.route.PromptOutline.Part;
+import org.shallothook.state.route.ServerEntry;
+
+/**
+ * Several forwarding cores before servers that crash when they begin an answer on a deadly part, on
+ * a virtual clock.
+ *
+ * <p>A server that crashes breaks all its open requests and is listed again under a new identity
+ * after its restart. Prompts consist of rules, one of several registers and an own part.
+ *
+ * <p>Not thread-safe.
+ */
+final class CrashingFleet {
+  static final long MILLI = 1_000;
+  static final long SECOND = 1_000_000;
+
+  private static final long MESSAGE_MICROS = 2 * MILLI;
+  private static final long RESTART_MICROS = 3 * SECOND;
+  private static final long FIRST_OUTPUT_MICROS = 150 * MILLI;
+  private static final long OUTPUT_MICROS = 400 * MILLI;
+  private static final long CRASH_AFTER_OUTPUT_MICROS = 80 * MILLI;
+  private static final int REGISTERS = 12;
+
+  /** One request at a server: when it was sent, by which router, and with which parts. */
+  record Arrival(long atMicros, int router, Set<String> parts) {}
+
+  final List<Arrival> arrivals = new ArrayList<>();
+  final List<Long> crashTimes = new ArrayList<>();
+  final Set<String> deadlyParts = new HashSet<>();
+  private final SplittableRandom random;
+  private final PriorityQueue<Timed> agenda =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Timed::atMicros).thenComparingLong(Timed::order));
+  private final List<Router> routers = new ArrayList<>();
+  private final Map<String, ServerEntry> listed = new LinkedHashMap<>();
+  private final Map<String, Map<Run, Boolean>> runs = new HashMap<>();
+  private final Map<Long, Set<String>> partsByRequest = new HashMap<>();
+  private final Map<Long, Long> submittedAtMicros = new HashMap<>();
+  private final Map<Long, Refusal> refusals = new HashMap<>();
+  private final Set<Long> begun = new HashSet<>();
+  private final Set<Long> completed = new HashSet<>();
+  private long nowMicros = 100 * SECOND;
+  private long order;
+  private long nextRequest = 1;
+  private int nextServer = 1;
+
+  private record Timed(long atMicros, long order, Runnable action) {}
+
+  private record Run(int router, long request, int attempt) {}
+
+  private final class Router {
+    private final int index;
+    private final ForwardCore core;
+    private boolean isConnected = true;
+
+    Router(int index) {
+      this.index = index;
+      this.core =
+          new ForwardCore(
+              new ForwardOptions(
+                  "domain-a",
+                  0.2,
+                  50,
+                  10 * SECOND,
+                  6 * SECOND,
+                  600 * SECOND,
+                  index + 1,
+                  Counters.NONE,
+                  DecisionJournal.NONE),
+              command -> carryOut(this, command));
+    }
+
+    void handle(ForwardEvent event) {
+      core.handle(event, nowMicros);
+    }
+  }
+
+  CrashingFleet(int routerCount, int serverCount, long seed) {
+    random = new SplittableRandom(seed);
+    for (int index = 0; index < serverCount; index++) {
+      list(nextServer++);
+    }
+    for (int index = 0; index < routerCount; index++) {
+      routers.add(started(index));
+    }
+    after(ForwardCore.TICK_INTERVAL_MICROS, this::tick);
+  }
+
+  long now() {
+    return nowMicros;
+  }
+
+  /** Replaces a router by one that has just started and knows only configuration and servers. */
+  void restart(int router) {
+    runs.values().forEach(open -> open.keySet().removeIf(run -> run.router() == router));
+    routers.set(router, started(router));
+  }
+
+  /** Restarts all routers at once. */
+  void restartAll() {
+    for (int router = 0; router < routers.size(); router++) {
+      restart(router);
+    }
+  }
+
+  /** Sets whether messages between a router and the others are delivered. */
+  void setConnected(int router, boolean isConnected) {
+    routers.get(router).isConnected = isConnected;
+  }
+
+  /** Sends requests without a deadly part at a mean rate until a time. */
+  void submitSoundEvery(long intervalMicros, long untilMicros) {
+    submitEvery(intervalMicros, untilMicros, List.of());
+  }
+
+  /** Sends requests that carry further parts at a mean rate until a time. */
+  void submitEvery(long intervalMicros, long untilMicros, List<String> furtherParts) {
+    long delayMicros = intervalMicros / 2 + random.nextLong(intervalMicros);
+    after(
+        delayMicros,
+        () -> {
+          if (nowMicros < untilMicros) {
+            submit("register-" + random.nextInt(REGISTERS), furtherParts);
+            submitEvery(intervalMicros, untilMicros, furtherParts);
+          }
+        });
+  }
+
+  /** Sends one request with a register and further parts to a random router. */
+  long submit(String register, List<String> furtherParts) {
+    return submit(random.nextInt(routers.size()), register, furtherParts);
+  }
+
+  /** Sends one request with a register and further parts to a router. */
+  long submit(int router, String register, List<String> furtherParts) {
+    long request = nextRequest++;
+    List<Part> parts =
+        new ArrayList<>(List.of(new Part("rules", 3_000), new Part(register, 3_000)));
+    furtherParts.forEach(part -> parts.add(new Part(part, 200)));
+    Set<String> names = new HashSet<>();
+    parts.forEach(part -> names.add(part.id()));
+    parts.add(new Part("own-" + request, 2_000));
+    PromptOutline prompt = new PromptOutline(ForwardHarness.MODEL, 8_200, 50, parts);
+    partsByRequest.put(request, names);
+    submittedAtMicros.put(request, nowMicros);
+    routers
+        .get(router)
+        .handle(
+            new ForwardEvent.Requested(
+                request,
+                new RequestHead(
+                    "request-" + request,
+                    "linen.example",
+                    "/ask/1",
+                    Optional.of(ForwardHarness.KEY),
+                    Optional.empty(),
+                    Optional.of(prompt),
+                    Optional.empty(),
+                    request)));
+    return request;
+  }
+
+  /** Crashes a share of the servers at once, for a reason that no request has caused. */
+  void crashServers(double share) {
+    List<String> names = new ArrayList<>(listed.keySet());
+    names.stream().limit((long) Math.ceil(share * names.size())).forEach(this::crash);
+  }
+
+  void runUntil(long untilMicros) {
+    while (!agenda.isEmpty() && agenda.peek().atMicros() <= untilMicros) {
+      Timed next = agenda.poll();
+      nowMicros = next.atMicros();
+      next.action().run();
+    }
+    nowMicros = untilMicros;
+  }
+
+  /** Returns the number of requests with a part that reached servers after a time. */
+  long arrivalsAfter(String part, long micros) {
+    return arrivals.stream()
+        .filter(arrival -> arrival.atMicros() > micros && arrival.parts().contains(part))
+        .count();
+  }
+
+  /** Returns the share of the requests without a deadly part sent in an interval that begun. */
+  double begunShare(long fromMicros, long untilMicros) {
+    List<Long> sound = soundRequests(fromMicros, untilMicros);
+    return (double) sound.stream().filter(begun::contains).count() / sound.size();
+  }
+
+  /** Returns how many requests without a deadly part were refused as crashing servers. */
+  long wronglyRefused() {
+    return soundRequests(0, Long.MAX_VALUE).stream()
+        .map(refusals::get)
+        .filter(refusal -> refusal != null)
+        .filter(refusal -> refusal.reason() == RefusalReason.CRASHES_UPSTREAMS)
+        .count();
+  }
+
+  Optional<Refusal> refusal(long request) {
+    return Optional.ofNullable(refusals.get(request));
+  }
+
+  boolean isCompleted(long request) {
+    return completed.contains(request);
+  }
+
+  private List<Long> soundRequests(long fromMicros, long untilMicros) {
+    return submittedAtMicros.entrySet().stream()
+        .filter(entry -> entry.getValue() >= fromMicros && entry.getValue() < untilMicros)
+        .map(Map.Entry::getKey)
+        .filter(request -> partsByRequest.get(request).stream().noneMatch(deadlyParts::contains))
+        .toList();
+  }
+
+  private Router started(int index) {
+    Router router = new Router(index);
+    router.handle(new ForwardEvent.RoutesRead(ForwardHarness.routeTable(1)));
+    router.handle(new ForwardEvent.RegistryReachable(true));
+    router.handle(new ForwardEvent.ServersRead(List.copyOf(listed.values()), true));
+    return router;
+  }
+
+  private void list(int number) {
+    ServerEntry entry = ForwardHarness.engine("engine-" + number, number, 1);
+    listed.put(entry.id(), entry);
+    runs.put(entry.id(), new LinkedHashMap<>());
+    routers.forEach(router -> router.handle(new ForwardEvent.ServersRead(List.of(entry), false)));
+  }
+
+  private void tick() {
+    routers.forEach(router -> router.handle(new ForwardEvent.Tick()));
+    after(ForwardCore.TICK_INTERVAL_MICROS, this::tick);
+  }
+
+  private void after(long delayMicros, Runnable action) {
+    agenda.add(new Timed(nowMicros + delayMicros, order++, action));
+  }
+
+  private void carryOut(Router router, ForwardCommand command) {
+    if (command instanceof ForwardCommand.Send send) {
+      after(MESSAGE_MICROS, () -> arrive(router, send));
+    } else if (command instanceof ForwardCommand.Drop drop) {
+      runs.values()
+          .forEach(open -> open.remove(new Run(router.index, drop.request(), drop.attempt())));
+    } else if (command instanceof ForwardCommand.Refuse refuse) {
+      refusals.put(refuse.request(), refuse.refusal());
+    } else if (command instanceof ForwardCommand.AnnounceCrash crash) {
+      sendToOthers(router, new ForwardEvent.CrashAnnounced(crash.contentHash(), crash.crash()));
+    }
+  }
+
+  private void sendToOthers(Router sender, ForwardEvent event) {
+    if (sender.isConnected) {
+      routers.stream()
+          .filter(router -> router != sender && router.isConnected)
+          .forEach(
+              router ->
+                  after(
+                      MESSAGE_MICROS,
+                      () -> {
+                        if (routers.contains(router)) {
+                          router.handle(event);
+                        }
+                      }));
+    }
+  }
+
+  private void arrive(Router router, ForwardCommand.Send send) {
+    String server = send.dispatch().server();
+    Run run = new Run(router.index, send.request(), send.attempt());
+    if (!listed.containsKey(server)) {
+      router.handle(new ForwardEvent.Unsent(send.request(), send.attempt(), "refused"));
+      return;
+    }
+    arrivals.add(new Arrival(nowMicros, router.index, partsByRequest.get(send.request())));
+    runs.get(server).put(run, false);
+    long outputMicros = FIRST_OUTPUT_MICROS + random.nextLong(FIRST_OUTPUT_MICROS);
+    after(outputMicros, () -> begin(router, server, run));
+  }
+
+  private void begin(Router router, String server, Run run) {
+    if (!isRunning(server, run)) {
+      return;
+    }
+    begun.add(run.request());
+    router.handle(
+        new ForwardEvent.ResponseReceived(
+            run.request(),
+            run.attempt(),
+            new ResponseHead(
+                200, false, Optional.empty(), Optional.empty(), false, Optional.empty())));
+    if (partsByRequest.get(run.request()).stream().anyMatch(deadlyParts::contains)) {
+      after(CRASH_AFTER_OUTPUT_MICROS, () -> crash(server));
+    } else {
+      after(OUTPUT_MICROS, () -> finish(router, server, run));
+    }
+  }
+
+  private void finish(Router router, String server, Run run) {
+    if (isRunning(server, run)) {
+      runs.get(server).remove(run);
+      completed.add(run.request());
+      router.handle(new ForwardEvent.Completed(run.request(), run.attempt()));
+    }
+  }
+
+  private boolean isRunning(String server, Run run) {
+    return listed.containsKey(server) && runs.get(server).containsKey(run);
+  }
+
+  private void crash(String server) {
+    if (listed.remove(server) == null) {
+      return;
+    }
+    crashTimes.add(nowMicros);
+    List<Run> broken = List.copyOf(runs.get(server).keySet());
+    runs.get(server).clear();
+    after(
+        MESSAGE_MICROS,
+        () ->
+            broken.forEach(
+                run ->
+                    routers
+                        .get(run.router())
+                        .handle(
+                            new ForwardEvent.Broken(
+                                run.request(), run.attempt(), true, "reset", Optional.empty()))));
+    after(
+        RESTART_MICROS,
+        () -> {
+          routers.forEach(router -> router.handle(new ForwardEvent.ServerRemoved(server)));
+          list(nextServer++);
+        });
+  }
+}
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -97,6 +97,10 @@
   }
 
   void publish(long version) {
+    handle(new ForwardEvent.RoutesRead(routeTable(version)));
+  }
+
+  static RouteTable routeTable(long version) {
     List<Route> routes =
         List.of(
             route("ask", "/ask/", CallKind.STREAMING, "engines", 2, true),
@@ -115,9 +119,7 @@
         List.of(
             new CallerTeam("parish", List.of(KEY), Optional.of(1), false),
             new CallerTeam("guild", List.of(ISOLATED_KEY), Optional.of(0), true));
-    handle(
-        new ForwardEvent.RoutesRead(
-            new RouteTable(version, routes, services, Optional.of(teams), CallerLimits.DEFAULT)));
+    return new RouteTable(version, routes, services, Optional.of(teams), CallerLimits.DEFAULT);
   }
 
   private static Route route(
