--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -1,7 +1,9 @@
 package org.shallothook.coordination.forward;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.CallerLimits;
 
@@ -44,8 +46,41 @@
     }
   }
 
-  /** Announce to the other routers that a request has crashed a server. */
-  record AnnounceCrash(long contentHash, String crash) implements ForwardCommand {}
+  /** Check whether a server that has broken a connection still accepts new ones. */
+  record CheckServer(String server, String address) implements ForwardCommand {}
+
+  /**
+   * Announce to the other routers that a request may have crashed a server.
+   *
+   * @param crash identifier of the crash, the same for all routers
+   */
+  record AnnounceCrash(RequestSignature signature, String crash) implements ForwardCommand {}
+
+  /** Announce to the other routers that keys of requests are not the cause of crashes. */
+  record AnnounceCleared(List<Long> keys) implements ForwardCommand {
+    public AnnounceCleared {
+      keys = List.copyOf(keys);
+    }
+  }
+
+  /**
+   * Announce to the other routers which keys are quarantined.
+   *
+   * @param untilMicros end of the quarantine of each key, on the decision clock in microseconds
+   */
+  record AnnounceQuarantines(Map<Long, Long> untilMicros) implements ForwardCommand {
+    public AnnounceQuarantines {
+      untilMicros = Map.copyOf(untilMicros);
+    }
+  }
+
+  /**
+   * Write or remove a quarantine in the store.
+   *
+   * @param untilMicros end of the quarantine, on the decision clock in microseconds; empty removes
+   *     it
+   */
+  record StoreQuarantine(long key, Optional<Long> untilMicros) implements ForwardCommand {}
 
   /**
    * Announce to the other routers that a server is shutting down.
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -14,6 +14,8 @@
 import org.shallothook.coordination.forward.PromptPlacement.Placement;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.LatencyStep;
+import org.shallothook.coordination.quarantine.CrashEvidence.Quarantine;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -82,6 +84,12 @@
   /** Multiple of the expected time after which a request counts as stuck. */
   private static final double STUCK_FACTOR = 3;
 
+  /**
+   * Time for which a server must survive the beginning of an answer, in microseconds, before a
+   * crash no longer counts against its request.
+   */
+  private static final long SURVIVAL_MICROS = 1_000_000;
+
   /** Maximum time without a response from a server with open requests, in microseconds. */
   private static final long MAX_SILENCE_MICROS = 1_200_000;
 
@@ -91,7 +99,8 @@
   private final ServerDirectory servers = new ServerDirectory();
   private final VersionEligibility eligibility;
   private final FleetRetryBudget retries;
-  private final CrashRegister crashes;
+  private final CrashDetector crashes = new CrashDetector();
+  private final CrashQuarantine quarantine;
   private final PromptPlacement promptPlacement;
   private final PrefixAnnouncements announcements;
   private final CallPlacement callPlacement;
@@ -118,7 +127,8 @@
     this.retries =
         new FleetRetryBudget(
             options.retryRatio(), options.retrySlack(), options.retryWindowMicros());
-    this.crashes = new CrashRegister(options.quarantineMicros());
+    this.quarantine =
+        new CrashQuarantine(options.quarantineMicros(), commands, journal, options.counters());
     this.promptPlacement = new PromptPlacement(options.failureDomain());
     this.announcements = new PrefixAnnouncements(commands);
     this.callPlacement = new CallPlacement(options.failureDomain(), random.split());
@@ -134,6 +144,11 @@
     return open.size();
   }
 
+  /** Returns the number of quarantines of what requests that crash servers have in common. */
+  public int quarantines() {
+    return quarantine.size();
+  }
+
   /**
    * Handles one event.
    *
@@ -153,6 +168,9 @@
     } else if (event instanceof ForwardEvent.ResponseReceived answered) {
       find(answered.request(), answered.attempt())
           .ifPresent(request -> onAnswered(request, answered.answer(), nowMicros));
+    } else if (event instanceof ForwardEvent.OutputStarted started) {
+      find(started.request(), started.attempt())
+          .ifPresent(request -> request.onOutputStarted(nowMicros));
     } else if (event instanceof ForwardEvent.Completed completed) {
       find(completed.request(), completed.attempt())
           .ifPresent(request -> onCompleted(request, nowMicros));
@@ -191,7 +209,13 @@
           .prefixLocations()
           .onAnnounced(announced.prefixHashes(), announced.server(), nowMicros);
     } else if (event instanceof ForwardEvent.CrashAnnounced announced) {
-      crashes.recordCrash(announced.contentHash(), announced.crash(), nowMicros);
+      quarantine.onCrashAnnounced(announced.crash(), announced.signature(), nowMicros);
+    } else if (event instanceof ForwardEvent.ClearedAnnounced announced) {
+      quarantine.onClearedAnnounced(announced.keys(), nowMicros);
+    } else if (event instanceof ForwardEvent.QuarantineLearned learned) {
+      quarantine.onQuarantined(learned.key(), learned.untilMicros(), learned.source(), nowMicros);
+    } else if (event instanceof ForwardEvent.ServerChecked checked) {
+      onServerChecked(checked.server(), checked.hasCrashed(), nowMicros);
     } else if (event instanceof ForwardEvent.Leaving leaving) {
       shutdownAtMicros = Optional.of(leaving.endsAtMicros());
     } else if (event instanceof ForwardEvent.RoutersCounted counted) {
@@ -240,11 +264,15 @@
           event, refusalOfUnknown(RefusalReason.UNKNOWN_KEY, "No team holds the key.", nowMicros));
       return;
     }
-    if (crashes.isQuarantined(head.contentHash(), nowMicros)) {
+    RequestSignature signature = head.signature();
+    Optional<Quarantine> refused = quarantine.check(signature, nowMicros);
+    if (refused.isPresent()) {
       refuseOnArrival(
           event,
           Refusal.notRun(
-              RefusalReason.CRASHES_UPSTREAMS, "The request has crashed several upstreams."));
+              RefusalReason.CRASHES_UPSTREAMS,
+              detailOf(refused.get()),
+              refused.get().untilMicros()));
       return;
     }
     if (shutdownAtMicros.isPresent() && !endsBeforeShutdown(event, route.get(), nowMicros)) {
@@ -256,7 +284,7 @@
               nowMicros + LEAVING_RETRY_DELAY_MICROS));
       return;
     }
-    open(event, route.get(), team, nowMicros);
+    open(event, route.get(), team, signature, nowMicros);
   }
 
   /**
@@ -287,7 +315,11 @@
   }
 
   private void open(
-      ForwardEvent.Requested event, Route route, Optional<CallerTeam> team, long nowMicros) {
+      ForwardEvent.Requested event,
+      Route route,
+      Optional<CallerTeam> team,
+      RequestSignature signature,
+      long nowMicros) {
     long routeDeadlineMicros = nowMicros + route.timeoutMicros();
     long deadlineMicros =
         Math.min(
@@ -299,6 +331,7 @@
             route,
             team,
             route.serviceFor(random.nextInt()),
+            signature,
             nowMicros,
             deadlineMicros);
     open.put(event.request(), request);
@@ -313,6 +346,17 @@
 
   /** Sends a request if a server has a free slot for it; otherwise lets it wait or refuses it. */
   private void sendOrWait(PendingRequest request, long nowMicros) {
+    Optional<Quarantine> refused =
+        quarantine.quarantinedSince(request.signature(), request.arrivedMicros());
+    if (refused.isPresent()) {
+      end(
+          request,
+          RefusalReason.CRASHES_UPSTREAMS,
+          detailOf(refused.get()),
+          refused.get().untilMicros(),
+          nowMicros);
+      return;
+    }
     List<Server> usable = servers.usable(request.service(), nowMicros);
     Optional<PromptOutline> prompt = promptOf(request);
     List<Server> eligible =
@@ -485,31 +529,12 @@
   private void onUnsent(PendingRequest request, String detail, long nowMicros) {
     Server server = request.server().orElseThrow();
     server.onFailure(nowMicros);
-    for (CrashRegister.Suspect suspect : crashes.onServerDown(server.name(), nowMicros)) {
-      announceCrash(suspect);
-    }
     onPrefillCanceled(request, server);
     request.onAttemptEnded(false);
     journal.failed(request, server, "unsent: " + detail, nowMicros);
     retryOrEnd(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
   }
 
-  private void reportUnconfirmedCrashes(long nowMicros) {
-    crashes
-        .removeExpired(nowMicros)
-        .forEach(
-            (server, requests) -> {
-              options.counters().increment("crashes.unconfirmed");
-              journal.crashUnconfirmed(server, requests);
-            });
-  }
-
-  private void announceCrash(CrashRegister.Suspect suspect) {
-    options.counters().increment("crashes.recorded");
-    commands.accept(new ForwardCommand.AnnounceCrash(suspect.contentHash(), suspect.request()));
-    journal.crashed(suspect);
-  }
-
   private void onAnswered(PendingRequest request, ResponseHead response, long nowMicros) {
     Server server = request.server().orElseThrow();
     recordVersion(request, server, response);
@@ -535,7 +560,7 @@
       breakOff(request, "the stream could not be resumed: status " + response.status(), nowMicros);
       return;
     }
-    request.onRelaying(nowMicros);
+    request.onRelaying(response.isSuccess(), nowMicros);
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
     journal.relayed(request, server, response, nowMicros);
@@ -635,7 +660,9 @@
   private void onCompleted(PendingRequest request, long nowMicros) {
     request.onAttemptEnded(true);
     open.remove(request.number());
-    crashes.onCompleted(request.head().contentHash());
+    if (request.isSuccessful()) {
+      quarantine.onSurvived(request.signature(), nowMicros);
+    }
     journal.completed(request, nowMicros);
     recordLatency(LatencyStep.WHOLE_ANSWER, request, nowMicros);
     sendWaiting(nowMicros);
@@ -645,20 +672,83 @@
     Server server = request.server().orElseThrow();
     server.onFailure(nowMicros);
     if (broken.isReset()) {
-      crashes.onConnectionBroken(
-          server.name(), request.head().contentHash(), request.head().id(), nowMicros);
+      onConnectionReset(request, server, nowMicros);
     }
     request.onLastEvent(broken.lastEvent());
     request.onAttemptEnded(true);
     journal.failed(request, server, broken.detail(), nowMicros);
+    if (crashes.isChecking(server.name()) && quarantine.hasCrashes(request.signature())) {
+      request.hold();
+      crashes.addWaiting(server.name(), request.number());
+    } else {
+      repeatOrEnd(request, broken.detail(), nowMicros);
+    }
+  }
+
+  /** Repeats or resumes a request whose connection broke, or ends it if that is not possible. */
+  private void repeatOrEnd(PendingRequest request, String detail, long nowMicros) {
     boolean mayResume = !request.hasStartedResponse() || request.route().isResumable();
     if (request.route().isRepeatable() && mayResume && tryAcquireRetry(request, nowMicros)) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
     } else if (request.hasStartedResponse()) {
-      breakOff(request, broken.detail(), nowMicros);
+      breakOff(request, detail, nowMicros);
     } else {
-      end(request, RefusalReason.CONNECTION_LOST, broken.detail(), nowMicros);
+      end(request, RefusalReason.CONNECTION_LOST, detail, nowMicros);
+    }
+  }
+
+  /** Finds out whether a server that broke a connection has crashed, and whether by the request. */
+  private void onConnectionReset(PendingRequest request, Server server, long nowMicros) {
+    boolean hasSurvived = request.outputMicros(nowMicros) >= SURVIVAL_MICROS;
+    if (hasSurvived) {
+      quarantine.onSurvived(request.signature(), nowMicros);
+    }
+    // A server that leaves ends its connections as well.
+    if (!server.isListed(nowMicros)) {
+      return;
+    }
+    String crash = server.name() + "/" + server.incarnation();
+    CrashDetector.Suspect suspect =
+        new CrashDetector.Suspect(request.head().id(), request.signature());
+    if (crashes.hasCrashed(server.name(), nowMicros)) {
+      if (!hasSurvived) {
+        recordCrash(crash, suspect, nowMicros);
+      }
+      return;
     }
+    if (crashes.onConnectionBroken(server.name(), crash, nowMicros)) {
+      commands.accept(new ForwardCommand.CheckServer(server.name(), server.entry().address()));
+    }
+    if (!hasSurvived) {
+      crashes.addSuspect(server.name(), suspect);
+    }
+  }
+
+  private void onServerChecked(String name, boolean hasCrashed, long nowMicros) {
+    CrashDetector.Result result = crashes.onChecked(name, hasCrashed, nowMicros);
+    options.counters().increment(hasCrashed ? "crashes.confirmed" : "crashes.unconfirmed");
+    journal.serverChecked(name, hasCrashed, result.suspects().size());
+    if (hasCrashed) {
+      result.suspects().forEach(suspect -> recordCrash(result.crash(), suspect, nowMicros));
+    }
+    for (long number : result.waiting()) {
+      find(number)
+          .filter(request -> request.phase() == Phase.HELD)
+          .ifPresent(
+              request -> repeatOrEnd(request, "the server closed the connection", nowMicros));
+    }
+  }
+
+  private void recordCrash(String crash, CrashDetector.Suspect suspect, long nowMicros) {
+    options.counters().increment("crashes.suspects");
+    journal.crashed(crash, suspect);
+    quarantine.onCrash(crash, suspect.signature(), nowMicros);
+  }
+
+  private static String detailOf(Quarantine quarantine) {
+    return "Servers that began an answer to a request with "
+        + Long.toHexString(quarantine.key())
+        + " have crashed.";
   }
 
   /** Drops the current attempt, so that its server stops working on it. */
@@ -671,7 +761,7 @@
   private boolean tryAcquireRetry(PendingRequest request, long nowMicros) {
     return request.hasRunsRemaining()
         && nowMicros < request.deadlineMicros()
-        && !crashes.isQuarantined(request.head().contentHash(), nowMicros)
+        && !quarantine.isSuspected(request.signature())
         && retries.tryRetry(request.service(), nowMicros);
   }
 
@@ -693,7 +783,7 @@
 
   private void onCallerGone(PendingRequest request, long nowMicros) {
     journal.callerGone(request, nowMicros);
-    if (request.phase() != Phase.WAITING) {
+    if (request.isAtServer()) {
       dropAttempt(request, true);
     }
     open.remove(request.number());
@@ -712,7 +802,8 @@
     pauseSilentServers(nowMicros);
     retryStuckRequests(nowMicros);
     servers.removeUnlisted(nowMicros);
-    reportUnconfirmedCrashes(nowMicros);
+    crashes.removeExpired(nowMicros).forEach(name -> onServerChecked(name, false, nowMicros));
+    quarantine.onTick(routers, nowMicros);
   }
 
   /** Updates the prefill backlog and the server partition of each service from the open prompts. */
@@ -744,8 +835,7 @@
   }
 
   private void onDeadline(PendingRequest request, long nowMicros) {
-    boolean wasSent = request.phase() != Phase.WAITING;
-    if (wasSent) {
+    if (request.isAtServer()) {
       dropAttempt(request, true);
     }
     if (request.hasStartedResponse()) {
@@ -856,7 +946,6 @@
   }
 
   private Optional<PendingRequest> find(long number, int attempt) {
-    return find(number)
-        .filter(request -> request.phase() != Phase.WAITING && request.attempt() == attempt);
+    return find(number).filter(request -> request.isAtServer() && request.attempt() == attempt);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.port.CoreEvent;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.route.RouteTable;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
@@ -75,12 +76,37 @@
     }
   }
 
+  /** The output of an attempt's response has begun to arrive. */
+  record OutputStarted(long request, int attempt) implements ForwardEvent {}
+
+  /**
+   * A check of a server that had broken a connection has ended.
+   *
+   * @param hasCrashed whether the server refuses connections; false if that is not known
+   */
+  record ServerChecked(String server, boolean hasCrashed) implements ForwardEvent {}
+
   /**
-   * A peer has announced that a request crashed a server.
+   * A peer has announced that a request may have crashed a server.
    *
    * @param crash identifier of the crash, the same for all routers
    */
-  record CrashAnnounced(long contentHash, String crash) implements ForwardEvent {}
+  record CrashAnnounced(RequestSignature signature, String crash) implements ForwardEvent {}
+
+  /** A peer has announced that keys of requests are not the cause of crashes. */
+  record ClearedAnnounced(List<Long> keys) implements ForwardEvent {
+    public ClearedAnnounced {
+      keys = List.copyOf(keys);
+    }
+  }
+
+  /**
+   * A peer or the store has named a key that is quarantined.
+   *
+   * @param untilMicros end of the quarantine, on the decision clock in microseconds
+   * @param source where this was learned
+   */
+  record QuarantineLearned(long key, long untilMicros, String source) implements ForwardEvent {}
 
   /** The number of routers in the fleet was counted. */
   record RoutersCounted(int routers) implements ForwardEvent {}
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -87,16 +87,40 @@
         millisSince(request.arrivedMicros(), nowMicros));
   }
 
-  void crashed(CrashRegister.Suspect suspect) {
+  void crashed(String crash, CrashDetector.Suspect suspect) {
     journal.write(
         Decision.CRASH,
         suspect.request(),
+        "crash",
+        crash,
         "content",
-        Long.toHexString(suspect.contentHash()),
+        Long.toHexString(suspect.signature().content()),
+        "keys",
+        suspect.signature().parts().stream()
+            .map(Long::toHexString)
+            .collect(Collectors.joining(" ")),
         "outcome",
         "recorded");
   }
 
+  void quarantined(long key, String source, int crashes, long durationMicros) {
+    journal.write(
+        Decision.QUARANTINE,
+        Long.toHexString(key),
+        "source",
+        source,
+        "crashes",
+        crashes,
+        "for_ms",
+        TimeUnit.MICROSECONDS.toMillis(durationMicros),
+        "outcome",
+        "started");
+  }
+
+  void quarantineLifted(long key, String why) {
+    journal.write(Decision.QUARANTINE, Long.toHexString(key), "detail", why, "outcome", "lifted");
+  }
+
   void relayed(PendingRequest request, Server server, ResponseHead response, long nowMicros) {
     journal.write(
         Decision.RELAY,
@@ -194,9 +218,15 @@
         .collect(Collectors.joining(" "));
   }
 
-  /** Logs broken connections to a server that were not followed by a refused one. */
-  void crashUnconfirmed(String server, int requests) {
-    journal.write(Decision.CRASH, server, "outcome", "unconfirmed", "requests", requests);
+  /** Logs the result of the check of a server that had broken connections. */
+  void serverChecked(String server, boolean hasCrashed, int suspects) {
+    journal.write(
+        Decision.CRASH,
+        server,
+        "outcome",
+        hasCrashed ? "confirmed" : "unconfirmed",
+        "suspects",
+        suspects);
   }
 
   void leaving(Server server, PendingRequest request) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.route.CallerTeam;
 import org.shallothook.state.route.Route;
 
@@ -16,9 +17,14 @@
 final class PendingRequest {
   /** Phase of a request. */
   enum Phase {
+    /** Waits for a server with a free slot. */
     WAITING,
+    /** At a server that has not responded yet. */
     SENT,
-    RELAYING;
+    /** At a server whose response is being relayed. */
+    RELAYING,
+    /** Waits until it is known whether the server that broke its connection has crashed. */
+    HELD;
 
     /** Returns the name used in log lines. */
     String code() {
@@ -36,6 +42,7 @@
   private final Route route;
   private final Optional<CallerTeam> team;
   private final String service;
+  private final RequestSignature signature;
   private final long arrivedMicros;
   private final long deadlineMicros;
   private final Set<String> triedServers = new HashSet<>();
@@ -46,6 +53,8 @@
   private boolean mayHaveRun;
   private long sentMicros;
   private Optional<Long> respondedMicros = Optional.empty();
+  private Optional<Long> outputStartedMicros = Optional.empty();
+  private boolean isSuccessful;
   private long waitUntilMicros;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
@@ -59,6 +68,7 @@
       Route route,
       Optional<CallerTeam> team,
       String service,
+      RequestSignature signature,
       long arrivedMicros,
       long deadlineMicros) {
     this.number = number;
@@ -66,6 +76,7 @@
     this.route = route;
     this.team = team;
     this.service = service;
+    this.signature = signature;
     this.arrivedMicros = arrivedMicros;
     this.deadlineMicros = deadlineMicros;
     this.lastEvent = head.resumesAfter();
@@ -99,10 +110,25 @@
     return deadlineMicros;
   }
 
+  /** Returns what this request has in common with others that may crash servers. */
+  RequestSignature signature() {
+    return signature;
+  }
+
   Phase phase() {
     return phase;
   }
 
+  /** Returns whether an attempt of the request is open at a server. */
+  boolean isAtServer() {
+    return phase == Phase.SENT || phase == Phase.RELAYING;
+  }
+
+  /** Lets the request wait until it is known whether its last server has crashed. */
+  void hold() {
+    phase = Phase.HELD;
+  }
+
   Optional<Server> server() {
     return server;
   }
@@ -200,6 +226,7 @@
     phase = Phase.SENT;
     sentMicros = nowMicros;
     respondedMicros = Optional.empty();
+    outputStartedMicros = Optional.empty();
     target.onOpened(nowMicros);
   }
 
@@ -212,12 +239,27 @@
     phase = Phase.WAITING;
   }
 
-  void onRelaying(long nowMicros) {
+  void onRelaying(boolean isSuccess, long nowMicros) {
     respondedMicros = Optional.of(nowMicros);
+    isSuccessful = isSuccess;
     phase = Phase.RELAYING;
     hasStartedResponse = true;
   }
 
+  void onOutputStarted(long nowMicros) {
+    outputStartedMicros = Optional.of(nowMicros);
+  }
+
+  /** Returns for how long the response of the current attempt has had output, in microseconds. */
+  long outputMicros(long nowMicros) {
+    return outputStartedMicros.map(at -> nowMicros - at).orElse(0L);
+  }
+
+  /** Returns whether the response being relayed is a success. */
+  boolean isSuccessful() {
+    return isSuccessful;
+  }
+
   void onLastEvent(Optional<Long> event) {
     lastEvent = event.or(() -> lastEvent);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/RequestHead.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/RequestHead.java
@@ -1,7 +1,10 @@
 package org.shallothook.coordination.forward;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.shallothook.coordination.placement.RendezvousHash;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.route.PromptOutline;
 
 /**
@@ -32,4 +35,22 @@
     Objects.requireNonNull(host, "host");
     Objects.requireNonNull(target, "target");
   }
+
+  /**
+   * Returns what the request has in common with others that may crash servers: all parts of its
+   * prompt but the last, which belongs to the request or its session.
+   */
+  RequestSignature signature() {
+    return new RequestSignature(
+        contentHash, prompt.map(RequestHead::sharedParts).orElse(List.of()));
+  }
+
+  private static List<Long> sharedParts(PromptOutline prompt) {
+    long model = RendezvousHash.hashOf(prompt.model());
+    return prompt.parts().stream()
+        .limit(prompt.parts().size() - 1L)
+        .map(part -> RendezvousHash.combine(model, RendezvousHash.hashOf(part.id())))
+        .distinct()
+        .toList();
+  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ResponseHead.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ResponseHead.java
@@ -21,6 +21,8 @@
     Optional<Long> weightVersion,
     boolean isLeaving,
     Optional<Long> closedMicros) {
+  private static final int FIRST_SUCCESS = 200;
+  private static final int FIRST_REDIRECTION = 300;
   private static final int MISDIRECTED = 421;
   private static final int FIRST_SERVER_ERROR = 500;
 
@@ -29,6 +31,11 @@
     return status == MISDIRECTED;
   }
 
+  /** Returns whether the server has run the request with success. */
+  boolean isSuccess() {
+    return status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
+  }
+
   /** Returns whether the server failed while running the request. */
   public boolean isServerError() {
     return !isNotRun && status >= FIRST_SERVER_ERROR;
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -129,7 +129,8 @@
         && !isKnownNotReady;
   }
 
-  private boolean isListed(long nowMicros) {
+  /** Returns whether the server is in the registry and not leaving. */
+  boolean isListed(long nowMicros) {
     return !entry.isLeaving() && nowMicros < removedAtMicros;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -297,12 +297,44 @@
   }
 
   /**
-   * Announces that a request was running on an upstream when it crashed.
+   * Announces that a request was running on an upstream when it crashed, and may be the cause.
    *
    * @param content hash of the request's content
+   * @param parts hashes of the parts of its prompt that other requests may have
    * @param crash identifier of the crash; the same in every announcement of it
    */
-  record CrashSeen(long content, String crash) implements PeerMessage {}
+  record CrashSeen(long content, List<Long> parts, String crash) implements PeerMessage {
+    public CrashSeen {
+      parts = List.copyOf(parts);
+    }
+  }
+
+  /**
+   * Announces that contents or parts of requests are not the cause of crashes.
+   *
+   * @param keys hashes of the contents and parts
+   */
+  record CrashCleared(List<Long> keys) implements PeerMessage {
+    public CrashCleared {
+      keys = List.copyOf(keys);
+    }
+  }
+
+  /** Announces which contents or parts of requests are quarantined. */
+  record Quarantines(List<QuarantinedKey> quarantined) implements PeerMessage {
+    public Quarantines {
+      quarantined = List.copyOf(quarantined);
+    }
+  }
+
+  /**
+   * A content or part of requests that is quarantined.
+   *
+   * @param key hash of the content or part
+   * @param remainingMicros time to the end of the quarantine, in microseconds; not the end itself,
+   *     since the clocks of processes may differ by more than a quarantine lasts
+   */
+  record QuarantinedKey(long key, long remainingMicros) {}
 
   /**
    * Asks the owner of a partition for the exclusive right to make a call, or for the state of an
--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -38,6 +38,8 @@
   ORDER(Weight.NOTABLE),
   /** A request has crashed a server. */
   CRASH(Weight.NOTABLE),
+  /** What requests that crash servers have in common was quarantined, or is no longer. */
+  QUARANTINE(Weight.NOTABLE),
   /** A dependency became unavailable or available again. */
   DEPENDENCY(Weight.NOTABLE),
   /** The process starts, stops or applies new settings. */
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -0,0 +1,359 @@
+package org.shallothook.coordination.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Finds what requests that crash servers have in common, and quarantines it.
+ *
+ * <p>A key is the hash of a request's content or of a part of its prompt. A crash counts against
+ * the keys of all requests that may have caused it. An answer that its server survived clears the
+ * keys of its request: their crashes so far had another cause. A key is quarantined after several
+ * crashes since it was last cleared, unless another key accounts for all of them and more.
+ *
+ * <pre>{@code
+ * evidence.onCrash(crash, signature, true, nowMicros);
+ * List<Quarantine> quarantined = evidence.decide(nowMicros);
+ * Optional<Quarantine> refused = evidence.check(signature, nowMicros);
+ * }</pre>
+ *
+ * <p>Invariants: each crash counts once against a key, and crashes at the same moment count as one,
+ * since they have a common cause. At most {@link #MAXIMUM_SUSPICIONS} keys with crashes and {@link
+ * #MAXIMUM_CLEARED} cleared keys are kept; the oldest are evicted first. Not thread-safe.
+ */
+public final class CrashEvidence {
+  /** Maximum number of keys with crashes. */
+  static final int MAXIMUM_SUSPICIONS = 4_096;
+
+  /** Maximum number of cleared keys. */
+  static final int MAXIMUM_CLEARED = 8_192;
+
+  /** Crashes from which on requests with a key are not repeated by the system itself. */
+  private static final int SUSPECTED_CRASHES = 2;
+
+  /** Crashes after which a key is quarantined. */
+  private static final int QUARANTINE_CRASHES = 3;
+
+  /**
+   * Crashes after which a key is quarantined that was cleared recently: it has worked before, so
+   * more is needed to blame it.
+   */
+  private static final int CLEARED_QUARANTINE_CRASHES = 5;
+
+  /** Time within which crashes count as one, in microseconds. */
+  private static final long COMMON_CAUSE_MICROS = 200_000;
+
+  /** Time for which a cleared key counts as having worked recently, in microseconds. */
+  private static final long CLEARED_VALID_MICROS = 60_000_000;
+
+  /** Crashes kept for a key; more do not change a decision. */
+  private static final int MAXIMUM_CRASHES = 16;
+
+  /** Number of latest crashes whose times are kept. */
+  private static final int MAXIMUM_CRASH_TIMES = 512;
+
+  /**
+   * Time between two trials of a key that another quarantined key may account for, in microseconds.
+   */
+  private static final long TRIAL_INTERVAL_MICROS = 1_000_000;
+
+  private final long quarantineMicros;
+  private final Map<Long, Suspicion> suspicions = new LinkedHashMap<>();
+  private final Map<Long, Long> clearedAtMicros = new LinkedHashMap<>();
+  private final Map<String, Long> crashedAtMicros = new LinkedHashMap<>();
+  private final Set<Long> undecided = new HashSet<>();
+
+  /**
+   * A key whose requests are refused.
+   *
+   * @param key the key
+   * @param sinceMicros when this process learned of the quarantine, in microseconds
+   * @param untilMicros when it ends, in microseconds
+   * @param crashes number of known crashes
+   * @param isOwn whether this process itself has sent a request with the key to a server that
+   *     crashed
+   */
+  public record Quarantine(
+      long key, long sinceMicros, long untilMicros, int crashes, boolean isOwn) {}
+
+  /**
+   * Keys that no longer count as a cause of crashes.
+   *
+   * @param suspected keys that crashes had counted against
+   * @param quarantined those of them that were quarantined
+   */
+  public record Cleared(List<Long> suspected, List<Long> quarantined) {}
+
+  private static final class Suspicion {
+    private final Map<String, Long> crashes = new LinkedHashMap<>();
+    private Optional<Quarantine> quarantine = Optional.empty();
+    private boolean isOnProbation;
+    private boolean isOwn;
+    private long nextTrialMicros;
+    private long expiresAtMicros;
+
+    private Set<String> crashNames() {
+      return crashes.keySet();
+    }
+
+    /** Returns whether all crashes of another suspicion count against this one as well. */
+    private boolean covers(Suspicion other) {
+      return crashNames().containsAll(other.crashNames());
+    }
+
+    /** Returns the number of crashes, those at the same moment counted as one. */
+    private int independentCrashes() {
+      int count = 0;
+      long countedUntilMicros = Long.MIN_VALUE;
+      for (long atMicros : crashes.values().stream().sorted().toList()) {
+        if (atMicros >= countedUntilMicros) {
+          count++;
+          countedUntilMicros = atMicros + COMMON_CAUSE_MICROS;
+        }
+      }
+      return count;
+    }
+  }
+
+  /**
+   * Creates an empty collection of evidence.
+   *
+   * @param quarantineMicros duration of a quarantine, and time for which crashes are remembered, in
+   *     microseconds
+   */
+  public CrashEvidence(long quarantineMicros) {
+    this.quarantineMicros = quarantineMicros;
+  }
+
+  /**
+   * Counts a crash against a request that may have caused it.
+   *
+   * @param crash identifier of the crash, the same for all requests and all routers
+   * @param isOwn whether this process has sent the request itself
+   */
+  public void onCrash(String crash, RequestSignature signature, boolean isOwn, long nowMicros) {
+    long atMicros = crashedAtMicros.computeIfAbsent(crash, name -> nowMicros);
+    removeEldest(crashedAtMicros, MAXIMUM_CRASH_TIMES);
+    for (long key : signature.keys()) {
+      Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
+      suspicion.crashes.putIfAbsent(crash, atMicros);
+      removeEldest(suspicion.crashes, MAXIMUM_CRASHES);
+      suspicion.expiresAtMicros = nowMicros + quarantineMicros;
+      suspicion.isOwn |= isOwn;
+      undecided.add(key);
+    }
+    removeEldest(suspicions, MAXIMUM_SUSPICIONS);
+  }
+
+  /** Clears a request whose answer its server has survived. */
+  public Cleared onSurvived(RequestSignature signature, long nowMicros) {
+    signature.parts().forEach(part -> recordCleared(part, nowMicros));
+    return removeSuspicions(signature.keys());
+  }
+
+  /** Clears keys that another process has cleared. */
+  public Cleared onCleared(Collection<Long> keys, long nowMicros) {
+    keys.forEach(key -> recordCleared(key, nowMicros));
+    return removeSuspicions(keys);
+  }
+
+  /**
+   * Adopts a quarantine that another process has decided on.
+   *
+   * @return whether it is adopted and was not known; a key that was cleared recently is not
+   *     quarantined
+   */
+  public boolean onQuarantined(long key, long untilMicros, long nowMicros) {
+    if (untilMicros <= nowMicros || isClearedRecently(key, nowMicros)) {
+      return false;
+    }
+    Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
+    if (suspicion.quarantine.isPresent()) {
+      return false;
+    }
+    quarantine(key, suspicion, Math.min(untilMicros, nowMicros + quarantineMicros), nowMicros);
+    removeEldest(suspicions, MAXIMUM_SUSPICIONS);
+    return true;
+  }
+
+  /** Returns whether a key was cleared recently. */
+  public boolean isClearedRecently(long key, long nowMicros) {
+    Long clearedAt = clearedAtMicros.get(key);
+    return clearedAt != null && nowMicros - clearedAt < CLEARED_VALID_MICROS;
+  }
+
+  /** Returns whether crashes count against any key of a request. */
+  public boolean hasCrashes(RequestSignature signature) {
+    return signature.keys().stream().anyMatch(suspicions::containsKey);
+  }
+
+  /** Returns whether a request is so likely to crash its server that it should not be repeated. */
+  public boolean isSuspected(RequestSignature signature) {
+    return signature.keys().stream()
+        .map(suspicions::get)
+        .anyMatch(
+            suspicion ->
+                suspicion != null
+                    && (suspicion.quarantine.isPresent()
+                        || suspicion.independentCrashes() >= SUSPECTED_CRASHES));
+  }
+
+  /**
+   * Returns the quarantine for which a request must be refused.
+   *
+   * <p>If another quarantined key, which the request does not have, accounts for the same crashes,
+   * single requests are let through: their end shows which of the two is the cause.
+   */
+  public Optional<Quarantine> check(RequestSignature signature, long nowMicros) {
+    List<Long> keys = signature.keys();
+    for (long key : keys) {
+      Suspicion suspicion = suspicions.get(key);
+      boolean isRefused =
+          suspicion != null
+              && suspicion.quarantine.isPresent()
+              && !isTrial(suspicion, keys, nowMicros);
+      if (isRefused) {
+        return suspicion.quarantine;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the quarantine that began after an open request had arrived, if any. */
+  public Optional<Quarantine> quarantinedSince(RequestSignature signature, long arrivedMicros) {
+    return signature.keys().stream()
+        .map(suspicions::get)
+        .filter(suspicion -> suspicion != null)
+        .flatMap(suspicion -> suspicion.quarantine.stream())
+        .filter(quarantine -> quarantine.sinceMicros() > arrivedMicros)
+        .findFirst();
+  }
+
+  /** Quarantines the keys that the crashes since the last call decide on, and returns them. */
+  public List<Quarantine> decide(long nowMicros) {
+    List<Quarantine> decided = new ArrayList<>();
+    for (long key : undecided) {
+      Suspicion suspicion = suspicions.get(key);
+      if (suspicion != null
+          && suspicion.quarantine.isEmpty()
+          && suspicion.independentCrashes() >= requiredCrashes(key, suspicion, nowMicros)
+          && !isExplained(suspicion, suspicions.values())) {
+        decided.add(quarantine(key, suspicion, nowMicros + quarantineMicros, nowMicros));
+      }
+    }
+    undecided.clear();
+    return decided;
+  }
+
+  /** Lifts the quarantines of keys whose crashes another quarantined key explains. */
+  public Cleared liftExplained(long nowMicros) {
+    List<Suspicion> quarantined =
+        suspicions.values().stream().filter(one -> one.quarantine.isPresent()).toList();
+    List<Long> explained =
+        quarantined.stream()
+            .filter(one -> !one.crashes.isEmpty() && isExplained(one, quarantined))
+            .map(one -> one.quarantine.orElseThrow().key())
+            .toList();
+    return onCleared(explained, nowMicros);
+  }
+
+  /** Returns all quarantines in force. */
+  public List<Quarantine> quarantines() {
+    return suspicions.values().stream()
+        .flatMap(suspicion -> suspicion.quarantine.stream())
+        .toList();
+  }
+
+  /**
+   * Ends quarantines and removes crashes that have expired. A key whose quarantine has ended is on
+   * probation: its next crash quarantines it again.
+   *
+   * @return keys whose quarantine has ended
+   */
+  public List<Long> removeExpired(long nowMicros) {
+    suspicions
+        .values()
+        .removeIf(one -> one.quarantine.isEmpty() && nowMicros >= one.expiresAtMicros);
+    List<Long> ended = new ArrayList<>();
+    for (Suspicion suspicion : suspicions.values()) {
+      if (suspicion.quarantine.filter(one -> nowMicros >= one.untilMicros()).isPresent()) {
+        ended.add(suspicion.quarantine.get().key());
+        suspicion.quarantine = Optional.empty();
+        suspicion.crashes.clear();
+        suspicion.isOnProbation = true;
+        suspicion.expiresAtMicros = nowMicros + quarantineMicros;
+      }
+    }
+    return ended;
+  }
+
+  private boolean isTrial(Suspicion suspicion, List<Long> keys, long nowMicros) {
+    boolean hasOtherCause =
+        !suspicion.crashes.isEmpty()
+            && suspicions.values().stream()
+                .filter(other -> other.quarantine.isPresent())
+                .filter(other -> !keys.contains(other.quarantine.get().key()))
+                .anyMatch(other -> other.covers(suspicion));
+    if (!hasOtherCause || nowMicros < suspicion.nextTrialMicros) {
+      return false;
+    }
+    suspicion.nextTrialMicros = nowMicros + TRIAL_INTERVAL_MICROS;
+    return true;
+  }
+
+  private int requiredCrashes(long key, Suspicion suspicion, long nowMicros) {
+    if (suspicion.isOnProbation) {
+      return 1;
+    }
+    return isClearedRecently(key, nowMicros) ? CLEARED_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
+  }
+
+  private static boolean isExplained(Suspicion suspicion, Collection<Suspicion> others) {
+    return others.stream()
+        .anyMatch(
+            other -> other.crashes.size() > suspicion.crashes.size() && other.covers(suspicion));
+  }
+
+  private static Quarantine quarantine(
+      long key, Suspicion suspicion, long untilMicros, long nowMicros) {
+    Quarantine quarantine =
+        new Quarantine(key, nowMicros, untilMicros, suspicion.crashes.size(), suspicion.isOwn);
+    suspicion.quarantine = Optional.of(quarantine);
+    return quarantine;
+  }
+
+  private void recordCleared(long key, long nowMicros) {
+    clearedAtMicros.remove(key);
+    clearedAtMicros.put(key, nowMicros);
+    removeEldest(clearedAtMicros, MAXIMUM_CLEARED);
+  }
+
+  private Cleared removeSuspicions(Collection<Long> keys) {
+    List<Long> suspected = new ArrayList<>();
+    List<Long> quarantined = new ArrayList<>();
+    for (long key : keys) {
+      Suspicion removed = suspicions.remove(key);
+      if (removed != null) {
+        suspected.add(key);
+        removed.quarantine.ifPresent(quarantine -> quarantined.add(key));
+      }
+    }
+    if (!suspected.isEmpty()) {
+      // A key that these had explained may now account for its crashes.
+      undecided.addAll(suspicions.keySet());
+    }
+    return new Cleared(suspected, quarantined);
+  }
+
+  private static void removeEldest(Map<?, ?> entries, int maximumSize) {
+    if (entries.size() > maximumSize) {
+      entries.remove(entries.keySet().iterator().next());
+    }
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCommand.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.registry;
 
 import java.util.List;
+import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.membership.Instance;
 
@@ -21,6 +22,10 @@
   /** Write the membership record of this process, with the address where it listens. */
   record PutMember(Instance self) implements RegistryCommand {}
 
+  /** Write the value of a key to a stream, or remove the key if there is no value. */
+  record Put(RegistryStream stream, String key, Optional<String> value)
+      implements RegistryCommand {}
+
   /** Send a message to a peer. */
   record SendToPeer(String peer, PeerMessage message, long configurationOffset)
       implements RegistryCommand {}
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -36,6 +37,12 @@
   /** Time between two attempts to write the membership record of this process. */
   private static final long MEMBER_PUT_INTERVAL_MICROS = 1_000_000;
 
+  /** Time between two attempts to write another record. */
+  private static final long PUT_INTERVAL_MICROS = 3_000_000;
+
+  /** Maximum number of records that wait to be written; the oldest is given up first. */
+  private static final int MAXIMUM_PENDING_PUTS = 256;
+
   /** Time without messages to an unreachable peer; doubled for each further failure. */
   private static final long INITIAL_PEER_PAUSE_MICROS = 500_000;
 
@@ -50,12 +57,18 @@
   private final SplittableRandom random;
   private final Map<RegistryStream, KeyedFollower> followers = new EnumMap<>(RegistryStream.class);
   private final Map<String, Peer> peers = new TreeMap<>();
+  private final Map<StreamKey, PendingPut> pendingPuts = new LinkedHashMap<>();
   private boolean isStoreReachable;
   private boolean isMemberWritten;
   private boolean isMemberPutOutstanding;
   private long nextMemberPutMicros;
   private long nextRequestMicros;
 
+  private record StreamKey(RegistryStream stream, String key) {}
+
+  /** A write that is not known to be done; {@code nextAtMicros} is when it is tried next. */
+  private record PendingPut(Optional<String> value, long nextAtMicros) {}
+
   private static final class Peer {
     private Optional<Instance> instance = Optional.empty();
     private InstanceRole role = InstanceRole.ROUTER;
@@ -104,6 +117,21 @@
     readDue(nowMicros);
   }
 
+  /**
+   * Writes the value of a key, and tries again until that has succeeded or the key is written anew.
+   *
+   * @param value value to write; empty removes the key
+   */
+  public void put(RegistryStream stream, String key, Optional<String> value, long nowMicros) {
+    StreamKey streamKey = new StreamKey(stream, key);
+    pendingPuts.remove(streamKey);
+    pendingPuts.put(streamKey, new PendingPut(value, nowMicros));
+    if (pendingPuts.size() > MAXIMUM_PENDING_PUTS) {
+      pendingPuts.remove(pendingPuts.keySet().iterator().next());
+    }
+    putDue(nowMicros);
+  }
+
   /** Handles one event. */
   public void handle(RegistryEvent event, long nowMicros) {
     if (event instanceof RegistryEvent.PageRead read) {
@@ -116,6 +144,10 @@
       isMemberPutOutstanding = false;
       isMemberWritten |= put.isSuccessful();
       nextMemberPutMicros = nowMicros + MEMBER_PUT_INTERVAL_MICROS;
+    } else if (event instanceof RegistryEvent.PutEnded put) {
+      if (put.isSuccessful()) {
+        pendingPuts.remove(new StreamKey(put.stream(), put.key()));
+      }
     } else if (event instanceof RegistryEvent.PeerMessageReceived received) {
       onEnvelope(received.envelope(), nowMicros);
     } else if (event instanceof RegistryEvent.PeerUnreachable unreachable) {
@@ -135,6 +167,7 @@
       nextRequestMicros = nowMicros + REQUEST_INTERVAL_MICROS;
       requestFromRandomPeers(nowMicros);
     }
+    putDue(nowMicros);
     readDue(nowMicros);
   }
 
@@ -285,6 +318,17 @@
     }
   }
 
+  private void putDue(long nowMicros) {
+    pendingPuts.replaceAll(
+        (target, put) -> {
+          if (nowMicros < put.nextAtMicros()) {
+            return put;
+          }
+          commands.accept(new RegistryCommand.Put(target.stream(), target.key(), put.value()));
+          return new PendingPut(put.value(), nowMicros + PUT_INTERVAL_MICROS);
+        });
+  }
+
   private void readDue(long nowMicros) {
     followers.values().forEach(follower -> follower.nextRead(nowMicros).ifPresent(commands));
   }
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
@@ -22,6 +22,10 @@
   /** A write of the membership record of this process has ended. */
   record MemberPut(boolean isSuccessful) implements RegistryEvent {}
 
+  /** A write of a key has ended. */
+  record PutEnded(RegistryStream stream, String key, boolean isSuccessful)
+      implements RegistryEvent {}
+
   /** A peer has sent a message. */
   record PeerMessageReceived(Envelope envelope) implements RegistryEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryStream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryStream.java
@@ -12,6 +12,8 @@
   SERVERS("servers"),
   /** Membership records of the processes of this system, with their addresses. */
   MEMBERS("keyed.shallothook-members"),
+  /** What requests that crash servers have in common, with the end of its quarantine. */
+  QUARANTINES("keyed.shallothook-quarantines"),
   /** Fencing tokens of server owners; only the offsets of the records are used. */
   FENCES("shallothook-fences");
 
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -157,6 +157,22 @@
     core.handle(event, nowMicros);
   }
 
+  /** Lists a server again with the entry that it has after its n-th restart. */
+  void restart(String server, int restart) {
+    ServerEntry known = server.startsWith("engine") ? engine(server, 1, 1) : service(server, 1);
+    ServerEntry entry =
+        new ServerEntry(
+            known.id(),
+            known.service(),
+            known.address(),
+            known.failureDomain(),
+            known.slots(),
+            false,
+            known.versions(),
+            known.startedAtMillis() + 1 + restart);
+    handle(new ForwardEvent.ServersRead(List.of(entry), false));
+  }
+
   void setDesiredVersion(long version) {
     handle(new ForwardEvent.DesiredVersionChanged(new WeightVersion(MODEL, version)));
   }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -12,6 +12,7 @@
 import org.shallothook.protocol.generated.HelloFrame;
 import org.shallothook.protocol.generated.OfferFrame;
 import org.shallothook.protocol.generated.OfferReplyFrame;
+import org.shallothook.protocol.generated.QuarantinedKeyFrame;
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
 import org.shallothook.protocol.generated.TokensFrame;
@@ -79,7 +80,17 @@
       case CRASH_SEEN ->
           Optional.of(
               new PeerMessage.CrashSeen(
-                  frame.getCrashSeen().getContent(), frame.getCrashSeen().getCrash()));
+                  frame.getCrashSeen().getContent(),
+                  frame.getCrashSeen().getPartsList(),
+                  frame.getCrashSeen().getCrash()));
+      case CRASH_CLEARED ->
+          Optional.of(new PeerMessage.CrashCleared(frame.getCrashCleared().getKeysList()));
+      case QUARANTINES ->
+          Optional.of(
+              new PeerMessage.Quarantines(
+                  frame.getQuarantines().getQuarantinedList().stream()
+                      .map(MessageDecoder::quarantinedKey)
+                      .toList()));
       case CLAIM_REQUEST -> Optional.of(ClaimMapping.request(frame.getClaimRequest()));
       case CLAIM_ANSWER -> Optional.of(ClaimMapping.answer(frame.getClaimAnswer()));
       case CLAIM_ENDED -> Optional.of(ClaimMapping.ended(frame.getClaimEnded()));
@@ -89,6 +100,13 @@
     };
   }
 
+  private static PeerMessage.QuarantinedKey quarantinedKey(QuarantinedKeyFrame frame) {
+    return new PeerMessage.QuarantinedKey(
+        frame.getKey(),
+        FieldMapping.requireNonNegative(
+            "quarantines.remaining_micros", frame.getRemainingMicros()));
+  }
+
   private static PeerMessage hello(HelloFrame frame) {
     return new PeerMessage.Hello(
         FieldMapping.toEnumConstant(InstanceRole.class, "hello.role", frame.getRole()),
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -10,6 +10,7 @@
 import org.shallothook.protocol.generated.ConfigurationRecordsFrame;
 import org.shallothook.protocol.generated.ConfigurationRequestFrame;
 import org.shallothook.protocol.generated.ConsumedFrame;
+import org.shallothook.protocol.generated.CrashClearedFrame;
 import org.shallothook.protocol.generated.CrashSeenFrame;
 import org.shallothook.protocol.generated.EndedFrame;
 import org.shallothook.protocol.generated.EnvelopeFrame;
@@ -19,6 +20,8 @@
 import org.shallothook.protocol.generated.OfferReplyFrame;
 import org.shallothook.protocol.generated.OpeningsHeldFrame;
 import org.shallothook.protocol.generated.QuarantineFrame;
+import org.shallothook.protocol.generated.QuarantinedKeyFrame;
+import org.shallothook.protocol.generated.QuarantinesFrame;
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
 import org.shallothook.protocol.generated.TokensFrame;
@@ -80,12 +83,30 @@
               .addAllOpenings(held.openings()));
     } else if (message instanceof PeerMessage.CrashSeen seen) {
       frame.setCrashSeen(
-          CrashSeenFrame.newBuilder().setContent(seen.content()).setCrash(seen.crash()));
+          CrashSeenFrame.newBuilder()
+              .setContent(seen.content())
+              .addAllParts(seen.parts())
+              .setCrash(seen.crash()));
+    } else if (message instanceof PeerMessage.CrashCleared cleared) {
+      frame.setCrashCleared(CrashClearedFrame.newBuilder().addAllKeys(cleared.keys()));
+    } else if (message instanceof PeerMessage.Quarantines quarantines) {
+      frame.setQuarantines(quarantines(quarantines));
     } else if (!ClaimMapping.encode(message, frame)) {
       throw new IllegalArgumentException("No frame is defined for " + message.getClass().getName());
     }
   }
 
+  private static QuarantinesFrame.Builder quarantines(PeerMessage.Quarantines quarantines) {
+    QuarantinesFrame.Builder frame = QuarantinesFrame.newBuilder();
+    for (PeerMessage.QuarantinedKey quarantined : quarantines.quarantined()) {
+      frame.addQuarantined(
+          QuarantinedKeyFrame.newBuilder()
+              .setKey(quarantined.key())
+              .setRemainingMicros(quarantined.remainingMicros()));
+    }
+    return frame;
+  }
+
   private static OfferFrame.Builder offer(PeerMessage.Offer offer) {
     OfferFrame.Builder frame = OfferFrame.newBuilder();
     if (FieldMapping.areAbbreviated(offer.keys())) {
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.CoreEvent;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.coordination.registry.PollingPolicy;
 import org.shallothook.coordination.registry.RegistryCore;
 import org.shallothook.coordination.registry.RegistryEvent;
@@ -76,8 +78,8 @@
    */
   private static final double VERSION_FRACTION = 0.8;
 
-  /** Time for which a request that crashes servers is refused, in microseconds. */
-  private static final long QUARANTINE_MICROS = 60_000_000;
+  /** Time for which requests that crash servers are refused, in microseconds. */
+  private static final long QUARANTINE_MICROS = 600_000_000;
 
   /** Time reserved for closing sockets before the process is killed, in microseconds. */
   private static final long CLOSE_MARGIN_MICROS = 700_000;
@@ -129,6 +131,7 @@
         new AdminServer(
             node.loop(), node.metrics().registry(), () -> isLeaving.get() || !isReady.get());
     node.metrics().gauge("requests.open", core::openRequests);
+    node.metrics().gauge("quarantine.active", core::quarantines);
     stop = new GracefulStop(this::drain, node::close);
   }
 
@@ -148,6 +151,7 @@
       case OPERATOR -> changes.forEach(record -> readOperator(record, nowMicros));
       case SERVERS -> readServers(changes, isFirstWhole, nowMicros);
       case MEMBERS -> readMembers(changes, nowMicros);
+      case QUARANTINES -> changes.forEach(record -> readQuarantine(record, nowMicros));
       case FENCES -> throw new IllegalArgumentException("Routers do not follow " + stream);
     }
     isReady.set(core.isReady());
@@ -167,7 +171,17 @@
     } else if (envelope.message() instanceof PeerMessage.OpeningsHeld held) {
       core.handle(new ForwardEvent.PrefixesAnnounced(held.upstream(), held.openings()), nowMicros);
     } else if (envelope.message() instanceof PeerMessage.CrashSeen seen) {
-      core.handle(new ForwardEvent.CrashAnnounced(seen.content(), seen.crash()), nowMicros);
+      RequestSignature signature = new RequestSignature(seen.content(), seen.parts());
+      core.handle(new ForwardEvent.CrashAnnounced(signature, seen.crash()), nowMicros);
+    } else if (envelope.message() instanceof PeerMessage.CrashCleared cleared) {
+      core.handle(new ForwardEvent.ClearedAnnounced(cleared.keys()), nowMicros);
+    } else if (envelope.message() instanceof PeerMessage.Quarantines quarantines) {
+      for (PeerMessage.QuarantinedKey one : quarantines.quarantined()) {
+        long untilMicros = nowMicros + one.remainingMicros();
+        core.handle(
+            new ForwardEvent.QuarantineLearned(one.key(), untilMicros, envelope.sender()),
+            nowMicros);
+      }
     } else {
       node.metrics().increment("peers.unexpected-message");
     }
@@ -261,24 +275,67 @@
           latestMicros);
     } else if (command instanceof ForwardCommand.AnnounceCrash crash) {
       registry.sendToRouters(
-          new PeerMessage.CrashSeen(crash.contentHash(), crash.crash()), latestMicros);
+          new PeerMessage.CrashSeen(
+              crash.signature().content(), crash.signature().parts(), crash.crash()),
+          latestMicros);
+    } else if (command instanceof ForwardCommand.AnnounceCleared cleared) {
+      registry.sendToRouters(new PeerMessage.CrashCleared(cleared.keys()), latestMicros);
+    } else if (command instanceof ForwardCommand.AnnounceQuarantines quarantines) {
+      registry.sendToRouters(messageOf(quarantines), latestMicros);
+    } else if (command instanceof ForwardCommand.StoreQuarantine store) {
+      registry.put(
+          RegistryStream.QUARANTINES,
+          HexFormat.of().toHexDigits(store.key()),
+          store.untilMicros().map(this::quarantineRecord),
+          latestMicros);
     } else {
       transport.carryOut(command);
     }
   }
 
+  private PeerMessage messageOf(ForwardCommand.AnnounceQuarantines announced) {
+    return new PeerMessage.Quarantines(
+        announced.untilMicros().entrySet().stream()
+            .map(one -> new PeerMessage.QuarantinedKey(one.getKey(), one.getValue() - latestMicros))
+            .toList());
+  }
+
+  /** Returns a record with the end of a quarantine by the time of day, as other processes need. */
+  private String quarantineRecord(long untilMicros) {
+    long atMicros = Clock.nowMicros() + untilMicros - latestMicros;
+    return Long.toString(TimeUnit.MICROSECONDS.toMillis(atMicros));
+  }
+
+  private void readQuarantine(KeyedRecord record, long nowMicros) {
+    if (record.value().isEmpty()) {
+      return;
+    }
+    try {
+      long key = HexFormat.fromHexDigitsToLong(record.key());
+      long untilMillis = Long.parseLong(record.value().get());
+      long remainingMicros = TimeUnit.MILLISECONDS.toMicros(untilMillis) - Clock.nowMicros();
+      core.handle(
+          new ForwardEvent.QuarantineLearned(key, nowMicros + remainingMicros, "store"), nowMicros);
+    } catch (IllegalArgumentException e) {
+      node.logSkipped(record, String.valueOf(e.getMessage()));
+    }
+  }
+
   private Map<RegistryStream, PollingPolicy> policies() {
     long configurationMicros =
         settings.micros(HostedKeys.CONFIGURATION_MILLIS, TimeUnit.MILLISECONDS);
     long leaveMicros = settings.micros(HostedKeys.LEAVE_MILLIS, TimeUnit.MILLISECONDS);
     return Map.of(
         RegistryStream.OPERATOR,
-            new PollingPolicy((long) (OPERATOR_LONG_POLL_FRACTION * configurationMicros), 0),
+        new PollingPolicy((long) (OPERATOR_LONG_POLL_FRACTION * configurationMicros), 0),
         RegistryStream.SERVERS,
-            new PollingPolicy(
-                (long) (SERVERS_LONG_POLL_FRACTION * leaveMicros),
-                (long) (SERVERS_INTERVAL_FRACTION * leaveMicros)),
-        RegistryStream.MEMBERS, HostedNode.MEMBERS_POLICY);
+        new PollingPolicy(
+            (long) (SERVERS_LONG_POLL_FRACTION * leaveMicros),
+            (long) (SERVERS_INTERVAL_FRACTION * leaveMicros)),
+        RegistryStream.MEMBERS,
+        HostedNode.MEMBERS_POLICY,
+        RegistryStream.QUARANTINES,
+        HostedNode.MEMBERS_POLICY);
   }
 
   private ForwardOptions forwardOptions() {
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -94,7 +94,8 @@
         case SERVERS -> readServer(record, nowMicros);
         case MEMBERS ->
             node.readMember(record).ifPresent(member -> registry.onMember(member, nowMicros));
-        case FENCES -> throw new IllegalArgumentException("Sidecars do not follow " + stream);
+        case QUARANTINES, FENCES ->
+            throw new IllegalArgumentException("Sidecars do not follow " + stream);
       }
     }
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.forward.ForwardCommand;
+import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.LatencyStep;
@@ -131,6 +132,11 @@
       context.find(refuse.request()).ifPresent(exchange -> exchange.refuse(refuse.refusal()));
     } else if (command instanceof ForwardCommand.BreakOff breakOff) {
       context.find(breakOff.request()).ifPresent(exchange -> exchange.breakOff(breakOff.detail()));
+    } else if (command instanceof ForwardCommand.CheckServer check) {
+      serverConnections.check(
+          check.address(),
+          hasCrashed ->
+              context.events().deliver(new ForwardEvent.ServerChecked(check.server(), hasCrashed)));
     } else if (command instanceof ForwardCommand.Limit limit) {
       context.setLimits(limit.limits());
     }
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -57,6 +57,7 @@
   private Optional<HttpResponse> responseHead = Optional.empty();
   private Optional<EventSplitter> eventSplitter = Optional.empty();
   private boolean hasStartedResponse;
+  private boolean hasOutputStarted;
   private boolean hasEnded;
   private Optional<Long> stallMicros = Optional.empty();
   private long lastProgressMicros;
@@ -83,6 +84,7 @@
     }
     ServerAttempt next = new ServerAttempt(attemptNumber, dispatch, request, this);
     attempt = Optional.of(next);
+    hasOutputStarted = false;
     context.servers().send(next);
   }
 
@@ -266,12 +268,21 @@
       // Only complete events count as progress, so that a server cannot avoid the stall timeout by
       // sending an event that never ends.
       lastProgressMicros = context.nowMicros();
+      notifyOutputStarted();
       Channels.writeAndFlush(connection.channel(), new DefaultHttpContent(completeEvents));
     } else {
       completeEvents.release();
     }
   }
 
+  private void notifyOutputStarted() {
+    if (!hasOutputStarted) {
+      hasOutputStarted = true;
+      attempt.ifPresent(
+          open -> context.events().deliver(new ForwardEvent.OutputStarted(number, open.number())));
+    }
+  }
+
   private FullHttpResponse refusalResponse(Refusal refusal, boolean isLast) {
     FullHttpResponse response =
         RefusalResponse.of(
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -1,8 +1,10 @@
 package org.shallothook.transport.forward;
 
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -12,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.LatencyStep;
@@ -76,6 +79,29 @@
     }
   }
 
+  /**
+   * Checks whether a server still accepts connections. Only a refused connection shows that it is
+   * down; after a timeout it may as well be cut off.
+   *
+   * @param onResult receives whether the server has refused the connection
+   */
+  void check(String address, Consumer<Boolean> onResult) {
+    counters.increment("servers.checks");
+    ServerConnection connection = new ServerConnection(this, form, address);
+    connect(connection)
+        .addListener(
+            done -> {
+              if (done.isSuccess()) {
+                release(connection);
+              }
+              onResult.accept(isRefusal(done.cause()));
+            });
+  }
+
+  private static boolean isRefusal(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+  }
+
   @Override
   public void release(ServerConnection connection) {
     Deque<ServerConnection> connections =
@@ -133,12 +159,7 @@
     ServerConnection connection = new ServerConnection(this, form, address);
     ChannelFuture connecting;
     try {
-      connecting =
-          Channels.client(
-                  loop,
-                  settings.connectTimeout(),
-                  channel -> channel.pipeline().addLast(new HttpClientCodec(), connection))
-              .connect(Addresses.parse(address));
+      connecting = connect(connection);
     } catch (IllegalArgumentException e) {
       attempt.onUnsent(String.valueOf(e.getMessage()));
       return;
@@ -157,6 +178,14 @@
         });
   }
 
+  private ChannelFuture connect(ServerConnection connection) {
+    return Channels.client(
+            loop,
+            settings.connectTimeout(),
+            channel -> channel.pipeline().addLast(new HttpClientCodec(), connection))
+        .connect(Addresses.parse(connection.address()));
+  }
+
   private boolean isStillNeeded(ServerAttempt attempt) {
     boolean isNeeded = attempt.isStillNeeded();
     if (!isNeeded) {
