Do not take a repeated refusal for that of the next request

What callers would see: "not run, try again" for a request that a server has run or is running, and a booking made twice. Cause: a refusal without an identifier was attributed to whatever request the connection carried, and a request that a server had refused could go back to it over the same connection, where a late copy of the refusal bears the right identifier. Change: a refusal without an identifier counts only for the first request of a connection; on a later one it is skipped and the connection is closed after the exchange. A request does not return to a connection on which it was refused. Evidence: aRepeatedRefusalWithoutAnIdDoesNotRefuseTheNextRequest and aRefusedRequestIsNotRepeatedOnTheSameConnection failed before and pass.

--- a/transport/src/main/java/org/shallothook/transport/forward/HeaderTranslation.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/HeaderTranslation.java
@@ -44,8 +44,10 @@
   /** Parses the head of a server's response. */
   ResponseHead parseResponseHead(HttpResponse response);
 
-  /** Returns whether a response belongs to a request. */
-  boolean belongsTo(HttpResponse response, RequestHead request);
+  /**
+   * Returns the identifier of the request that a response belongs to, if the response states it.
+   */
+  Optional<String> requestIdOf(HttpResponse response);
 
   /** Returns the server's keep-alive timeout in milliseconds, if the response announces one. */
   Optional<Long> keepAliveMillis(HttpResponse response);
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -15,7 +15,9 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.shallothook.transport.Channels;
 
 /**
@@ -43,9 +45,13 @@
   /** Maximum total size of the skipped bodies of other requests' responses. */
   private static final long MAXIMUM_SKIPPED_BYTES = 1 << 20;
 
+  /** Rejections on one connection after which it is closed. */
+  private static final int MAXIMUM_REJECTED_REQUESTS = 32;
+
   private final Pool pool;
   private final HeaderTranslation form;
   private final String address;
+  private final Set<String> rejectedRequests = new HashSet<>();
   private Channel channel;
   private Optional<ServerAttempt> currentAttempt = Optional.empty();
   private Optional<Long> keepAliveMillis = Optional.empty();
@@ -55,6 +61,7 @@
   private boolean isRequestWritten;
   private boolean isPersistent;
   private boolean hasResponseHead;
+  private int sentRequests;
   private int skippedHeads;
   private long skippedBytes;
 
@@ -72,6 +79,14 @@
     return channel != null && channel.isActive();
   }
 
+  /**
+   * Returns whether the connection may carry a request. If the server has rejected it here before,
+   * a late copy of that response could not be told from the next one.
+   */
+  boolean mayCarry(OutboundRequest request) {
+    return !rejectedRequests.contains(request.parsedHead().id());
+  }
+
   /** Returns when the connection became idle, by {@link System#nanoTime}. */
   long idleSinceNanos() {
     return idleSinceNanos;
@@ -85,6 +100,7 @@
   /** Writes a request. The connection must be idle. */
   void send(ServerAttempt attempt, long nowMicros) {
     currentAttempt = Optional.of(attempt);
+    sentRequests++;
     hasResponseHead = false;
     skippedHeads = 0;
     skippedBytes = 0;
@@ -166,7 +182,7 @@
   private void onResponsePart(ServerAttempt attempt, HttpObject part) {
     if (part instanceof HttpResponse head) {
       boolean isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      boolean isForeign = !isInterim && !form.belongsTo(head, attempt.request().parsedHead());
+      boolean isForeign = !isInterim && !belongsTo(attempt, head);
       isSkipping = isInterim || isForeign;
       mustClose |= isForeign;
       skippedHeads += isSkipping ? 1 : 0;
@@ -185,8 +201,24 @@
     }
   }
 
+  /**
+   * Returns whether a response belongs to an attempt. A server may reject a request before it has
+   * read all of it, and then omit the identifier; on a connection that has carried other requests,
+   * such a rejection may be a repeated one of theirs.
+   */
+  private boolean belongsTo(ServerAttempt attempt, HttpResponse head) {
+    String id = attempt.request().parsedHead().id();
+    return form.requestIdOf(head)
+        .map(id::equals)
+        .orElseGet(() -> sentRequests == 1 && form.parseResponseHead(head).isNotRun());
+  }
+
   private void onHead(ServerAttempt attempt, HttpResponse head) {
     hasResponseHead = true;
+    if (form.parseResponseHead(head).isNotRun()) {
+      rejectedRequests.add(attempt.request().parsedHead().id());
+      mustClose |= rejectedRequests.size() > MAXIMUM_REJECTED_REQUESTS;
+    }
     isPersistent =
         HttpUtil.isKeepAlive(head)
             && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -70,7 +70,7 @@
       return;
     }
     String address = attempt.dispatch().address();
-    Optional<ServerConnection> reusable = takeIdle(address, attempt.request().hasSafeMethod());
+    Optional<ServerConnection> reusable = takeIdle(address, attempt.request());
     if (reusable.isPresent()) {
       counters.recordLatency(LatencyStep.SERVER_CONNECTION, 0);
       reusable.get().send(attempt, clockMicros.getAsLong());
@@ -122,15 +122,20 @@
   }
 
   /** Returns the most recently used connection, as its server is least likely to close it. */
-  private Optional<ServerConnection> takeIdle(String address, boolean hasSafeMethod) {
-    Deque<ServerConnection> connections = idle.get(address);
-    ServerConnection connection = connections == null ? null : connections.pollLast();
-    while (connection != null) {
-      if (connection.isActive() && isUsable(connection, hasSafeMethod)) {
+  private Optional<ServerConnection> takeIdle(String address, OutboundRequest request) {
+    Deque<ServerConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
+    Iterator<ServerConnection> newestFirst = connections.descendingIterator();
+    while (newestFirst.hasNext()) {
+      ServerConnection connection = newestFirst.next();
+      boolean isUsable = connection.isActive() && isUsable(connection, request.hasSafeMethod());
+      if (isUsable && !connection.mayCarry(request)) {
+        continue;
+      }
+      newestFirst.remove();
+      if (isUsable) {
         return Optional.of(connection);
       }
       connection.close();
-      connection = connections.pollLast();
     }
     return Optional.empty();
   }
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.forward.Dispatch;
@@ -52,6 +53,7 @@
   private final InetSocketAddress address =
       transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
   private volatile RawServer server;
+  private volatile boolean resumesOnce;
   private volatile Runnable onRequested = () -> {};
 
   @AfterEach
@@ -76,22 +78,15 @@
       Runnable before = onRequested;
       onRequested = () -> {};
       before.run();
-      Dispatch dispatch =
-          new Dispatch(
-              "server",
-              server.address(),
-              Long.MAX_VALUE,
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty(),
-              Optional.empty());
-      transport.carryOut(new ForwardCommand.Send(requested.request(), 1, dispatch));
+      transport.carryOut(
+          new ForwardCommand.Send(requested.request(), 1, dispatch(Optional.empty())));
     } else if (event instanceof ForwardEvent.ResponseReceived answered) {
       transport.carryOut(
           new ForwardCommand.Relay(answered.request(), answered.attempt(), Optional.empty()));
+    } else if (event instanceof ForwardEvent.Broken broken && resumesOnce) {
+      resumesOnce = false;
+      transport.carryOut(
+          new ForwardCommand.Send(broken.request(), 2, dispatch(broken.lastEvent())));
     } else if (event instanceof ForwardEvent.Broken broken) {
       boolean hasResponse =
           events.stream()
@@ -115,6 +110,20 @@
     return false;
   }
 
+  private Dispatch dispatch(Optional<Long> resumesAfter) {
+    return new Dispatch(
+        "server",
+        server.address(),
+        Long.MAX_VALUE,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        resumesAfter);
+  }
+
   private static String response(String id, String body) {
     return "HTTP/1.1 200 OK\r\nid: "
         + id
@@ -240,6 +249,42 @@
     assertThat(answer).endsWith("0\r\n\r\n");
   }
 
+  private static String refusal(String headers) {
+    return "HTTP/1.1 503 Busy\r\nnot-run: 1\r\n" + headers + "Content-Length: 0\r\n\r\n";
+  }
+
+  // Guards against a caller being told "not run" because of a refusal of an earlier request.
+  @Test
+  void aRepeatedRefusalWithoutAnIdDoesNotRefuseTheNextRequest() throws IOException {
+    server =
+        new RawServer(
+            request ->
+                request.contains("id: 1")
+                    ? refusal("id: 1\r\n")
+                    : refusal("") + response("2", "own"));
+    String both = exchange(post("1", "keep-alive", "a") + post("2", "close", "b"));
+    assertThat(both).startsWith("HTTP/1.1 503 ");
+    assertThat(both).endsWith("own");
+    assertThat(both.lastIndexOf("HTTP/1.1 503 ")).isEqualTo(0);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"'', 503", "'id: 1\r\n', 503", "'id: 0\r\n', 200"})
+  void aRefusalWithoutAnIdAnswersTheFirstRequestOfAConnection(String headers, int status)
+      throws IOException {
+    server = new RawServer(request -> refusal(headers) + response("1", "own"));
+    assertThat(exchange(post("1", "close", "a"))).startsWith("HTTP/1.1 " + status + " ");
+  }
+
+  // Guards against an earlier refusal of the same request being taken for that of its next attempt.
+  @Test
+  void aRefusedRequestIsNotRepeatedOnTheSameConnection() throws IOException {
+    server = new RawServer(request -> refusal("id: 1\r\n"));
+    String both = exchange(post("1", "keep-alive", "a") + post("1", "close", "a"));
+    assertThat(both).startsWith("HTTP/1.1 503 ");
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
   @Test
   void aConnectionThatClosesWithoutAResponseIsReported() throws IOException {
     server = new RawServer(request -> RawServer.CLOSE);
--- a/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -18,6 +18,7 @@
  */
 final class PlainRequestForm implements HeaderTranslation {
   static final String ID = "id";
+  static final String NOT_RUN = "not-run";
 
   @Override
   public Either<Refusal, RequestHead> read(HttpRequest request, long contentHash, long nowMicros) {
@@ -48,7 +49,7 @@
   public ResponseHead parseResponseHead(HttpResponse response) {
     return new ResponseHead(
         response.status().code(),
-        false,
+        response.headers().contains(NOT_RUN),
         Optional.empty(),
         Optional.empty(),
         false,
@@ -56,8 +57,8 @@
   }
 
   @Override
-  public boolean belongsTo(HttpResponse response, RequestHead request) {
-    return request.id().equals(response.headers().get(ID));
+  public Optional<String> requestIdOf(HttpResponse response) {
+    return Optional.ofNullable(response.headers().get(ID));
   }
 
   @Override
--- a/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
@@ -29,6 +29,9 @@
   /** Precedes the last part of a response, which is repeated until the connection is closed. */
   static final String REPEAT_FOREVER = "\1";
 
+  /** Ends a response after which the server closes the connection. */
+  static final String THEN_CLOSE = "\2";
+
   private final CountDownLatch connectionClosedByPeer = new CountDownLatch(1);
   private final Semaphore proceedPermits = new Semaphore(0);
   private final ServerSocket serverSocket;
@@ -93,7 +96,10 @@
         if (response.equals(CLOSE)) {
           return;
         }
-        write(socket, response);
+        write(socket, response.replace(THEN_CLOSE, ""));
+        if (response.endsWith(THEN_CLOSE)) {
+          return;
+        }
       }
     } catch (IOException e) {
       // The peer has closed the connection.
