Treat a response head that is cut short as a closed connection

It cannot happen here that callers get such a response: the codec reports the head as invalid and the attempt fails (502, or another server where the request may be repeated). The test covers six places where a head can end. What was wrong is the reason given to the decisions: the server seemed to have sent an invalid response, so that a crash in the middle of a head started no check of the server and no evidence was collected.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -157,7 +158,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (!(message instanceof HttpObject part) || part.decoderResult().isFailure()) {
       ReferenceCountUtil.release(message);
-      failCurrentAttempt(false, "the response is not valid HTTP");
+      failCurrentAttempt(isCutShort(message), "the response is not valid HTTP");
       close();
     } else if (currentAttempt.isEmpty()) {
       ReferenceCountUtil.release(message);
@@ -179,6 +180,12 @@
     close();
   }
 
+  /** Returns whether the server closed the connection in the middle of a message. */
+  private static boolean isCutShort(Object message) {
+    return message instanceof HttpObject part
+        && part.decoderResult().cause() instanceof PrematureChannelClosureException;
+  }
+
   private void onResponsePart(ServerAttempt attempt, HttpObject part) {
     if (part instanceof HttpResponse head) {
       boolean isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -285,6 +285,32 @@
     assertThat(server.connections()).isEqualTo(2);
   }
 
+  static List<String> incompleteHeads() {
+    return List.of(
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 0\r\n\r");
+  }
+
+  // Guards against a response whose head was cut short reaching the caller as a complete one.
+  @ParameterizedTest
+  @MethodSource("incompleteHeads")
+  void aHeadThatIsCutShortIsABrokenConnection(String head) throws IOException {
+    server = new RawServer(request -> head + RawServer.THEN_CLOSE);
+    assertThat(exchange(post("1", "close", "a"))).startsWith("HTTP/1.1 502 ");
+    assertThat(brokenByReset()).containsExactly(true);
+  }
+
+  private List<Boolean> brokenByReset() {
+    return events.stream()
+        .filter(ForwardEvent.Broken.class::isInstance)
+        .map(event -> ((ForwardEvent.Broken) event).isReset())
+        .toList();
+  }
+
   @Test
   void aConnectionThatClosesWithoutAResponseIsReported() throws IOException {
     server = new RawServer(request -> RawServer.CLOSE);
