Tell a stream without framing that was broken off from a complete one

A body with neither length nor chunks is complete when its connection is closed, unless a stream ends inside an event; such a stream was broken off already, but its server counted as having sent an invalid response, so a crash was not looked into. A stream that is closed before its first event was passed on as complete and empty. Change: both are a closed connection. Evidence: aStreamThatEndsWithItsConnectionIsCompleteOnlyBetweenEvents failed in three of four cases and passes.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -197,8 +197,13 @@
     if (!isCurrent(ended)) {
       return;
     }
+    boolean endsWithConnection = responseHead.filter(InboundExchange::hasNoFraming).isPresent();
     if (eventSplitter.filter(EventSplitter::holdsPartialEvent).isPresent()) {
-      onBroken(ended, false, "the stream ended in the middle of a server-sent event");
+      onBroken(ended, endsWithConnection, "the stream ended in the middle of a server-sent event");
+      return;
+    }
+    if (endsWithConnection && isEmptyStream(ended)) {
+      onBroken(ended, true, "the stream ended before its first event");
       return;
     }
     Channels.writeAndFlush(connection.channel(), LastHttpContent.EMPTY_LAST_CONTENT);
@@ -275,6 +280,17 @@
     }
   }
 
+  /** Returns whether the body of a response ends where its connection is closed. */
+  private static boolean hasNoFraming(HttpResponse head) {
+    return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+  }
+
+  private boolean isEmptyStream(ServerAttempt ended) {
+    return eventSplitter.isPresent()
+        && !hasOutputStarted
+        && ended.dispatch().resumesAfter().isEmpty();
+  }
+
   private void notifyOutputStarted() {
     if (!hasOutputStarted) {
       hasOutputStarted = true;
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -311,6 +311,35 @@
         .toList();
   }
 
+  @Test
+  void aBodyThatEndsWithItsConnectionIsComplete() throws IOException {
+    server =
+        new RawServer(request -> "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nwhole" + RawServer.THEN_CLOSE);
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(answer).contains("whole");
+    assertThat(answer).endsWith("0\r\n\r\n");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'id: 1\ndata: a\n\n', true",
+    "'id: 1\ndata: a\n\nid: 2\nda', false",
+    "'id: 1\ndata: a\n\nid: 2\ndata: b\n', false",
+    "'', false"
+  })
+  void aStreamThatEndsWithItsConnectionIsCompleteOnlyBetweenEvents(
+      String events, boolean isComplete) throws IOException {
+    server =
+        new RawServer(
+            request ->
+                "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Type: text/event-stream\r\n\r\n"
+                    + events.replace("\\n", "\n")
+                    + RawServer.THEN_CLOSE);
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(answer.endsWith("0\r\n\r\n")).isEqualTo(isComplete);
+    assertThat(brokenByReset()).isEqualTo(isComplete ? List.of() : List.of(true));
+  }
+
   @Test
   void aConnectionThatClosesWithoutAResponseIsReported() throws IOException {
     server = new RawServer(request -> RawServer.CLOSE);
