Continue a broken stream only with another stream of events

What callers would see: the text of another answer in the middle of their stream, or a stream that ends as if it were complete. Errors of the next server were broken off before (anErrorOfTheNextServerBreaksTheStreamOff passes on the old code as well). What could happen: a 2xx response that is no stream of events, a plain 200 or a 204, was appended to the caller's stream and ended it properly. Change: the next server's response must be a 200 with events; any other fails that attempt. Evidence: aBrokenStreamIsNotContinuedWithAnAnswerThatIsNoStream failed in two of three cases and passes.

--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
@@ -150,6 +150,23 @@
     assertThat(harness.isBrokenOff(request)).isTrue();
   }
 
+  // Guards against an error reaching the caller in the middle of a stream that has begun.
+  @ParameterizedTest
+  @ValueSource(ints = {302, 404, 500, 503})
+  void anErrorOfTheNextServerBreaksTheStreamOff(int status) {
+    long request = harness.submitLongPrompt("north");
+    harness.respond(request, 200);
+    harness.breakConnection(request, Optional.of(7L));
+    harness.respond(request, status);
+    assertThat(harness.isBrokenOff(request)).isTrue();
+    assertThat(
+            harness.commands.stream()
+                .anyMatch(
+                    command ->
+                        command instanceof ForwardCommand.Relay relay && relay.attempt() == 2))
+        .isFalse();
+  }
+
   @Test
   void aStreamIsNotResumedOnMoreServersThanItsRouteAllows() {
     long request = harness.submitLongPrompt("north");
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -97,6 +98,10 @@
     }
     if (!hasStartedResponse) {
       startResponse(responseHead.orElseThrow());
+    } else if (!isEventStream(responseHead.orElseThrow())) {
+      current.drop();
+      onBroken(current, false, "the response of the next server does not continue the stream");
+      return;
     }
     current.relay();
     Channels.writeAndFlush(connection.channel(), Unpooled.EMPTY_BUFFER);
@@ -230,8 +235,7 @@
     hasStartedResponse = true;
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
     response.headers().set(context.form().toCaller(head));
-    String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-    boolean isEventStream = type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    boolean isEventStream = isEventStream(head);
     if (isEventStream) {
       eventSplitter =
           Optional.of(
@@ -280,6 +284,12 @@
     }
   }
 
+  private static boolean isEventStream(HttpResponse head) {
+    String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return HttpResponseStatus.OK.equals(head.status())
+        && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+  }
+
   /** Returns whether the body of a response ends where its connection is closed. */
   private static boolean hasNoFraming(HttpResponse head) {
     return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -340,6 +341,34 @@
     assertThat(brokenByReset()).isEqualTo(isComplete ? List.of() : List.of(true));
   }
 
+  static List<String> answersThatContinueNoStream() {
+    return List.of(
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 11\r\n\r\nid: 2\noops\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Type: text/plain\r\n\r\noops\n\n"
+            + RawServer.THEN_CLOSE,
+        "HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n");
+  }
+
+  // Guards against another server's answer being appended to a stream that broke off, or ending it
+  // as if it were complete.
+  @ParameterizedTest
+  @MethodSource("answersThatContinueNoStream")
+  void aBrokenStreamIsNotContinuedWithAnAnswerThatIsNoStream(String other) throws IOException {
+    resumesOnce = true;
+    AtomicInteger attempts = new AtomicInteger();
+    server =
+        new RawServer(
+            request ->
+                attempts.getAndIncrement() == 0
+                    ? streamHead("1") + chunk("id: 1\ndata: a\n\n") + RawServer.THEN_CLOSE
+                    : other);
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(attempts.get()).isEqualTo(2);
+    assertThat(answer).contains("data: a");
+    assertThat(answer).doesNotContain("oops");
+    assertThat(answer).doesNotContain("\r\n0\r\n");
+  }
+
   @Test
   void aConnectionThatClosesWithoutAResponseIsReported() throws IOException {
     server = new RawServer(request -> RawServer.CLOSE);
