Adopt a quarantine for a part that worked before its latest crashes

Found by aPartThatBecomesDeadlyIsFound, which failed with 42 to 48 arrivals of at most 3: routers that had seen the part work within a minute rejected the quarantine of their peer and had it lifted. Cause: age of the clearance was asked, not whether crashes had come after it. Change: a part counts as cleared only while no crash counts against it since. Further tests: two deadly parts at once, routers that restart or were cut off, crashes that no request caused, a part that only accompanied the deadly one, and bounds on memory.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
@@ -100,7 +100,7 @@
     if (evidence.onQuarantined(key, untilMicros, nowMicros)) {
       counters.increment("quarantine.learned");
       journal.quarantined(key, source, 0, untilMicros - nowMicros);
-    } else if (evidence.isClearedRecently(key, nowMicros)) {
+    } else if (evidence.isCleared(key, nowMicros)) {
       commands.accept(new ForwardCommand.AnnounceCleared(List.of(key)));
     }
   }
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -166,11 +166,11 @@
   /**
    * Adopts a quarantine that another process has decided on.
    *
-   * @return whether it is adopted and was not known; a key that was cleared recently is not
-   *     quarantined
+   * @return whether it is adopted and was not known; a key that was cleared recently and has not
+   *     been in a crash since is not quarantined
    */
   public boolean onQuarantined(long key, long untilMicros, long nowMicros) {
-    if (untilMicros <= nowMicros || isClearedRecently(key, nowMicros)) {
+    if (untilMicros <= nowMicros || isCleared(key, nowMicros)) {
       return false;
     }
     Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
@@ -182,10 +182,9 @@
     return true;
   }
 
-  /** Returns whether a key was cleared recently. */
-  public boolean isClearedRecently(long key, long nowMicros) {
-    Long clearedAt = clearedAtMicros.get(key);
-    return clearedAt != null && nowMicros - clearedAt < CLEARED_VALID_MICROS;
+  /** Returns whether a key was cleared recently and no crash counts against it since. */
+  public boolean isCleared(long key, long nowMicros) {
+    return wasClearedRecently(key, nowMicros) && !suspicions.containsKey(key);
   }
 
   /** Returns whether crashes count against any key of a request. */
@@ -293,6 +292,16 @@
     return ended;
   }
 
+  /** Returns the number of keys that crashes count against. */
+  int suspicionCount() {
+    return suspicions.size();
+  }
+
+  /** Returns the number of cleared keys that are kept. */
+  int clearedCount() {
+    return clearedAtMicros.size();
+  }
+
   private boolean isTrial(Suspicion suspicion, List<Long> keys, long nowMicros) {
     boolean hasOtherCause =
         !suspicion.crashes.isEmpty()
@@ -311,7 +320,12 @@
     if (suspicion.isOnProbation) {
       return 1;
     }
-    return isClearedRecently(key, nowMicros) ? CLEARED_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
+    return wasClearedRecently(key, nowMicros) ? CLEARED_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
+  }
+
+  private boolean wasClearedRecently(long key, long nowMicros) {
+    Long clearedAt = clearedAtMicros.get(key);
+    return clearedAt != null && nowMicros - clearedAt < CLEARED_VALID_MICROS;
   }
 
   private static boolean isExplained(Suspicion suspicion, Collection<Suspicion> others) {
@@ -352,7 +366,7 @@
   }
 
   private static void removeEldest(Map<?, ?> entries, int maximumSize) {
-    if (entries.size() > maximumSize) {
+    while (entries.size() > maximumSize) {
       entries.remove(entries.keySet().iterator().next());
     }
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -45,6 +45,7 @@
   final List<Arrival> arrivals = new ArrayList<>();
   final List<Long> crashTimes = new ArrayList<>();
   final Set<String> deadlyParts = new HashSet<>();
+  private final Map<String, List<Long>> crashTimesByPart = new HashMap<>();
   private final SplittableRandom random;
   private final PriorityQueue<Timed> agenda =
       new PriorityQueue<>(
@@ -207,6 +208,23 @@
     return (double) sound.stream().filter(begun::contains).count() / sound.size();
   }
 
+  /**
+   * Returns the share of the requests with a part and no deadly one, in an interval, that begun.
+   */
+  double begunShareOf(String part, long fromMicros, long untilMicros) {
+    List<Long> sound =
+        soundRequests(fromMicros, untilMicros).stream()
+            .filter(request -> partsByRequest.get(request).contains(part))
+            .toList();
+    return (double) sound.stream().filter(begun::contains).count() / sound.size();
+  }
+
+  /** Returns when a part caused its n-th crash, if it caused so many. */
+  Optional<Long> crashTimeBy(String part, int number) {
+    List<Long> times = crashTimesByPart.getOrDefault(part, List.of());
+    return times.size() < number ? Optional.empty() : Optional.of(times.get(number - 1));
+  }
+
   /** Returns how many requests without a deadly part were refused as crashing servers. */
   long wronglyRefused() {
     return soundRequests(0, Long.MAX_VALUE).stream()
@@ -333,8 +351,10 @@
             new ResponseHead(
                 200, false, Optional.empty(), Optional.empty(), false, Optional.empty())));
     router.handle(new ForwardEvent.OutputStarted(run.request(), run.attempt()));
-    if (partsByRequest.get(run.request()).stream().anyMatch(deadlyParts::contains)) {
-      after(CRASH_AFTER_OUTPUT_MICROS, () -> crash(server));
+    Set<String> deadly = new HashSet<>(partsByRequest.get(run.request()));
+    deadly.retainAll(deadlyParts);
+    if (!deadly.isEmpty()) {
+      after(CRASH_AFTER_OUTPUT_MICROS, () -> crashBy(deadly, server));
     } else {
       after(OUTPUT_MICROS, () -> finish(router, server, run));
     }
@@ -352,6 +372,15 @@
     return listed.containsKey(server) && runs.get(server).containsKey(run);
   }
 
+  private void crashBy(Set<String> parts, String server) {
+    if (listed.containsKey(server)) {
+      parts.forEach(
+          part ->
+              crashTimesByPart.computeIfAbsent(part, added -> new ArrayList<>()).add(nowMicros));
+      crash(server);
+    }
+  }
+
   private void crash(String server) {
     if (listed.remove(server) == null) {
       return;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingPartTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingPartTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Covers parts of prompts that crash each server that begins an answer on them. */
 final class CrashingPartTest {
@@ -16,6 +17,7 @@
 
   private static final int ALLOWED_ARRIVALS = 3;
   private static final String DEADLY = "deadly";
+  private static final String OTHER_DEADLY = "other-deadly";
 
   // Guards against requests that differ in all but one deadly part crashing server after server.
   @ParameterizedTest
@@ -39,4 +41,99 @@
     assertThat(fleet.begunShare(decidedAt + CONTACT_MICROS, end - SECOND)).isAtLeast(0.9);
     assertThat(fleet.wronglyRefused()).isEqualTo(0);
   }
+
+  // Guards against two deadly parts at the same time hiding each other.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void twoDeadlyPartsAreBothFound(long seed) {
+    CrashingFleet fleet = new CrashingFleet(4, 12, seed);
+    fleet.deadlyParts.addAll(List.of(DEADLY, OTHER_DEADLY));
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    fleet.submitEvery(1_500 * MILLI, end, List.of(DEADLY));
+    fleet.submitEvery(1_500 * MILLI, end, List.of(OTHER_DEADLY));
+    fleet.runUntil(end);
+    for (String part : List.of(DEADLY, OTHER_DEADLY)) {
+      long decidedAt = fleet.crashTimeBy(part, 5).orElse(start) + CONTACT_MICROS;
+      assertThat(fleet.arrivalsAfter(part, decidedAt)).isAtMost(ALLOWED_ARRIVALS);
+    }
+    assertThat(fleet.wronglyRefused()).isEqualTo(0);
+  }
+
+  // Guards against routers that have just started, or were cut off, letting such requests through.
+  @ParameterizedTest
+  @CsvSource({"1, true", "2, true", "3, false", "4, false"})
+  void routersThatMissedTheCrashesLearnOfTheQuarantine(long seed, boolean isRestart) {
+    CrashingFleet fleet = new CrashingFleet(4, 8, seed);
+    fleet.deadlyParts.add(DEADLY);
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    if (!isRestart) {
+      fleet.setConnected(0, false);
+    }
+    fleet.submitEvery(700 * MILLI, end, List.of(DEADLY));
+    fleet.runUntil(start + 15 * SECOND);
+    if (isRestart) {
+      fleet.restartAll();
+    } else {
+      fleet.setConnected(0, true);
+    }
+    fleet.runUntil(end);
+    assertThat(fleet.arrivalsAfter(DEADLY, start + 15 * SECOND + CONTACT_MICROS)).isEqualTo(0);
+    assertThat(fleet.begunShare(start + 20 * SECOND, end - SECOND)).isAtLeast(0.9);
+  }
+
+  // Guards against innocent requests being refused after crashes that no request has caused.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void crashesThatNoRequestCausedQuarantineNothing(long seed) {
+    CrashingFleet fleet = new CrashingFleet(4, 8, seed);
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    for (int wave = 1; wave <= 6; wave++) {
+      fleet.runUntil(start + 5L * wave * SECOND);
+      fleet.crashServers(wave % 2 == 0 ? 1 : 0.4);
+    }
+    fleet.runUntil(end);
+    assertThat(fleet.wronglyRefused()).isEqualTo(0);
+    assertThat(fleet.begunShare(end - 5 * SECOND, end - SECOND)).isAtLeast(0.95);
+  }
+
+  // Guards against a sound part being refused because it was only seen next to the deadly one.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void aPartThatAccompaniedTheDeadlyOneIsServedOnItsOwn(long seed) {
+    CrashingFleet fleet = new CrashingFleet(4, 8, seed);
+    fleet.deadlyParts.add(DEADLY);
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    fleet.submitEvery(700 * MILLI, start + 15 * SECOND, List.of("companion", DEADLY));
+    fleet.runUntil(start + 16 * SECOND);
+    fleet.submitEvery(500 * MILLI, end, List.of("companion"));
+    fleet.submitEvery(700 * MILLI, end, List.of("companion", DEADLY));
+    fleet.runUntil(end);
+    assertThat(fleet.begunShareOf("companion", start + 20 * SECOND, end - SECOND)).isAtLeast(0.9);
+    assertThat(fleet.arrivalsAfter(DEADLY, start + 20 * SECOND)).isAtMost(ALLOWED_ARRIVALS);
+  }
+
+  // Guards against a part that worked before it became deadly keeping its servers crashing.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void aPartThatBecomesDeadlyIsFound(long seed) {
+    CrashingFleet fleet = new CrashingFleet(4, 12, seed);
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    fleet.submitEvery(700 * MILLI, end, List.of(DEADLY));
+    fleet.runUntil(start + 8 * SECOND);
+    fleet.deadlyParts.add(DEADLY);
+    fleet.runUntil(end);
+    long decidedAt = fleet.crashTimes.get(4) + CONTACT_MICROS;
+    assertThat(fleet.arrivalsAfter(DEADLY, decidedAt)).isAtMost(ALLOWED_ARRIVALS);
+    assertThat(fleet.wronglyRefused()).isEqualTo(0);
+  }
 }
