Quarantine parts of prompts that crash engines in the product's own router as well

RouterCore knew a request only by team and whole prompt. Prompts that share a document or a tenant's text but are never alike crashed two engines each (the second while the suspect ran alone), and none of that counted against the next one. Change: each crash counts against the tenant's text and all messages but the last by the same evidence as in the forwarding router. A quarantined part goes into the stream of quarantines and to other routers in the form that exists, with a fingerprint whose first half is zero. Evidence: RouterCoreFleetTest.aPartThatCrashesEnginesIsQuarantined failed with 6 crashes of at most 5 on three of three fleets and no quarantine of the part, and passes. Left: routers do not tell each other of single crashes or of cleared parts in this form, so each needs its own three.

--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/RequestQuarantine.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/RequestQuarantine.java
@@ -21,8 +21,8 @@
  * while the log is unavailable. Each router forwards a new record once, to {@value #GOSSIP_PEERS}
  * others.
  *
- * <p>Invariant: only a request that ran alone on an engine that crashed is quarantined. Not
- * thread-safe.
+ * <p>Invariant: a whole request is quarantined only if it ran alone on an engine that crashed, a
+ * part of requests only by {@link CrashEvidence}. Not thread-safe.
  */
 public final class RequestQuarantine {
   private static final int GOSSIP_PEERS = 4;
@@ -37,6 +37,7 @@
   private final long quarantineMicros;
   private final QuarantineRegister register = new QuarantineRegister();
   private final CrashSuspects suspects;
+  private final CrashEvidence evidence;
   private final Map<Long, QuarantineRecord> pendingAppends = new HashMap<>();
   private final List<QuarantineRecord> failedAppends = new ArrayList<>();
   private long nextAppendRetryMicros;
@@ -64,6 +65,7 @@
     this.random = random;
     this.quarantineMicros = quarantineMicros;
     this.suspects = new CrashSuspects(quarantineMicros);
+    this.evidence = new CrashEvidence(quarantineMicros);
   }
 
   /** Returns whether the request is a suspect and must run alone on an engine. */
@@ -71,9 +73,12 @@
     return suspects.isSuspect(fingerprint, nowMicros);
   }
 
-  /** Returns the end of the request's quarantine, if it is in force. */
-  public Optional<Long> quarantinedUntil(String fingerprint, long nowMicros) {
-    return register.quarantinedUntil(fingerprint, nowMicros);
+  /** Returns the end of the quarantine of the request or a part of it, if one is in force. */
+  public Optional<Long> quarantinedUntil(
+      String fingerprint, RequestSignature signature, long nowMicros) {
+    return register
+        .quarantinedUntil(fingerprint, nowMicros)
+        .or(() -> evidence.check(signature, nowMicros).map(CrashEvidence.Quarantine::untilMicros));
   }
 
   /** Returns the number of requests in quarantine. */
@@ -105,15 +110,26 @@
     return Optional.of(record.untilMicros());
   }
 
-  /** Removes a request that has completed from the suspects. */
-  public void onCompleted(String fingerprint) {
+  /**
+   * Counts the crash of an engine against the parts of a request that it ran. Requests of which no
+   * two are alike never crash an engine twice, but the part that they share does.
+   *
+   * @param crash identifier of the crash, the same for all requests on the engine
+   */
+  public void onCrashSeen(String crash, RequestSignature signature, long nowMicros) {
+    evidence.onCrash(crash, signature, true, nowMicros);
+  }
+
+  /** Clears a request that has completed, and its parts. */
+  public void onCompleted(String fingerprint, RequestSignature signature, long nowMicros) {
     suspects.onCompleted(fingerprint);
+    evidence.onSurvived(signature, nowMicros);
   }
 
   /** Records a quarantine announced by a peer, and forwards it if it is new. */
   public void onMessage(Quarantine message, long nowMicros) {
     QuarantineRecord record = new QuarantineRecord(message.fingerprint(), message.untilMicros());
-    if (register.add(record.fingerprint(), record.untilMicros(), nowMicros)) {
+    if (adopt(record, nowMicros)) {
       counters.increment("quarantine.learned");
       gossip(record);
     }
@@ -126,7 +142,7 @@
     }
     for (LogRecord logRecord : page.records()) {
       QuarantineRecord.fromPayload(logRecord.payload())
-          .ifPresent(record -> register.add(record.fingerprint(), record.untilMicros(), nowMicros));
+          .ifPresent(record -> adopt(record, nowMicros));
     }
     nextOffset = page.nextOffset();
     if (nextOffset < page.end()) {
@@ -148,8 +164,27 @@
     }
   }
 
+  private boolean adopt(QuarantineRecord record, long nowMicros) {
+    return record
+        .part()
+        .map(part -> evidence.onQuarantined(part, record.untilMicros(), nowMicros))
+        .orElseGet(() -> register.add(record.fingerprint(), record.untilMicros(), nowMicros));
+  }
+
+  /** Quarantines the parts that the crashes so far decide on. */
+  private void decideOnParts(long nowMicros) {
+    for (CrashEvidence.Quarantine decided : evidence.decide(nowMicros)) {
+      counters.increment("quarantine.parts");
+      QuarantineRecord record = QuarantineRecord.ofPart(decided.key(), decided.untilMicros());
+      append(record);
+      gossip(record);
+    }
+    evidence.liftExplained(nowMicros);
+  }
+
   /** Reads the log, removes expired entries and retries failed appends when they are due. */
   public void onTick(long nowMicros) {
+    decideOnParts(nowMicros);
     if (nextReadMicros == 0) {
       nextReadMicros = nowMicros + random.nextLong(MAXIMUM_FIRST_READ_DELAY_MICROS);
     }
@@ -158,6 +193,7 @@
       nextReadMicros = nowMicros + READ_INTERVAL_MICROS / 2 + random.nextLong(READ_INTERVAL_MICROS);
       register.removeExpired(nowMicros);
       suspects.removeExpired(nowMicros);
+      evidence.removeExpired(nowMicros);
     }
     if (!failedAppends.isEmpty() && nowMicros >= nextAppendRetryMicros) {
       List<QuarantineRecord> due = List.copyOf(failedAppends);
--- a/coordination/src/main/java/org/shallothook/coordination/router/Attempt.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/Attempt.java
@@ -27,6 +27,7 @@
   private final int fromPosition;
   private final boolean isAlone;
   private final long offeredAtMicros;
+  private final String engineIncarnation;
   private Phase phase = Phase.OFFERED;
   private Optional<Hint> hint = Optional.empty();
   private Optional<RefusalReason> refusal = Optional.empty();
@@ -55,6 +56,7 @@
     this.toPosition = fromPosition;
     this.isAlone = isAlone;
     this.offeredAtMicros = offeredAtMicros;
+    this.engineIncarnation = upstream.engineIncarnation();
     upstream.onOpened();
   }
 
@@ -66,6 +68,11 @@
     return upstream;
   }
 
+  /** Returns the incarnation that the engine was known to have when the attempt was offered. */
+  String engineIncarnation() {
+    return engineIncarnation;
+  }
+
   int rank() {
     return rank;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatExchange.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.shallothook.coordination.placement.PlacementPlan;
 import org.shallothook.coordination.placement.PlannedOffer;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.configuration.TeamTemplate;
 import org.shallothook.state.request.Outcome;
@@ -59,6 +60,11 @@
     return prompt;
   }
 
+  /** Returns what the prompt has in common with others that may crash engines. */
+  RequestSignature signature() {
+    return prompt.signature();
+  }
+
   String fingerprint() {
     return prompt.fingerprint();
   }
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -274,6 +274,8 @@
       return false;
     }
     boolean ranAlone = attempt.isAlone() && failed.crashRole() == CrashRole.ALONE;
+    String crash = attempt.upstream().name() + "/" + attempt.engineIncarnation();
+    poison.onCrashSeen(crash, exchange.signature(), nowMicros);
     Optional<Long> until =
         poison.onCrash(exchange.fingerprint(), ranAlone, exchange.plannedUpstreams(), nowMicros);
     until.ifPresent(at -> refuseQuarantined(exchange, at, nowMicros));
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatStreams.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatStreams.java
@@ -86,7 +86,7 @@
     }
     slowness.onEnded(exchange, attempt, nowMicros);
     attempt.end("complete", nowMicros);
-    poison.onCompleted(exchange.fingerprint());
+    poison.onCompleted(exchange.fingerprint(), exchange.signature(), nowMicros);
     retries.onSuccess(nowMicros);
     long cachedTokens = (long) ended.cachedBlocks() * options.blockBytes() / BYTES_PER_TOKEN;
     table.complete(
--- a/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/PromptRenderer.java
@@ -8,6 +8,7 @@
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.quarantine.Fingerprint;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.coordination.warmup.TenantPrefixText;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.BlockKeyPrefix;
@@ -86,7 +87,26 @@
         keys,
         levelsOf(identity, keys, conversation, prefix),
         earlierBytes / blockBytes,
-        prefix.fingerprint().of(bytes));
+        prefix.fingerprint().of(bytes),
+        signatureOf(team.name(), prompt, tenant, messages));
+  }
+
+  /**
+   * Returns the parts that other prompts of the team may have: the tenant's text and all messages
+   * but the last.
+   */
+  private static RequestSignature signatureOf(
+      String team, String prompt, Optional<String> tenant, List<ChatMessage> messages) {
+    long scope = RendezvousHash.hashOf(team);
+    List<Long> parts = new ArrayList<>();
+    tenant.ifPresent(
+        name -> parts.add(RendezvousHash.combine(scope, RendezvousHash.hashOf("tenant " + name))));
+    messages.subList(0, messages.size() - 1).stream()
+        .map(message -> RendezvousHash.combine(scope, RendezvousHash.hashOf(message.content())))
+        .distinct()
+        .forEach(parts::add);
+    return new RequestSignature(
+        RendezvousHash.combine(scope, RendezvousHash.hashOf(prompt)), parts);
   }
 
   private HashedTenantPrefix hashPrefix(CacheIdentity identity, String prefix, int rulebookEnd) {
--- a/coordination/src/main/java/org/shallothook/coordination/router/RenderedPrompt.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RenderedPrompt.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.shallothook.coordination.placement.PrefixLevel;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.cache.BlockKey;
 
 /**
@@ -15,6 +16,7 @@
  * @param levels levels at which the prompt shares prefixes with others, longest prefix first
  * @param expectedBlocks number of leading blocks that earlier prompts probably share with it
  * @param fingerprint digest of team and content, by which a repeated prompt is recognised
+ * @param signature what the prompt has in common with others that may crash engines
  */
 @SuppressWarnings("ArrayRecordComponent")
 record RenderedPrompt(
@@ -23,4 +25,5 @@
     List<BlockKey> keys,
     List<PrefixLevel> levels,
     int expectedBlocks,
-    String fingerprint) {}
+    String fingerprint,
+    RequestSignature signature) {}
--- a/coordination/src/main/java/org/shallothook/coordination/router/RequestScreening.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RequestScreening.java
@@ -98,7 +98,8 @@
           RefusalReason.BODY_TOO_LARGE,
           "The prompt has " + prompt.bytes().length + " bytes, the team's limit is " + limit + ".");
     }
-    Optional<Long> until = poison.quarantinedUntil(prompt.fingerprint(), nowMicros);
+    Optional<Long> until =
+        poison.quarantinedUntil(prompt.fingerprint(), prompt.signature(), nowMicros);
     if (until.isPresent()) {
       return Either.left(
           Refusal.notRun(RefusalReason.QUARANTINED, "The request is in quarantine.", until.get()));
--- a/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/router/RouterCoreFleetTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.message.CrashRole;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.Hint;
@@ -215,6 +216,48 @@
     assertThat(harness.refusal(harness.chat("innocent"))).isEmpty();
   }
 
+  // Guards against prompts that share a part, but are never alike, crashing engine after engine.
+  @ParameterizedTest
+  @ValueSource(ints = {3, 4, 8})
+  void aPartThatCrashesEnginesIsQuarantined(int engines) {
+    RouterHarness harness = RouterHarness.ready(engines);
+    int crashes = 0;
+    for (int prompt = 1; prompt <= 3; prompt++) {
+      RequestId request = harness.chat("deadly document", "read", "question " + prompt);
+      while (harness.refusal(request).isEmpty()) {
+        Sent<PeerMessage.Offer> offer = harness.latestOffer(request);
+        boolean isAlone = offer.message().isSuspect();
+        crash(harness, harness.accept(offer), isAlone ? CrashRole.ALONE : CrashRole.PREFILLING);
+        crashes++;
+        harness.receive(
+            offer.peer(),
+            new PeerMessage.SidecarStatus(
+                offer.peer(), "e-" + crashes, List.of(RouterHarness.VERSION), false, 0));
+        harness.advance(300_000);
+      }
+      RequestId sound = harness.chat("other document", "read", "question " + prompt);
+      AttemptId answered = harness.acceptLatest(sound);
+      harness.tokens(answered, 0, "fine");
+      harness.ended(answered, 1);
+      harness.advance(300_000);
+    }
+
+    assertThat(crashes).isAtMost(5);
+    Refusal refusal = harness.refusal(harness.chat("deadly document", "read", "question 9")).get();
+    assertThat(refusal.reason()).isEqualTo(RefusalReason.QUARANTINED);
+    assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(harness.refusal(harness.chat("other document", "read", "question 9"))).isEmpty();
+    String fingerprint =
+        harness.sent(PeerMessage.Quarantine.class, message -> true).stream()
+            .map(sent -> sent.message().fingerprint())
+            .filter(text -> text.startsWith("0".repeat(16)))
+            .findFirst()
+            .orElseThrow();
+    RouterHarness other = RouterHarness.ready(engines);
+    other.receive("router-2", new PeerMessage.Quarantine(fingerprint, other.now + 60_000_000));
+    assertThat(other.refusal(other.chat("deadly document", "read", "question 10"))).isPresent();
+  }
+
   private static void crash(RouterHarness harness, AttemptId attempt, CrashRole role) {
     harness.failed(attempt, RefusalReason.ENGINE_LOST, Outcome.UNKNOWN, role);
   }
