--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -39,6 +39,7 @@
   private final EventLoops loops = EventLoops.create(1);
   private final List<ForwardEvent> events = new CopyOnWriteArrayList<>();
   private final CountDownLatch callerGoneReported = new CountDownLatch(1);
+  private final CountDownLatch serverChecked = new CountDownLatch(1);
 
   /** Offset of the clock, as if the process had been paused for this time. */
   private final AtomicLong pausedMicros = new AtomicLong();
@@ -103,6 +104,8 @@
     } else if (event instanceof ForwardEvent.CallerGone callerGone) {
       transport.carryOut(new ForwardCommand.Drop(callerGone.request(), 1));
       callerGoneReported.countDown();
+    } else if (event instanceof ForwardEvent.ServerChecked) {
+      serverChecked.countDown();
     }
   }
 
@@ -286,6 +289,21 @@
     assertThat(server.connections()).isEqualTo(2);
   }
 
+  // Guards against a crash that is taken for a broken connection, and the reverse.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aServerThatRefusesConnectionsHasCrashed(boolean hasCrashed) throws Exception {
+    server = new RawServer(request -> response("1", "done"));
+    String serverAddress = server.address();
+    if (hasCrashed) {
+      server.close();
+    }
+    transport.carryOut(new ForwardCommand.CheckServer("server", serverAddress));
+    ForwardEvent.ServerChecked expected = new ForwardEvent.ServerChecked("server", hasCrashed);
+    assertThat(serverChecked.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(events).contains(expected);
+  }
+
   static List<String> incompleteHeads() {
     return List.of(
         "HTTP/1.1 200",
