Do not continue a broken body with a stream of events

The reverse case: a body that is no stream broke off, and a next server's stream was appended to it. A route whose streams may be resumed could do that. Change: a response is continued only if it was a stream itself. Evidence: aBrokenBodyIsNotContinuedWithAStream failed before and passes.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -98,7 +98,7 @@
     }
     if (!hasStartedResponse) {
       startResponse(responseHead.orElseThrow());
-    } else if (!isEventStream(responseHead.orElseThrow())) {
+    } else if (eventSplitter.isEmpty() || !isEventStream(responseHead.orElseThrow())) {
       current.drop();
       onBroken(current, false, "the response of the next server does not continue the stream");
       return;
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -387,6 +387,24 @@
     assertThat(answer).doesNotContain("\r\n0\r\n");
   }
 
+  // Guards against a stream being appended to a broken body that is no stream.
+  @Test
+  void aBrokenBodyIsNotContinuedWithAStream() throws IOException {
+    resumesOnce = true;
+    AtomicInteger attempts = new AtomicInteger();
+    server =
+        new RawServer(
+            request ->
+                attempts.getAndIncrement() == 0
+                    ? "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 90\r\n\r\nfirst"
+                        + RawServer.THEN_CLOSE
+                    : streamHead("1") + chunk("id: 1\ndata: oops\n\n") + "0\r\n\r\n");
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(attempts.get()).isEqualTo(2);
+    assertThat(answer).contains("first");
+    assertThat(answer).doesNotContain("oops");
+  }
+
   @Test
   void aConnectionThatClosesWithoutAResponseIsReported() throws IOException {
     server = new RawServer(request -> RawServer.CLOSE);
