--- a/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
@@ -121,11 +121,12 @@
       clear(evidence.liftExplained(nowMicros), "explained by another key");
     }
     evidence.removeExpired(nowMicros).forEach(key -> endOwn(key, "expired"));
-    activeQuarantines = evidence.quarantines().size();
-    announce(routers, nowMicros);
+    List<Quarantine> active = evidence.quarantines();
+    activeQuarantines = active.size();
+    announce(active, routers, nowMicros);
   }
 
-  private void announce(int routers, long nowMicros) {
+  private void announce(List<Quarantine> active, int routers, long nowMicros) {
     if (nowMicros < nextAnnounceMicros) {
       return;
     }
@@ -133,7 +134,7 @@
         nowMicros
             + Math.max(ANNOUNCE_INTERVAL_MICROS, routers * ANNOUNCE_INTERVAL_PER_ROUTER_MICROS);
     Map<Long, Long> untilMicros = new LinkedHashMap<>();
-    evidence.quarantines().forEach(one -> untilMicros.put(one.key(), one.untilMicros()));
+    active.forEach(one -> untilMicros.put(one.key(), one.untilMicros()));
     if (!untilMicros.isEmpty()) {
       commands.accept(new ForwardCommand.AnnounceQuarantines(untilMicros));
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -747,7 +747,7 @@
 
   private static String detailOf(Quarantine quarantine) {
     return "Servers that began an answer to a request with "
-        + Long.toHexString(quarantine.key())
+        + RequestSignature.textOf(quarantine.key())
         + " have crashed.";
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -7,6 +7,7 @@
 import org.shallothook.coordination.forward.PromptPlacement.Placement;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
+import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.PromptOutline;
 import org.shallothook.state.route.PromptOutline.Part;
@@ -94,10 +95,10 @@
         "crash",
         crash,
         "content",
-        Long.toHexString(suspect.signature().content()),
+        RequestSignature.textOf(suspect.signature().content()),
         "keys",
         suspect.signature().parts().stream()
-            .map(Long::toHexString)
+            .map(RequestSignature::textOf)
             .collect(Collectors.joining(" ")),
         "outcome",
         "recorded");
@@ -106,7 +107,7 @@
   void quarantined(long key, String source, int crashes, long durationMicros) {
     journal.write(
         Decision.QUARANTINE,
-        Long.toHexString(key),
+        RequestSignature.textOf(key),
         "source",
         source,
         "crashes",
@@ -118,7 +119,8 @@
   }
 
   void quarantineLifted(long key, String why) {
-    journal.write(Decision.QUARANTINE, Long.toHexString(key), "detail", why, "outcome", "lifted");
+    journal.write(
+        Decision.QUARANTINE, RequestSignature.textOf(key), "detail", why, "outcome", "lifted");
   }
 
   void relayed(PendingRequest request, Server server, ResponseHead response, long nowMicros) {
@@ -211,9 +213,7 @@
 
   /** Returns the identifiers of the parts of a prompt that other prompts may have. */
   private static String sharedParts(PendingRequest request) {
-    List<Part> parts = request.head().prompt().map(PromptOutline::parts).orElse(List.of());
-    return parts.stream()
-        .limit(Math.max(0, parts.size() - 1))
+    return request.head().prompt().map(PromptOutline::sharedParts).orElse(List.of()).stream()
         .map(Part::id)
         .collect(Collectors.joining(" "));
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/RequestHead.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/RequestHead.java
@@ -36,10 +36,7 @@
     Objects.requireNonNull(target, "target");
   }
 
-  /**
-   * Returns what the request has in common with others that may crash servers: all parts of its
-   * prompt but the last, which belongs to the request or its session.
-   */
+  /** Returns what the request has in common with others that may crash servers. */
   RequestSignature signature() {
     return new RequestSignature(
         contentHash, prompt.map(RequestHead::sharedParts).orElse(List.of()));
@@ -47,8 +44,7 @@
 
   private static List<Long> sharedParts(PromptOutline prompt) {
     long model = RendezvousHash.hashOf(prompt.model());
-    return prompt.parts().stream()
-        .limit(prompt.parts().size() - 1L)
+    return prompt.sharedParts().stream()
         .map(part -> RendezvousHash.combine(model, RendezvousHash.hashOf(part.id())))
         .distinct()
         .toList();
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/QuarantineRecord.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/QuarantineRecord.java
@@ -27,7 +27,7 @@
 
   /** Returns the record of a part that requests may share. */
   static QuarantineRecord ofPart(long part, long untilMicros) {
-    return new QuarantineRecord(PART_PREFIX + HexFormat.of().toHexDigits(part), untilMicros);
+    return new QuarantineRecord(PART_PREFIX + RequestSignature.textOf(part), untilMicros);
   }
 
   /** Returns the part that is quarantined; empty if it is a whole request. */
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/RequestSignature.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/RequestSignature.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.quarantine;
 
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Objects;
 
@@ -18,6 +19,13 @@
     parts = List.copyOf(parts);
   }
 
+  /**
+   * Returns the form of a key in log lines, refusals and the store, by which they can be matched.
+   */
+  public static String textOf(long key) {
+    return HexFormat.of().toHexDigits(key);
+  }
+
   /** Returns the content and the parts, the parts first. */
   public List<Long> keys() {
     List<Long> keys = new ArrayList<>(parts);
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -285,7 +285,7 @@
     } else if (command instanceof ForwardCommand.StoreQuarantine store) {
       registry.put(
           RegistryStream.QUARANTINES,
-          HexFormat.of().toHexDigits(store.key()),
+          RequestSignature.textOf(store.key()),
           store.untilMicros().map(this::quarantineRecord),
           latestMicros);
     } else {
--- a/state/src/main/java/org/shallothook/state/route/PromptOutline.java
+++ b/state/src/main/java/org/shallothook/state/route/PromptOutline.java
@@ -30,4 +30,9 @@
       throw new IllegalArgumentException("A prompt needs at least one part.");
     }
   }
+
+  /** Returns the parts that other prompts may have: all but the last. */
+  public List<Part> sharedParts() {
+    return parts.subList(0, parts.size() - 1);
+  }
 }
