Log and count the limits that servers state, before acting on them

Change: the head of a response carries the statement (absent, a number, unreadable); one line for each change of it, the limit in each send line, and the counters limits.changed, limits.unreadable, limits.sends. No decision depends on it yet.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -502,6 +502,9 @@
             request.placement().flatMap(Placement::saveTo),
             request.lastEvent());
     commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
+    if (server.limit().kind() == LimitStatement.Kind.STATED) {
+      options.counters().increment("limits.sends");
+    }
     journal.sent(request, server, version, nowMicros);
     if (request.attempt() == 1) {
       recordLatency(LatencyStep.PLACEMENT, request, nowMicros);
@@ -539,6 +542,7 @@
     Server server = request.server().orElseThrow();
     recordVersion(request, server, response);
     recordAvailability(request, server, response, nowMicros);
+    recordLimit(request, server, response.limit());
     if (response.isNotRun()) {
       onRejected(request, server, response, nowMicros);
       return;
@@ -629,6 +633,19 @@
             });
   }
 
+  private void recordLimit(PendingRequest request, Server server, LimitStatement statement) {
+    if (statement.kind() == LimitStatement.Kind.UNREADABLE) {
+      options.counters().increment("limits.unreadable");
+    }
+    if (!statement.equals(server.limit())) {
+      journal.limit(server, statement, request);
+      if (statement.kind() != LimitStatement.Kind.UNREADABLE) {
+        options.counters().increment("limits.changed");
+        server.onLimit(statement);
+      }
+    }
+  }
+
   private void onRejected(
       PendingRequest request, Server server, ResponseHead response, long nowMicros) {
     boolean isOtherInstance =
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -84,6 +84,8 @@
         request.placement().flatMap(Placement::fetchFrom).orElse(""),
         "expected_ms",
         request.placement().map(placement -> (long) placement.expectedMicros() / 1_000).orElse(-1L),
+        "limit",
+        server.limit().requestsPerSecond(),
         "waited_ms",
         millisSince(request.arrivedMicros(), nowMicros));
   }
@@ -246,6 +248,20 @@
         request.head().id());
   }
 
+  void limit(Server server, LimitStatement statement, PendingRequest request) {
+    journal.write(
+        Decision.LIMIT,
+        server.name(),
+        "outcome",
+        statement.kind().code(),
+        "per_second",
+        statement.requestsPerSecond(),
+        "previous",
+        server.limit().requestsPerSecond(),
+        "request",
+        request.head().id());
+  }
+
   private static long millisSince(long micros, long nowMicros) {
     return TimeUnit.MICROSECONDS.toMillis(nowMicros - micros);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -47,6 +47,7 @@
   private boolean isNotReady;
   private long lastResponseMicros;
   private long busySinceMicros;
+  private LimitStatement limit = LimitStatement.NONE;
 
   Server(ServerEntry entry) {
     this.entry = entry;
@@ -281,6 +282,15 @@
         : Optional.empty();
   }
 
+  /** Returns the latest readable statement about the requests that the server takes. */
+  LimitStatement limit() {
+    return limit;
+  }
+
+  void onLimit(LimitStatement statement) {
+    limit = statement;
+  }
+
   /** Sends the server no requests until a time that the router chooses. */
   void pause(long untilMicros) {
     pausedUntilMicros = Math.max(pausedUntilMicros, untilMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -32,6 +32,8 @@
   CONFIGURATION(Weight.NOTABLE),
   /** The known state of a server has changed. */
   SERVER(Weight.NOTABLE),
+  /** What a server states about the requests that it takes has changed. */
+  LIMIT(Weight.NOTABLE),
   /** The desired version of the weights has changed. */
   WEIGHTS(Weight.NOTABLE),
   /** An order was issued to a server, or has ended. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -52,7 +52,7 @@
     harness.complete(served);
 
     long draft = harness.submitShortPrompt("letter");
-    harness.respond(draft, 200);
+    harness.respond(draft, ForwardHarness.limited(5));
     harness.breakConnection(draft, Optional.of(2L));
 
     long read = harness.submitCall("/read/1");
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -256,6 +256,18 @@
             status, true, Optional.empty(), Optional.empty(), false, Optional.empty()));
   }
 
+  /** Returns the head of a success whose server takes a number of requests per second. */
+  static ResponseHead limited(double requestsPerSecond) {
+    return new ResponseHead(
+        200,
+        false,
+        Optional.empty(),
+        Optional.empty(),
+        false,
+        Optional.empty(),
+        LimitStatement.of(requestsPerSecond));
+  }
+
   void respond(long request, ResponseHead head) {
     handle(new ForwardEvent.ResponseReceived(request, sent(request).orElseThrow().attempt(), head));
   }
