Divide the limit that a server states among the routers

What callers saw: nothing yet; servers that had named a limit got up to eight times as many requests as they take (ServerLimitTest: 82 requests in 4 s of 11 allowed with 4 routers). Change: ServerLimits keeps what responses and other routers state for each incarnation of a server, LimitShare this router's part of it. Every send takes a permit. Requests that no server will take in time are refused on arrival (upstream-limit) with the time of the next permit. Changes are announced to the other routers. The core is told the names of the routers, not only their number, as soon as one becomes known. Why it works: the parts add up to the limit whoever sends, and the requests saved up are bounded by limiting who takes part. Evidence: the 11 failing cases pass, also without messages between routers, with added routers and changing limits; 39 cases in all.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/CallPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/CallPlacement.java
@@ -28,8 +28,9 @@
   }
 
   /** Returns the server to send to; empty if no server has a free slot. */
-  Optional<Server> choose(List<Server> servers) {
-    List<Server> available = servers.stream().filter(Server::hasFreeSlot).toList();
+  Optional<Server> choose(List<Server> servers, long nowMicros) {
+    List<Server> available =
+        servers.stream().filter(server -> server.hasFreeSlot(nowMicros)).toList();
     if (available.isEmpty()) {
       return Optional.empty();
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -89,6 +89,15 @@
    */
   record AnnounceLeaving(String server, String incarnation) implements ForwardCommand {}
 
+  /**
+   * Announce to the other routers the limit that a server states.
+   *
+   * @param incarnation incarnation of the server, from its registry entry
+   * @param requestsPerSecond the limit; empty if the server no longer states one
+   */
+  record AnnounceLimit(String server, String incarnation, Optional<Double> requestsPerSecond)
+      implements ForwardCommand {}
+
   /** Apply the limits on what callers may send. */
   record Limit(CallerLimits limits) implements ForwardCommand {}
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -93,6 +93,12 @@
   /** Maximum time without a response from a server with open requests, in microseconds. */
   private static final long MAX_SILENCE_MICROS = 1_200_000;
 
+  /** Order in which waiting requests are sent. */
+  private static final Comparator<PendingRequest> SEND_ORDER =
+      Comparator.comparingInt(PendingRequest::priority)
+          .thenComparingLong(PendingRequest::arrivedMicros)
+          .thenComparingLong(PendingRequest::number);
+
   private final ForwardOptions options;
   private final Consumer<ForwardCommand> commands;
   private final ForwardJournal journal;
@@ -103,6 +109,7 @@
   private final CrashQuarantine quarantine;
   private final PromptPlacement promptPlacement;
   private final PrefixAnnouncements announcements;
+  private final ServerLimits limits;
   private final CallPlacement callPlacement;
   private final SplittableRandom random;
   private final Map<Long, PendingRequest> open = new HashMap<>();
@@ -131,6 +138,7 @@
         new CrashQuarantine(options.quarantineMicros(), commands, journal, options.counters());
     this.promptPlacement = new PromptPlacement(options.failureDomain());
     this.announcements = new PrefixAnnouncements(commands);
+    this.limits = new ServerLimits(commands, journal, options.counters());
     this.callPlacement = new CallPlacement(options.failureDomain(), random.split());
   }
 
@@ -188,7 +196,7 @@
     } else if (event instanceof ForwardEvent.ServersRead read) {
       servers
           .onEntries(read.entries(), read.isWhole(), nowMicros)
-          .forEach(restarted -> promptPlacement.prefixLocations().onCacheLost(restarted));
+          .forEach(restarted -> onRestarted(restarted, nowMicros));
       knowsServers |= read.isWhole();
       read.entries().forEach(journal::listed);
       sendWaiting(nowMicros);
@@ -218,12 +226,22 @@
       onServerChecked(checked.server(), checked.hasCrashed(), nowMicros);
     } else if (event instanceof ForwardEvent.Leaving leaving) {
       shutdownAtMicros = Optional.of(leaving.endsAtMicros());
-    } else if (event instanceof ForwardEvent.RoutersCounted counted) {
-      routers = Math.max(1, counted.routers());
-      retries.onRouterCount(counted.routers());
+    } else if (event instanceof ForwardEvent.LimitAnnounced announced) {
+      servers
+          .find(announced.server())
+          .ifPresent(server -> limits.onAnnounced(server, announced, nowMicros));
+    } else if (event instanceof ForwardEvent.RoutersKnown known) {
+      routers = known.fleet().size();
+      retries.onRouterCount(routers);
+      limits.onFleet(known.fleet(), servers.all(), nowMicros);
     }
   }
 
+  private void onRestarted(String name, long nowMicros) {
+    promptPlacement.prefixLocations().onCacheLost(name);
+    servers.find(name).ifPresent(server -> limits.onRestarted(server, nowMicros));
+  }
+
   private void onRoutes(RouteTable newTable) {
     if (table.filter(known -> known.version() >= newTable.version()).isPresent()) {
       return;
@@ -338,7 +356,12 @@
     retries.onRequest(request.service(), nowMicros);
     long noServerUntilMicros = nowMicros + route.targetMicros() / NO_SERVER_WAIT_DIVISOR;
     request.waitUntil(Math.min(deadlineMicros, noServerUntilMicros));
-    sendOrWait(request, nowMicros);
+    if (ServerLimits.hasLimited(servers.usable(request.service(), nowMicros))) {
+      // Requests that already wait for a limited server come first.
+      sendWaiting(nowMicros);
+    } else {
+      sendOrWait(request, nowMicros);
+    }
     if (request.phase() == Phase.WAITING && open.containsKey(request.number())) {
       journal.waiting(request);
     }
@@ -369,7 +392,7 @@
         prompt.isPresent()
             ? placePrompt(request, prompt.get(), candidates, nowMicros)
             : placeCall(request, candidates, nowMicros);
-    if (isDecided) {
+    if (isDecided || isRefusedForLimits(request, candidates, nowMicros)) {
       return;
     }
     Optional<Long> reopensAt =
@@ -382,12 +405,38 @@
     } else if (nowMicros >= request.waitUntilMicros()) {
       refuseAfterWait(request, eligible.isEmpty(), nowMicros);
     } else if (!candidates.isEmpty()) {
-      long maxWaitMicros = (request.deadlineMicros() - request.arrivedMicros()) / SLOT_WAIT_DIVISOR;
-      request.waitUntil(
-          Math.max(request.waitUntilMicros(), request.arrivedMicros() + maxWaitMicros));
+      request.waitUntil(slotWaitEndMicros(request));
     }
   }
 
+  /** Returns until when a request may wait for a slot at a server. */
+  private static long slotWaitEndMicros(PendingRequest request) {
+    long maxWaitMicros = (request.deadlineMicros() - request.arrivedMicros()) / SLOT_WAIT_DIVISOR;
+    return Math.max(request.waitUntilMicros(), request.arrivedMicros() + maxWaitMicros);
+  }
+
+  /**
+   * Refuses a request immediately if the limits of all servers that could take it keep it waiting
+   * for too long, behind the requests that precede it.
+   */
+  private boolean isRefusedForLimits(
+      PendingRequest request, List<Server> candidates, long nowMicros) {
+    long preceding =
+        open.values().stream()
+            .filter(other -> other.phase() == Phase.WAITING && other != request)
+            .filter(other -> other.service().equals(request.service()))
+            .filter(other -> SEND_ORDER.compare(other, request) < 0)
+            .count();
+    Optional<Long> availableAt =
+        ServerLimits.availableMicros(candidates, (int) preceding, nowMicros);
+    if (availableAt.filter(at -> at > slotWaitEndMicros(request)).isEmpty()) {
+      return false;
+    }
+    String detail = "Every server limits the requests that it takes.";
+    end(request, RefusalReason.UPSTREAM_LIMIT, detail, availableAt.get(), nowMicros);
+    return true;
+  }
+
   /** Sends or refuses a prompt; returns false if no server has a free slot for it. */
   private boolean placePrompt(
       PendingRequest request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
@@ -463,7 +512,7 @@
   }
 
   private boolean placeCall(PendingRequest request, List<Server> candidates, long nowMicros) {
-    Optional<Server> chosen = callPlacement.choose(candidates);
+    Optional<Server> chosen = callPlacement.choose(candidates, nowMicros);
     chosen.ifPresent(server -> send(request, server, Optional.empty(), nowMicros));
     return chosen.isPresent();
   }
@@ -502,7 +551,7 @@
             request.placement().flatMap(Placement::saveTo),
             request.lastEvent());
     commands.accept(new ForwardCommand.Send(request.number(), request.attempt(), dispatch));
-    if (server.limit().kind() == LimitStatement.Kind.STATED) {
+    if (server.limit().isPresent()) {
       options.counters().increment("limits.sends");
     }
     journal.sent(request, server, version, nowMicros);
@@ -542,7 +591,7 @@
     Server server = request.server().orElseThrow();
     recordVersion(request, server, response);
     recordAvailability(request, server, response, nowMicros);
-    recordLimit(request, server, response.limit());
+    limits.onResponse(server, request, response, nowMicros);
     if (response.isNotRun()) {
       onRejected(request, server, response, nowMicros);
       return;
@@ -633,19 +682,6 @@
             });
   }
 
-  private void recordLimit(PendingRequest request, Server server, LimitStatement statement) {
-    if (statement.kind() == LimitStatement.Kind.UNREADABLE) {
-      options.counters().increment("limits.unreadable");
-    }
-    if (!statement.equals(server.limit())) {
-      journal.limit(server, statement, request);
-      if (statement.kind() != LimitStatement.Kind.UNREADABLE) {
-        options.counters().increment("limits.changed");
-        server.onLimit(statement);
-      }
-    }
-  }
-
   private void onRejected(
       PendingRequest request, Server server, ResponseHead response, long nowMicros) {
     boolean isOtherInstance =
@@ -904,9 +940,7 @@
         waiting.add(request);
       }
     }
-    waiting.sort(
-        Comparator.comparingInt(PendingRequest::priority)
-            .thenComparingLong(PendingRequest::arrivedMicros));
+    waiting.sort(SEND_ORDER);
     for (PendingRequest request : waiting) {
       sendOrWait(request, nowMicros);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -108,8 +108,19 @@
    */
   record QuarantineLearned(long key, long untilMicros, String source) implements ForwardEvent {}
 
-  /** The number of routers in the fleet was counted. */
-  record RoutersCounted(int routers) implements ForwardEvent {}
+  /**
+   * A peer has announced the limit that a server states.
+   *
+   * @param incarnation incarnation of the server, from its registry entry
+   * @param requestsPerSecond the limit; empty if the server no longer states one
+   * @param source name of the peer
+   */
+  record LimitAnnounced(
+      String server, String incarnation, Optional<Double> requestsPerSecond, String source)
+      implements ForwardEvent {}
+
+  /** The routers of the fleet have become known or have changed. */
+  record RoutersKnown(RouterFleet fleet) implements ForwardEvent {}
 
   /**
    * The process is going to end; callers have had time to move to other routers.
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -85,7 +85,7 @@
         "expected_ms",
         request.placement().map(placement -> (long) placement.expectedMicros() / 1_000).orElse(-1L),
         "limit",
-        server.limit().requestsPerSecond(),
+        server.limit().map(LimitShare::limitPerSecond).orElse(-1.0),
         "waited_ms",
         millisSince(request.arrivedMicros(), nowMicros));
   }
@@ -248,18 +248,26 @@
         request.head().id());
   }
 
-  void limit(Server server, LimitStatement statement, PendingRequest request) {
+  /**
+   * Logs a change of what is known about a server's limit.
+   *
+   * @param previous limit until now, in requests per second; -1 for none
+   * @param source request whose response changed it, or peer that announced the change
+   */
+  void limit(Server server, String outcome, double previous, String source) {
     journal.write(
         Decision.LIMIT,
         server.name(),
         "outcome",
-        statement.kind().code(),
+        outcome,
         "per_second",
-        statement.requestsPerSecond(),
+        server.limit().map(LimitShare::limitPerSecond).orElse(-1.0),
+        "share",
+        server.limit().map(LimitShare::sharePerSecond).orElse(-1.0),
         "previous",
-        server.limit().requestsPerSecond(),
-        "request",
-        request.head().id());
+        previous,
+        "source",
+        source);
   }
 
   private static long millisSince(long micros, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PromptPlacement.java
@@ -148,7 +148,7 @@
             new HashMap<>());
     Optional<Placement> best = Optional.empty();
     for (Server server : servers) {
-      if (server.hasFreeSlot()) {
+      if (server.hasFreeSlot(nowMicros)) {
         Placement placement = evaluate(server, query);
         if (best.filter(other -> !placement.isBetterThan(other)).isEmpty()) {
           best = Optional.of(placement);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -47,7 +47,9 @@
   private boolean isNotReady;
   private long lastResponseMicros;
   private long busySinceMicros;
-  private LimitStatement limit = LimitStatement.NONE;
+  private Optional<LimitShare> limit = Optional.empty();
+  private double announcedLimit = ServerLimits.NO_LIMIT;
+  private long limitAnnouncedMicros = Long.MIN_VALUE / 2;
 
   Server(ServerEntry entry) {
     this.entry = entry;
@@ -85,8 +87,9 @@
   }
 
   /** Returns whether this router may send one more request to the server now. */
-  boolean hasFreeSlot() {
-    return outstanding < entry.slots();
+  boolean hasFreeSlot(long nowMicros) {
+    return outstanding < entry.slots()
+        && limit.map(share -> share.isAvailable(nowMicros)).orElse(true);
   }
 
   /**
@@ -217,6 +220,7 @@
       busySinceMicros = nowMicros;
     }
     outstanding++;
+    limit.ifPresent(share -> share.onSent(nowMicros));
   }
 
   void onClosed() {
@@ -282,13 +286,30 @@
         : Optional.empty();
   }
 
-  /** Returns the latest readable statement about the requests that the server takes. */
-  LimitStatement limit() {
+  /** Returns this router's share of the limit that the server states, if it states one. */
+  Optional<LimitShare> limit() {
     return limit;
   }
 
-  void onLimit(LimitStatement statement) {
-    limit = statement;
+  /**
+   * Returns the limit that the other routers were last told of, in requests per second, whoever
+   * told them.
+   */
+  double announcedLimit() {
+    return announcedLimit;
+  }
+
+  long limitAnnouncedMicros() {
+    return limitAnnouncedMicros;
+  }
+
+  void onLimitAnnounced(double requestsPerSecond, long nowMicros) {
+    announcedLimit = requestsPerSecond;
+    limitAnnouncedMicros = nowMicros;
+  }
+
+  void setLimit(Optional<LimitShare> share) {
+    limit = share;
   }
 
   /** Sends the server no requests until a time that the router chooses. */
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -320,6 +320,16 @@
     }
   }
 
+  /**
+   * Announces the limit that an upstream states for the requests of all routers together.
+   *
+   * @param upstream name of the upstream
+   * @param incarnation incarnation of the upstream that states it
+   * @param requestsPerSecond the limit; empty if the upstream no longer states one
+   */
+  record UpstreamLimit(String upstream, String incarnation, Optional<Double> requestsPerSecond)
+      implements PeerMessage {}
+
   /** Announces which contents or parts of requests are quarantined. */
   record Quarantines(List<QuarantinedKey> quarantined) implements PeerMessage {
     public Quarantines {
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -95,10 +95,17 @@
     return operatorFollower().state().nextOffset();
   }
 
-  /** Returns the number of known routers, including this process if it is one. */
-  public int routers() {
-    long others = peers.values().stream().filter(peer -> peer.role == InstanceRole.ROUTER).count();
-    return (int) others + (options.self().role() == InstanceRole.ROUTER ? 1 : 0);
+  /** Returns the names of all known routers, including this process if it is one. */
+  public List<String> routers() {
+    List<String> names = new ArrayList<>();
+    if (options.self().role() == InstanceRole.ROUTER) {
+      names.add(options.self().name());
+    }
+    peers.entrySet().stream()
+        .filter(peer -> peer.getValue().role == InstanceRole.ROUTER)
+        .map(Map.Entry::getKey)
+        .forEach(names::add);
+    return names;
   }
 
   /** Returns whether a peer is a router; an unknown peer is assumed to be one. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LimitedFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LimitedFleet.java
@@ -68,6 +68,8 @@
   private long order;
   private long nextRequest = 1;
   private long completed;
+  private long announcements;
+  private boolean areConnected = true;
 
   private record Timed(long atMicros, long order, Runnable action) {}
 
@@ -97,6 +99,10 @@
               command -> carryOut(this, command));
     }
 
+    String name() {
+      return "router-" + index;
+    }
+
     void handle(ForwardEvent event) {
       core.handle(event, nowMicros);
     }
@@ -125,7 +131,9 @@
     router.handle(new ForwardEvent.RoutesRead(ForwardHarness.routeTable(1)));
     router.handle(new ForwardEvent.RegistryReachable(true));
     router.handle(new ForwardEvent.ServersRead(List.copyOf(listed.values()), true));
-    routers.forEach(one -> one.handle(new ForwardEvent.RoutersCounted(routers.size())));
+    List<String> names = routers.stream().map(Router::name).toList();
+    routers.forEach(
+        one -> one.handle(new ForwardEvent.RoutersKnown(new RouterFleet(one.name(), names))));
     after(random.nextLong(ForwardCore.TICK_INTERVAL_MICROS), () -> tick(index));
   }
 
@@ -137,6 +145,41 @@
         .addLast(new Change(nowMicros, requestsPerSecond));
   }
 
+  /** Lets a server state no limit any more. */
+  void unlimit(String server) {
+    limits.remove(server);
+    routers.forEach(router -> router.toldAtMicros.remove(server));
+  }
+
+  /** Replaces a server by its next incarnation, which states no limit. */
+  void restart(String server) {
+    unlimit(server);
+    ServerEntry known = listed.get(server);
+    ServerEntry restarted =
+        new ServerEntry(
+            known.id(),
+            known.service(),
+            known.address(),
+            known.failureDomain(),
+            known.slots(),
+            false,
+            known.versions(),
+            known.startedAtMillis() + 1);
+    listed.put(server, restarted);
+    routers.forEach(
+        router -> router.handle(new ForwardEvent.ServersRead(List.of(restarted), false)));
+  }
+
+  /** Lets messages between routers be lost from now on. */
+  void disconnectRouters() {
+    areConnected = false;
+  }
+
+  /** Returns how often a router has announced a limit to the others. */
+  long announcements() {
+    return announcements;
+  }
+
   /** Sends calls to all routers until a time, at a mean rate in requests per second. */
   void submitCalls(double perSecond, long untilMicros) {
     long meanMicros = (long) (SECOND / perSecond);
@@ -244,6 +287,14 @@
       after(MESSAGE_MICROS, () -> arrive(router, send));
     } else if (command instanceof ForwardCommand.Refuse refuse) {
       refusals.put(refuse.request(), refuse.refusal());
+    } else if (command instanceof ForwardCommand.AnnounceLimit limit && areConnected) {
+      announcements++;
+      ForwardEvent event =
+          new ForwardEvent.LimitAnnounced(
+              limit.server(), limit.incarnation(), limit.requestsPerSecond(), router.name());
+      routers.stream()
+          .filter(other -> other != router)
+          .forEach(other -> after(MESSAGE_MICROS, () -> other.handle(event)));
     }
   }
 
--- a/protocol/src/main/java/org/shallothook/protocol/peer/FieldMapping.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/FieldMapping.java
@@ -161,4 +161,11 @@
     }
     return value;
   }
+
+  static double requireNonNegative(String field, double value) {
+    if (!(value >= 0)) {
+      throw new InvalidFieldException(field, value);
+    }
+    return value;
+  }
 }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -16,6 +16,7 @@
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
 import org.shallothook.protocol.generated.TokensFrame;
+import org.shallothook.protocol.generated.UpstreamLimitFrame;
 import org.shallothook.state.cache.BlockKey;
 import org.shallothook.state.cache.CacheIdentity;
 import org.shallothook.state.configuration.PriorityClass;
@@ -91,6 +92,7 @@
                   frame.getQuarantines().getQuarantinedList().stream()
                       .map(MessageDecoder::quarantinedKey)
                       .toList()));
+      case UPSTREAM_LIMIT -> Optional.of(upstreamLimit(frame.getUpstreamLimit()));
       case CLAIM_REQUEST -> Optional.of(ClaimMapping.request(frame.getClaimRequest()));
       case CLAIM_ANSWER -> Optional.of(ClaimMapping.answer(frame.getClaimAnswer()));
       case CLAIM_ENDED -> Optional.of(ClaimMapping.ended(frame.getClaimEnded()));
@@ -100,6 +102,17 @@
     };
   }
 
+  private static PeerMessage upstreamLimit(UpstreamLimitFrame frame) {
+    return new PeerMessage.UpstreamLimit(
+        frame.getUpstream(),
+        frame.getIncarnation(),
+        frame.hasRequestsPerSecond()
+            ? Optional.of(
+                FieldMapping.requireNonNegative(
+                    "upstream_limit.requests_per_second", frame.getRequestsPerSecond()))
+            : Optional.empty());
+  }
+
   private static PeerMessage.QuarantinedKey quarantinedKey(QuarantinedKeyFrame frame) {
     return new PeerMessage.QuarantinedKey(
         frame.getKey(),
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -25,6 +25,7 @@
 import org.shallothook.protocol.generated.SidecarStatusFrame;
 import org.shallothook.protocol.generated.SubmitFrame;
 import org.shallothook.protocol.generated.TokensFrame;
+import org.shallothook.protocol.generated.UpstreamLimitFrame;
 import org.shallothook.state.membership.EngineRole;
 
 /**
@@ -91,6 +92,13 @@
       frame.setCrashCleared(CrashClearedFrame.newBuilder().addAllKeys(cleared.keys()));
     } else if (message instanceof PeerMessage.Quarantines quarantines) {
       frame.setQuarantines(quarantines(quarantines));
+    } else if (message instanceof PeerMessage.UpstreamLimit limit) {
+      UpstreamLimitFrame.Builder builder =
+          UpstreamLimitFrame.newBuilder()
+              .setUpstream(limit.upstream())
+              .setIncarnation(limit.incarnation());
+      limit.requestsPerSecond().ifPresent(builder::setRequestsPerSecond);
+      frame.setUpstreamLimit(builder);
     } else if (!ClaimMapping.encode(message, frame)) {
       throw new IllegalArgumentException("No frame is defined for " + message.getClass().getName());
     }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -14,6 +14,7 @@
 import org.shallothook.coordination.forward.ForwardCore;
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.forward.ForwardOptions;
+import org.shallothook.coordination.forward.RouterFleet;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.CoreEvent;
@@ -96,6 +97,8 @@
   private final GracefulStop stop;
   private long latestMicros;
   private long nextSidecarlessTickMicros;
+  private List<String> routers = List.of();
+  private boolean areRoutersRead;
 
   /** A weight event of a server that has no sidecar and whose weights this router updates. */
   private record SidecarlessServerEvent(String address, WeightEvent event) implements CoreEvent {}
@@ -175,6 +178,11 @@
       core.handle(new ForwardEvent.CrashAnnounced(signature, seen.crash()), nowMicros);
     } else if (envelope.message() instanceof PeerMessage.CrashCleared cleared) {
       core.handle(new ForwardEvent.ClearedAnnounced(cleared.keys()), nowMicros);
+    } else if (envelope.message() instanceof PeerMessage.UpstreamLimit limit) {
+      core.handle(
+          new ForwardEvent.LimitAnnounced(
+              limit.upstream(), limit.incarnation(), limit.requestsPerSecond(), envelope.sender()),
+          nowMicros);
     } else if (envelope.message() instanceof PeerMessage.Quarantines quarantines) {
       for (PeerMessage.QuarantinedKey one : quarantines.quarantined()) {
         long untilMicros = nowMicros + one.remainingMicros();
@@ -193,6 +201,7 @@
       core.handle(forward, nowMicros);
       if (event instanceof ForwardEvent.Tick) {
         registry.onTick(nowMicros);
+        updateRouters(nowMicros);
         tickSidecarlessServers(nowMicros);
       }
     } else if (event instanceof SidecarlessServerEvent sidecarlessEvent) {
@@ -254,7 +263,17 @@
     for (KeyedRecord record : changes) {
       node.readMember(record).ifPresent(member -> onMember(member, nowMicros));
     }
-    core.handle(new ForwardEvent.RoutersCounted(registry.routers()), nowMicros);
+    areRoutersRead = true;
+    updateRouters(nowMicros);
+  }
+
+  /** Tells the core when other routers have become known, from the store or by their messages. */
+  private void updateRouters(long nowMicros) {
+    List<String> names = registry.routers();
+    if (areRoutersRead && !names.equals(routers)) {
+      routers = names;
+      core.handle(new ForwardEvent.RoutersKnown(new RouterFleet(node.name(), names)), nowMicros);
+    }
   }
 
   private void onMember(Instance member, long nowMicros) {
@@ -273,6 +292,11 @@
           new PeerMessage.SidecarStatus(
               leaving.server(), leaving.incarnation(), List.of(), true, 0),
           latestMicros);
+    } else if (command instanceof ForwardCommand.AnnounceLimit limit) {
+      registry.sendToRouters(
+          new PeerMessage.UpstreamLimit(
+              limit.server(), limit.incarnation(), limit.requestsPerSecond()),
+          latestMicros);
     } else if (command instanceof ForwardCommand.AnnounceCrash crash) {
       registry.sendToRouters(
           new PeerMessage.CrashSeen(
--- a/state/src/main/java/org/shallothook/state/request/RefusalReason.java
+++ b/state/src/main/java/org/shallothook/state/request/RefusalReason.java
@@ -20,6 +20,7 @@
   DEADLINE_UNREACHABLE(503, "Send again after the time in Retry-After, or with a later deadline."),
   DEADLINE_PASSED(504, "Send again with a later deadline."),
   NO_UPSTREAM(503, "Send again after the time in Retry-After; operators: check upstream states."),
+  UPSTREAM_LIMIT(503, "Send again after the time in Retry-After; the upstreams limit requests."),
   UPSTREAM_LEAVING(503, "Send again; another upstream will take the request."),
   WRONG_VERSION(503, "Send again after the time in Retry-After; the version is being loaded."),
   CONFIGURATION_BEHIND(503, "Send again after the time in Retry-After."),
--- a/transport/src/test/java/org/shallothook/transport/peer/PeerByteStreams.java
+++ b/transport/src/test/java/org/shallothook/transport/peer/PeerByteStreams.java
@@ -51,6 +51,7 @@
           new PeerMessage.CrashSeen(-3, List.of(4L), "request-7"),
           new PeerMessage.CrashCleared(List.of(4L, -5L)),
           new PeerMessage.Quarantines(List.of(new PeerMessage.QuarantinedKey(-5, 6))),
+          new PeerMessage.UpstreamLimit("engine-2", "5", Optional.of(3.9)),
           new PeerMessage.ClaimEndRecorded("claim"));
 
   private PeerByteStreams() {}
