Read the era of the store from its answers and log each restore

Change: calls can ask for a header of the response; the store's client reads Store-Era; the results of reads and writes carry it, and the offset or key that a read started at. The registry logs a restore with the offsets known before (dependency line, counter store.restored). No decision depends on it yet: RestoredStoreTest fails as before.

--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.log.KeyedRecord;
@@ -58,6 +59,7 @@
   private final Map<RegistryStream, KeyedFollower> followers = new EnumMap<>(RegistryStream.class);
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<StreamKey, PendingPut> pendingPuts = new LinkedHashMap<>();
+  private Optional<Long> era = Optional.empty();
   private boolean isStoreReachable;
   private boolean isMemberWritten;
   private boolean isMemberPutOutstanding;
@@ -142,8 +144,10 @@
   /** Handles one event. */
   public void handle(RegistryEvent event, long nowMicros) {
     if (event instanceof RegistryEvent.PageRead read) {
+      onEra(read.era(), nowMicros);
       onPage(read, nowMicros);
     } else if (event instanceof RegistryEvent.StreamRead read) {
+      onEra(read.era(), nowMicros);
       KeyedFollower follower = followers.get(read.stream());
       List<KeyedRecord> changes = follower.onRead(read.result(), nowMicros);
       distributeChanges(read.stream(), changes, false, nowMicros);
@@ -205,6 +209,26 @@
     reachableRouters(nowMicros).forEach(name -> send(name, message));
   }
 
+  /** Notices that the store was restored since its last answer. */
+  private void onEra(Optional<Long> answered, long nowMicros) {
+    boolean isNewer =
+        answered.isPresent() && era.filter(known -> known >= answered.get()).isEmpty();
+    if (isNewer) {
+      boolean isRestored = era.isPresent();
+      era = answered;
+      if (isRestored) {
+        listener.onStoreRestored(answered.get(), offsets(), nowMicros);
+      }
+    }
+  }
+
+  /** Returns the next offset of each stream, for the log. */
+  private String offsets() {
+    return followers.entrySet().stream()
+        .map(one -> one.getKey() + "=" + one.getValue().state().nextOffset())
+        .collect(Collectors.joining(" "));
+  }
+
   private void onPage(RegistryEvent.PageRead read, long nowMicros) {
     KeyedFollower follower = followers.get(read.stream());
     boolean wasComplete = follower.isComplete();
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.registry;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.port.CoreEvent;
 
@@ -11,19 +12,45 @@
  */
 public sealed interface RegistryEvent extends CoreEvent {
 
-  /** A read of the newest record of each key has ended. */
-  record PageRead(RegistryStream stream, Either<ReadFailure, NewestPage> result)
+  /**
+   * A read of the newest record of each key has ended.
+   *
+   * @param afterKey key that the read started after
+   * @param era era of the store when it answered; empty if it is not known
+   */
+  record PageRead(
+      RegistryStream stream,
+      String afterKey,
+      Either<ReadFailure, NewestPage> result,
+      Optional<Long> era)
       implements RegistryEvent {}
 
-  /** A read of appended records has ended. */
-  record StreamRead(RegistryStream stream, Either<ReadFailure, RecordsRead> result)
+  /**
+   * A read of appended records has ended.
+   *
+   * @param fromOffset offset that the read started at
+   * @param era era of the store when it answered; empty if it is not known
+   */
+  record StreamRead(
+      RegistryStream stream,
+      long fromOffset,
+      Either<ReadFailure, RecordsRead> result,
+      Optional<Long> era)
       implements RegistryEvent {}
 
-  /** A write of the membership record of this process has ended. */
-  record MemberPut(boolean isSuccessful) implements RegistryEvent {}
-
-  /** A write of a key has ended. */
-  record PutEnded(RegistryStream stream, String key, boolean isSuccessful)
+  /**
+   * A write of the membership record of this process has ended.
+   *
+   * @param era era of the store when it answered; empty if it is not known
+   */
+  record MemberPut(boolean isSuccessful, Optional<Long> era) implements RegistryEvent {}
+
+  /**
+   * A write of a key has ended.
+   *
+   * @param era era of the store when it answered; empty if it is not known
+   */
+  record PutEnded(RegistryStream stream, String key, boolean isSuccessful, Optional<Long> era)
       implements RegistryEvent {}
 
   /** A peer has sent a message. */
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryListener.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryListener.java
@@ -19,6 +19,15 @@
   /** Called when the store has become readable or unreadable. */
   void onReachabilityChanged(boolean isReachable, long nowMicros);
 
+  /**
+   * Called when the store was restored from a copy, so that it lacks some records and gives their
+   * offsets out again.
+   *
+   * @param era number of the store's present era
+   * @param offsets next offset of each stream before the restore, for the log
+   */
+  void onStoreRestored(long era, String offsets, long nowMicros);
+
   /** Called for each message of a peer that does not concern the registry. */
   void onMessage(Envelope envelope, long nowMicros);
 }
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
@@ -68,7 +68,9 @@
         if (isAccepted) {
           members.put(name, put.self());
         }
-        messages.add(() -> core.handle(new RegistryEvent.MemberPut(isAccepted), nowMicros));
+        messages.add(
+            () ->
+                core.handle(new RegistryEvent.MemberPut(isAccepted, Optional.empty()), nowMicros));
       } else if (!(command instanceof RegistryCommand.PeersChanged)) {
         reads.add(command);
       }
@@ -90,9 +92,11 @@
             newest.stream() == RegistryStream.MEMBERS ? memberRecords() : List.copyOf(log);
         return new RegistryEvent.PageRead(
             newest.stream(),
+            newest.afterKey(),
             isRefused
                 ? Either.left(ReadFailure.of("refused by the store"))
-                : Either.right(new NewestPage(items, false, items.size())));
+                : Either.right(new NewestPage(items, false, items.size())),
+            Optional.empty());
       }
       RegistryCommand.Read read = (RegistryCommand.Read) command;
       List<KeyedRecord> all =
@@ -100,10 +104,12 @@
       int from = (int) Math.min(read.fromOffset(), all.size());
       return new RegistryEvent.StreamRead(
           read.stream(),
+          read.fromOffset(),
           isRefused
               ? Either.left(ReadFailure.of("refused by the store"))
               : Either.right(
-                  new RecordsRead(all.subList(from, all.size()), all.size(), all.size())));
+                  new RecordsRead(all.subList(from, all.size()), all.size(), all.size())),
+          Optional.empty());
     }
 
     @Override
@@ -119,6 +125,9 @@
     @Override
     public void onReachabilityChanged(boolean isReachable, long now) {}
 
+    @Override
+    public void onStoreRestored(long era, String offsets, long now) {}
+
     @Override
     public void onMessage(Envelope envelope, long now) {}
   }
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryPutTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryPutTest.java
@@ -51,11 +51,11 @@
     core.put(STREAM, "key", Optional.of("value"), nowMicros);
     assertThat(puts).hasSize(1);
     if (isAnswered) {
-      core.handle(new RegistryEvent.PutEnded(STREAM, "key", false), nowMicros);
+      core.handle(new RegistryEvent.PutEnded(STREAM, "key", false, Optional.empty()), nowMicros);
     }
     advance(4 * SECOND);
     assertThat(puts).hasSize(2);
-    core.handle(new RegistryEvent.PutEnded(STREAM, "key", true), nowMicros);
+    core.handle(new RegistryEvent.PutEnded(STREAM, "key", true, Optional.empty()), nowMicros);
     advance(20 * SECOND);
     assertThat(puts).hasSize(2);
   }
@@ -91,6 +91,9 @@
   @Override
   public void onReachabilityChanged(boolean isReachable, long atMicros) {}
 
+  @Override
+  public void onStoreRestored(long era, String offsets, long atMicros) {}
+
   @Override
   public void onMessage(Envelope envelope, long atMicros) {}
 }
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
@@ -88,7 +88,8 @@
         if (isDone) {
           write(RegistryStream.MEMBERS, put.self().name(), Optional.of(put.self().name()));
         }
-        messages.add(() -> core.handle(new RegistryEvent.MemberPut(isDone), nowMicros));
+        messages.add(
+            () -> core.handle(new RegistryEvent.MemberPut(isDone, eraOf(isDone)), nowMicros));
       } else if (command instanceof RegistryCommand.Put put) {
         boolean isDone = isStoreReachable();
         if (isDone) {
@@ -97,7 +98,8 @@
         messages.add(
             () ->
                 core.handle(
-                    new RegistryEvent.PutEnded(put.stream(), put.key(), isDone), nowMicros));
+                    new RegistryEvent.PutEnded(put.stream(), put.key(), isDone, eraOf(isDone)),
+                    nowMicros));
       } else if (!(command instanceof RegistryCommand.PeersChanged)) {
         reads.put(command, nowMicros);
       }
@@ -134,30 +136,41 @@
         return Optional.of(
             new RegistryEvent.PageRead(
                 newest.stream(),
+                newest.afterKey(),
                 isStoreReachable()
                     ? Either.right(page(newest.stream(), newest.afterKey()))
-                    : Either.left(ReadFailure.of("the store is away"))));
+                    : Either.left(ReadFailure.of("the store is away")),
+                eraOf(isStoreReachable())));
       }
-      RegistryCommand.Read read = (RegistryCommand.Read) command;
+      return resultOf((RegistryCommand.Read) command, sentMicros)
+          .map(
+              result ->
+                  new RegistryEvent.StreamRead(
+                      ((RegistryCommand.Read) command).stream(),
+                      ((RegistryCommand.Read) command).fromOffset(),
+                      result,
+                      eraOf(isStoreReachable())));
+    }
+
+    private Optional<Either<ReadFailure, RecordsRead>> resultOf(
+        RegistryCommand.Read read, long sentMicros) {
       List<KeyedRecord> log = log(read.stream());
       if (!isStoreReachable()) {
-        return Optional.of(
-            new RegistryEvent.StreamRead(
-                read.stream(), Either.left(ReadFailure.of("the store is away"))));
+        return Optional.of(Either.left(ReadFailure.of("the store is away")));
       }
       if (read.fromOffset() > log.size()) {
-        return Optional.of(
-            new RegistryEvent.StreamRead(
-                read.stream(), Either.left(ReadFailure.ofExpiredRecords())));
+        return Optional.of(Either.left(ReadFailure.ofExpiredRecords()));
       }
       boolean mayWait = nowMicros - sentMicros < read.maximumWaitMicros();
       if (read.fromOffset() == log.size() && mayWait) {
         return Optional.empty();
       }
       List<KeyedRecord> records = log.subList((int) read.fromOffset(), log.size());
-      return Optional.of(
-          new RegistryEvent.StreamRead(
-              read.stream(), Either.right(new RecordsRead(records, log.size(), log.size()))));
+      return Optional.of(Either.right(new RecordsRead(records, log.size(), log.size())));
+    }
+
+    private Optional<Long> eraOf(boolean isAnswered) {
+      return isAnswered ? Optional.of(era) : Optional.empty();
     }
 
     private void tick() {
@@ -187,6 +200,9 @@
     @Override
     public void onReachabilityChanged(boolean isReachable, long now) {}
 
+    @Override
+    public void onStoreRestored(long newEra, String offsets, long now) {}
+
     @Override
     public void onMessage(Envelope envelope, long now) {}
   }
@@ -242,11 +258,6 @@
     era++;
   }
 
-  /** Returns the number of restores so far, plus one. */
-  long era() {
-    return era;
-  }
-
   List<KeyedRecord> log(RegistryStream stream) {
     return logs.computeIfAbsent(stream, added -> new ArrayList<>());
   }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -166,6 +166,11 @@
     core.handle(new ForwardEvent.RegistryReachable(isReachable), nowMicros);
   }
 
+  @Override
+  public void onStoreRestored(long era, String offsets, long nowMicros) {
+    node.logStoreRestored(era, offsets);
+  }
+
   @Override
   public void onMessage(Envelope envelope, long nowMicros) {
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -105,6 +105,11 @@
     node.logStoreReachability(isReachable);
   }
 
+  @Override
+  public void onStoreRestored(long era, String offsets, long nowMicros) {
+    node.logStoreRestored(era, offsets);
+  }
+
   @Override
   public void onMessage(Envelope envelope, long nowMicros) {
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
--- a/transport/src/main/java/org/shallothook/transport/platform/BufferedResponse.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/BufferedResponse.java
@@ -1,8 +1,11 @@
 package org.shallothook.transport.platform;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.vavr.control.Either;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.shallothook.protocol.json.JsonDocument;
 import org.shallothook.protocol.json.JsonError;
@@ -20,6 +23,7 @@
   private HttpExchange exchange;
   private int status;
   private String contentType = "";
+  private Optional<String> header = Optional.empty();
   private boolean isTooLarge;
 
   BufferedResponse(int maximumBytes, Consumer<HttpResult> result) {
@@ -42,9 +46,10 @@
   }
 
   @Override
-  public void started(int newStatus, String newContentType) {
+  public void started(int newStatus, HttpHeaders headers) {
     status = newStatus;
-    contentType = newContentType;
+    contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+    header = exchange.call().responseHeader().map(headers::get);
   }
 
   @Override
@@ -63,14 +68,14 @@
   public void ended() {
     if (isBinary) {
       ByteBuffer body = ByteBuffer.wrap(bytes.toByteArray()).asReadOnlyBuffer();
-      result.accept(new HttpResult.AnsweredBytes(status, body));
+      result.accept(new HttpResult.AnsweredBytes(status, body, header));
       return;
     }
     Either<JsonError, String> body = JsonDocument.decodeText(ByteBuffer.wrap(bytes.toByteArray()));
     result.accept(
         body.fold(
             error -> new HttpResult.Lost("the response is not UTF-8 text", false),
-            text -> new HttpResult.Answered(status, contentType, text)));
+            text -> new HttpResult.Answered(status, contentType, text, header)));
   }
 
   @Override
--- a/transport/src/main/java/org/shallothook/transport/platform/EngineCompletion.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/EngineCompletion.java
@@ -1,5 +1,6 @@
 package org.shallothook.transport.platform;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -52,7 +53,7 @@
   }
 
   @Override
-  public void started(int newStatus, String contentType) {
+  public void started(int newStatus, HttpHeaders headers) {
     status = newStatus;
     if (status != OK) {
       end(failure(!REFUSALS.contains(status), "the engine responded with status " + status));
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpCall.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpCall.java
@@ -23,6 +23,7 @@
  * @param timeout for a buffered response, time until it is complete; for a stream, longest gap
  * @param isRepeatable whether the request may be sent on a pooled connection, where it fails
  *     without a known outcome if the server is just closing the connection
+ * @param responseHeader name of a header to report with a buffered response, if any
  */
 public record HttpCall(
     InetSocketAddress address,
@@ -31,7 +32,8 @@
     Map<String, String> headers,
     Optional<ByteBuffer> body,
     Duration timeout,
-    boolean isRepeatable) {
+    boolean isRepeatable,
+    Optional<String> responseHeader) {
   private static final String CONTENT_TYPE = "content-type";
   private static final String JSON = "application/json";
   private static final String OCTETS = "application/octet-stream";
@@ -41,6 +43,18 @@
     headers = Map.copyOf(headers);
   }
 
+  /** Creates a call that asks for no header of the response. */
+  public HttpCall(
+      InetSocketAddress address,
+      HttpMethod method,
+      String uri,
+      Map<String, String> headers,
+      Optional<ByteBuffer> body,
+      Duration timeout,
+      boolean isRepeatable) {
+    this(address, method, uri, headers, body, timeout, isRepeatable, Optional.empty());
+  }
+
   /** Returns a GET request. */
   public static HttpCall get(InetSocketAddress address, String uri, Duration timeout) {
     return new HttpCall(address, HttpMethod.GET, uri, Map.of(), Optional.empty(), timeout, true);
@@ -69,7 +83,13 @@
   public HttpCall withHeaders(String contentType, Map<String, String> further) {
     Map<String, String> all = new LinkedHashMap<>(further);
     all.put(CONTENT_TYPE, contentType);
-    return new HttpCall(address, method, uri, all, body, timeout, isRepeatable);
+    return new HttpCall(address, method, uri, all, body, timeout, isRepeatable, responseHeader);
+  }
+
+  /** Returns this request with the name of a header to report with the response. */
+  public HttpCall withResponseHeader(String name) {
+    return new HttpCall(
+        address, method, uri, headers, body, timeout, isRepeatable, Optional.of(name));
   }
 
   /** Returns a body with the text in UTF-8. */
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -112,8 +111,7 @@
     }
     if (message instanceof HttpResponse head) {
       isKeepAlive = HttpUtil.isKeepAlive(head);
-      String contentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-      handler.started(head.status().code(), contentType);
+      handler.started(head.status().code(), head.headers());
     }
     if (message instanceof HttpContent content && !hasEnded) {
       receive(context, content);
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpResult.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpResult.java
@@ -1,6 +1,7 @@
 package org.shallothook.transport.platform;
 
 import java.nio.ByteBuffer;
+import java.util.Optional;
 
 /**
  * Result of a request with a buffered response.
@@ -15,16 +16,26 @@
    * @param status HTTP status
    * @param contentType content type of the body, or the empty string
    * @param body body as text
+   * @param header value of the header that the call asks for, if the response has it
    */
-  record Answered(int status, String contentType, String body) implements HttpResult {}
+  record Answered(int status, String contentType, String body, Optional<String> header)
+      implements HttpResult {
+
+    /** Creates the result of a call that asks for no header. */
+    public Answered(int status, String contentType, String body) {
+      this(status, contentType, body, Optional.empty());
+    }
+  }
 
   /**
    * The response to a request for bytes is complete.
    *
    * @param status HTTP status
    * @param body body, read-only
+   * @param header value of the header that the call asks for, if the response has it
    */
-  record AnsweredBytes(int status, ByteBuffer body) implements HttpResult {}
+  record AnsweredBytes(int status, ByteBuffer body, Optional<String> header)
+      implements HttpResult {}
 
   /**
    * Nothing was sent, so the request had no effect.
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpStreamHandler.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpStreamHandler.java
@@ -1,5 +1,6 @@
 package org.shallothook.transport.platform;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.ByteBuffer;
 
 /**
@@ -11,7 +12,7 @@
 interface HttpStreamHandler {
 
   /** The status line and headers have arrived. */
-  void started(int status, String contentType);
+  void started(int status, HttpHeaders headers);
 
   /** A part of the body has arrived; the buffer is valid only during this method. */
   void received(ByteBuffer part);
