Follow streams across a restore of the store from a copy

Cause: offsets were taken for a position in time. After a restore they are given out again, so the follower read on from an offset that the store did not have, and took each new record for an older one. Change: offsets are compared within an era of the store only. A new era makes each follower scan its stream anew and forget the read that was issued with an old offset. What the copy contains is compared with what is known by the versions that documents state, so it neither replaces a newer value nor brings back a removed one; what is appended after the scan is newer. Records and requests between peers name their era, so that a process which cannot read the store learns of the restore, and one that starts learns what the copy lacks. Servers whose entries the copy lacks keep the grace of an outage. The membership record is written again. Evidence: the 7 failing cases of RestoredStoreTest pass, and cases of processes that miss the restore, of two restores, of servers, and of 12 random histories.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -208,6 +208,8 @@
     } else if (event instanceof ForwardEvent.RegistryReachable reachable) {
       isRegistryReachable = reachable.isReachable();
       servers.onReachable(reachable.isReachable(), nowMicros);
+    } else if (event instanceof ForwardEvent.RegistryRestored) {
+      servers.onRestored(nowMicros);
     } else if (event instanceof ForwardEvent.StatusReceived received) {
       // Waiting requests are reconsidered with the next tick; in large fleets statuses are too
       // frequent for doing it with each one.
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -60,6 +60,9 @@
   /** The registry has become readable or unreadable. */
   record RegistryReachable(boolean isReachable) implements ForwardEvent {}
 
+  /** The registry was restored from a copy, which may lack entries of running servers. */
+  record RegistryRestored() implements ForwardEvent {}
+
   /** A sidecar has reported the status of its server, or a peer that a server is leaving. */
   record StatusReceived(SidecarStatus status) implements ForwardEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -109,6 +109,11 @@
     isReachable = isNowReachable;
   }
 
+  /** Records that the registry was restored; entries missing in the copy are written again soon. */
+  void onRestored(long nowMicros) {
+    outageEndedMicros = nowMicros;
+  }
+
   void onStatus(SidecarStatus status, long nowMicros) {
     find(status.upstream()).ifPresent(server -> server.onStatus(status, nowMicros));
   }
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -261,19 +261,33 @@
    * Sends configuration records that the receiving peer is missing.
    *
    * @param records consecutive records of the configuration stream
+   * @param era era of the store in which the records have their offsets; 0 if it is not known
    */
-  record ConfigurationRecords(List<LogRecord> records) implements PeerMessage {
+  record ConfigurationRecords(List<LogRecord> records, long era) implements PeerMessage {
     public ConfigurationRecords {
       records = List.copyOf(records);
     }
+
+    /** Creates a message of records of a log that is never restored from a copy. */
+    public ConfigurationRecords(List<LogRecord> records) {
+      this(records, 0);
+    }
   }
 
   /**
    * Asks a peer for configuration records.
    *
    * @param fromOffset first offset requested
+   * @param era era of the store in which the sender knows all records below the offset; 0 if it is
+   *     not known
    */
-  record ConfigurationRequest(long fromOffset) implements PeerMessage {}
+  record ConfigurationRequest(long fromOffset, long era) implements PeerMessage {
+
+    /** Creates a request for records of a log that is never restored from a copy. */
+    public ConfigurationRequest(long fromOffset) {
+      this(fromOffset, 0);
+    }
+  }
 
   /**
    * Announces that a request is quarantined until a deadline.
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -9,16 +9,19 @@
 import java.util.SplittableRandom;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.log.KeyedState;
+import org.shallothook.state.log.RecordVersions;
 
 /**
  * Follows one stream: scans the newest record of each key, then reads appended records.
  *
  * <p>Handles a store that loses responses, is slow or unavailable, and expires old records: a
  * failed read is retried with a growing delay. If the next records have expired, the newest record
- * of each key is scanned again, after which keys that the scan did not return are removed.
+ * of each key is scanned again, after which keys that the scan did not return are removed. The same
+ * happens if the store was restored from a copy: offsets of before mean nothing any more, nor does
+ * a read that was issued with one.
  *
- * <p>Invariant: one read is outstanding at a time, and no key goes back to an older record. Not
- * thread-safe.
+ * <p>Invariant: the results of at most one read are applied at a time, and no key goes back to an
+ * older record. Not thread-safe.
  */
 public final class KeyedFollower {
   /** Maximum delay before the first retry of a read; doubled for each further one. */
@@ -29,11 +32,11 @@
   private final RegistryStream stream;
   private final PollingPolicy policy;
   private final SplittableRandom random;
-  private final KeyedState state = new KeyedState();
+  private final KeyedState state;
   private final Set<String> scannedKeys = new HashSet<>();
   private boolean isComplete;
   private boolean isScanning = true;
-  private boolean isReadOutstanding;
+  private Optional<RegistryCommand> outstanding = Optional.empty();
   private String afterKey = "";
   private long scanStartOffset;
   private long readFromOffset;
@@ -41,7 +44,12 @@
   private int consecutiveFailures;
 
   /** Creates a follower that has read nothing. */
-  KeyedFollower(RegistryStream stream, PollingPolicy policy, SplittableRandom random) {
+  KeyedFollower(
+      RegistryStream stream,
+      PollingPolicy policy,
+      RecordVersions versions,
+      SplittableRandom random) {
+    this.state = new KeyedState(versions);
     this.stream = stream;
     this.policy = policy;
     this.random = random;
@@ -52,6 +60,11 @@
     return state;
   }
 
+  /** Returns whether the latest scan found a key in the store. */
+  boolean isScanned(String key) {
+    return scannedKeys.contains(key);
+  }
+
   /** Returns whether a scan of all keys has completed. */
   boolean isComplete() {
     return isComplete;
@@ -64,15 +77,51 @@
 
   /** Returns the read that is due, if any, and marks it as outstanding. */
   Optional<RegistryCommand> nextRead(long nowMicros) {
-    if (isReadOutstanding || nowMicros < nextReadMicros) {
+    if (outstanding.isPresent() || nowMicros < nextReadMicros) {
       return Optional.empty();
     }
-    isReadOutstanding = true;
     long wait = isFailing() ? 0 : policy.maximumWaitMicros();
-    return Optional.of(
-        isScanning
-            ? new RegistryCommand.ReadNewest(stream, afterKey)
-            : new RegistryCommand.Read(stream, readFromOffset, wait));
+    outstanding =
+        Optional.of(
+            isScanning
+                ? new RegistryCommand.ReadNewest(stream, afterKey)
+                : new RegistryCommand.Read(stream, readFromOffset, wait));
+    return outstanding;
+  }
+
+  /**
+   * Begins an era of the store. If an earlier one was known, the store was restored: all keys are
+   * scanned again, and the outstanding read is forgotten.
+   */
+  void onEra(long era, long nowMicros) {
+    boolean isRestored = state.era() != 0;
+    state.beginEra(era);
+    if (isRestored) {
+      outstanding = Optional.empty();
+      isScanning = true;
+      afterKey = "";
+      readFromOffset = 0;
+      nextReadMicros = nowMicros;
+    }
+  }
+
+  /** Returns whether a page is the result of the outstanding read. */
+  boolean isExpectedPage(String pageAfterKey) {
+    return outstanding
+        .filter(
+            command ->
+                command instanceof RegistryCommand.ReadNewest newest
+                    && newest.afterKey().equals(pageAfterKey))
+        .isPresent();
+  }
+
+  /** Returns whether records from an offset on are the result of the outstanding read. */
+  boolean isExpectedRead(long fromOffset) {
+    return outstanding
+        .filter(
+            command ->
+                command instanceof RegistryCommand.Read read && read.fromOffset() == fromOffset)
+        .isPresent();
   }
 
   /** Makes the next read due immediately. */
@@ -82,7 +131,7 @@
 
   /** Applies a page of newest records and returns the records that changed the state. */
   List<KeyedRecord> onPage(Either<ReadFailure, NewestPage> result, long nowMicros) {
-    isReadOutstanding = false;
+    outstanding = Optional.empty();
     if (result.isLeft()) {
       onFailed(nowMicros);
       return List.of();
@@ -93,13 +142,13 @@
       scannedKeys.clear();
       scanStartOffset = page.endOffset();
     }
-    List<KeyedRecord> changes = new ArrayList<>(state.apply(page.items()));
+    List<KeyedRecord> changes = new ArrayList<>(state.applyScanned(page.items()));
     page.items().forEach(item -> scannedKeys.add(item.key()));
     if (page.hasMore() && !page.items().isEmpty()) {
       afterKey = page.items().get(page.items().size() - 1).key();
       return changes;
     }
-    changes.addAll(state.retain(scannedKeys, scanStartOffset));
+    changes.addAll(state.retain(scannedKeys, scanStartOffset, stream.keepsKeysMissingInCopy()));
     state.advanceTo(scanStartOffset);
     readFromOffset = scanStartOffset;
     afterKey = "";
@@ -110,7 +159,7 @@
 
   /** Applies appended records and returns those that changed the state. */
   List<KeyedRecord> onRead(Either<ReadFailure, RecordsRead> result, long nowMicros) {
-    isReadOutstanding = false;
+    outstanding = Optional.empty();
     if (result.isLeft()) {
       isScanning = result.getLeft().isExpired();
       if (isScanning) {
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -1,5 +1,6 @@
 package org.shallothook.coordination.registry;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
@@ -15,6 +16,7 @@
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.log.LogRecord;
+import org.shallothook.state.log.RecordVersions;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 
@@ -23,7 +25,9 @@
  *
  * <p>Handles a store that refuses some machines and serves the others: a process that reads a
  * change sends it to a few peers, and a process that cannot read requests changes from a few peers,
- * so that a change reaches every process within a few rounds.
+ * so that a change reaches every process within a few rounds. If the store is restored from an
+ * older copy, all streams are read anew, and what this process wrote and the copy lacks is written
+ * again; a process that cannot read the store learns of the restore from its peers.
  *
  * <p>Invariant: a value is never replaced by an older one, whatever its source. Not thread-safe:
  * one decision thread owns it.
@@ -49,6 +53,9 @@
 
   private static final int MAXIMUM_DOUBLINGS = 5;
 
+  private static final ReadFailure EARLIER_ERA =
+      ReadFailure.of("the answer is older than the restore of the store");
+
   /** Separates key and value in a record sent to a peer; not part of either. */
   private static final char SEPARATOR = '\n';
 
@@ -59,7 +66,7 @@
   private final Map<RegistryStream, KeyedFollower> followers = new EnumMap<>(RegistryStream.class);
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<StreamKey, PendingPut> pendingPuts = new LinkedHashMap<>();
-  private Optional<Long> era = Optional.empty();
+  private long era;
   private boolean isStoreReachable;
   private boolean isMemberWritten;
   private boolean isMemberPutOutstanding;
@@ -89,7 +96,13 @@
         .policies()
         .forEach(
             (stream, policy) ->
-                followers.put(stream, new KeyedFollower(stream, policy, random.split())));
+                followers.put(
+                    stream,
+                    new KeyedFollower(
+                        stream,
+                        policy,
+                        options.versions().getOrDefault(stream, RecordVersions.NONE),
+                        random.split())));
   }
 
   /** Returns the offset below which all records of the operator stream are known. */
@@ -148,15 +161,15 @@
       onPage(read, nowMicros);
     } else if (event instanceof RegistryEvent.StreamRead read) {
       onEra(read.era(), nowMicros);
-      KeyedFollower follower = followers.get(read.stream());
-      List<KeyedRecord> changes = follower.onRead(read.result(), nowMicros);
-      distributeChanges(read.stream(), changes, false, nowMicros);
+      onRead(read, nowMicros);
     } else if (event instanceof RegistryEvent.MemberPut put) {
+      onEra(put.era(), nowMicros);
       isMemberPutOutstanding = false;
-      isMemberWritten |= put.isSuccessful();
+      isMemberWritten |= put.isSuccessful() && !isOfEarlierEra(put.era());
       nextMemberPutMicros = nowMicros + MEMBER_PUT_INTERVAL_MICROS;
     } else if (event instanceof RegistryEvent.PutEnded put) {
-      if (put.isSuccessful()) {
+      onEra(put.era(), nowMicros);
+      if (put.isSuccessful() && !isOfEarlierEra(put.era())) {
         pendingPuts.remove(new StreamKey(put.stream(), put.key()));
       }
     } else if (event instanceof RegistryEvent.PeerMessageReceived received) {
@@ -211,15 +224,21 @@
 
   /** Notices that the store was restored since its last answer. */
   private void onEra(Optional<Long> answered, long nowMicros) {
-    boolean isNewer =
-        answered.isPresent() && era.filter(known -> known >= answered.get()).isEmpty();
-    if (isNewer) {
-      boolean isRestored = era.isPresent();
-      era = answered;
-      if (isRestored) {
-        listener.onStoreRestored(answered.get(), offsets(), nowMicros);
-      }
+    if (answered.filter(newer -> newer > era).isEmpty()) {
+      return;
+    }
+    boolean isRestored = era != 0;
+    era = answered.get();
+    if (isRestored) {
+      listener.onStoreRestored(era, offsets(), nowMicros);
+      isMemberWritten = false;
+      nextMemberPutMicros = nowMicros;
     }
+    followers.values().forEach(follower -> follower.onEra(era, nowMicros));
+  }
+
+  private boolean isOfEarlierEra(Optional<Long> answered) {
+    return answered.filter(older -> older < era).isPresent();
   }
 
   /** Returns the next offset of each stream, for the log. */
@@ -231,11 +250,27 @@
 
   private void onPage(RegistryEvent.PageRead read, long nowMicros) {
     KeyedFollower follower = followers.get(read.stream());
+    if (!follower.isExpectedPage(read.afterKey())) {
+      return;
+    }
     boolean wasComplete = follower.isComplete();
-    List<KeyedRecord> changes = follower.onPage(read.result(), nowMicros);
+    Either<ReadFailure, NewestPage> result =
+        isOfEarlierEra(read.era()) ? Either.left(EARLIER_ERA) : read.result();
+    List<KeyedRecord> changes = follower.onPage(result, nowMicros);
     distributeChanges(read.stream(), changes, !wasComplete && follower.isComplete(), nowMicros);
   }
 
+  private void onRead(RegistryEvent.StreamRead read, long nowMicros) {
+    KeyedFollower follower = followers.get(read.stream());
+    if (!follower.isExpectedRead(read.fromOffset())) {
+      return;
+    }
+    Either<ReadFailure, RecordsRead> result =
+        isOfEarlierEra(read.era()) ? Either.left(EARLIER_ERA) : read.result();
+    List<KeyedRecord> changes = follower.onRead(result, nowMicros);
+    distributeChanges(read.stream(), changes, false, nowMicros);
+  }
+
   private void distributeChanges(
       RegistryStream stream,
       List<KeyedRecord> changes,
@@ -246,7 +281,7 @@
     }
     listener.onChanges(stream, changes, completesFirstScan, nowMicros);
     if (stream == RegistryStream.OPERATOR && !completesFirstScan) {
-      PeerMessage message = recordsOf(changes);
+      PeerMessage message = recordsOf(era, changes);
       randomPeers(nowMicros).forEach(name -> send(name, message));
     }
     if (stream == RegistryStream.MEMBERS && completesFirstScan) {
@@ -259,7 +294,7 @@
    * read its membership record yet.
    */
   private void requestFromAllPeers(long nowMicros) {
-    PeerMessage request = new PeerMessage.ConfigurationRequest(configurationOffset());
+    PeerMessage request = new PeerMessage.ConfigurationRequest(configurationOffset(), era);
     reachablePeers(nowMicros).forEach(name -> send(name, request));
   }
 
@@ -271,10 +306,11 @@
     if (message instanceof PeerMessage.Hello hello) {
       sender.role = hello.role();
     } else if (message instanceof PeerMessage.ConfigurationRequest request) {
-      List<KeyedRecord> newer = operatorFollower().state().since(request.fromOffset());
-      if (!newer.isEmpty()) {
-        send(envelope.sender(), recordsOf(newer));
-      }
+      onEra(Optional.of(request.era()), nowMicros);
+      operatorFollower()
+          .state()
+          .since(request.era(), request.fromOffset())
+          .forEach((recordEra, records) -> send(envelope.sender(), recordsOf(recordEra, records)));
     } else if (message instanceof PeerMessage.ConfigurationRecords records) {
       onRecords(records, nowMicros);
     } else {
@@ -294,24 +330,26 @@
                 record.offset(), key, value.isEmpty() ? Optional.empty() : Optional.of(value)));
       }
     }
-    List<KeyedRecord> changes = operatorFollower().state().apply(received);
+    onEra(Optional.of(message.era()), nowMicros);
+    List<KeyedRecord> changes = operatorFollower().state().applyFromPeer(received, message.era());
     if (!changes.isEmpty()) {
       listener.onChanges(RegistryStream.OPERATOR, changes, false, nowMicros);
     }
   }
 
-  private static PeerMessage recordsOf(List<KeyedRecord> records) {
+  private static PeerMessage recordsOf(long recordEra, List<KeyedRecord> records) {
     return new PeerMessage.ConfigurationRecords(
         records.stream()
             .map(
                 record ->
                     new LogRecord(
                         record.offset(), 0, record.key() + SEPARATOR + record.value().orElse("")))
-            .toList());
+            .toList(),
+        recordEra);
   }
 
   private void requestFromRandomPeers(long nowMicros) {
-    PeerMessage request = new PeerMessage.ConfigurationRequest(configurationOffset());
+    PeerMessage request = new PeerMessage.ConfigurationRequest(configurationOffset(), era);
     randomPeers(nowMicros).forEach(name -> send(name, request));
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryStream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryStream.java
@@ -23,6 +23,14 @@
     this.streamName = streamName;
   }
 
+  /**
+   * Returns whether a key of which a restored copy of the store knows nothing keeps its value. Its
+   * writer sets it again, and never removes one.
+   */
+  boolean keepsKeysMissingInCopy() {
+    return this == OPERATOR;
+  }
+
   /**
    * Returns the name of the stream; valid only for streams of this system, since the platform names
    * the others.
--- a/coordination/src/test/java/org/shallothook/coordination/registry/KeyedFollowerTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/KeyedFollowerTest.java
@@ -8,13 +8,17 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.log.RecordVersions;
 
 /** Reads that fail, find expired records, or overlap with appends. */
 final class KeyedFollowerTest {
   private static final long SECOND = 1_000_000;
   private final KeyedFollower follower =
       new KeyedFollower(
-          RegistryStream.OPERATOR, new PollingPolicy(SECOND, 0), new SplittableRandom(1));
+          RegistryStream.SERVERS,
+          new PollingPolicy(SECOND, 0),
+          RecordVersions.NONE,
+          new SplittableRandom(1));
 
   private static KeyedRecord put(long offset, String key, String value) {
     return new KeyedRecord(offset, key, Optional.of(value));
@@ -43,7 +47,7 @@
     assertThat(page(true, 9, put(3, "a", "1"))).hasSize(1);
     assertThat(page(false, 12, put(11, "b", "2"))).hasSize(1);
     assertThat(follower.nextRead(0))
-        .hasValue(new RegistryCommand.Read(RegistryStream.OPERATOR, 9, SECOND));
+        .hasValue(new RegistryCommand.Read(RegistryStream.SERVERS, 9, SECOND));
   }
 
   @Test
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
@@ -48,6 +48,7 @@
                   Map.of(
                       RegistryStream.OPERATOR, new PollingPolicy(0, 200_000),
                       RegistryStream.MEMBERS, new PollingPolicy(0, 20 * SECOND)),
+                  Map.of(),
                   name.hashCode()),
               this::execute,
               this);
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryPutTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryPutTest.java
@@ -26,6 +26,7 @@
               new Instance(
                   "router-1", InstanceRole.ROUTER, "10.0.0.1:1", "domain", "region", "", false),
               Map.of(RegistryStream.OPERATOR, new PollingPolicy(0, SECOND)),
+              Map.of(),
               1),
           this::execute,
           this);
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.log.RecordVersion;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 
@@ -36,6 +37,7 @@
   final Map<String, Node> nodes = new LinkedHashMap<>();
   private final Map<RegistryStream, List<KeyedRecord>> logs = new EnumMap<>(RegistryStream.class);
   private final Set<String> cutOff = new HashSet<>();
+  private final Set<String> rejected = new HashSet<>();
   private final Deque<Runnable> messages = new ArrayDeque<>();
   private boolean isDown;
   private long era = 1;
@@ -64,6 +66,10 @@
                       RegistryStream.SERVERS, new PollingPolicy(SECOND / 2, SECOND / 4),
                       RegistryStream.QUARANTINES, new PollingPolicy(0, 2 * SECOND),
                       RegistryStream.MEMBERS, new PollingPolicy(0, 20 * SECOND)),
+                  Map.of(
+                      RegistryStream.OPERATOR, RestoredStoreFleet::versionOf,
+                      RegistryStream.SERVERS, RestoredStoreFleet::versionOf,
+                      RegistryStream.QUARANTINES, RestoredStoreFleet::versionOf),
                   name.hashCode()),
               this::execute,
               this);
@@ -106,7 +112,7 @@
     }
 
     private boolean isStoreReachable() {
-      return !isDown && !cutOff.contains(name);
+      return !isDown && !cutOff.contains(name) && !rejected.contains(name);
     }
 
     private void deliver(RegistryCommand.SendToPeer send) {
@@ -207,6 +213,10 @@
     public void onMessage(Envelope envelope, long now) {}
   }
 
+  private static Optional<RecordVersion> versionOf(String key, String value) {
+    return Optional.of(new RecordVersion(0, Long.parseLong(value)));
+  }
+
   /** Starts a process that knows nothing. */
   Node start(String name) {
     Node node = new Node(name);
@@ -229,6 +239,15 @@
     }
   }
 
+  /** Lets the store reject a process, which still reaches the others, or serve it again. */
+  void setRejected(String name, boolean isRejected) {
+    if (isRejected) {
+      rejected.add(name);
+    } else {
+      rejected.remove(name);
+    }
+  }
+
   /** Publishes a version of the configuration. */
   void publish(long version) {
     write(RegistryStream.OPERATOR, CONFIGURATION, Optional.of(Long.toString(version)));
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -60,13 +60,17 @@
               new PeerMessage.ConfigurationRecords(
                   frame.getConfigurationRecords().getRecordsList().stream()
                       .map(FieldMapping::toLogRecord)
-                      .toList()));
+                      .toList(),
+                  FieldMapping.requireNonNegative(
+                      "configuration_records.era", frame.getConfigurationRecords().getEra())));
       case CONFIGURATION_REQUEST ->
           Optional.of(
               new PeerMessage.ConfigurationRequest(
                   FieldMapping.requireNonNegative(
                       "configuration_request.from_offset",
-                      frame.getConfigurationRequest().getFromOffset())));
+                      frame.getConfigurationRequest().getFromOffset()),
+                  FieldMapping.requireNonNegative(
+                      "configuration_request.era", frame.getConfigurationRequest().getEra())));
       case QUARANTINE ->
           Optional.of(
               new PeerMessage.Quarantine(
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -71,7 +71,9 @@
       frame.setConfigurationRecords(configurationRecords(records));
     } else if (message instanceof PeerMessage.ConfigurationRequest request) {
       frame.setConfigurationRequest(
-          ConfigurationRequestFrame.newBuilder().setFromOffset(request.fromOffset()));
+          ConfigurationRequestFrame.newBuilder()
+              .setFromOffset(request.fromOffset())
+              .setEra(request.era()));
     } else if (message instanceof PeerMessage.Quarantine quarantine) {
       frame.setQuarantine(
           QuarantineFrame.newBuilder()
@@ -220,6 +222,7 @@
   private static ConfigurationRecordsFrame.Builder configurationRecords(
       PeerMessage.ConfigurationRecords records) {
     return ConfigurationRecordsFrame.newBuilder()
-        .addAllRecords(records.records().stream().map(FieldMapping::toFrame).toList());
+        .addAllRecords(records.records().stream().map(FieldMapping::toFrame).toList())
+        .setEra(records.era());
   }
 }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -32,6 +32,7 @@
 import org.shallothook.platform.HostedNode;
 import org.shallothook.platform.HostedRequestFormat;
 import org.shallothook.platform.ModelServerClient;
+import org.shallothook.platform.StoreRecordVersions;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
@@ -122,7 +123,10 @@
     core = new ForwardCore(forwardOptions(), this::carryOut);
     registry =
         new RegistryCore(
-            new RegistryOptions(node.self(), policies(), node.incarnation()), node::carryOut, this);
+            new RegistryOptions(
+                node.self(), policies(), StoreRecordVersions.byStream(), node.incarnation()),
+            node::carryOut,
+            this);
     sidecarless =
         new SidecarlessServers(
             node.name(),
@@ -169,6 +173,7 @@
   @Override
   public void onStoreRestored(long era, String offsets, long nowMicros) {
     node.logStoreRestored(era, offsets);
+    core.handle(new ForwardEvent.RegistryRestored(), nowMicros);
   }
 
   @Override
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -20,6 +20,7 @@
 import org.shallothook.coordination.weights.WeightUpdater;
 import org.shallothook.platform.HostedNode;
 import org.shallothook.platform.ModelServerClient;
+import org.shallothook.platform.StoreRecordVersions;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
@@ -72,7 +73,11 @@
             node.decisionLog());
     registry =
         new RegistryCore(
-            new RegistryOptions(node.self(), policies(settings), node.incarnation()),
+            new RegistryOptions(
+                node.self(),
+                policies(settings),
+                StoreRecordVersions.byStream(),
+                node.incarnation()),
             node::carryOut,
             this);
     admin = new AdminServer(node.loop(), node.metrics().registry(), isLeaving::get);
