Write again what a restored copy of the store lacks

What callers would see: a request that crashes servers reaching them again after all routers have restarted, or one that is refused although its quarantine was lifted. A write that the store had acknowledged was taken to last, and a copy's content to be in force. Change: the registry remembers what this process has written and nobody has replaced since; after a restore it writes again the values that the copy lacks or has older ones of, and removes again the keys that were removed. Values of quarantines are compared by their end.

--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -70,6 +70,11 @@
     return isComplete;
   }
 
+  /** Returns whether a scan of all keys has begun or is due. */
+  boolean isScanning() {
+    return isScanning;
+  }
+
   /** Returns whether the last read has failed. */
   boolean isFailing() {
     return consecutiveFailures > 0;
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -3,11 +3,13 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -66,6 +68,8 @@
   private final Map<RegistryStream, KeyedFollower> followers = new EnumMap<>(RegistryStream.class);
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<StreamKey, PendingPut> pendingPuts = new LinkedHashMap<>();
+  private final WrittenRecords written = new WrittenRecords();
+  private final Set<RegistryStream> restored = EnumSet.noneOf(RegistryStream.class);
   private long era;
   private boolean isStoreReachable;
   private boolean isMemberWritten;
@@ -170,7 +174,7 @@
     } else if (event instanceof RegistryEvent.PutEnded put) {
       onEra(put.era(), nowMicros);
       if (put.isSuccessful() && !isOfEarlierEra(put.era())) {
-        pendingPuts.remove(new StreamKey(put.stream(), put.key()));
+        onWritten(new StreamKey(put.stream(), put.key()));
       }
     } else if (event instanceof RegistryEvent.PeerMessageReceived received) {
       onEnvelope(received.envelope(), nowMicros);
@@ -233,10 +237,18 @@
       listener.onStoreRestored(era, offsets(), nowMicros);
       isMemberWritten = false;
       nextMemberPutMicros = nowMicros;
+      restored.addAll(followers.keySet());
     }
     followers.values().forEach(follower -> follower.onEra(era, nowMicros));
   }
 
+  private void onWritten(StreamKey target) {
+    PendingPut done = pendingPuts.remove(target);
+    if (done != null) {
+      written.onWritten(target.stream(), target.key(), done.value());
+    }
+  }
+
   private boolean isOfEarlierEra(Optional<Long> answered) {
     return answered.filter(older -> older < era).isPresent();
   }
@@ -257,6 +269,14 @@
     Either<ReadFailure, NewestPage> result =
         isOfEarlierEra(read.era()) ? Either.left(EARLIER_ERA) : read.result();
     List<KeyedRecord> changes = follower.onPage(result, nowMicros);
+    if (!restored.contains(read.stream())) {
+      written.onChanges(read.stream(), changes);
+    } else if (!follower.isScanning()) {
+      restored.remove(read.stream());
+      written
+          .missingIn(read.stream(), follower)
+          .forEach(missing -> put(read.stream(), missing.key(), missing.value(), nowMicros));
+    }
     distributeChanges(read.stream(), changes, !wasComplete && follower.isComplete(), nowMicros);
   }
 
@@ -268,6 +288,7 @@
     Either<ReadFailure, RecordsRead> result =
         isOfEarlierEra(read.era()) ? Either.left(EARLIER_ERA) : read.result();
     List<KeyedRecord> changes = follower.onRead(result, nowMicros);
+    written.onChanges(read.stream(), changes);
     distributeChanges(read.stream(), changes, false, nowMicros);
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
@@ -230,6 +230,10 @@
     }
   }
 
+  long now() {
+    return nowMicros;
+  }
+
   /** Lets a process reach neither the store nor other processes, or reach them again. */
   void setCutOff(String name, boolean isCutOff) {
     if (isCutOff) {
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.shallothook.coordination.registry.RestoredStoreFleet.SECOND;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shallothook.state.log.KeyedRecord;
 
 /** Covers a store that is restored from a copy, so that its offsets are given out again. */
 final class RestoredStoreTest {
@@ -176,6 +178,70 @@
     assertThat(valueOf(fleet, "router-0", RegistryStream.SERVERS, "server")).hasValue("5");
   }
 
+  // Guards against a quarantine that a restore loses, so that a process which starts does not know
+  // it.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void whatAProcessHasWrittenIsWrittenAgainOnce(boolean isLost) {
+    RestoredStoreFleet fleet = quarantinedFleet(Optional.of("600"));
+    int written = fleet.log(RegistryStream.QUARANTINES).size();
+    fleet.restoreWithout(RegistryStream.QUARANTINES, isLost ? 1 : 0);
+    fleet.advance(6 * SECOND);
+
+    List<KeyedRecord> log = fleet.log(RegistryStream.QUARANTINES);
+    assertThat(log).hasSize(written);
+    assertThat(log.get(written - 1).value()).hasValue("600");
+  }
+
+  // Guards against a copy that brings back a quarantine which was lifted.
+  @Test
+  void whatAProcessHasRemovedIsRemovedAgainAndNotBelieved() {
+    RestoredStoreFleet fleet = quarantinedFleet(Optional.of("600"));
+    fleet
+        .nodes
+        .get("router-1")
+        .core()
+        .put(RegistryStream.QUARANTINES, "key", Optional.empty(), fleet.now());
+    fleet.advance(6 * SECOND);
+    assertThat(valueOf(fleet, "router-3", RegistryStream.QUARANTINES, "key")).isEmpty();
+
+    fleet.restoreWithout(RegistryStream.QUARANTINES, 1);
+    fleet.advance(6 * SECOND);
+
+    List<KeyedRecord> log = fleet.log(RegistryStream.QUARANTINES);
+    assertThat(log.get(log.size() - 1).value()).isEmpty();
+    fleet
+        .nodes
+        .keySet()
+        .forEach(
+            name -> assertThat(valueOf(fleet, name, RegistryStream.QUARANTINES, "key")).isEmpty());
+  }
+
+  // Guards against a process that writes an older value over one that another has written since.
+  @Test
+  void whatAnotherProcessHasReplacedIsNotWrittenAgain() {
+    RestoredStoreFleet fleet = quarantinedFleet(Optional.of("600"));
+    fleet
+        .nodes
+        .get("router-2")
+        .core()
+        .put(RegistryStream.QUARANTINES, "key", Optional.of("900"), fleet.now());
+    fleet.advance(6 * SECOND);
+    fleet.restoreWithout(RegistryStream.QUARANTINES, 2);
+    fleet.advance(6 * SECOND);
+    List<KeyedRecord> log = fleet.log(RegistryStream.QUARANTINES);
+    assertThat(log.get(log.size() - 1).value()).hasValue("900");
+    assertThat(log.stream().noneMatch(record -> record.value().equals(Optional.of("600"))))
+        .isTrue();
+  }
+
+  private static RestoredStoreFleet quarantinedFleet(Optional<String> value) {
+    RestoredStoreFleet fleet = publishedFleet(2);
+    fleet.nodes.get("router-0").core().put(RegistryStream.QUARANTINES, "key", value, fleet.now());
+    fleet.advance(6 * SECOND);
+    return fleet;
+  }
+
   // Guards against orders of restores, cuts and changes that leave a process behind.
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,8 @@
 import org.shallothook.platform.ModelServerClient;
 import org.shallothook.platform.StoreRecordVersions;
 import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.log.RecordVersion;
+import org.shallothook.state.log.RecordVersions;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
@@ -123,8 +126,7 @@
     core = new ForwardCore(forwardOptions(), this::carryOut);
     registry =
         new RegistryCore(
-            new RegistryOptions(
-                node.self(), policies(), StoreRecordVersions.byStream(), node.incarnation()),
+            new RegistryOptions(node.self(), policies(), versions(), node.incarnation()),
             node::carryOut,
             this);
     sidecarless =
@@ -355,6 +357,17 @@
     }
   }
 
+  private static Map<RegistryStream, RecordVersions> versions() {
+    Map<RegistryStream, RecordVersions> versions = new EnumMap<>(StoreRecordVersions.byStream());
+    versions.put(RegistryStream.QUARANTINES, (key, value) -> quarantineVersion(value));
+    return versions;
+  }
+
+  /** Returns the version of a quarantine's record: a later one of the same key ends later. */
+  private static Optional<RecordVersion> quarantineVersion(String value) {
+    return Try.of(() -> new RecordVersion(0, Long.parseLong(value))).toJavaOptional();
+  }
+
   private Map<RegistryStream, PollingPolicy> policies() {
     long configurationMicros =
         settings.micros(HostedKeys.CONFIGURATION_MILLIS, TimeUnit.MILLISECONDS);
