--- a/protocol/src/test/java/org/shallothook/protocol/peer/RecordArbitraries.java
+++ b/protocol/src/test/java/org/shallothook/protocol/peer/RecordArbitraries.java
@@ -48,6 +48,9 @@
     if (type == long.class || type == Long.class) {
       return Arbitraries.longs().greaterOrEqual(0).asGeneric();
     }
+    if (type == double.class || type == Double.class) {
+      return Arbitraries.doubles().greaterOrEqual(0).asGeneric();
+    }
     if (type == boolean.class || type == Boolean.class) {
       return Arbitraries.of(true, false).asGeneric();
     }
