Reject entries of other writers where they are parsed

Report of other operators: one odd entry among those of the servers ended processes or stopped their reading. What could happen here: deep nesting and long numbers were rejected before (shown by cases that passed). An address that is no IP:port was accepted; it threw later in each tick of the routers that own servers without a sidecar, which skipped the other servers, and at the parsing of addresses it threw away the rest of the entries that were read with it. An identity with characters that no header may have failed at each send. One unreadable item made a whole page of newest records fail, so that a process which started never became ready.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
@@ -235,6 +235,7 @@
   }
 
   private static String hostOf(String address) {
-    return address.substring(0, address.lastIndexOf(':'));
+    int colon = address.lastIndexOf(':');
+    return colon < 0 ? address : address.substring(0, colon);
   }
 }
--- a/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
+++ b/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -75,6 +76,26 @@
     return read;
   }
 
+  /**
+   * Returns the objects of an array that {@code parser} can map to a value.
+   *
+   * @param onInvalid receives the error of each other element
+   */
+  public <T> List<T> validObjects(
+      String name, Function<JsonFields, T> parser, Consumer<JsonError> onInvalid) {
+    List<T> read = new ArrayList<>();
+    int index = 0;
+    for (JsonElement element : array(name)) {
+      try {
+        read.add(parser.apply(new JsonFields(pathOf(name) + "[" + index + "]", element)));
+      } catch (InvalidJsonException e) {
+        onInvalid.accept(e.error());
+      }
+      index++;
+    }
+    return read;
+  }
+
   /** Returns an optional object, mapped to a value by {@code parser}. */
   public <T> Optional<T> optionalObject(String name, Function<JsonFields, T> parser) {
     return element(name).map(found -> parser.apply(new JsonFields(pathOf(name), found)));
