Answer what is still open before a planned stop ends

Report of other operators: requests that came late in the grace of a planned stop were cut off with no answer at its end. What could happen here: requests that were accepted in the first 2.6 s and had not ended 7.3 s after the signal were cut off when the process ended, those at servers without a 502, those that waited without their 503. With a grace period below 3.3 s new requests were accepted until the process ended, since the drain period did not depend on it. Change: 0.1 s before its sockets close a leaving router ends every open request: 502 if it may have run, 503 (not run) if not, a begun stream is broken off visibly. The drain period is at most half of the grace period.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -99,6 +99,12 @@
           .thenComparingLong(PendingRequest::arrivedMicros)
           .thenComparingLong(PendingRequest::number);
 
+  /**
+   * Time before the end of a leaving router at which open requests get their final response, in
+   * microseconds, so that it still leaves the process.
+   */
+  private static final long FINAL_RESPONSE_MICROS = 100_000;
+
   private final ForwardOptions options;
   private final Consumer<ForwardCommand> commands;
   private final ForwardJournal journal;
@@ -227,7 +233,7 @@
     } else if (event instanceof ForwardEvent.ServerChecked checked) {
       onServerChecked(checked.server(), checked.hasCrashed(), nowMicros);
     } else if (event instanceof ForwardEvent.Leaving leaving) {
-      shutdownAtMicros = Optional.of(leaving.endsAtMicros());
+      shutdownAtMicros = Optional.of(leaving.endsAtMicros() - FINAL_RESPONSE_MICROS);
     } else if (event instanceof ForwardEvent.LimitAnnounced announced) {
       servers
           .find(announced.server())
@@ -849,6 +855,8 @@
     for (PendingRequest request : List.copyOf(open.values())) {
       if (nowMicros >= request.deadlineMicros()) {
         onDeadline(request, nowMicros);
+      } else if (shutdownAtMicros.filter(end -> nowMicros >= end).isPresent()) {
+        onShutdown(request, nowMicros);
       }
     }
     sendWaiting(nowMicros);
@@ -900,6 +908,19 @@
     }
   }
 
+  private void onShutdown(PendingRequest request, long nowMicros) {
+    if (request.isAtServer()) {
+      dropAttempt(request, true);
+    }
+    String detail = "The router has been stopped.";
+    if (request.hasStartedResponse()) {
+      breakOff(request, detail, nowMicros);
+    } else {
+      long retryAtMicros = nowMicros + LEAVING_RETRY_DELAY_MICROS;
+      end(request, RefusalReason.ROUTER_LEAVING, detail, retryAtMicros, nowMicros);
+    }
+  }
+
   private void pauseSilentServers(long nowMicros) {
     for (Server server : servers.all()) {
       if (server.isSilent(MAX_SILENCE_MICROS, nowMicros)) {
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -119,7 +119,7 @@
         new ForwardTransport(
             node.loop(),
             new HostedRequestFormat(),
-            ForwardSettings.DEFAULT,
+            ForwardSettings.DEFAULT.withinGracePeriod(longestStop()),
             node.events(),
             node.metrics(),
             Clock::steadyMicros);
@@ -402,11 +402,16 @@
   private void drain() {
     isLeaving.set(true);
     node.logProcess("draining");
-    long longestMicros =
-        settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS) - CLOSE_MARGIN_MICROS;
-    long endsAtMicros = Clock.steadyMicros() + longestMicros;
+    Duration longest = longestStop();
+    long endsAtMicros = Clock.steadyMicros() + TimeUnit.NANOSECONDS.toMicros(longest.toNanos());
     transport.drain(
         () -> node.events().deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::onDrained);
-    Channels.after(node.loop(), Duration.of(longestMicros, ChronoUnit.MICROS), stop::onDrained);
+    Channels.after(node.loop(), longest, stop::onDrained);
+  }
+
+  /** Returns the time from the signal to stop until the process closes its sockets. */
+  private Duration longestStop() {
+    long graceMicros = settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS);
+    return Duration.of(graceMicros - CLOSE_MARGIN_MICROS, ChronoUnit.MICROS);
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
@@ -38,4 +38,23 @@
           24,
           3_000,
           Duration.ofMillis(2_600));
+
+  /** Divisor of the grace period: how much of it may pass before new requests are refused. */
+  private static final int DRAIN_PERIOD_DIVISOR = 2;
+
+  /**
+   * Returns these settings with a drain period that leaves at least half of the grace period of a
+   * stop to the requests that are open.
+   */
+  public ForwardSettings withinGracePeriod(Duration gracePeriod) {
+    Duration longest = gracePeriod.dividedBy(DRAIN_PERIOD_DIVISOR);
+    return new ForwardSettings(
+        connectTimeout,
+        idleTimeout,
+        maximumIdleTime,
+        nonRepeatableIdleTime,
+        maximumIdleConnections,
+        maximumCallerConnections,
+        drainPeriod.compareTo(longest) <= 0 ? drainPeriod : longest);
+  }
 }
