--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.shallothook.state.collection.BoundedMaps;
 
 /**
  * Finds what requests that crash servers have in common, and quarantines it.
@@ -134,15 +135,15 @@
    */
   public void onCrash(String crash, RequestSignature signature, long nowMicros) {
     long atMicros = crashedAtMicros.computeIfAbsent(crash, name -> nowMicros);
-    removeEldest(crashedAtMicros, MAXIMUM_CRASH_TIMES);
+    BoundedMaps.removeEldest(crashedAtMicros, MAXIMUM_CRASH_TIMES);
     for (long key : signature.keys()) {
       Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
       suspicion.crashes.putIfAbsent(crash, atMicros);
-      removeEldest(suspicion.crashes, MAXIMUM_CRASHES);
+      BoundedMaps.removeEldest(suspicion.crashes, MAXIMUM_CRASHES);
       suspicion.expiresAtMicros = nowMicros + quarantineMicros;
       undecided.add(key);
     }
-    removeEldest(suspicions, MAXIMUM_SUSPICIONS);
+    BoundedMaps.removeEldest(suspicions, MAXIMUM_SUSPICIONS);
   }
 
   /** Clears a request whose answer its server has survived. */
@@ -172,7 +173,7 @@
       return false;
     }
     quarantine(key, suspicion, Math.min(untilMicros, nowMicros + quarantineMicros), nowMicros);
-    removeEldest(suspicions, MAXIMUM_SUSPICIONS);
+    BoundedMaps.removeEldest(suspicions, MAXIMUM_SUSPICIONS);
     return true;
   }
 
@@ -336,9 +337,7 @@
   }
 
   private void recordCleared(long key, long nowMicros) {
-    clearedAtMicros.remove(key);
-    clearedAtMicros.put(key, nowMicros);
-    removeEldest(clearedAtMicros, MAXIMUM_CLEARED);
+    BoundedMaps.putNewest(clearedAtMicros, key, nowMicros, MAXIMUM_CLEARED);
   }
 
   private Cleared removeSuspicions(Collection<Long> keys) {
@@ -357,10 +356,4 @@
     }
     return new Cleared(suspected, quarantined);
   }
-
-  private static void removeEldest(Map<?, ?> entries, int maximumSize) {
-    while (entries.size() > maximumSize) {
-      entries.remove(entries.keySet().iterator().next());
-    }
-  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashSuspects.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashSuspects.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.shallothook.state.collection.BoundedMaps;
 
 /**
  * Requests that were running when an engine crashed and may have caused the crash.
@@ -42,11 +43,8 @@
       expiresAtMicros.remove(fingerprint);
       return true;
     }
-    expiresAtMicros.remove(fingerprint);
-    expiresAtMicros.put(fingerprint, nowMicros + suspectDurationMicros);
-    if (expiresAtMicros.size() > MAXIMUM_ENTRIES) {
-      expiresAtMicros.remove(expiresAtMicros.keySet().iterator().next());
-    }
+    BoundedMaps.putNewest(
+        expiresAtMicros, fingerprint, nowMicros + suspectDurationMicros, MAXIMUM_ENTRIES);
     return false;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/QuarantineRegister.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/QuarantineRegister.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.state.collection.BoundedMaps;
 
 /**
  * Requests that must not run, each until its quarantine expires.
@@ -22,11 +23,7 @@
     if (until <= nowMicros || (known != null && known >= until)) {
       return false;
     }
-    expiresAtMicros.remove(fingerprint);
-    expiresAtMicros.put(fingerprint, until);
-    if (expiresAtMicros.size() > MAXIMUM_ENTRIES) {
-      expiresAtMicros.remove(expiresAtMicros.keySet().iterator().next());
-    }
+    BoundedMaps.putNewest(expiresAtMicros, fingerprint, until, MAXIMUM_ENTRIES);
     return true;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -16,6 +16,7 @@
 import java.util.stream.Collectors;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.state.collection.BoundedMaps;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.log.LogRecord;
 import org.shallothook.state.log.RecordVersions;
@@ -150,11 +151,8 @@
    */
   public void put(RegistryStream stream, String key, Optional<String> value, long nowMicros) {
     StreamKey streamKey = new StreamKey(stream, key);
-    pendingPuts.remove(streamKey);
-    pendingPuts.put(streamKey, new PendingPut(value, nowMicros));
-    if (pendingPuts.size() > MAXIMUM_PENDING_PUTS) {
-      pendingPuts.remove(pendingPuts.keySet().iterator().next());
-    }
+    BoundedMaps.putNewest(
+        pendingPuts, streamKey, new PendingPut(value, nowMicros), MAXIMUM_PENDING_PUTS);
     putDue(nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/WrittenRecords.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/WrittenRecords.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.state.collection.BoundedMaps;
 import org.shallothook.state.log.KeyedRecord;
 
 /**
@@ -21,13 +22,11 @@
 
   /** Records that a value was written; empty if the key was removed. */
   void onWritten(RegistryStream stream, String key, Optional<String> value) {
-    Map<String, Optional<String>> written =
-        values.computeIfAbsent(stream, added -> new LinkedHashMap<>());
-    written.remove(key);
-    written.put(key, value);
-    if (written.size() > MAXIMUM_RECORDS_PER_STREAM) {
-      written.remove(written.keySet().iterator().next());
-    }
+    BoundedMaps.putNewest(
+        values.computeIfAbsent(stream, added -> new LinkedHashMap<>()),
+        key,
+        value,
+        MAXIMUM_RECORDS_PER_STREAM);
   }
 
   /** Forgets the values that records of the stream have replaced. */
--- a/coordination/src/main/java/org/shallothook/coordination/router/RecentExplanations.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/RecentExplanations.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.state.collection.BoundedMaps;
 import org.shallothook.state.request.RequestId;
 
 /**
@@ -21,9 +22,7 @@
 
   void add(Explanation explanation) {
     explanations.put(explanation.request(), explanation);
-    if (explanations.size() > capacity) {
-      explanations.remove(explanations.keySet().iterator().next());
-    }
+    BoundedMaps.removeEldest(explanations, capacity);
   }
 
   Optional<Explanation> find(RequestId request) {
--- /dev/null
+++ b/state/src/main/java/org/shallothook/state/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers for collections of bounded size. */
+package org.shallothook.state.collection;
