Count the requests that precede another only where servers limit them

Cause: each waiting request counted all open ones at each tick, also where no server states a limit: work that grows with the square of the load. Change: the limits are looked at first. No other behaviour; the tests of limits and of the forwarding core pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -429,19 +429,21 @@
    */
   private boolean isRefusedForLimits(
       PendingRequest request, List<Server> candidates, long nowMicros) {
+    if (!ServerLimits.areExhausted(candidates, nowMicros)) {
+      return false;
+    }
     long preceding =
         open.values().stream()
             .filter(other -> other.phase() == Phase.WAITING && other != request)
             .filter(other -> other.service().equals(request.service()))
             .filter(other -> SEND_ORDER.compare(other, request) < 0)
             .count();
-    Optional<Long> availableAt =
-        ServerLimits.availableMicros(candidates, (int) preceding, nowMicros);
-    if (availableAt.filter(at -> at > slotWaitEndMicros(request)).isEmpty()) {
+    long availableAtMicros = ServerLimits.availableMicros(candidates, (int) preceding, nowMicros);
+    if (availableAtMicros <= slotWaitEndMicros(request)) {
       return false;
     }
     String detail = "Every server limits the requests that it takes.";
-    end(request, RefusalReason.UPSTREAM_LIMIT, detail, availableAt.get(), nowMicros);
+    end(request, RefusalReason.UPSTREAM_LIMIT, detail, availableAtMicros, nowMicros);
     return true;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerLimits.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerLimits.java
@@ -113,29 +113,32 @@
     return servers.stream().anyMatch(server -> server.limit().isPresent());
   }
 
+  /** Returns whether the limits of all of some servers keep this router from sending to them. */
+  static boolean areExhausted(List<Server> servers, long nowMicros) {
+    return !servers.isEmpty()
+        && servers.stream()
+            .allMatch(
+                server ->
+                    server.limit().filter(share -> !share.isAvailable(nowMicros)).isPresent());
+  }
+
   /**
-   * Returns when one of some servers will take a request within its limit, if the limits of all of
-   * them are what keeps this router from sending one now.
+   * Returns when one of some servers, whose limits are exhausted, will take a request.
    *
-   * @param servers servers that may take the request
+   * @param servers at least one server with a limit
    * @param preceding requests that are sent before it
    */
-  static Optional<Long> availableMicros(List<Server> servers, int preceding, long nowMicros) {
+  static long availableMicros(List<Server> servers, int preceding, long nowMicros) {
     PriorityQueue<Turn> turns = new PriorityQueue<>(Comparator.comparingLong(Turn::atMicros));
     for (Server server : servers) {
-      Optional<LimitShare> exhausted =
-          server.limit().filter(share -> !share.isAvailable(nowMicros));
-      if (exhausted.isEmpty()) {
-        return Optional.empty();
-      }
-      LimitShare share = exhausted.get();
+      LimitShare share = server.limit().orElseThrow();
       turns.add(new Turn(share.availableMicros(nowMicros), share.intervalMicros()));
     }
-    for (int sent = 0; sent < preceding && !turns.isEmpty(); sent++) {
+    for (int sent = 0; sent < preceding; sent++) {
       Turn turn = turns.remove();
       turns.add(new Turn(turn.atMicros() + turn.intervalMicros(), turn.intervalMicros()));
     }
-    return Optional.ofNullable(turns.peek()).map(Turn::atMicros);
+    return turns.element().atMicros();
   }
 
   private void set(Server server, double requestsPerSecond, String source, long nowMicros) {
