Show the limits of servers in the trace of a request

Cause: a limit may have been stated long before the request that it keeps waiting, so a line close in time does not show it. Change: the trace shows the latest limit line of each server, as it does for the configuration. RequestTraceTest: a request refused 3.5 s after another router had announced the limit. No decision changes.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/LimitShare.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/LimitShare.java
@@ -64,7 +64,7 @@
     return statedMicros;
   }
 
-  /** Records that the server has stated a limit; the share is divided anew if it has changed. */
+  /** Records that the server has stated a limit; a change takes effect with {@link #divide}. */
   void onStated(double newLimitPerSecond, long nowMicros) {
     limitPerSecond = newLimitPerSecond;
     statedMicros = nowMicros;
--- a/transport/src/main/java/org/shallothook/transport/logging/RequestTrace.java
+++ b/transport/src/main/java/org/shallothook/transport/logging/RequestTrace.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BinaryOperator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -27,6 +29,7 @@
 
   private static final Set<String> SERVER_DECISIONS =
       Set.of("server", "order", "dependency", "crash");
+  private static final String LIMIT = "limit";
   private static final Set<String> CONFIGURATION_DECISIONS = Set.of("configuration", "weights");
 
   public RequestTrace {
@@ -46,7 +49,8 @@
         sortedByTime(
             lines.stream()
                 .filter(line -> line.subject().equals(request))
-                .filter(line -> !SERVER_DECISIONS.contains(line.decision())));
+                .filter(line -> !SERVER_DECISIONS.contains(line.decision()))
+                .filter(line -> !line.decision().equals(LIMIT)));
     if (steps.isEmpty()) {
       return Optional.empty();
     }
@@ -62,7 +66,29 @@
             .filter(line -> SERVER_DECISIONS.contains(line.decision()))
             .filter(line -> servers.isEmpty() || servers.contains(line.subject()))
             .filter(line -> isWithinRelatedTime(line, steps));
-    return sortedByTime(Stream.concat(configurations(steps.get(0), lines), ofServers));
+    Stream<DecisionLine> known =
+        Stream.concat(configurations(steps.get(0), lines), limits(steps, servers, lines));
+    return sortedByTime(Stream.concat(known, ofServers));
+  }
+
+  /**
+   * Returns the process's latest line on the limit of each server before the end of the request.
+   */
+  private static Stream<DecisionLine> limits(
+      List<DecisionLine> steps, Set<String> servers, Collection<DecisionLine> lines) {
+    DecisionLine last = steps.get(steps.size() - 1);
+    return lines.stream()
+        .filter(line -> line.decision().equals(LIMIT))
+        .filter(line -> line.process().equals(last.process()))
+        .filter(line -> servers.isEmpty() || servers.contains(line.subject()))
+        .filter(line -> !line.time().isAfter(last.time()))
+        .collect(
+            Collectors.toMap(
+                DecisionLine::subject,
+                line -> line,
+                BinaryOperator.maxBy(Comparator.comparing(DecisionLine::time))))
+        .values()
+        .stream();
   }
 
   /** Returns names and addresses of the servers that the request was sent to; may be empty. */
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
@@ -156,6 +156,20 @@
     assertThat(trace.text()).contains("version=7");
   }
 
+  @Test
+  void aRequestRefusedBecauseOfALimitThatWasStatedLongBefore() throws InterruptedException {
+    start(false);
+    handle(new ForwardEvent.LimitAnnounced("server-1", "1", Optional.of(0.0), "router-2"));
+    nowMicros += 3_500_000;
+    request("/book/1");
+    RequestTrace trace = trace();
+    assertThat(trace.outcome()).isEqualTo(TraceOutcome.REFUSED);
+    assertThat(trace.text()).contains("upstream-limit");
+    assertThat(trace.text()).contains("It was not executed.");
+    assertThat(decisions(trace.relatedDecisions())).contains("limit");
+    assertThat(trace.text()).contains("source=router-2");
+  }
+
   @Test
   void aRequestWithoutLinesHasNoTrace() {
     assertThat(RequestTrace.find("attempt-9", List.of())).isEmpty();
