--- a/coordination/src/main/java/org/shallothook/coordination/forward/LimitStatement.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/LimitStatement.java
@@ -1,7 +1,5 @@
 package org.shallothook.coordination.forward;
 
-import java.util.Locale;
-
 /**
  * What a server's response states about the requests that it takes from all routers together.
  *
@@ -26,12 +24,7 @@
     NONE,
     STATED,
     /** A limit is stated, but not as a number; it neither sets nor ends one. */
-    UNREADABLE;
-
-    /** Returns the name used in log lines. */
-    String code() {
-      return name().toLowerCase(Locale.ROOT);
-    }
+    UNREADABLE
   }
 
   /** Returns a statement of a limit in requests per second, which must not be negative or NaN. */
