Look for limited servers without listing the usable ones

Cause: each arriving request built the list of usable servers twice, once only to see whether one states a limit; a new share was divided twice; the end of a leaving router repeated what end() does for a response that has begun. Change: the directory looks at the limits first, a share is divided once by its owner, and end() is called for both. No change of behaviour. Result: the tests of limits, shutdown, load patterns and of the forwarding core pass unchanged.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -364,7 +364,7 @@
     retries.onRequest(request.service(), nowMicros);
     long noServerUntilMicros = nowMicros + route.targetMicros() / NO_SERVER_WAIT_DIVISOR;
     request.waitUntil(Math.min(deadlineMicros, noServerUntilMicros));
-    if (ServerLimits.hasLimited(servers.usable(request.service(), nowMicros))) {
+    if (servers.hasLimited(request.service(), nowMicros)) {
       // Requests that already wait for a limited server come first.
       sendWaiting(nowMicros);
     } else {
@@ -914,13 +914,13 @@
     if (request.isAtServer()) {
       dropAttempt(request, true);
     }
-    String detail = "The router has been stopped.";
-    if (request.hasStartedResponse()) {
-      breakOff(request, detail, nowMicros);
-    } else {
-      long retryAtMicros = nowMicros + LEAVING_RETRY_DELAY_MICROS;
-      end(request, RefusalReason.ROUTER_LEAVING, detail, retryAtMicros, nowMicros);
-    }
+    long retryAtMicros = nowMicros + LEAVING_RETRY_DELAY_MICROS;
+    end(
+        request,
+        RefusalReason.ROUTER_LEAVING,
+        "The router has been stopped.",
+        retryAtMicros,
+        nowMicros);
   }
 
   private void pauseSilentServers(long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/LimitShare.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/LimitShare.java
@@ -41,12 +41,11 @@
   private long statedMicros;
   private long triedMicros;
 
-  /** Creates the share of a limit that has just been stated; no request is saved up yet. */
-  LimitShare(double limitPerSecond, String server, Optional<RouterFleet> fleet, long nowMicros) {
+  /** Creates the share of a limit of 0; no request is saved up yet. */
+  LimitShare(long nowMicros) {
     updatedMicros = nowMicros;
+    statedMicros = nowMicros;
     triedMicros = nowMicros;
-    onStated(limitPerSecond, nowMicros);
-    divide(server, fleet, nowMicros);
   }
 
   /** Returns the limit in requests per second, of all routers together. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -54,6 +54,13 @@
     return usable;
   }
 
+  /** Returns whether any of the usable servers of a service states a limit. */
+  boolean hasLimited(String service, long nowMicros) {
+    return servers.values().stream()
+        .filter(server -> server.limit().isPresent())
+        .anyMatch(server -> server.entry().service().equals(service) && server.isUsable(nowMicros));
+  }
+
   /**
    * Returns when the first server of a service reopens, if all that are not leaving are closed at
    * their own request.
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerLimits.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerLimits.java
@@ -109,10 +109,6 @@
     }
   }
 
-  static boolean hasLimited(Collection<Server> servers) {
-    return servers.stream().anyMatch(server -> server.limit().isPresent());
-  }
-
   /** Returns whether the limits of all of some servers keep this router from sending to them. */
   static boolean areExhausted(List<Server> servers, long nowMicros) {
     return !servers.isEmpty()
@@ -143,15 +139,11 @@
 
   private void set(Server server, double requestsPerSecond, String source, long nowMicros) {
     double previous = limitOf(server);
-    Optional<LimitShare> known = server.limit();
-    if (known.isEmpty()) {
-      server.setLimit(
-          Optional.of(new LimitShare(requestsPerSecond, server.name(), fleet, nowMicros)));
-    } else {
-      known.get().onStated(requestsPerSecond, nowMicros);
-    }
+    LimitShare share = server.limit().orElseGet(() -> new LimitShare(nowMicros));
+    share.onStated(requestsPerSecond, nowMicros);
     if (previous != requestsPerSecond) {
-      server.limit().orElseThrow().divide(server.name(), fleet, nowMicros);
+      share.divide(server.name(), fleet, nowMicros);
+      server.setLimit(Optional.of(share));
       counters.increment("limits.changed");
       journal.limit(server, "stated", previous, source);
     }
