Call one piece of code for repeated checks of parsing and state

Two older classes had their own loop that removes the eldest entry of a map. Bounds, errors and results are the same.

--- a/coordination/src/main/java/org/shallothook/coordination/placement/SpreadCache.java
+++ b/coordination/src/main/java/org/shallothook/coordination/placement/SpreadCache.java
@@ -1,8 +1,8 @@
 package org.shallothook.coordination.placement;
 
 import java.util.LinkedHashMap;
-import java.util.Map;
 import org.shallothook.coordination.message.Hint;
+import org.shallothook.state.collection.BoundedMaps;
 
 /**
  * Caches over how many ranks a hot prefix is spread, as its home reports it in hints.
@@ -51,14 +51,7 @@
       return;
     }
     entries.put(home.hash(), new Entry(hint.spread(), nowMicros + validityMicros));
-    evictEldest();
-  }
-
-  private void evictEldest() {
-    if (entries.size() > MAXIMUM_ENTRIES) {
-      Map.Entry<Long, Entry> eldest = entries.entrySet().iterator().next();
-      entries.remove(eldest.getKey());
-    }
+    BoundedMaps.removeEldest(entries, MAXIMUM_ENTRIES);
   }
 
   private record Entry(int spread, long expiresAtMicros) {}
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -251,6 +251,12 @@
     return answered.filter(older -> older < era).isPresent();
   }
 
+  /** Returns the result of a read, or a failure if the answer is of an earlier era. */
+  private <T> Either<ReadFailure, T> ofPresentEra(
+      Optional<Long> answered, Either<ReadFailure, T> result) {
+    return isOfEarlierEra(answered) ? Either.left(EARLIER_ERA) : result;
+  }
+
   /** Returns the next offset of each stream, for the log. */
   private String offsets() {
     return followers.entrySet().stream()
@@ -264,9 +270,7 @@
       return;
     }
     boolean wasComplete = follower.isComplete();
-    Either<ReadFailure, NewestPage> result =
-        isOfEarlierEra(read.era()) ? Either.left(EARLIER_ERA) : read.result();
-    List<KeyedRecord> changes = follower.onPage(result, nowMicros);
+    List<KeyedRecord> changes = follower.onPage(ofPresentEra(read.era(), read.result()), nowMicros);
     if (!restored.contains(read.stream())) {
       written.onChanges(read.stream(), changes);
     } else if (!follower.isScanning()) {
@@ -283,9 +287,7 @@
     if (!follower.isExpectedRead(read.fromOffset())) {
       return;
     }
-    Either<ReadFailure, RecordsRead> result =
-        isOfEarlierEra(read.era()) ? Either.left(EARLIER_ERA) : read.result();
-    List<KeyedRecord> changes = follower.onRead(result, nowMicros);
+    List<KeyedRecord> changes = follower.onRead(ofPresentEra(read.era(), read.result()), nowMicros);
     written.onChanges(read.stream(), changes);
     distributeChanges(read.stream(), changes, false, nowMicros);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/sidecar/RouterSessions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/sidecar/RouterSessions.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.shallothook.coordination.message.Envelope;
+import org.shallothook.state.collection.BoundedMaps;
 
 /**
  * Tracks the connected routers and the latest known incarnation of each peer.
@@ -40,10 +41,8 @@
     if (known != null && incarnation < known) {
       return IncarnationCheck.OUTDATED;
     }
-    if (known == null && incarnations.size() >= MAXIMUM_PEERS) {
-      incarnations.remove(incarnations.keySet().iterator().next());
-    }
     incarnations.put(envelope.sender(), incarnation);
+    BoundedMaps.removeEldest(incarnations, MAXIMUM_PEERS);
     return known == null || known == incarnation
         ? IncarnationCheck.CURRENT
         : IncarnationCheck.RESTARTED;
--- a/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
+++ b/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
@@ -52,6 +52,15 @@
         .orElseThrow(() -> missing(name));
   }
 
+  /** Returns a 64-bit integer field that must not be negative. */
+  public long nonNegative(String name) {
+    long value = longField(name);
+    if (value < 0) {
+      throw reject(name, "not negative");
+    }
+    return value;
+  }
+
   /** Returns a 32-bit integer field. */
   public int integer(String name) {
     return optionalInteger(name).orElseThrow(() -> missing(name));
--- a/state/src/main/java/org/shallothook/state/log/KeyedState.java
+++ b/state/src/main/java/org/shallothook/state/log/KeyedState.java
@@ -181,10 +181,13 @@
   }
 
   private void put(KeyedRecord record, long recordEra) {
-    Entry known = newest.get(record.key());
-    Optional<String> latestValue =
-        record.value().or(() -> known == null ? Optional.empty() : known.latestValue());
-    newest.put(record.key(), new Entry(record, recordEra, latestValue));
+    Optional<Entry> known = Optional.ofNullable(newest.get(record.key()));
+    put(new Entry(record, recordEra, record.value().or(() -> known.flatMap(Entry::latestValue))));
+  }
+
+  private void put(Entry entry) {
+    KeyedRecord record = entry.record();
+    newest.put(record.key(), entry);
     outdatedKeys.remove(record.key());
     removedKeys.remove(record.key());
     if (record.value().isEmpty()) {
@@ -219,11 +222,9 @@
       boolean isOlder = entry.era() < era ? !keepsEarlierEras : record.offset() < beganAtOffset;
       if (isOlder && record.value().isPresent() && !present.contains(record.key())) {
         KeyedRecord removal = new KeyedRecord(record.offset(), record.key(), Optional.empty());
-        put(removal, entry.era());
-        if (entry.era() < era) {
-          // The copy is older than the key, so nothing says that the key was withdrawn.
-          newest.put(record.key(), new Entry(removal, entry.era(), Optional.empty()));
-        }
+        // A copy that is older than the key does not say that the key was withdrawn.
+        Optional<String> latestValue = entry.era() < era ? Optional.empty() : entry.latestValue();
+        put(new Entry(removal, entry.era(), latestValue));
         removed.add(removal);
       }
     }
--- a/transport/src/main/java/org/shallothook/transport/logging/RequestTrace.java
+++ b/transport/src/main/java/org/shallothook/transport/logging/RequestTrace.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BinaryOperator;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -66,27 +67,28 @@
             .filter(line -> SERVER_DECISIONS.contains(line.decision()))
             .filter(line -> servers.isEmpty() || servers.contains(line.subject()))
             .filter(line -> isWithinRelatedTime(line, steps));
+    Stream<DecisionLine> limits =
+        lines.stream()
+            .filter(line -> line.decision().equals(LIMIT))
+            .filter(line -> servers.isEmpty() || servers.contains(line.subject()));
+    Stream<DecisionLine> configurations =
+        lines.stream().filter(line -> CONFIGURATION_DECISIONS.contains(line.decision()));
     Stream<DecisionLine> known =
-        Stream.concat(configurations(steps.get(0), lines), limits(steps, servers, lines));
+        Stream.concat(
+            latestBefore(steps.get(0), configurations, DecisionLine::decision),
+            latestBefore(steps.get(steps.size() - 1), limits, DecisionLine::subject));
     return sortedByTime(Stream.concat(known, ofServers));
   }
 
-  /**
-   * Returns the process's latest line on the limit of each server before the end of the request.
-   */
-  private static Stream<DecisionLine> limits(
-      List<DecisionLine> steps, Set<String> servers, Collection<DecisionLine> lines) {
-    DecisionLine last = steps.get(steps.size() - 1);
-    return lines.stream()
-        .filter(line -> line.decision().equals(LIMIT))
-        .filter(line -> line.process().equals(last.process()))
-        .filter(line -> servers.isEmpty() || servers.contains(line.subject()))
-        .filter(line -> !line.time().isAfter(last.time()))
+  /** Returns the latest line of each kind that a step's process wrote up to the step. */
+  private static Stream<DecisionLine> latestBefore(
+      DecisionLine step, Stream<DecisionLine> lines, Function<DecisionLine, String> kind) {
+    return lines
+        .filter(line -> line.process().equals(step.process()))
+        .filter(line -> !line.time().isAfter(step.time()))
         .collect(
             Collectors.toMap(
-                DecisionLine::subject,
-                line -> line,
-                BinaryOperator.maxBy(Comparator.comparing(DecisionLine::time))))
+                kind, line -> line, BinaryOperator.maxBy(Comparator.comparing(DecisionLine::time))))
         .values()
         .stream();
   }
@@ -105,20 +107,6 @@
     return all;
   }
 
-  /** Returns the process's latest line of each kind before the request. */
-  private static Stream<DecisionLine> configurations(
-      DecisionLine first, Collection<DecisionLine> lines) {
-    return CONFIGURATION_DECISIONS.stream()
-        .flatMap(
-            kind ->
-                lines.stream()
-                    .filter(line -> line.decision().equals(kind))
-                    .filter(line -> line.process().equals(first.process()))
-                    .filter(line -> !line.time().isAfter(first.time()))
-                    .max(Comparator.comparing(DecisionLine::time))
-                    .stream());
-  }
-
   private static boolean isWithinRelatedTime(DecisionLine line, List<DecisionLine> steps) {
     return !line.time().isBefore(steps.get(0).time().minus(RELATED_TIME))
         && !line.time().isAfter(steps.get(steps.size() - 1).time().plus(RELATED_TIME));
