Let the fleets of tests share clock, options and response heads

Cause: LimitedFleet had its own agenda of timed actions, as CrashingFleet had, although VirtualTime exists; options, entries of another incarnation and response heads were spelled out in several tests. Change: both fleets run on VirtualTime; ForwardHarness makes the options, entries and heads. No assertion and no seed is changed.

--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -1,17 +1,15 @@
 package org.shallothook.coordination.forward;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.fake.VirtualTime;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -47,9 +45,7 @@
   final Set<String> deadlyParts = new HashSet<>();
   private final Map<String, List<Long>> crashTimesByPart = new HashMap<>();
   private final SplittableRandom random;
-  private final PriorityQueue<Timed> agenda =
-      new PriorityQueue<>(
-          Comparator.comparingLong(Timed::atMicros).thenComparingLong(Timed::order));
+  private final VirtualTime time = new VirtualTime(100 * SECOND);
   private final List<Router> routers = new ArrayList<>();
   private final Map<String, ServerEntry> listed = new LinkedHashMap<>();
   private final Map<String, Map<Run, Boolean>> runs = new HashMap<>();
@@ -59,13 +55,9 @@
   private final Map<Long, Long> stored = new HashMap<>();
   private final Set<Long> begun = new HashSet<>();
   private final Set<Long> completed = new HashSet<>();
-  private long nowMicros = 100 * SECOND;
-  private long order;
   private long nextRequest = 1;
   private int nextServer = 1;
 
-  private record Timed(long atMicros, long order, Runnable action) {}
-
   private record Run(int router, long request, int attempt) {}
 
   private final class Router {
@@ -77,21 +69,12 @@
       this.index = index;
       this.core =
           new ForwardCore(
-              new ForwardOptions(
-                  "domain-a",
-                  0.2,
-                  50,
-                  10 * SECOND,
-                  6 * SECOND,
-                  600 * SECOND,
-                  index + 1,
-                  Counters.NONE,
-                  DecisionJournal.NONE),
+              ForwardHarness.options(600 * SECOND, index + 1, DecisionJournal.NONE),
               command -> carryOut(this, command));
     }
 
     void handle(ForwardEvent event) {
-      core.handle(event, nowMicros);
+      core.handle(event, time.now());
     }
   }
 
@@ -109,7 +92,7 @@
   }
 
   long now() {
-    return nowMicros;
+    return time.now();
   }
 
   /** Replaces a router by one that has just started and knows only configuration and servers. */
@@ -141,7 +124,7 @@
     after(
         delayMicros,
         () -> {
-          if (nowMicros < untilMicros) {
+          if (time.now() < untilMicros) {
             submit("register-" + random.nextInt(REGISTERS), furtherParts);
             submitEvery(intervalMicros, untilMicros, furtherParts);
           }
@@ -164,7 +147,7 @@
     parts.add(new Part("own-" + request, 2_000));
     PromptOutline prompt = new PromptOutline(ForwardHarness.MODEL, 8_200, 50, parts);
     partsByRequest.put(request, names);
-    submittedAtMicros.put(request, nowMicros);
+    submittedAtMicros.put(request, time.now());
     routers
         .get(router)
         .handle(
@@ -189,12 +172,7 @@
   }
 
   void runUntil(long untilMicros) {
-    while (!agenda.isEmpty() && agenda.peek().atMicros() <= untilMicros) {
-      Timed next = agenda.poll();
-      nowMicros = next.atMicros();
-      next.action().run();
-    }
-    nowMicros = untilMicros;
+    time.runUntil(untilMicros);
   }
 
   /** Returns the number of requests with a part that reached servers after a time. */
@@ -275,7 +253,7 @@
   }
 
   private void after(long delayMicros, Runnable action) {
-    agenda.add(new Timed(nowMicros + delayMicros, order++, action));
+    time.schedule(delayMicros, action);
   }
 
   private void carryOut(Router router, ForwardCommand command) {
@@ -335,7 +313,7 @@
       router.handle(new ForwardEvent.Unsent(send.request(), send.attempt(), "refused"));
       return;
     }
-    arrivals.add(new Arrival(nowMicros, router.index, partsByRequest.get(send.request())));
+    arrivals.add(new Arrival(time.now(), router.index, partsByRequest.get(send.request())));
     runs.get(server).put(run, false);
     long outputMicros = FIRST_OUTPUT_MICROS + random.nextLong(FIRST_OUTPUT_MICROS);
     after(outputMicros, () -> begin(router, server, run));
@@ -378,7 +356,7 @@
     if (listed.containsKey(server)) {
       parts.forEach(
           part ->
-              crashTimesByPart.computeIfAbsent(part, added -> new ArrayList<>()).add(nowMicros));
+              crashTimesByPart.computeIfAbsent(part, added -> new ArrayList<>()).add(time.now()));
       crash(server);
     }
   }
@@ -387,7 +365,7 @@
     if (listed.remove(server) == null) {
       return;
     }
-    crashTimes.add(nowMicros);
+    crashTimes.add(time.now());
     List<Run> broken = List.copyOf(runs.get(server).keySet());
     runs.get(server).clear();
     after(
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -47,19 +47,20 @@
   }
 
   ForwardHarness(DecisionJournal journal) {
-    core =
-        new ForwardCore(
-            new ForwardOptions(
-                "domain-a",
-                0.2,
-                50,
-                10 * SECOND,
-                6 * SECOND,
-                60 * SECOND,
-                1,
-                Counters.NONE,
-                journal),
-            this::recordCommand);
+    core = new ForwardCore(options(60 * SECOND, 1, journal), this::recordCommand);
+  }
+
+  static ForwardOptions options(long quarantineMicros, long seed, DecisionJournal journal) {
+    return new ForwardOptions(
+        "domain-a",
+        0.2,
+        50,
+        10 * SECOND,
+        6 * SECOND,
+        quarantineMicros,
+        seed,
+        Counters.NONE,
+        journal);
   }
 
   /** Returns a harness whose core has a configuration and servers of both services. */
@@ -92,6 +93,19 @@
         id, "bookings", "10.0.1." + index + ":80", "domain-a", 4, false, Map.of(), 1);
   }
 
+  /** Returns the entry of another incarnation of a server, which is not leaving. */
+  static ServerEntry startedAt(ServerEntry entry, long startedAtMillis) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.failureDomain(),
+        entry.slots(),
+        false,
+        entry.versions(),
+        startedAtMillis);
+  }
+
   static ServerEntry leaving(ServerEntry entry) {
     return entry.withLeaving(true);
   }
@@ -160,16 +174,7 @@
   /** Lists a server again with the entry that it has after its n-th restart. */
   void restart(String server, int restart) {
     ServerEntry known = server.startsWith("engine") ? engine(server, 1, 1) : service(server, 1);
-    ServerEntry entry =
-        new ServerEntry(
-            known.id(),
-            known.service(),
-            known.address(),
-            known.failureDomain(),
-            known.slots(),
-            false,
-            known.versions(),
-            known.startedAtMillis() + 1 + restart);
+    ServerEntry entry = startedAt(known, known.startedAtMillis() + 1 + restart);
     handle(new ForwardEvent.ServersRead(List.of(entry), false));
   }
 
@@ -258,14 +263,13 @@
 
   /** Returns the head of a success whose server takes a number of requests per second. */
   static ResponseHead limited(double requestsPerSecond) {
+    return stating(LimitStatement.of(requestsPerSecond));
+  }
+
+  /** Returns the head of a success with a statement about the requests that its server takes. */
+  static ResponseHead stating(LimitStatement limit) {
     return new ResponseHead(
-        200,
-        false,
-        Optional.empty(),
-        Optional.empty(),
-        false,
-        Optional.empty(),
-        LimitStatement.of(requestsPerSecond));
+        200, false, Optional.empty(), Optional.empty(), false, Optional.empty(), limit);
   }
 
   void respond(long request, ResponseHead head) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LimitedFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LimitedFleet.java
@@ -2,16 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.fake.VirtualTime;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.ServerEntry;
@@ -57,22 +55,16 @@
   final List<Arrival> arrivals = new ArrayList<>();
   final Map<Long, Refusal> refusals = new HashMap<>();
   private final SplittableRandom random;
-  private final PriorityQueue<Timed> agenda =
-      new PriorityQueue<>(
-          Comparator.comparingLong(Timed::atMicros).thenComparingLong(Timed::order));
+  private final VirtualTime time = new VirtualTime(100 * SECOND);
   private final List<Router> routers = new ArrayList<>();
   private final Map<String, ServerEntry> listed = new LinkedHashMap<>();
   private final Map<String, Double> limits = new HashMap<>();
   private final Map<String, Deque<Change>> changes = new HashMap<>();
-  private long nowMicros = 100 * SECOND;
-  private long order;
   private long nextRequest = 1;
   private long completed;
   private long announcements;
   private boolean areConnected = true;
 
-  private record Timed(long atMicros, long order, Runnable action) {}
-
   private record Change(long atMicros, double requestsPerSecond) {}
 
   private final class Router {
@@ -86,16 +78,7 @@
       this.index = index;
       this.core =
           new ForwardCore(
-              new ForwardOptions(
-                  "domain-a",
-                  0.2,
-                  50,
-                  10 * SECOND,
-                  6 * SECOND,
-                  600 * SECOND,
-                  index + 1,
-                  Counters.NONE,
-                  DecisionJournal.NONE),
+              ForwardHarness.options(600 * SECOND, index + 1, DecisionJournal.NONE),
               command -> carryOut(this, command));
     }
 
@@ -104,7 +87,7 @@
     }
 
     void handle(ForwardEvent event) {
-      core.handle(event, nowMicros);
+      core.handle(event, time.now());
     }
   }
 
@@ -120,7 +103,7 @@
   }
 
   long now() {
-    return nowMicros;
+    return time.now();
   }
 
   /** Adds a router that knows configuration and servers, and that the others count at once. */
@@ -142,7 +125,7 @@
     limits.put(server, requestsPerSecond);
     changes
         .computeIfAbsent(server, added -> new ArrayDeque<>())
-        .addLast(new Change(nowMicros, requestsPerSecond));
+        .addLast(new Change(time.now(), requestsPerSecond));
   }
 
   /** Lets a server state no limit any more. */
@@ -155,16 +138,7 @@
   void restart(String server) {
     unlimit(server);
     ServerEntry known = listed.get(server);
-    ServerEntry restarted =
-        new ServerEntry(
-            known.id(),
-            known.service(),
-            known.address(),
-            known.failureDomain(),
-            known.slots(),
-            false,
-            known.versions(),
-            known.startedAtMillis() + 1);
+    ServerEntry restarted = ForwardHarness.startedAt(known, known.startedAtMillis() + 1);
     listed.put(server, restarted);
     routers.forEach(
         router -> router.handle(new ForwardEvent.ServersRead(List.of(restarted), false)));
@@ -186,7 +160,7 @@
     after(
         Math.max(1, meanMicros / 2 + random.nextLong(Math.max(1, meanMicros))),
         () -> {
-          if (nowMicros < untilMicros) {
+          if (time.now() < untilMicros) {
             submit(random.nextInt(routers.size()));
             submitCalls(perSecond, untilMicros);
           }
@@ -211,12 +185,7 @@
   }
 
   void runUntil(long untilMicros) {
-    while (!agenda.isEmpty() && agenda.peek().atMicros() <= untilMicros) {
-      Timed next = agenda.poll();
-      nowMicros = next.atMicros();
-      next.action().run();
-    }
-    nowMicros = untilMicros;
+    time.runUntil(untilMicros);
   }
 
   /** Returns the window with the most requests beyond those that a server's limits allow. */
@@ -279,7 +248,7 @@
   }
 
   private void after(long delayMicros, Runnable action) {
-    agenda.add(new Timed(nowMicros + delayMicros, order++, action));
+    time.schedule(delayMicros, action);
   }
 
   private void carryOut(Router router, ForwardCommand command) {
@@ -300,7 +269,7 @@
 
   private void arrive(Router router, ForwardCommand.Send send) {
     String server = send.dispatch().server();
-    arrivals.add(new Arrival(nowMicros, router.index, server));
+    arrivals.add(new Arrival(time.now(), router.index, server));
     after(
         MIN_RESPONSE_MICROS + random.nextLong(RESPONSE_SPREAD_MICROS),
         () -> respond(router, send, server));
@@ -309,17 +278,10 @@
   private void respond(Router router, ForwardCommand.Send send, String server) {
     Optional<Double> limit = Optional.ofNullable(limits.get(server));
     if (limit.isPresent()) {
-      router.toldAtMicros.putIfAbsent(server, nowMicros);
+      router.toldAtMicros.putIfAbsent(server, time.now());
     }
     ResponseHead head =
-        new ResponseHead(
-            200,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            false,
-            Optional.empty(),
-            limit.map(LimitStatement::of).orElse(LimitStatement.NONE));
+        ForwardHarness.stating(limit.map(LimitStatement::of).orElse(LimitStatement.NONE));
     router.handle(new ForwardEvent.ResponseReceived(send.request(), send.attempt(), head));
     after(BODY_MICROS, () -> complete(router, send));
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.Decision;
 
 /** Load patterns of calls without a prompt, and of the retries of the whole fleet. */
@@ -239,16 +238,8 @@
     Set<Decision> written = new HashSet<>();
     ForwardCore core =
         new ForwardCore(
-            new ForwardOptions(
-                "domain-a",
-                0.2,
-                50,
-                10 * SECOND,
-                6 * SECOND,
-                60 * SECOND,
-                1,
-                Counters.NONE,
-                (decision, subject, fields) -> written.add(decision)),
+            ForwardHarness.options(
+                60 * SECOND, 1, (decision, subject, fields) -> written.add(decision)),
             command -> {});
     core.handle(
         new ForwardEvent.Requested(
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ServerAvailabilityTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ServerAvailabilityTest.java
@@ -63,16 +63,7 @@
     harness.respond(first, head(200, false, true, 0));
     harness.complete(first);
     ServerEntry entry = ForwardHarness.service("service-1", 1);
-    ServerEntry restarted =
-        new ServerEntry(
-            entry.id(),
-            entry.service(),
-            entry.address(),
-            entry.failureDomain(),
-            entry.slots(),
-            false,
-            entry.versions(),
-            2);
+    ServerEntry restarted = ForwardHarness.startedAt(entry, 2);
 
     harness.handle(new ForwardEvent.ServersRead(List.of(restarted), false));
 
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ServerLimitTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ServerLimitTest.java
@@ -194,16 +194,7 @@
   void anUnreadableLimitChangesNothing() {
     ForwardHarness harness = ForwardHarness.ready(0, 1);
     long first = harness.submitCall("/read/1");
-    harness.respond(
-        first,
-        new ResponseHead(
-            200,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            false,
-            Optional.empty(),
-            LimitStatement.UNREADABLE));
+    harness.respond(first, ForwardHarness.stating(LimitStatement.UNREADABLE));
     harness.complete(first);
 
     assertThat(harness.sent(harness.submitCall("/read/2"))).isPresent();
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
@@ -52,15 +52,14 @@
     private final String name;
     private final RegistryCore core;
     private final Map<RegistryCommand, Long> reads = new LinkedHashMap<>();
+    private long version;
 
     Node(String name) {
       this.name = name;
-      Instance self =
-          new Instance(name, InstanceRole.ROUTER, "10.0.0.1:1", "domain", "region", "", false);
       core =
           new RegistryCore(
               new RegistryOptions(
-                  self,
+                  router(name),
                   Map.of(
                       RegistryStream.OPERATOR, new PollingPolicy(SECOND, 0),
                       RegistryStream.SERVERS, new PollingPolicy(SECOND / 2, SECOND / 4),
@@ -84,8 +83,6 @@
       return version;
     }
 
-    private long version;
-
     private void execute(RegistryCommand command) {
       if (command instanceof RegistryCommand.SendToPeer send) {
         messages.add(() -> deliver(send));
@@ -192,10 +189,7 @@
             .computeIfAbsent(stream, added -> new LinkedHashMap<>())
             .put(change.key(), change.value());
         if (stream == RegistryStream.MEMBERS && change.value().isPresent()) {
-          core.onMember(
-              new Instance(
-                  change.key(), InstanceRole.ROUTER, "10.0.0.1:1", "domain", "region", "", false),
-              now);
+          core.onMember(router(change.key()), now);
         }
         if (change.key().equals(CONFIGURATION)) {
           version = Math.max(version, change.value().map(Long::parseLong).orElse(0L));
@@ -213,6 +207,10 @@
     public void onMessage(Envelope envelope, long now) {}
   }
 
+  private static Instance router(String name) {
+    return new Instance(name, InstanceRole.ROUTER, "10.0.0.1:1", "domain", "region", "", false);
+  }
+
   private static Optional<RecordVersion> versionOf(String key, String value) {
     return Optional.of(new RecordVersion(0, Long.parseLong(value)));
   }
