Log how old a version of weights may be when a process learns of it

A weights line now has maximum_age_ms: the time since the last moment at which the version is known not to have been written (-1 after a start). The follower of a stream derives it from the reads before: the store answers a read as soon as a record exists.

No decision depends on it yet. Follower, weights and forward tests pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -27,7 +27,6 @@
 import org.shallothook.state.route.ServiceTraits;
 import org.shallothook.state.route.ServiceTraits.CacheStore;
 import org.shallothook.state.route.ServiceTraits.EngineTraits;
-import org.shallothook.state.route.WeightVersion;
 
 /**
  * Makes all decisions of a forwarding router; events go in, commands come out.
@@ -210,7 +209,7 @@
       servers.onRemoved(removed.id(), nowMicros);
       journal.removed(removed.id());
     } else if (event instanceof ForwardEvent.DesiredVersionChanged desired) {
-      onDesiredVersion(desired.version(), nowMicros);
+      onDesiredVersion(desired, nowMicros);
     } else if (event instanceof ForwardEvent.RegistryReachable reachable) {
       isRegistryReachable = reachable.isReachable();
       servers.onReachable(reachable.isReachable(), nowMicros);
@@ -259,9 +258,9 @@
     journal.applied(newTable);
   }
 
-  private void onDesiredVersion(WeightVersion version, long nowMicros) {
-    if (eligibility.onDesiredVersion(version, nowMicros)) {
-      journal.desiredVersion(version);
+  private void onDesiredVersion(ForwardEvent.DesiredVersionChanged desired, long nowMicros) {
+    if (eligibility.onDesiredVersion(desired.version(), nowMicros)) {
+      journal.desiredVersion(desired.version(), desired.writtenAfterMicros(), nowMicros);
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -54,8 +54,15 @@
   /** An entry of the registry was removed. */
   record ServerRemoved(String id) implements ForwardEvent {}
 
-  /** An operator has set the desired version of a model's weights for all servers. */
-  record DesiredVersionChanged(WeightVersion version) implements ForwardEvent {}
+  /**
+   * An operator has set the desired version of a model's weights for all servers.
+   *
+   * @param version desired version
+   * @param writtenAfterMicros time after which operators have set it, on the decision clock in
+   *     microseconds; empty if they may have done so at any time
+   */
+  record DesiredVersionChanged(WeightVersion version, Optional<Long> writtenAfterMicros)
+      implements ForwardEvent {}
 
   /** The registry has become readable or unreadable. */
   record RegistryReachable(boolean isReachable) implements ForwardEvent {}
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -36,8 +36,14 @@
         Decision.CONFIGURATION, "routes", "version", table.version(), "outcome", "applied");
   }
 
-  void desiredVersion(WeightVersion version) {
-    journal.write(Decision.WEIGHTS, version.model(), "version", version.version());
+  void desiredVersion(WeightVersion version, Optional<Long> writtenAfterMicros, long nowMicros) {
+    journal.write(
+        Decision.WEIGHTS,
+        version.model(),
+        "version",
+        version.version(),
+        "maximum_age_ms",
+        DecisionJournal.ageMillis(writtenAfterMicros, nowMicros));
   }
 
   void listed(ServerEntry entry) {
--- a/coordination/src/main/java/org/shallothook/coordination/port/DecisionJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/DecisionJournal.java
@@ -1,5 +1,8 @@
 package org.shallothook.coordination.port;
 
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
 /**
  * Structured log with one line for each decision about a request or about the known state of a
  * server or dependency.
@@ -11,6 +14,9 @@
   /** Discards every line. */
   DecisionJournal NONE = (decision, subject, fields) -> {};
 
+  /** Value of a field that holds an age which is not known. */
+  long UNKNOWN_AGE = -1;
+
   /**
    * Writes a line.
    *
@@ -19,4 +25,11 @@
    * @param fields alternating names and values: the inputs, their age or version, and the outcome
    */
   void write(Decision decision, String subject, Object... fields);
+
+  /** Returns an age for a field, in milliseconds; {@link #UNKNOWN_AGE} if there is no start. */
+  static long ageMillis(Optional<Long> sinceMicros, long nowMicros) {
+    return sinceMicros
+        .map(micros -> TimeUnit.MICROSECONDS.toMillis(nowMicros - micros))
+        .orElse(UNKNOWN_AGE);
+  }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
@@ -0,0 +1,46 @@
+package org.shallothook.coordination.registry;
+
+import java.util.Optional;
+
+/**
+ * Notices when the process did not run for a while, because its machine was frozen or overloaded.
+ *
+ * <p>What arrived during an interruption is handled after it, so its age is not known from the time
+ * at which it is handled.
+ *
+ * <p>Not thread-safe.
+ */
+final class Interruptions {
+  /** Time between two calls from which on the process counts as interrupted, in microseconds. */
+  static final long MINIMUM_MICROS = 500_000;
+
+  /** Time within which input that arrived during an interruption is handled, in microseconds. */
+  private static final long BACKLOG_MICROS = 500_000;
+
+  private Optional<Long> latestRunMicros = Optional.empty();
+  private long startedMicros;
+  private long endedMicros = Long.MIN_VALUE / 2;
+
+  /**
+   * Records that the process runs now; must be called several times per {@link #MINIMUM_MICROS}.
+   *
+   * @return duration of the interruption that has just ended, in microseconds, if one has
+   */
+  Optional<Long> onRunning(long nowMicros) {
+    Optional<Long> pauseMicros =
+        latestRunMicros
+            .map(latest -> nowMicros - latest)
+            .filter(micros -> micros >= MINIMUM_MICROS);
+    if (pauseMicros.isPresent()) {
+      startedMicros = latestRunMicros.get();
+      endedMicros = nowMicros;
+    }
+    latestRunMicros = Optional.of(nowMicros);
+    return pauseMicros;
+  }
+
+  /** Returns the earliest time at which input that is handled now may have arrived. */
+  long earliestArrivalMicros(long nowMicros) {
+    return nowMicros - endedMicros < BACKLOG_MICROS ? startedMicros : nowMicros;
+  }
+}
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -24,6 +24,12 @@
  * older record. Not thread-safe.
  */
 public final class KeyedFollower {
+  /**
+   * Time within which an answer of the store arrives, in microseconds. A read that was issued
+   * longer ago was held by the store until a record was written.
+   */
+  static final long DELIVERY_MICROS = 500_000;
+
   /** Maximum delay before the first retry of a read; doubled for each further one. */
   private static final long INITIAL_RETRY_DELAY_MICROS = 100_000;
 
@@ -42,6 +48,9 @@
   private long readFromOffset;
   private long nextReadMicros;
   private int consecutiveFailures;
+  private long issuedMicros;
+  private long scanIssuedMicros;
+  private Optional<Long> completeUntilMicros = Optional.empty();
 
   /** Creates a follower that has read nothing. */
   KeyedFollower(
@@ -80,12 +89,43 @@
     return consecutiveFailures > 0;
   }
 
+  /**
+   * Returns a time such that every record written before it is known; empty before the first scan
+   * has completed.
+   */
+  Optional<Long> completeUntilMicros() {
+    return completeUntilMicros;
+  }
+
+  /**
+   * Returns the time after which the records that the outstanding read returns were written; empty
+   * if they may be of any age.
+   *
+   * @param arrivalMicros earliest time at which the answer may have arrived
+   */
+  Optional<Long> writtenAfterMicros(long arrivalMicros) {
+    // The store answers a read as soon as a record exists. A read that continues the previous one
+    // and is answered late was held until then.
+    return completeUntilMicros.map(
+        completeMicros -> {
+          boolean isContinuous = completeMicros >= issuedMicros - DELIVERY_MICROS;
+          long heldUntilMicros = arrivalMicros - DELIVERY_MICROS;
+          return !isScanning && isContinuous && heldUntilMicros > issuedMicros
+              ? heldUntilMicros
+              : completeMicros;
+        });
+  }
+
   /** Returns the read that is due, if any, and marks it as outstanding. */
   Optional<RegistryCommand> nextRead(long nowMicros) {
     if (outstanding.isPresent() || nowMicros < nextReadMicros) {
       return Optional.empty();
     }
     long wait = isFailing() ? 0 : policy.maximumWaitMicros();
+    issuedMicros = nowMicros;
+    if (isScanning && afterKey.isEmpty()) {
+      scanIssuedMicros = nowMicros;
+    }
     outstanding =
         Optional.of(
             isScanning
@@ -159,11 +199,13 @@
     afterKey = "";
     isScanning = false;
     isComplete = true;
+    onCompleteUntil(scanIssuedMicros);
     return changes;
   }
 
   /** Applies appended records and returns those that changed the state. */
   List<KeyedRecord> onRead(Either<ReadFailure, RecordsRead> result, long nowMicros) {
+    long waitMicros = outstanding.map(KeyedFollower::maximumWaitMicros).orElse(0L);
     outstanding = Optional.empty();
     if (result.isLeft()) {
       isScanning = result.getLeft().isExpired();
@@ -179,11 +221,24 @@
     readFromOffset = Math.max(readFromOffset, read.nextOffset());
     boolean isAtEnd = read.nextOffset() >= read.endOffset();
     nextReadMicros = isAtEnd ? nowMicros + policy.intervalMicros() : nowMicros;
+    if (isAtEnd) {
+      boolean wasHeld = read.records().isEmpty() && nowMicros - issuedMicros >= waitMicros;
+      onCompleteUntil(wasHeld ? issuedMicros + waitMicros : issuedMicros);
+    }
     List<KeyedRecord> changes = state.apply(read.records());
     state.advanceTo(read.nextOffset());
     return changes;
   }
 
+  private static long maximumWaitMicros(RegistryCommand command) {
+    return command instanceof RegistryCommand.Read read ? read.maximumWaitMicros() : 0;
+  }
+
+  private void onCompleteUntil(long micros) {
+    completeUntilMicros =
+        Optional.of(completeUntilMicros.map(known -> Math.max(known, micros)).orElse(micros));
+  }
+
   private void onSucceeded(long nowMicros) {
     consecutiveFailures = 0;
     nextReadMicros = nowMicros;
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -71,6 +71,7 @@
   private final Map<StreamKey, PendingPut> pendingPuts = new LinkedHashMap<>();
   private final WrittenRecords written = new WrittenRecords();
   private final Set<RegistryStream> restored = EnumSet.noneOf(RegistryStream.class);
+  private final Interruptions interruptions = new Interruptions();
   private long era;
   private boolean isStoreReachable;
   private boolean isMemberWritten;
@@ -158,6 +159,9 @@
 
   /** Handles one event. */
   public void handle(RegistryEvent event, long nowMicros) {
+    interruptions
+        .onRunning(nowMicros)
+        .ifPresent(micros -> listener.onInterrupted(micros, nowMicros));
     if (event instanceof RegistryEvent.PageRead read) {
       onEra(read.era(), nowMicros);
       onPage(read, nowMicros);
@@ -185,6 +189,9 @@
 
   /** Issues the writes, requests and reads that are due. */
   public void onTick(long nowMicros) {
+    interruptions
+        .onRunning(nowMicros)
+        .ifPresent(micros -> listener.onInterrupted(micros, nowMicros));
     if (!isMemberWritten && !isMemberPutOutstanding && nowMicros >= nextMemberPutMicros) {
       isMemberPutOutstanding = true;
       commands.accept(new RegistryCommand.PutMember(options.self()));
@@ -270,6 +277,7 @@
       return;
     }
     boolean wasComplete = follower.isComplete();
+    Optional<Long> writtenAfterMicros = writtenAfterMicros(follower, nowMicros);
     List<KeyedRecord> changes = follower.onPage(ofPresentEra(read.era(), read.result()), nowMicros);
     if (!restored.contains(read.stream())) {
       written.onChanges(read.stream(), changes);
@@ -279,7 +287,10 @@
           .missingIn(read.stream(), follower)
           .forEach(missing -> put(read.stream(), missing.key(), missing.value(), nowMicros));
     }
-    distributeChanges(read.stream(), changes, !wasComplete && follower.isComplete(), nowMicros);
+    boolean completesFirstScan = !wasComplete && follower.isComplete();
+    distributeChanges(
+        new RegistryChanges(read.stream(), changes, completesFirstScan, writtenAfterMicros),
+        nowMicros);
   }
 
   private void onRead(RegistryEvent.StreamRead read, long nowMicros) {
@@ -287,25 +298,27 @@
     if (!follower.isExpectedRead(read.fromOffset())) {
       return;
     }
+    Optional<Long> writtenAfterMicros = writtenAfterMicros(follower, nowMicros);
     List<KeyedRecord> changes = follower.onRead(ofPresentEra(read.era(), read.result()), nowMicros);
     written.onChanges(read.stream(), changes);
-    distributeChanges(read.stream(), changes, false, nowMicros);
+    distributeChanges(
+        new RegistryChanges(read.stream(), changes, false, writtenAfterMicros), nowMicros);
   }
 
-  private void distributeChanges(
-      RegistryStream stream,
-      List<KeyedRecord> changes,
-      boolean completesFirstScan,
-      long nowMicros) {
-    if (changes.isEmpty() && !completesFirstScan) {
+  private Optional<Long> writtenAfterMicros(KeyedFollower follower, long nowMicros) {
+    return follower.writtenAfterMicros(interruptions.earliestArrivalMicros(nowMicros));
+  }
+
+  private void distributeChanges(RegistryChanges changes, long nowMicros) {
+    if (changes.records().isEmpty() && !changes.completesFirstScan()) {
       return;
     }
-    listener.onChanges(stream, changes, completesFirstScan, nowMicros);
-    if (stream == RegistryStream.OPERATOR && !completesFirstScan) {
-      PeerMessage message = recordsOf(era, changes);
+    listener.onChanges(changes, nowMicros);
+    if (changes.stream() == RegistryStream.OPERATOR && !changes.completesFirstScan()) {
+      PeerMessage message = recordsOf(era, changes.records());
       randomPeers(nowMicros).forEach(name -> send(name, message));
     }
-    if (stream == RegistryStream.MEMBERS && completesFirstScan) {
+    if (changes.stream() == RegistryStream.MEMBERS && changes.completesFirstScan()) {
       requestFromAllPeers(nowMicros);
     }
   }
@@ -354,7 +367,10 @@
     onEra(Optional.of(message.era()), nowMicros);
     List<KeyedRecord> changes = operatorFollower().state().applyFromPeer(received, message.era());
     if (!changes.isEmpty()) {
-      listener.onChanges(RegistryStream.OPERATOR, changes, false, nowMicros);
+      listener.onChanges(
+          new RegistryChanges(
+              RegistryStream.OPERATOR, changes, false, operatorFollower().completeUntilMicros()),
+          nowMicros);
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryListener.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryListener.java
@@ -1,20 +1,12 @@
 package org.shallothook.coordination.registry;
 
-import java.util.List;
 import org.shallothook.coordination.message.Envelope;
-import org.shallothook.state.log.KeyedRecord;
 
 /** Receives the changes that a {@link RegistryCore} learns of. Called on the decision thread. */
 public interface RegistryListener {
 
-  /**
-   * Called when records of a stream have changed, or when its first scan has completed.
-   *
-   * @param completesFirstScan whether these changes complete the first scan of all keys of the
-   *     stream
-   */
-  void onChanges(
-      RegistryStream stream, List<KeyedRecord> changes, boolean completesFirstScan, long nowMicros);
+  /** Called when records of a stream have changed, or when its first scan has completed. */
+  void onChanges(RegistryChanges changes, long nowMicros);
 
   /** Called when the store has become readable or unreadable. */
   void onReachabilityChanged(boolean isReachable, long nowMicros);
@@ -28,6 +20,13 @@
    */
   void onStoreRestored(long era, String offsets, long nowMicros);
 
+  /**
+   * Called when the process has not run for a while.
+   *
+   * @param pauseMicros time for which it has not run, in microseconds
+   */
+  void onInterrupted(long pauseMicros, long nowMicros);
+
   /** Called for each message of a peer that does not concern the registry. */
   void onMessage(Envelope envelope, long nowMicros);
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
@@ -44,7 +44,7 @@
   private final BiConsumer<String, WeightCommand> commands;
   private final DecisionJournal journal;
   private final Map<String, TrackedServer> tracked = new HashMap<>();
-  private final Map<String, WeightVersion> desired = new HashMap<>();
+  private final Map<String, WeightEvent.DesiredVersionChanged> desired = new HashMap<>();
   private final Set<String> sidecarHosts = new HashSet<>();
 
   /**
@@ -91,13 +91,21 @@
     this.journal = Objects.requireNonNull(journal, "journal");
   }
 
-  /** Records that operators want a version. */
-  public void onDesiredVersion(WeightVersion version, long nowMicros) {
+  /**
+   * Records that operators want a version.
+   *
+   * @param writtenAfterMicros time after which operators have set it, in microseconds; empty if
+   *     they may have done so at any time
+   */
+  public void onDesiredVersion(
+      WeightVersion version, Optional<Long> writtenAfterMicros, long nowMicros) {
+    WeightEvent.DesiredVersionChanged changed =
+        new WeightEvent.DesiredVersionChanged(version, writtenAfterMicros);
     desired.merge(
-        version.model(), version, (one, other) -> one.version() >= other.version() ? one : other);
-    updaters()
-        .forEach(
-            updater -> updater.handle(new WeightEvent.DesiredVersionChanged(version), nowMicros));
+        version.model(),
+        changed,
+        (one, other) -> one.desired().version() >= other.desired().version() ? one : other);
+    updaters().forEach(updater -> updater.handle(changed, nowMicros));
   }
 
   /** Records an entry of the registry; servers without weights are ignored. */
@@ -196,8 +204,8 @@
     return entry.versions().entrySet().stream()
         .anyMatch(
             held -> {
-              WeightVersion version = desired.get(held.getKey());
-              return version != null && held.getValue() < version.version();
+              WeightEvent.DesiredVersionChanged wanted = desired.get(held.getKey());
+              return wanted != null && held.getValue() < wanted.desired().version();
             });
   }
 
@@ -211,8 +219,8 @@
     for (TrackedServer other : tracked.values()) {
       updater.handle(new WeightEvent.ServerListed(other.entry), nowMicros);
     }
-    for (WeightVersion version : desired.values()) {
-      updater.handle(new WeightEvent.DesiredVersionChanged(version), nowMicros);
+    for (WeightEvent.DesiredVersionChanged version : desired.values()) {
+      updater.handle(version, nowMicros);
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
@@ -14,8 +14,15 @@
  */
 public sealed interface WeightEvent extends CoreEvent {
 
-  /** Operators want a version. */
-  record DesiredVersionChanged(WeightVersion desired) implements WeightEvent {}
+  /**
+   * Operators want a version.
+   *
+   * @param desired desired version
+   * @param writtenAfterMicros time after which operators have set it, on the decision clock in
+   *     microseconds; empty if they may have done so at any time
+   */
+  record DesiredVersionChanged(WeightVersion desired, Optional<Long> writtenAfterMicros)
+      implements WeightEvent {}
 
   /** A report was read, or the read failed with the detail on the left. */
   record Reported(Either<String, EngineReport> result) implements WeightEvent {}
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
@@ -112,7 +112,7 @@
   /** Handles one event. */
   public void handle(WeightEvent event, long nowMicros) {
     if (event instanceof WeightEvent.DesiredVersionChanged changed) {
-      onDesiredVersion(changed.desired(), nowMicros);
+      onDesiredVersion(changed.desired(), changed.writtenAfterMicros(), nowMicros);
     } else if (event instanceof WeightEvent.Reported reported) {
       isReadingReport = false;
       reported.result().peek(read -> onReport(read, nowMicros)).peekLeft(this::onReportFailed);
@@ -131,7 +131,8 @@
     issueCommands(nowMicros);
   }
 
-  private void onDesiredVersion(WeightVersion version, long nowMicros) {
+  private void onDesiredVersion(
+      WeightVersion version, Optional<Long> writtenAfterMicros, long nowMicros) {
     WeightVersion known = desired.get(version.model());
     if (known == null || known.version() < version.version()) {
       // A server that still lacks the previous version keeps its latest start.
@@ -142,7 +143,13 @@
       desired.put(version.model(), version);
       nextServersMicros = nowMicros;
       nextReportMicros = nowMicros;
-      journal.write(Decision.WEIGHTS, version.model(), "version", version.version());
+      journal.write(
+          Decision.WEIGHTS,
+          version.model(),
+          "version",
+          version.version(),
+          "maximum_age_ms",
+          DecisionJournal.ageMillis(writtenAfterMicros, nowMicros));
     }
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -179,7 +179,9 @@
   }
 
   void setDesiredVersion(long version) {
-    handle(new ForwardEvent.DesiredVersionChanged(new WeightVersion(MODEL, version)));
+    handle(
+        new ForwardEvent.DesiredVersionChanged(
+            new WeightVersion(MODEL, version), Optional.of(nowMicros)));
   }
 
   long request(String target, Optional<String> key, Optional<PromptOutline> prompt) {
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
@@ -114,12 +114,11 @@
     }
 
     @Override
-    public void onChanges(
-        RegistryStream stream, List<KeyedRecord> changes, boolean completesFirstScan, long now) {
-      if (stream == RegistryStream.OPERATOR) {
-        changes.forEach(change -> appliedValues.add(change.value().orElse("")));
+    public void onChanges(RegistryChanges changes, long now) {
+      if (changes.stream() == RegistryStream.OPERATOR) {
+        changes.records().forEach(change -> appliedValues.add(change.value().orElse("")));
       } else {
-        changes.forEach(change -> core.onMember(members.get(change.key()), now));
+        changes.records().forEach(change -> core.onMember(members.get(change.key()), now));
       }
     }
 
@@ -129,6 +128,9 @@
     @Override
     public void onStoreRestored(long era, String offsets, long now) {}
 
+    @Override
+    public void onInterrupted(long pauseMicros, long now) {}
+
     @Override
     public void onMessage(Envelope envelope, long now) {}
   }
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryPutTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryPutTest.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.message.Envelope;
-import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 
@@ -83,11 +82,7 @@
   }
 
   @Override
-  public void onChanges(
-      RegistryStream stream,
-      List<KeyedRecord> changes,
-      boolean completesFirstScan,
-      long atMicros) {}
+  public void onChanges(RegistryChanges changes, long atMicros) {}
 
   @Override
   public void onReachabilityChanged(boolean isReachable, long atMicros) {}
@@ -95,6 +90,9 @@
   @Override
   public void onStoreRestored(long era, String offsets, long atMicros) {}
 
+  @Override
+  public void onInterrupted(long pauseMicros, long atMicros) {}
+
   @Override
   public void onMessage(Envelope envelope, long atMicros) {}
 }
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RestoredStoreFleet.java
@@ -182,13 +182,12 @@
     }
 
     @Override
-    public void onChanges(
-        RegistryStream stream, List<KeyedRecord> changes, boolean completesFirstScan, long now) {
-      for (KeyedRecord change : changes) {
+    public void onChanges(RegistryChanges changes, long now) {
+      for (KeyedRecord change : changes.records()) {
         values
-            .computeIfAbsent(stream, added -> new LinkedHashMap<>())
+            .computeIfAbsent(changes.stream(), added -> new LinkedHashMap<>())
             .put(change.key(), change.value());
-        if (stream == RegistryStream.MEMBERS && change.value().isPresent()) {
+        if (changes.stream() == RegistryStream.MEMBERS && change.value().isPresent()) {
           core.onMember(router(change.key()), now);
         }
         if (change.key().equals(CONFIGURATION)) {
@@ -203,6 +202,9 @@
     @Override
     public void onStoreRestored(long newEra, String offsets, long now) {}
 
+    @Override
+    public void onInterrupted(long pauseMicros, long now) {}
+
     @Override
     public void onMessage(Envelope envelope, long now) {}
   }
--- a/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
@@ -53,7 +53,7 @@
                     .computeIfAbsent(name + "|" + address, key -> new ArrayList<>())
                     .add(command),
             DecisionJournal.NONE);
-    router.onDesiredVersion(new WeightVersion(MODEL, 1), nowMicros);
+    router.onDesiredVersion(new WeightVersion(MODEL, 1), Optional.of(nowMicros), nowMicros);
     routers.put(name, router);
   }
 
@@ -75,7 +75,10 @@
   private void setDesiredVersion(long version) {
     routers
         .values()
-        .forEach(router -> router.onDesiredVersion(new WeightVersion(MODEL, version), nowMicros));
+        .forEach(
+            router ->
+                router.onDesiredVersion(
+                    new WeightVersion(MODEL, version), Optional.of(nowMicros), nowMicros));
   }
 
   /**
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightUpdaterTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightUpdaterTest.java
@@ -77,7 +77,9 @@
   }
 
   private void setDesiredVersion(long wanted) {
-    handle(new WeightEvent.DesiredVersionChanged(new WeightVersion(MODEL, wanted)));
+    handle(
+        new WeightEvent.DesiredVersionChanged(
+            new WeightVersion(MODEL, wanted), Optional.of(nowMicros)));
   }
 
   private List<VersionOrder> orders() {
@@ -205,7 +207,8 @@
         new WeightEvent.ServerListed(entry("engine-1", ADDRESS, 5)), nowMicros);
     updaterWithoutStore.handle(new WeightEvent.Reported(report()), nowMicros);
     updaterWithoutStore.handle(
-        new WeightEvent.DesiredVersionChanged(new WeightVersion(MODEL, 2)), nowMicros);
+        new WeightEvent.DesiredVersionChanged(new WeightVersion(MODEL, 2), Optional.of(nowMicros)),
+        nowMicros);
     for (int tick = 0; tick < 100; tick++) {
       nowMicros += 50_000;
       updaterWithoutStore.handle(new WeightEvent.FencingTokenAcquired(Optional.empty()), nowMicros);
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -21,6 +21,7 @@
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.coordination.registry.PollingPolicy;
+import org.shallothook.coordination.registry.RegistryChanges;
 import org.shallothook.coordination.registry.RegistryCore;
 import org.shallothook.coordination.registry.RegistryEvent;
 import org.shallothook.coordination.registry.RegistryListener;
@@ -154,14 +155,16 @@
   }
 
   @Override
-  public void onChanges(
-      RegistryStream stream, List<KeyedRecord> changes, boolean isFirstWhole, long nowMicros) {
-    switch (stream) {
-      case OPERATOR -> changes.forEach(record -> readOperator(record, nowMicros));
-      case SERVERS -> readServers(changes, isFirstWhole, nowMicros);
-      case MEMBERS -> readMembers(changes, nowMicros);
-      case QUARANTINES -> changes.forEach(record -> readQuarantine(record, nowMicros));
-      case FENCES -> throw new IllegalArgumentException("Routers do not follow " + stream);
+  public void onChanges(RegistryChanges changes, long nowMicros) {
+    List<KeyedRecord> records = changes.records();
+    switch (changes.stream()) {
+      case OPERATOR ->
+          records.forEach(record -> readOperator(record, changes.writtenAfterMicros(), nowMicros));
+      case SERVERS -> readServers(records, changes.completesFirstScan(), nowMicros);
+      case MEMBERS -> readMembers(records, nowMicros);
+      case QUARANTINES -> records.forEach(record -> readQuarantine(record, nowMicros));
+      case FENCES ->
+          throw new IllegalArgumentException("Routers do not follow " + changes.stream());
     }
     isReady.set(core.isReady());
   }
@@ -178,6 +181,11 @@
     core.handle(new ForwardEvent.RegistryRestored(), nowMicros);
   }
 
+  @Override
+  public void onInterrupted(long pauseMicros, long nowMicros) {
+    node.logInterrupted(pauseMicros);
+  }
+
   @Override
   public void onMessage(Envelope envelope, long nowMicros) {
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
@@ -245,14 +253,15 @@
     }
   }
 
-  private void readOperator(KeyedRecord record, long nowMicros) {
+  private void readOperator(KeyedRecord record, Optional<Long> writtenAfterMicros, long nowMicros) {
     node.readRoutes(record)
         .ifPresent(table -> core.handle(new ForwardEvent.RoutesRead(table), nowMicros));
     node.readVersion(record)
         .ifPresent(
             version -> {
-              core.handle(new ForwardEvent.DesiredVersionChanged(version), nowMicros);
-              sidecarless.onDesiredVersion(version, nowMicros);
+              core.handle(
+                  new ForwardEvent.DesiredVersionChanged(version, writtenAfterMicros), nowMicros);
+              sidecarless.onDesiredVersion(version, writtenAfterMicros, nowMicros);
             });
   }
 
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -1,7 +1,6 @@
 package org.shallothook.sidecar;
 
 import io.vavr.control.Try;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +9,7 @@
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.registry.PollingPolicy;
+import org.shallothook.coordination.registry.RegistryChanges;
 import org.shallothook.coordination.registry.RegistryCore;
 import org.shallothook.coordination.registry.RegistryEvent;
 import org.shallothook.coordination.registry.RegistryListener;
@@ -91,16 +91,15 @@
   }
 
   @Override
-  public void onChanges(
-      RegistryStream stream, List<KeyedRecord> changes, boolean isFirstWhole, long nowMicros) {
-    for (KeyedRecord record : changes) {
-      switch (stream) {
-        case OPERATOR -> readOperator(record, nowMicros);
+  public void onChanges(RegistryChanges changes, long nowMicros) {
+    for (KeyedRecord record : changes.records()) {
+      switch (changes.stream()) {
+        case OPERATOR -> readOperator(record, changes.writtenAfterMicros(), nowMicros);
         case SERVERS -> readServer(record, nowMicros);
         case MEMBERS ->
             node.readMember(record).ifPresent(member -> registry.onMember(member, nowMicros));
         case QUARANTINES, FENCES ->
-            throw new IllegalArgumentException("Sidecars do not follow " + stream);
+            throw new IllegalArgumentException("Sidecars do not follow " + changes.stream());
       }
     }
   }
@@ -115,6 +114,11 @@
     node.logStoreRestored(era, offsets);
   }
 
+  @Override
+  public void onInterrupted(long pauseMicros, long nowMicros) {
+    node.logInterrupted(pauseMicros);
+  }
+
   @Override
   public void onMessage(Envelope envelope, long nowMicros) {
     if (envelope.message() instanceof PeerMessage.SidecarStatus status) {
@@ -136,10 +140,12 @@
     }
   }
 
-  private void readOperator(KeyedRecord record, long nowMicros) {
+  private void readOperator(KeyedRecord record, Optional<Long> writtenAfterMicros, long nowMicros) {
     node.readVersion(record)
         .ifPresent(
-            version -> updater.handle(new WeightEvent.DesiredVersionChanged(version), nowMicros));
+            version ->
+                updater.handle(
+                    new WeightEvent.DesiredVersionChanged(version, writtenAfterMicros), nowMicros));
   }
 
   private void readServer(KeyedRecord record, long nowMicros) {
