Count the deadline of new weights from when they were set

Cause: routers and sidecars counted from when they learned of a version. One that was frozen, cut off or restarted in between gave older weights a whole deadline again, and a restarted sidecar waited a whole rollout.

Change: a change read from the store or a peer states the time after which it was written, from the reads before and from pauses of the process; peers tell each other the greatest age. A process that has just started does not know the age: it takes the version for overdue once the time is over in which it need not yet keep limits (settling-millis), and a sidecar starts such a load within 1.5 s.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -135,7 +135,8 @@
     this.commands = Objects.requireNonNull(commands, "commands");
     this.journal = new ForwardJournal(options.journal());
     this.random = new SplittableRandom(options.seed());
-    this.eligibility = new VersionEligibility(options.versionDeadlineMicros());
+    this.eligibility =
+        new VersionEligibility(options.versionLimitMicros(), options.unknownVersionLimitMicros());
     this.retries =
         new FleetRetryBudget(
             options.retryRatio(), options.retrySlack(), options.retryWindowMicros());
@@ -259,7 +260,7 @@
   }
 
   private void onDesiredVersion(ForwardEvent.DesiredVersionChanged desired, long nowMicros) {
-    if (eligibility.onDesiredVersion(desired.version(), nowMicros)) {
+    if (eligibility.onDesiredVersion(desired.version(), desired.writtenAfterMicros(), nowMicros)) {
       journal.desiredVersion(desired.version(), desired.writtenAfterMicros(), nowMicros);
     }
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
@@ -13,8 +13,10 @@
  * @param retryRatio retries that all routers together may send, as a share of requests to a service
  * @param retrySlack retries that all routers together may send beyond that share
  * @param retryWindowMicros length of the window in which retries are counted, in microseconds
- * @param versionDeadlineMicros time after which no request may start on older weights, in
- *     microseconds
+ * @param versionLimitMicros time after a version of weights was set from which on no request may
+ *     start on older ones, in microseconds
+ * @param unknownVersionLimitMicros the same after a version was found of which it is not known when
+ *     it was set
  * @param quarantineMicros how long a request that crashes servers is refused, in microseconds
  * @param seed seed of the random choices
  * @param counters counters of decisions and latencies
@@ -25,7 +27,8 @@
     double retryRatio,
     double retrySlack,
     long retryWindowMicros,
-    long versionDeadlineMicros,
+    long versionLimitMicros,
+    long unknownVersionLimitMicros,
     long quarantineMicros,
     long seed,
     Counters counters,
--- a/coordination/src/main/java/org/shallothook/coordination/forward/VersionEligibility.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/VersionEligibility.java
@@ -14,7 +14,11 @@
  * afterwards. Outdated servers stay eligible until the deadline, with a penalty on their expected
  * time, so that they get the requests that would be late at the updated ones.
  *
- * <p>Each version has its own deadline, also if a newer version became the desired one since.
+ * <p>Each version has its own deadline, also if a newer version became the desired one since. It
+ * counts from the earliest time at which operators may have set the version, so that a router that
+ * learns late of it, after a pause or an outage, allows older weights for no longer than the
+ * others. A router that has just started cannot tell how old a version is; it takes it for overdue
+ * once the time is over in which a started process is not yet expected to keep time limits.
  *
  * <p>Invariant: the desired version of a model never decreases. Not thread-safe.
  */
@@ -28,23 +32,50 @@
   /** Penalty for a server with older weights, as a share of the request's target. */
   private static final double OUTDATED_PENALTY_SHARE = 0.25;
 
-  private final long deadlineMicros;
+  private final long limitMicros;
+  private final long unknownAgeLimitMicros;
   private final Map<String, List<DesiredVersion>> versionsByModel = new HashMap<>();
 
-  private record DesiredVersion(long version, long receivedAtMicros) {}
+  /**
+   * A version and what it means for servers with an older one.
+   *
+   * @param penaltyFromMicros when they begin to have a penalty
+   * @param deadlineMicros from when on they may start no request
+   */
+  private record DesiredVersion(long version, long penaltyFromMicros, long deadlineMicros) {}
 
-  VersionEligibility(long deadlineMicros) {
-    this.deadlineMicros = deadlineMicros;
+  /**
+   * Creates an instance that knows no versions.
+   *
+   * @param limitMicros time after a version was set for which older weights may serve, in
+   *     microseconds
+   * @param unknownAgeLimitMicros the same after a version of unknown age was found
+   */
+  VersionEligibility(long limitMicros, long unknownAgeLimitMicros) {
+    this.limitMicros = limitMicros;
+    this.unknownAgeLimitMicros = unknownAgeLimitMicros;
   }
 
-  /** Records a desired version and returns whether it is newer than the known one. */
-  boolean onDesiredVersion(WeightVersion desired, long nowMicros) {
+  /**
+   * Records a desired version and returns whether it is newer than the known one.
+   *
+   * @param writtenAfterMicros time after which operators have set it, in microseconds; empty if
+   *     they may have done so at any time
+   */
+  boolean onDesiredVersion(
+      WeightVersion desired, Optional<Long> writtenAfterMicros, long nowMicros) {
     if (desiredVersion(desired.model()).filter(known -> known >= desired.version()).isPresent()) {
       return false;
     }
     List<DesiredVersion> versions =
         versionsByModel.computeIfAbsent(desired.model(), model -> new ArrayList<>());
-    versions.add(new DesiredVersion(desired.version(), nowMicros));
+    versions.add(
+        new DesiredVersion(
+            desired.version(),
+            writtenAfterMicros.map(micros -> micros + GRACE_MICROS).orElse(nowMicros),
+            writtenAfterMicros
+                .map(micros -> micros + limitMicros)
+                .orElse(nowMicros + unknownAgeLimitMicros)));
     // Of the versions past their deadline only the newest matters.
     while (versions.size() > 1 && isPastDeadline(versions.get(1), nowMicros)) {
       versions.remove(0);
@@ -62,8 +93,8 @@
     return versions.isEmpty() ? Optional.empty() : Optional.of(versions.get(versions.size() - 1));
   }
 
-  private boolean isPastDeadline(DesiredVersion version, long nowMicros) {
-    return nowMicros - version.receivedAtMicros() >= deadlineMicros;
+  private static boolean isPastDeadline(DesiredVersion version, long nowMicros) {
+    return nowMicros >= version.deadlineMicros();
   }
 
   /** Returns the oldest version on which a request may still start. */
@@ -91,7 +122,7 @@
   double outdatedPenaltyMicros(Server server, String model, long targetMicros, long nowMicros) {
     boolean isOutdated =
         newest(model)
-            .filter(desired -> nowMicros - desired.receivedAtMicros() >= GRACE_MICROS)
+            .filter(desired -> nowMicros >= desired.penaltyFromMicros())
             .filter(desired -> server.version(model).orElse(0L) < desired.version())
             .isPresent();
     return isOutdated ? OUTDATED_PENALTY_SHARE * targetMicros : 0;
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.collection.BoundedMaps;
@@ -72,6 +74,7 @@
   private final WrittenRecords written = new WrittenRecords();
   private final Set<RegistryStream> restored = EnumSet.noneOf(RegistryStream.class);
   private final Interruptions interruptions = new Interruptions();
+  private final Map<String, Long> operatorWrittenAfterMicros = new HashMap<>();
   private long era;
   private boolean isStoreReachable;
   private boolean isMemberWritten;
@@ -313,9 +316,10 @@
     if (changes.records().isEmpty() && !changes.completesFirstScan()) {
       return;
     }
+    recordAge(changes);
     listener.onChanges(changes, nowMicros);
     if (changes.stream() == RegistryStream.OPERATOR && !changes.completesFirstScan()) {
-      PeerMessage message = recordsOf(era, changes.records());
+      PeerMessage message = recordsOf(era, changes.records(), nowMicros);
       randomPeers(nowMicros).forEach(name -> send(name, message));
     }
     if (changes.stream() == RegistryStream.MEMBERS && changes.completesFirstScan()) {
@@ -344,7 +348,9 @@
       operatorFollower()
           .state()
           .since(request.era(), request.fromOffset())
-          .forEach((recordEra, records) -> send(envelope.sender(), recordsOf(recordEra, records)));
+          .forEach(
+              (recordEra, records) ->
+                  send(envelope.sender(), recordsOf(recordEra, records, nowMicros)));
     } else if (message instanceof PeerMessage.ConfigurationRecords records) {
       onRecords(records, nowMicros);
     } else {
@@ -367,14 +373,49 @@
     onEra(Optional.of(message.era()), nowMicros);
     List<KeyedRecord> changes = operatorFollower().state().applyFromPeer(received, message.era());
     if (!changes.isEmpty()) {
-      listener.onChanges(
+      RegistryChanges changed =
           new RegistryChanges(
-              RegistryStream.OPERATOR, changes, false, operatorFollower().completeUntilMicros()),
-          nowMicros);
+              RegistryStream.OPERATOR, changes, false, writtenAfterMicros(message, nowMicros));
+      recordAge(changed);
+      listener.onChanges(changed, nowMicros);
     }
   }
 
-  private static PeerMessage recordsOf(long recordEra, List<KeyedRecord> records) {
+  /** Returns the time after which records of a peer were written; empty if that is not known. */
+  private Optional<Long> writtenAfterMicros(
+      PeerMessage.ConfigurationRecords message, long nowMicros) {
+    long arrivalMicros = interruptions.earliestArrivalMicros(nowMicros);
+    Optional<Long> bySender =
+        message.maximumAgeMicros().map(age -> arrivalMicros - KeyedFollower.DELIVERY_MICROS - age);
+    return Stream.of(bySender, operatorFollower().completeUntilMicros())
+        .flatMap(Optional::stream)
+        .max(Long::compare);
+  }
+
+  /** Remembers since when operators can have written records, to tell peers their age. */
+  private void recordAge(RegistryChanges changes) {
+    if (changes.stream() == RegistryStream.OPERATOR) {
+      changes
+          .records()
+          .forEach(
+              record ->
+                  changes
+                      .writtenAfterMicros()
+                      .ifPresentOrElse(
+                          micros -> operatorWrittenAfterMicros.put(record.key(), micros),
+                          () -> operatorWrittenAfterMicros.remove(record.key())));
+    }
+  }
+
+  private PeerMessage recordsOf(long recordEra, List<KeyedRecord> records, long nowMicros) {
+    boolean areAgesKnown =
+        records.stream().allMatch(record -> operatorWrittenAfterMicros.containsKey(record.key()));
+    Optional<Long> maximumAgeMicros =
+        areAgesKnown
+            ? records.stream()
+                .map(record -> nowMicros - operatorWrittenAfterMicros.get(record.key()))
+                .max(Long::compare)
+            : Optional.empty();
     return new PeerMessage.ConfigurationRecords(
         records.stream()
             .map(
@@ -382,7 +423,8 @@
                     new LogRecord(
                         record.offset(), 0, record.key() + SEPARATOR + record.value().orElse("")))
             .toList(),
-        recordEra);
+        recordEra,
+        maximumAgeMicros);
   }
 
   private void requestFromRandomPeers(long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.state.cache.ModelVersion;
@@ -19,7 +20,8 @@
  * seconds. Every sidecar ranks the servers of the service by the same hash and announces its status
  * to the others, so that a free slot goes only to the next server in rank that lacks the version.
  * Each rank has a latest start, and these are spread evenly over the time available for the
- * rollout.
+ * rollout. That time ends a while after operators set the version, whenever this process learned of
+ * it; if little or nothing of it is left, the starts are spread over a short time.
  *
  * <p>Invariant: every server may start at its latest start, whatever statuses are received. Not
  * thread-safe.
@@ -31,6 +33,9 @@
   /** Fraction of the time limit for new versions by which the last server starts. */
   private static final double LAST_START_FRACTION = 0.75;
 
+  /** Time over which the starts of an overdue rollout are spread, in microseconds. */
+  private static final long OVERDUE_ROLLOUT_MICROS = 1_500_000;
+
   /** Time after which a status that reports an unavailable server is ignored. */
   private static final long STATUS_VALIDITY_MICROS = 2_500_000;
 
@@ -58,14 +63,10 @@
    * @param serverId identity of the server
    * @param servers entries of all servers of its service, including its own
    * @param desired model and version to load
-   * @param desiredSinceMicros time at which this process received the desired version, in
-   *     microseconds
+   * @param time when the servers start
    */
   record Rollout(
-      String serverId,
-      Collection<ServerEntry> servers,
-      WeightVersion desired,
-      long desiredSinceMicros) {
+      String serverId, Collection<ServerEntry> servers, WeightVersion desired, RolloutTime time) {
     private List<ServerEntry> rankedServers() {
       Comparator<ServerEntry> byHash =
           Comparator.comparingLong(
@@ -75,6 +76,18 @@
     }
   }
 
+  /**
+   * When the servers of a rollout start.
+   *
+   * @param firstStartMicros when the first may start
+   * @param lastStartMicros when the last starts at the latest
+   */
+  record RolloutTime(long firstStartMicros, long lastStartMicros) {
+    private long latestStartMicros(int rank, int serverCount) {
+      return firstStartMicros + (lastStartMicros - firstStartMicros) * (rank + 1) / serverCount;
+    }
+  }
+
   /**
    * Creates a schedule without any status of other servers.
    *
@@ -84,6 +97,21 @@
     lastStartMicros = (long) (LAST_START_FRACTION * boundMicros);
   }
 
+  /**
+   * Returns the time of a rollout that this process learns of now.
+   *
+   * @param writtenAfterMicros time after which operators have set the version, in microseconds;
+   *     empty if they may have done so at any time
+   */
+  RolloutTime timeOf(Optional<Long> writtenAfterMicros, long nowMicros) {
+    long overdueStartMicros = nowMicros + OVERDUE_ROLLOUT_MICROS;
+    return new RolloutTime(
+        nowMicros,
+        writtenAfterMicros
+            .map(micros -> Math.max(micros + lastStartMicros, overdueStartMicros))
+            .orElse(overdueStartMicros));
+  }
+
   /** Records the status announced by another sidecar. */
   void onStatus(SidecarStatus status, long nowMicros) {
     receivedStatuses.put(status.upstream(), new ReceivedStatus(status, nowMicros));
@@ -115,8 +143,7 @@
     }
     boolean hasFreeSlot =
         loadingCount + waitingBefore < Math.max(1, serverCount / SERVERS_PER_CONCURRENT_LOAD);
-    boolean isLatestStartReached =
-        nowMicros - rollout.desiredSinceMicros() >= lastStartMicros * (rank + 1) / serverCount;
+    boolean isLatestStartReached = nowMicros >= rollout.time().latestStartMicros(rank, serverCount);
     return hasFreeSlot || isLatestStartReached;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
@@ -69,7 +69,7 @@
   private final Consumer<WeightCommand> commands;
   private final DecisionJournal journal;
   private final Map<String, WeightVersion> desired = new HashMap<>();
-  private final Map<String, Long> desiredSinceMicros = new HashMap<>();
+  private final Map<String, RolloutSchedule.RolloutTime> rolloutTimes = new HashMap<>();
   private final Map<String, ServerEntry> servers = new HashMap<>();
   private Optional<EngineReport> report = Optional.empty();
   private Optional<Long> fencingToken = Optional.empty();
@@ -138,7 +138,7 @@
       // A server that still lacks the previous version keeps its latest start.
       boolean hasKnownVersion = known == null || versionOf(version.model()) >= known.version();
       if (hasKnownVersion) {
-        desiredSinceMicros.put(version.model(), nowMicros);
+        rolloutTimes.put(version.model(), schedule.timeOf(writtenAfterMicros, nowMicros));
       }
       desired.put(version.model(), version);
       nextServersMicros = nowMicros;
@@ -314,8 +314,8 @@
                   servers.values().stream()
                       .filter(entry -> entry.service().equals(service) && !entry.isLeaving())
                       .toList();
-              long desiredSince = desiredSinceMicros.get(version.model());
-              return new RolloutSchedule.Rollout(id, all, version, desiredSince);
+              return new RolloutSchedule.Rollout(
+                  id, all, version, rolloutTimes.get(version.model()));
             });
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -57,6 +57,7 @@
         50,
         10 * SECOND,
         6 * SECOND,
+        2_400 * MILLI,
         quarantineMicros,
         seed,
         Counters.NONE,
--- a/coordination/src/test/java/org/shallothook/coordination/forward/VersionEligibilityTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/VersionEligibilityTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -11,8 +12,9 @@
 
 /** Load pattern: new weights reach the servers a few at a time. */
 final class VersionEligibilityTest {
-  private static final long DEADLINE = 6_000_000;
-  private final VersionEligibility eligibility = new VersionEligibility(DEADLINE);
+  private static final long SECOND = 1_000_000;
+  private static final long DEADLINE = 6 * SECOND;
+  private final VersionEligibility eligibility = new VersionEligibility(DEADLINE, SECOND);
 
   private static List<Server> servers(int current, int all) {
     return IntStream.range(0, all)
@@ -23,6 +25,11 @@
         .toList();
   }
 
+  private boolean setDesiredVersion(long version, long nowMicros) {
+    return eligibility.onDesiredVersion(
+        new WeightVersion(ForwardHarness.MODEL, version), Optional.of(nowMicros), nowMicros);
+  }
+
   @ParameterizedTest(name = "{1} of {2} servers have it after {0} ms: {3} are eligible")
   @CsvSource({
     "0, 1, 6, 6",
@@ -34,7 +41,7 @@
     "6000, 0, 6, 0",
   })
   void eligibleServers(long ageMillis, int current, int all, int expected) {
-    eligibility.onDesiredVersion(new WeightVersion(ForwardHarness.MODEL, 2), 0);
+    setDesiredVersion(2, 0);
     List<Server> eligible =
         eligibility.eligible(servers(current, all), ForwardHarness.MODEL, ageMillis * 1_000);
     assertThat(eligible).hasSize(expected);
@@ -43,7 +50,7 @@
   @ParameterizedTest(name = "after {0} ms an outdated server has a penalty of {1} ms")
   @CsvSource({"0, 0", "1000, 0", "1300, 200", "5900, 200"})
   void outdatedServersGetAPenalty(long ageMillis, long expectedMillis) {
-    eligibility.onDesiredVersion(new WeightVersion(ForwardHarness.MODEL, 2), 0);
+    setDesiredVersion(2, 0);
     List<Server> servers = servers(1, 2);
     assertThat(
             eligibility.outdatedPenaltyMicros(
@@ -57,18 +64,16 @@
 
   @Test
   void aVersionKeepsItsDeadlineWhenANewerOneIsDesired() {
-    eligibility.onDesiredVersion(new WeightVersion(ForwardHarness.MODEL, 2), 0);
-    eligibility.onDesiredVersion(new WeightVersion(ForwardHarness.MODEL, 3), 3_000_000);
+    setDesiredVersion(2, 0);
+    setDesiredVersion(3, 3_000_000);
     assertThat(eligibility.eligible(servers(2, 6), ForwardHarness.MODEL, 5_900_000)).hasSize(6);
     assertThat(eligibility.eligible(servers(2, 6), ForwardHarness.MODEL, 6_000_000)).hasSize(2);
   }
 
   @Test
   void theDesiredVersionNeverDecreases() {
-    assertThat(eligibility.onDesiredVersion(new WeightVersion(ForwardHarness.MODEL, 3), 0))
-        .isTrue();
-    assertThat(eligibility.onDesiredVersion(new WeightVersion(ForwardHarness.MODEL, 2), 1))
-        .isFalse();
+    assertThat(setDesiredVersion(3, 0)).isTrue();
+    assertThat(setDesiredVersion(2, 1)).isFalse();
     assertThat(eligibility.desiredVersion(ForwardHarness.MODEL).get()).isEqualTo(3);
   }
 }
--- a/coordination/src/test/java/org/shallothook/coordination/weights/RolloutScheduleTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/RolloutScheduleTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,8 @@
   private static final long BOUND = 8_000_000;
   private static final long TICK = 50_000;
   private static final WeightVersion DESIRED = new WeightVersion(MODEL, 2);
+  private static final RolloutSchedule.RolloutTime TIME =
+      new RolloutSchedule(BOUND).timeOf(Optional.of(0L), 0);
 
   private static List<ServerEntry> servers(int count) {
     return IntStream.range(0, count)
@@ -70,7 +73,7 @@
         if (loadEnd == null
             && schedules
                 .get(server.id())
-                .mayStart(new RolloutSchedule.Rollout(server.id(), servers, DESIRED, 0), now)) {
+                .mayStart(new RolloutSchedule.Rollout(server.id(), servers, DESIRED, TIME), now)) {
           loadEndMicros.put(server.id(), now + loadMillis * 1_000);
         } else if (loadEnd != null && now >= loadEnd && done.add(server.id())) {
           announced.add(ready(server));
@@ -98,7 +101,7 @@
                 .allMatch(
                     server ->
                         schedule.mayStart(
-                            new RolloutSchedule.Rollout(server.id(), servers, DESIRED, 0),
+                            new RolloutSchedule.Rollout(server.id(), servers, DESIRED, TIME),
                             6_000_000)))
         .isTrue();
   }
@@ -113,7 +116,7 @@
             .filter(
                 server ->
                     schedule.mayStart(
-                        new RolloutSchedule.Rollout(server.id(), servers, DESIRED, 0), 0))
+                        new RolloutSchedule.Rollout(server.id(), servers, DESIRED, TIME), 0))
             .count();
     assertThat(starting).isEqualTo(1);
   }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -221,8 +221,11 @@
 
   private static ConfigurationRecordsFrame.Builder configurationRecords(
       PeerMessage.ConfigurationRecords records) {
-    return ConfigurationRecordsFrame.newBuilder()
-        .addAllRecords(records.records().stream().map(FieldMapping::toFrame).toList())
-        .setEra(records.era());
+    ConfigurationRecordsFrame.Builder frame =
+        ConfigurationRecordsFrame.newBuilder()
+            .addAllRecords(records.records().stream().map(FieldMapping::toFrame).toList())
+            .setEra(records.era());
+    records.maximumAgeMicros().ifPresent(frame::setMaximumAgeMicros);
+    return frame;
   }
 }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -79,8 +79,9 @@
   private static final double SERVERS_INTERVAL_FRACTION = 0.25;
 
   /**
-   * Fraction of the bound on installing new weights after which no request may start on older
-   * weights; the rest is left for requests already on their way to a server.
+   * Fraction of the bound on installing new weights, or of the time that a started process has to
+   * keep it, after which no request may start on older weights; the rest is left for requests
+   * already on their way to a server.
    */
   private static final double VERSION_FRACTION = 0.8;
 
@@ -396,12 +397,14 @@
 
   private ForwardOptions forwardOptions() {
     long versionMicros = settings.micros(HostedKeys.VERSION_MILLIS, TimeUnit.MILLISECONDS);
+    long settlingMicros = settings.micros(HostedKeys.SETTLING_MILLIS, TimeUnit.MILLISECONDS);
     return new ForwardOptions(
         settings.text(CommonKeys.FAILURE_DOMAIN),
         settings.amount(HostedKeys.RETRY_SHARE),
         settings.amount(HostedKeys.RETRY_SLACK),
         settings.micros(HostedKeys.RETRY_WINDOW_SECONDS, TimeUnit.SECONDS),
         (long) (VERSION_FRACTION * versionMicros),
+        (long) (VERSION_FRACTION * settlingMicros),
         QUARANTINE_MICROS,
         node.incarnation(),
         node.metrics(),
--- a/router/src/main/java/org/shallothook/router/HostedRouterSettings.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouterSettings.java
@@ -19,6 +19,7 @@
                   RouterSettings.LISTEN_CALLERS,
                   HostedKeys.LEAVE_MILLIS,
                   HostedKeys.VERSION_MILLIS,
+                  HostedKeys.SETTLING_MILLIS,
                   HostedKeys.ORDER_TURN_MILLIS,
                   HostedKeys.STOP_SECONDS,
                   HostedKeys.RETRY_SHARE,
--- a/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
+++ b/transport/src/main/java/org/shallothook/transport/settings/HostedKeys.java
@@ -34,6 +34,14 @@
           SettingType.DURATION,
           "8000",
           "Time after which no request may begin on older weights, in milliseconds.");
+  public static final SettingKey SETTLING_MILLIS =
+      SettingKey.withDefault(
+          "bounds",
+          "settling-millis",
+          SettingType.DURATION,
+          "3000",
+          "Time after a start from which on a process must keep the other bounds, in"
+              + " milliseconds.");
   public static final SettingKey STOP_SECONDS =
       SettingKey.withDefault(
           "bounds",
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
@@ -34,7 +34,16 @@
   private final ForwardCore core =
       new ForwardCore(
           new ForwardOptions(
-              "domain-a", 0.2, 50, 10 * SECOND, 6 * SECOND, 60 * SECOND, 1, Counters.NONE, log),
+              "domain-a",
+              0.2,
+              50,
+              10 * SECOND,
+              6 * SECOND,
+              2 * SECOND,
+              60 * SECOND,
+              1,
+              Counters.NONE,
+              log),
           commands::add);
   private long nowMicros = 100 * SECOND;
 
