Read the software version of servers and the stream that a request resumes

Nothing read the field of the registry's entry or the header that names the attempt which began a stream, and no line showed either, so the cases could be traced only with the users' record.

The lines `server` and `send` state the software version, `send` also `resumes` and `after`. No decision depends on any of them yet.

An unreadable version has no line of its own: `software` is empty in the server's line.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -51,7 +51,9 @@
         "leaving",
         entry.isLeaving(),
         "versions",
-        entry.versions());
+        entry.versions(),
+        "software",
+        entry.softwareVersion().orElse(""));
   }
 
   void waiting(PendingRequest request) {
@@ -70,6 +72,12 @@
         request.attempt(),
         "version",
         version.orElse(0L),
+        "software",
+        server.entry().softwareVersion().orElse(""),
+        "resumes",
+        request.head().resumedRequest().orElse(""),
+        "after",
+        request.lastEvent().orElse(-1L),
         "open",
         server.outstanding(),
         "opening",
--- a/coordination/src/main/java/org/shallothook/coordination/forward/RequestHead.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/RequestHead.java
@@ -19,6 +19,8 @@
  * @param callerDeadlineMicros when the caller stops waiting, on the decision clock in microseconds
  * @param prompt description of the prompt in the request, if any
  * @param resumesAfter number of the last event of this stream that the caller already has
+ * @param resumedRequest identifier of the caller's attempt that brought the first event of the
+ *     stream to be resumed
  * @param contentHash hash of method, target, key and body; equal when a request is repeated
  */
 public record RequestHead(
@@ -29,11 +31,13 @@
     Optional<Long> callerDeadlineMicros,
     Optional<PromptOutline> prompt,
     Optional<Long> resumesAfter,
+    Optional<String> resumedRequest,
     long contentHash) {
   public RequestHead {
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(host, "host");
     Objects.requireNonNull(target, "target");
+    Objects.requireNonNull(resumedRequest, "resumedRequest");
   }
 
   /** Returns what the request has in common with others that may crash servers. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -161,6 +161,7 @@
                     Optional.empty(),
                     Optional.of(prompt),
                     Optional.empty(),
+                    Optional.empty(),
                     request)));
     return request;
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -31,6 +31,10 @@
   static final String KEY = "key-1";
   static final String ISOLATED_KEY = "key-2";
   static final String MODEL = "linen";
+
+  /** Version of the software of all servers, if a test does not set another. */
+  static final String SOFTWARE = "v1";
+
   static final long MILLI = 1_000;
   static final long SECOND = 1_000_000;
 
@@ -85,12 +89,28 @@
 
   static ServerEntry engine(String id, int index, long version) {
     return new ServerEntry(
-        id, "engines", "10.0.0." + index + ":80", "domain-a", 8, false, Map.of(MODEL, version), 1);
+        id,
+        "engines",
+        "10.0.0." + index + ":80",
+        "domain-a",
+        8,
+        false,
+        Map.of(MODEL, version),
+        1,
+        Optional.of(SOFTWARE));
   }
 
   static ServerEntry service(String id, int index) {
     return new ServerEntry(
-        id, "bookings", "10.0.1." + index + ":80", "domain-a", 4, false, Map.of(), 1);
+        id,
+        "bookings",
+        "10.0.1." + index + ":80",
+        "domain-a",
+        4,
+        false,
+        Map.of(),
+        1,
+        Optional.of(SOFTWARE));
   }
 
   /** Returns the entry of another incarnation of a server, which is not leaving. */
@@ -103,7 +123,8 @@
         entry.slots(),
         false,
         entry.versions(),
-        startedAtMillis);
+        startedAtMillis,
+        entry.softwareVersion());
   }
 
   static ServerEntry leaving(ServerEntry entry) {
@@ -193,6 +214,7 @@
             Optional.empty(),
             prompt,
             Optional.empty(),
+            Optional.empty(),
             target.hashCode() + prompt.map(one -> one.parts().hashCode()).orElse(0));
     handle(new ForwardEvent.Requested(number, head));
     return number;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LimitedFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LimitedFleet.java
@@ -179,6 +179,7 @@
             Optional.empty(),
             Optional.empty(),
             Optional.empty(),
+            Optional.empty(),
             request);
     routers.get(router).handle(new ForwardEvent.Requested(request, head));
     return request;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/LoadPatternsTest.java
@@ -252,6 +252,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 1)),
         SECOND);
     assertThat(written).containsExactly(Decision.REFUSE);
--- a/coordination/src/test/java/org/shallothook/coordination/weights/RolloutScheduleTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/RolloutScheduleTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -36,7 +37,8 @@
                     8,
                     false,
                     Map.of(MODEL, 1L),
-                    5))
+                    5,
+                    Optional.empty()))
         .toList();
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
@@ -64,7 +64,15 @@
   private ServerEntry entry(int index) {
     Map<String, Long> held = Map.of(MODEL, versions.get(address(index)));
     return new ServerEntry(
-        "engine-" + index, "engines", address(index), "domain", 8, false, held, 5);
+        "engine-" + index,
+        "engines",
+        address(index),
+        "domain",
+        8,
+        false,
+        held,
+        5,
+        Optional.empty());
   }
 
   private void listAll() {
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightUpdaterTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightUpdaterTest.java
@@ -73,7 +73,7 @@
 
   private static ServerEntry entry(String id, String address, long startedAt) {
     return new ServerEntry(
-        id, "engines", address, "domain", 8, false, Map.of(MODEL, 1L), startedAt);
+        id, "engines", address, "domain", 8, false, Map.of(MODEL, 1L), startedAt, Optional.empty());
   }
 
   private void setDesiredVersion(long wanted) {
--- a/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
+++ b/protocol/src/main/java/org/shallothook/protocol/json/JsonFields.java
@@ -45,6 +45,11 @@
     return element(name).map(element -> toStringValue(pathOf(name), element));
   }
 
+  /** Returns a string field; empty also if the field has another type. */
+  public Optional<String> validString(String name) {
+    return element(name).flatMap(JsonFields::stringOf);
+  }
+
   /** Returns a 64-bit integer field. */
   public long longField(String name) {
     return element(name)
@@ -172,13 +177,14 @@
   }
 
   private static String toStringValue(String path, JsonElement element) {
-    if (element instanceof JsonPrimitive primitive && primitive.isString()) {
-      String text = primitive.getAsString();
-      if (StandardCharsets.UTF_8.newEncoder().canEncode(text)) {
-        return text;
-      }
-    }
-    throw wrongType(path, "a string of Unicode characters");
+    return stringOf(element).orElseThrow(() -> wrongType(path, "a string of Unicode characters"));
+  }
+
+  private static Optional<String> stringOf(JsonElement element) {
+    return element instanceof JsonPrimitive primitive && primitive.isString()
+        ? Optional.of(primitive.getAsString())
+            .filter(text -> StandardCharsets.UTF_8.newEncoder().canEncode(text))
+        : Optional.empty();
   }
 
   private static boolean toBoolean(String path, JsonElement element) {
--- a/state/src/main/java/org/shallothook/state/route/ServerEntry.java
+++ b/state/src/main/java/org/shallothook/state/route/ServerEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * A server's registration in the registry.
@@ -17,6 +18,8 @@
  * @param isLeaving whether it accepts no new work
  * @param versions weights version of each model that it serves
  * @param startedAtMillis start of this incarnation, in milliseconds since the epoch; 0 if unknown
+ * @param softwareVersion version of the server's software, which is unrelated to that of its
+ *     weights; empty if it is missing or unreadable
  */
 public record ServerEntry(
     String id,
@@ -26,16 +29,26 @@
     int slots,
     boolean isLeaving,
     Map<String, Long> versions,
-    long startedAtMillis) {
+    long startedAtMillis,
+    Optional<String> softwareVersion) {
   public ServerEntry {
     Objects.requireNonNull(id, "id");
     Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(softwareVersion, "softwareVersion");
     versions = Map.copyOf(versions);
   }
 
   /** Returns a copy of the entry with the given leaving state. */
   public ServerEntry withLeaving(boolean leaves) {
     return new ServerEntry(
-        id, service, address, failureDomain, slots, leaves, versions, startedAtMillis);
+        id,
+        service,
+        address,
+        failureDomain,
+        slots,
+        leaves,
+        versions,
+        startedAtMillis,
+        softwareVersion);
   }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -31,6 +31,7 @@
             Optional.empty(),
             Optional.empty(),
             Optional.empty(),
+            Optional.empty(),
             contentHash));
   }
 
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
@@ -61,7 +61,15 @@
 
   private static ServerEntry server(boolean isLeaving) {
     return new ServerEntry(
-        "server-1", "bookings", "10.0.0.1:80", "domain-a", 4, isLeaving, Map.of(), 1);
+        "server-1",
+        "bookings",
+        "10.0.0.1:80",
+        "domain-a",
+        4,
+        isLeaving,
+        Map.of(),
+        1,
+        Optional.empty());
   }
 
   private void start(boolean isLeaving) {
@@ -90,6 +98,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 5)));
   }
 
