--- a/coordination/src/test/java/org/shallothook/coordination/weights/RolloutScheduleTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/RolloutScheduleTest.java
@@ -39,7 +39,8 @@
                     8,
                     false,
                     Map.of(MODEL, 1L),
-                    5))
+                    5,
+                    Optional.empty()))
         .toList();
   }
 
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
@@ -70,7 +70,15 @@
 
   private static ServerEntry server(boolean isLeaving) {
     return new ServerEntry(
-        "server-1", "bookings", "10.0.0.1:80", "domain-a", 4, isLeaving, Map.of(), 1);
+        "server-1",
+        "bookings",
+        "10.0.0.1:80",
+        "domain-a",
+        4,
+        isLeaving,
+        Map.of(),
+        1,
+        Optional.empty());
   }
 
   private void start(boolean isLeaving) {
@@ -99,6 +107,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 5)));
   }
 
