Count the time for entries to return from the end of an outage

Cause: a removal read while the store was away, or up to 3 s after, took effect 2 s after this router read it. Entries return within 2 s of the store's return, whenever the removal is read: the time since this router knew of it stood for the time since the outage ended.

Change: a removal takes effect 2 s after the end of the outage, at once if that is past, and stays pending while the store is away. One that is pending when the store goes away again waits for that end too; one that has taken effect stays in effect. A restore counts as an end, as before.

Why it works: after that time an entry that is missing stays missing, and before it a missing entry says nothing; neither depends on when the removal was read.

No existing test is changed.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -40,7 +40,7 @@
   private double responseMicros;
   private long pausedUntilMicros;
   private long closedUntilMicros;
-  private long removedAtMicros = Long.MAX_VALUE;
+  private Optional<Long> removedAtMicros = Optional.empty();
   private long queueDelayMicros;
   private double sentPrefillMicros;
   private long statusExpiresAtMicros;
@@ -135,12 +135,16 @@
 
   /** Returns whether the server is in the registry and not leaving. */
   boolean isListed(long nowMicros) {
-    return !entry.isLeaving() && nowMicros < removedAtMicros;
+    return !entry.isLeaving() && !isRemoved(nowMicros);
   }
 
   /** Returns whether the server is out of the registry and has no open requests. */
   boolean isRemovable(long nowMicros) {
-    return nowMicros >= removedAtMicros && outstanding == 0;
+    return isRemoved(nowMicros) && outstanding == 0;
+  }
+
+  private boolean isRemoved(long nowMicros) {
+    return removedAtMicros.filter(at -> nowMicros >= at).isPresent();
   }
 
   /** Returns whether requests are open and no response has arrived for longer than a given time. */
@@ -161,7 +165,7 @@
     // Leaving is final for an incarnation, also if a later entry does not repeat it.
     boolean isLeaving = newer.isLeaving() || (entry.isLeaving() && !hasRestarted);
     entry = newer.withLeaving(isLeaving);
-    removedAtMicros = Long.MAX_VALUE;
+    removedAtMicros = Optional.empty();
     newer.versions().forEach(this::onVersion);
     return hasRestarted;
   }
@@ -173,7 +177,15 @@
 
   /** Records the removal of the server from the registry; the earliest time of several counts. */
   void onRemoved(long effectiveAtMicros) {
-    removedAtMicros = Math.min(removedAtMicros, effectiveAtMicros);
+    removedAtMicros =
+        Optional.of(Math.min(removedAtMicros.orElse(effectiveAtMicros), effectiveAtMicros));
+  }
+
+  /** Changes when a removal takes effect, if one has been recorded that has not yet done so. */
+  void deferRemoval(long effectiveAtMicros, long nowMicros) {
+    if (!isRemoved(nowMicros)) {
+      removedAtMicros = removedAtMicros.map(earlier -> effectiveAtMicros);
+    }
   }
 
   void onStatus(SidecarStatus status, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -15,25 +15,24 @@
  * Holds all servers known to a forwarding router.
  *
  * <p>Handles registry outages: entries expire during an outage and are registered again soon after
- * it. A removal that is read during or shortly after an outage therefore takes effect only after a
- * grace period.
+ * it. A removal that is read during an outage or after it therefore takes effect at a fixed time
+ * after the end of the outage, or immediately if that time has passed.
  *
- * <p>Invariant: a leaving server is never usable again in the same incarnation; a removed one only
- * if its entry returns. Not thread-safe.
+ * <p>Invariant: a leaving server is never usable again in the same incarnation; one whose removal
+ * has taken effect only if its entry returns. Not thread-safe.
  */
 final class ServerDirectory {
   /**
-   * Time after which the registry guarantees that entries which expired during an outage are back,
-   * in microseconds.
+   * Time after the end of an outage after which the registry guarantees that entries which expired
+   * during it are back, in microseconds.
    */
   private static final long REREGISTRATION_MICROS = 2_000_000;
 
-  /** Time after an outage during which it may be the cause of a removal, in microseconds. */
-  private static final long OUTAGE_AFTERMATH_MICROS = 3_000_000;
-
   private final Map<String, Server> servers = new LinkedHashMap<>();
   private boolean isReachable = true;
-  private long outageEndedMicros = Long.MIN_VALUE / 2;
+
+  /** Earliest time at which a removal takes effect; {@link Long#MAX_VALUE} during an outage. */
+  private long removalsEffectiveMicros = Long.MIN_VALUE;
 
   Optional<Server> find(String id) {
     return Optional.ofNullable(servers.get(id));
@@ -103,22 +102,28 @@
   }
 
   void onRemoved(String id, long nowMicros) {
-    boolean mayStemFromOutage =
-        !isReachable || nowMicros - outageEndedMicros < OUTAGE_AFTERMATH_MICROS;
-    long effectiveAtMicros = mayStemFromOutage ? nowMicros + REREGISTRATION_MICROS : nowMicros;
+    long effectiveAtMicros = Math.max(nowMicros, removalsEffectiveMicros);
     find(id).ifPresent(server -> server.onRemoved(effectiveAtMicros));
   }
 
   void onReachable(boolean isNowReachable, long nowMicros) {
-    if (isNowReachable && !isReachable) {
-      outageEndedMicros = nowMicros;
+    if (isNowReachable != isReachable) {
+      isReachable = isNowReachable;
+      deferRemovals(isReachable ? nowMicros + REREGISTRATION_MICROS : Long.MAX_VALUE, nowMicros);
     }
-    isReachable = isNowReachable;
   }
 
   /** Records that the registry was restored; entries missing in the copy are written again soon. */
   void onRestored(long nowMicros) {
-    outageEndedMicros = nowMicros;
+    if (isReachable) {
+      deferRemovals(nowMicros + REREGISTRATION_MICROS, nowMicros);
+    }
+  }
+
+  /** Changes when removals take effect, for those that have been read and have not yet as well. */
+  private void deferRemovals(long effectiveAtMicros, long nowMicros) {
+    removalsEffectiveMicros = effectiveAtMicros;
+    servers.values().forEach(server -> server.deferRemoval(effectiveAtMicros, nowMicros));
   }
 
   void onStatus(SidecarStatus status, long nowMicros) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ServerRemovalTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ServerRemovalTest.java
@@ -1,8 +1,13 @@
 package org.shallothook.coordination.forward;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Covers when the removal of a server's registry entry takes effect around an outage. */
@@ -67,4 +72,88 @@
 
     assertUsedUntil(harness.now() + GRACE_MICROS);
   }
+
+  // Guards against a healthy server given up because the store went away again before its return.
+  @ParameterizedTest
+  @ValueSource(longs = {0, 500, 1_900})
+  void aRemovalThatIsPendingWaitsForTheEndOfTheNextOutage(long millisToNextOutage) {
+    setReachable(false);
+    remove();
+    setReachable(true);
+    harness.advance(millisToNextOutage * ForwardHarness.MILLI);
+    setReachable(false);
+    harness.advance(5 * ForwardHarness.SECOND);
+
+    setReachable(true);
+
+    assertUsedUntil(harness.now() + GRACE_MICROS);
+  }
+
+  // Guards against a removed server used again because the store goes away after its removal.
+  @Test
+  void aRemovalThatHasTakenEffectHoldsDuringTheNextOutage() {
+    long request = harness.submitCall("/book/1");
+    remove();
+
+    setReachable(false);
+
+    assertThat(isUsed()).isFalse();
+    harness.respond(request, 200);
+    harness.complete(request);
+    assertThat(isUsed()).isFalse();
+  }
+
+  // Guards against a server given up although its entry has returned in time.
+  @Test
+  void aServerWhoseEntryReturnsAfterAnOutageStaysInUse() {
+    setReachable(false);
+    remove();
+    setReachable(true);
+    harness.advance(1_900 * ForwardHarness.MILLI);
+
+    harness.handle(
+        new ForwardEvent.ServersRead(List.of(ForwardHarness.service("service-1", 1)), false));
+
+    for (int round = 0; round < 30; round++) {
+      assertThat(isUsed()).isTrue();
+      harness.advance(STEP_MICROS);
+    }
+  }
+
+  // Guards against a server missing in a restored copy given up before it is written again.
+  @Test
+  void aRemovalReadAfterARestoreHoldsFromTwoSecondsAfterIt() {
+    harness.handle(new ForwardEvent.RegistryRestored());
+    long restoredMicros = harness.now();
+    harness.advance(500 * ForwardHarness.MILLI);
+
+    remove();
+
+    assertUsedUntil(restoredMicros + GRACE_MICROS);
+  }
+
+  // Guards against requests kept at a server that is gone while the outage does not end.
+  @ParameterizedTest
+  @CsvSource({"200, service-1, true", "421, service-2, false"})
+  void aServerRemovedInAnOutageWithoutEndIsGivenUpByWhatItsAddressAnswers(
+      int status, String instance, boolean isLeaving) {
+    setReachable(false);
+    remove();
+    harness.advance(600 * ForwardHarness.SECOND);
+    long request = harness.submitCall("/book/1");
+
+    harness.respond(
+        request,
+        new ResponseHead(
+            status,
+            !isLeaving,
+            Optional.of(instance),
+            Optional.empty(),
+            isLeaving,
+            Optional.empty()));
+
+    assertThat(isUsed()).isFalse();
+    harness.advance(10 * ForwardHarness.SECOND);
+    assertThat(isUsed()).isFalse();
+  }
 }
