Give a version found after a disruption the right age and time

- The time of a started router counted from when it had found the version, up to 0.7 s beyond the moment from which it has to keep the limit.
It now counts from the start, as that of a paused one from the end of the pause.
- The age that a peer tells says nothing of the versions before.
It is no longer sent; a peer's record is as old as the last complete read, and of any age if it is of another era.
- A second pause hid the one before; a delay beyond the wait of a read counted as holding it.
- All servers of an overdue rollout started within 1.5 s: 7 of 9 were away at once.
They start within 3 s; OverdueRolloutTest now bounds the servers that are away to half, and the last start to 3.5 s instead of 2 s, which the bound on installing weights (8 s) still covers.

Tests of registry, weights and forwarding that concern versions pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -136,7 +136,7 @@
     this.journal = new ForwardJournal(options.journal());
     this.random = new SplittableRandom(options.seed());
     this.eligibility =
-        new VersionEligibility(options.versionLimitMicros(), options.unknownVersionLimitMicros());
+        new VersionEligibility(options.versionLimitMicros(), options.settlingMicros());
     this.retries =
         new FleetRetryBudget(
             options.retryRatio(), options.retrySlack(), options.retryWindowMicros());
@@ -260,8 +260,8 @@
   }
 
   private void onDesiredVersion(ForwardEvent.DesiredVersionChanged desired, long nowMicros) {
-    if (eligibility.onDesiredVersion(desired.version(), desired.writtenAfterMicros(), nowMicros)) {
-      journal.desiredVersion(desired.version(), desired.writtenAfterMicros(), nowMicros);
+    if (eligibility.onDesiredVersion(desired.version(), desired.written(), nowMicros)) {
+      journal.desiredVersion(desired.version(), desired.written(), nowMicros);
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -5,6 +5,7 @@
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.quarantine.RequestSignature;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.route.RouteTable;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
@@ -58,10 +59,9 @@
    * An operator has set the desired version of a model's weights for all servers.
    *
    * @param version desired version
-   * @param writtenAfterMicros time after which operators have set it, on the decision clock in
-   *     microseconds; empty if they may have done so at any time
+   * @param written what is known of the time at which operators have set it
    */
-  record DesiredVersionChanged(WeightVersion version, Optional<Long> writtenAfterMicros)
+  record DesiredVersionChanged(WeightVersion version, WrittenTime written)
       implements ForwardEvent {}
 
   /** The registry has become readable or unreadable. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -8,6 +8,7 @@
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.quarantine.RequestSignature;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.PromptOutline;
 import org.shallothook.state.route.PromptOutline.Part;
@@ -36,14 +37,14 @@
         Decision.CONFIGURATION, "routes", "version", table.version(), "outcome", "applied");
   }
 
-  void desiredVersion(WeightVersion version, Optional<Long> writtenAfterMicros, long nowMicros) {
+  void desiredVersion(WeightVersion version, WrittenTime written, long nowMicros) {
     journal.write(
         Decision.WEIGHTS,
         version.model(),
         "version",
         version.version(),
         "maximum_age_ms",
-        DecisionJournal.ageMillis(writtenAfterMicros, nowMicros));
+        DecisionJournal.ageMillis(written.afterMicros(), nowMicros));
   }
 
   void listed(ServerEntry entry) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
@@ -15,8 +15,8 @@
  * @param retryWindowMicros length of the window in which retries are counted, in microseconds
  * @param versionLimitMicros time after a version of weights was set from which on no request may
  *     start on older ones, in microseconds
- * @param unknownVersionLimitMicros the same after a version was found of which it is not known when
- *     it was set
+ * @param settlingMicros time after a start, a pause or an outage of this process for which older
+ *     weights may serve in any case, in microseconds
  * @param quarantineMicros how long a request that crashes servers is refused, in microseconds
  * @param seed seed of the random choices
  * @param counters counters of decisions and latencies
@@ -28,7 +28,7 @@
     double retrySlack,
     long retryWindowMicros,
     long versionLimitMicros,
-    long unknownVersionLimitMicros,
+    long settlingMicros,
     long quarantineMicros,
     long seed,
     Counters counters,
--- a/coordination/src/main/java/org/shallothook/coordination/forward/VersionEligibility.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/VersionEligibility.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.route.WeightVersion;
 
 /**
@@ -16,9 +17,9 @@
  *
  * <p>Each version has its own deadline, also if a newer version became the desired one since. It
  * counts from the earliest time at which operators may have set the version, so that a router that
- * learns late of it, after a pause or an outage, allows older weights for no longer than the
- * others. A router that has just started cannot tell how old a version is; it takes it for overdue
- * once the time is over in which a started process is not yet expected to keep time limits.
+ * learns late of it, after a start, a pause or an outage, allows older weights for no longer than
+ * the others. Such a router is not yet expected to keep the limit for a short time, in which older
+ * weights may serve while the servers are updated.
  *
  * <p>Invariant: the desired version of a model never decreases. Not thread-safe.
  */
@@ -33,7 +34,7 @@
   private static final double OUTDATED_PENALTY_SHARE = 0.25;
 
   private final long limitMicros;
-  private final long unknownAgeLimitMicros;
+  private final long settlingMicros;
   private final Map<String, List<DesiredVersion>> versionsByModel = new HashMap<>();
 
   /**
@@ -49,33 +50,34 @@
    *
    * @param limitMicros time after a version was set for which older weights may serve, in
    *     microseconds
-   * @param unknownAgeLimitMicros the same after a version of unknown age was found
+   * @param settlingMicros time after the end of a disruption of this process for which older
+   *     weights may serve in any case, in microseconds
    */
-  VersionEligibility(long limitMicros, long unknownAgeLimitMicros) {
+  VersionEligibility(long limitMicros, long settlingMicros) {
     this.limitMicros = limitMicros;
-    this.unknownAgeLimitMicros = unknownAgeLimitMicros;
+    this.settlingMicros = settlingMicros;
   }
 
   /**
    * Records a desired version and returns whether it is newer than the known one.
    *
-   * @param writtenAfterMicros time after which operators have set it, in microseconds; empty if
-   *     they may have done so at any time
+   * @param written what is known of the time at which operators have set it
    */
-  boolean onDesiredVersion(
-      WeightVersion desired, Optional<Long> writtenAfterMicros, long nowMicros) {
+  boolean onDesiredVersion(WeightVersion desired, WrittenTime written, long nowMicros) {
     if (desiredVersion(desired.model()).filter(known -> known >= desired.version()).isPresent()) {
       return false;
     }
     List<DesiredVersion> versions =
         versionsByModel.computeIfAbsent(desired.model(), model -> new ArrayList<>());
+    long settledMicros = written.disruptedUntilMicros() + settlingMicros;
     versions.add(
         new DesiredVersion(
             desired.version(),
-            writtenAfterMicros.map(micros -> micros + GRACE_MICROS).orElse(nowMicros),
-            writtenAfterMicros
-                .map(micros -> micros + limitMicros)
-                .orElse(nowMicros + unknownAgeLimitMicros)));
+            written.afterMicros().map(micros -> micros + GRACE_MICROS).orElse(nowMicros),
+            written
+                .afterMicros()
+                .map(micros -> Math.max(micros + limitMicros, settledMicros))
+                .orElse(settledMicros)));
     // Of the versions past their deadline only the newest matters.
     while (versions.size() > 1 && isPastDeadline(versions.get(1), nowMicros)) {
       versions.remove(0);
--- a/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
+++ b/coordination/src/main/java/org/shallothook/coordination/message/PeerMessage.java
@@ -262,18 +262,15 @@
    *
    * @param records consecutive records of the configuration stream
    * @param era era of the store in which the records have their offsets; 0 if it is not known
-   * @param maximumAgeMicros greatest time since a record was written, in microseconds; empty if the
-   *     records may be of any age
    */
-  record ConfigurationRecords(List<LogRecord> records, long era, Optional<Long> maximumAgeMicros)
-      implements PeerMessage {
+  record ConfigurationRecords(List<LogRecord> records, long era) implements PeerMessage {
     public ConfigurationRecords {
       records = List.copyOf(records);
     }
 
     /** Creates a message of records of a log that is never restored from a copy. */
     public ConfigurationRecords(List<LogRecord> records) {
-      this(records, 0, Optional.empty());
+      this(records, 0);
     }
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
@@ -17,6 +17,9 @@
   /** Time within which input that arrived during an interruption is handled, in microseconds. */
   private static final long BACKLOG_MICROS = 500_000;
 
+  /** Time that a process needs before it handles its first event, in microseconds. */
+  private static final long STARTUP_MICROS = 1_000_000;
+
   private Optional<Long> latestRunMicros = Optional.empty();
   private long startedMicros;
   private long endedMicros = Long.MIN_VALUE / 2;
@@ -31,14 +34,23 @@
         latestRunMicros
             .map(latest -> nowMicros - latest)
             .filter(micros -> micros >= MINIMUM_MICROS);
-    if (pauseMicros.isPresent()) {
-      startedMicros = latestRunMicros.get();
+    if (latestRunMicros.isEmpty()) {
+      startedMicros = nowMicros;
+      endedMicros = nowMicros - STARTUP_MICROS;
+    } else if (pauseMicros.isPresent()) {
+      // What arrived during the interruption before may still wait to be handled.
+      startedMicros = earliestArrivalMicros(latestRunMicros.get());
       endedMicros = nowMicros;
     }
     latestRunMicros = Optional.of(nowMicros);
     return pauseMicros;
   }
 
+  /** Returns when the process has started, or when the latest interruption ended. */
+  long endedMicros() {
+    return endedMicros;
+  }
+
   /** Returns the earliest time at which input that is handled now may have arrived. */
   long earliestArrivalMicros(long nowMicros) {
     return nowMicros - endedMicros < BACKLOG_MICROS ? startedMicros : nowMicros;
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -25,8 +25,8 @@
  */
 public final class KeyedFollower {
   /**
-   * Time within which an answer of the store arrives, in microseconds. A read that was issued
-   * longer ago was held by the store until a record was written.
+   * Time within which an answer of an undisturbed store arrives, in microseconds. A read that was
+   * issued longer ago was held by the store until a record was written.
    */
   static final long DELIVERY_MICROS = 500_000;
 
@@ -51,6 +51,7 @@
   private long issuedMicros;
   private long scanIssuedMicros;
   private Optional<Long> completeUntilMicros = Optional.empty();
+  private long latestFailureMicros = Long.MIN_VALUE / 2;
 
   /** Creates a follower that has read nothing. */
   KeyedFollower(
@@ -84,6 +85,11 @@
     return isScanning;
   }
 
+  /** Returns when a read has failed last. */
+  long latestFailureMicros() {
+    return latestFailureMicros;
+  }
+
   /** Returns whether the last read has failed. */
   boolean isFailing() {
     return consecutiveFailures > 0;
@@ -105,13 +111,14 @@
    */
   Optional<Long> writtenAfterMicros(long arrivalMicros) {
     // The store answers a read as soon as a record exists. A read that continues the previous one
-    // and is answered late was held until then.
+    // and is answered late was held until then, for no longer than it has asked for.
     return completeUntilMicros.map(
         completeMicros -> {
           boolean isContinuous = completeMicros >= issuedMicros - DELIVERY_MICROS;
           long heldUntilMicros = arrivalMicros - DELIVERY_MICROS;
           return !isScanning && isContinuous && heldUntilMicros > issuedMicros
-              ? heldUntilMicros
+              ? Math.max(
+                  completeMicros, Math.min(heldUntilMicros, issuedMicros + outstandingWaitMicros()))
               : completeMicros;
         });
   }
@@ -205,7 +212,7 @@
 
   /** Applies appended records and returns those that changed the state. */
   List<KeyedRecord> onRead(Either<ReadFailure, RecordsRead> result, long nowMicros) {
-    long waitMicros = outstanding.map(KeyedFollower::maximumWaitMicros).orElse(0L);
+    long waitMicros = outstandingWaitMicros();
     outstanding = Optional.empty();
     if (result.isLeft()) {
       isScanning = result.getLeft().isExpired();
@@ -230,8 +237,10 @@
     return changes;
   }
 
-  private static long maximumWaitMicros(RegistryCommand command) {
-    return command instanceof RegistryCommand.Read read ? read.maximumWaitMicros() : 0;
+  private long outstandingWaitMicros() {
+    return outstanding
+        .map(command -> command instanceof RegistryCommand.Read read ? read.maximumWaitMicros() : 0L)
+        .orElse(0L);
   }
 
   private void onCompleteUntil(long micros) {
@@ -248,6 +257,7 @@
     long maximumDelay =
         INITIAL_RETRY_DELAY_MICROS << Math.min(MAXIMUM_DOUBLINGS, consecutiveFailures);
     consecutiveFailures++;
+    latestFailureMicros = nowMicros;
     nextReadMicros = nowMicros + maximumDelay / 2 + random.nextLong(maximumDelay / 2);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryChanges.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryChanges.java
@@ -1,8 +1,8 @@
 package org.shallothook.coordination.registry;
 
 import java.util.List;
-import java.util.Optional;
 import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.log.WrittenTime;
 
 /**
  * Records of a stream that have replaced older ones.
@@ -12,14 +12,13 @@
  * @param stream stream of the records
  * @param records the changed records; a removed key has a record without a value
  * @param completesFirstScan whether these changes complete the first scan of all keys of the stream
- * @param writtenAfterMicros time after which the records were written, on the decision clock in
- *     microseconds; empty if they may be of any age, as those of the first scan
+ * @param written what is known of the time at which the records were written
  */
 public record RegistryChanges(
     RegistryStream stream,
     List<KeyedRecord> records,
     boolean completesFirstScan,
-    Optional<Long> writtenAfterMicros) {
+    WrittenTime written) {
   public RegistryChanges {
     records = List.copyOf(records);
   }
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.EnumSet;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,13 +14,13 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.collection.BoundedMaps;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.log.LogRecord;
 import org.shallothook.state.log.RecordVersions;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 
@@ -71,10 +70,9 @@
   private final Map<RegistryStream, KeyedFollower> followers = new EnumMap<>(RegistryStream.class);
   private final Map<String, Peer> peers = new TreeMap<>();
   private final Map<StreamKey, PendingPut> pendingPuts = new LinkedHashMap<>();
-  private final WrittenRecords written = new WrittenRecords();
+  private final WrittenRecords writtenRecords = new WrittenRecords();
   private final Set<RegistryStream> restored = EnumSet.noneOf(RegistryStream.class);
   private final Interruptions interruptions = new Interruptions();
-  private final Map<String, Long> operatorWrittenAfterMicros = new HashMap<>();
   private long era;
   private boolean isStoreReachable;
   private boolean isMemberWritten;
@@ -253,7 +251,7 @@
   private void onWritten(StreamKey target) {
     PendingPut done = pendingPuts.remove(target);
     if (done != null) {
-      written.onWritten(target.stream(), target.key(), done.value());
+      writtenRecords.onWritten(target.stream(), target.key(), done.value());
     }
   }
 
@@ -280,20 +278,19 @@
       return;
     }
     boolean wasComplete = follower.isComplete();
-    Optional<Long> writtenAfterMicros = writtenAfterMicros(follower, nowMicros);
+    WrittenTime written = writtenTime(follower, nowMicros);
     List<KeyedRecord> changes = follower.onPage(ofPresentEra(read.era(), read.result()), nowMicros);
     if (!restored.contains(read.stream())) {
-      written.onChanges(read.stream(), changes);
+      writtenRecords.onChanges(read.stream(), changes);
     } else if (!follower.isScanning()) {
       restored.remove(read.stream());
-      written
+      writtenRecords
           .missingIn(read.stream(), follower)
           .forEach(missing -> put(read.stream(), missing.key(), missing.value(), nowMicros));
     }
     boolean completesFirstScan = !wasComplete && follower.isComplete();
     distributeChanges(
-        new RegistryChanges(read.stream(), changes, completesFirstScan, writtenAfterMicros),
-        nowMicros);
+        new RegistryChanges(read.stream(), changes, completesFirstScan, written), nowMicros);
   }
 
   private void onRead(RegistryEvent.StreamRead read, long nowMicros) {
@@ -301,25 +298,30 @@
     if (!follower.isExpectedRead(read.fromOffset())) {
       return;
     }
-    Optional<Long> writtenAfterMicros = writtenAfterMicros(follower, nowMicros);
+    WrittenTime written = writtenTime(follower, nowMicros);
     List<KeyedRecord> changes = follower.onRead(ofPresentEra(read.era(), read.result()), nowMicros);
-    written.onChanges(read.stream(), changes);
-    distributeChanges(
-        new RegistryChanges(read.stream(), changes, false, writtenAfterMicros), nowMicros);
+    writtenRecords.onChanges(read.stream(), changes);
+    distributeChanges(new RegistryChanges(read.stream(), changes, false, written), nowMicros);
+  }
+
+  /** Returns when the records were written that the outstanding read of a follower returns. */
+  private WrittenTime writtenTime(KeyedFollower follower, long nowMicros) {
+    long arrivalMicros = interruptions.earliestArrivalMicros(nowMicros);
+    return new WrittenTime(
+        follower.writtenAfterMicros(arrivalMicros), disruptedUntilMicros(follower));
   }
 
-  private Optional<Long> writtenAfterMicros(KeyedFollower follower, long nowMicros) {
-    return follower.writtenAfterMicros(interruptions.earliestArrivalMicros(nowMicros));
+  private long disruptedUntilMicros(KeyedFollower follower) {
+    return Math.max(interruptions.endedMicros(), follower.latestFailureMicros());
   }
 
   private void distributeChanges(RegistryChanges changes, long nowMicros) {
     if (changes.records().isEmpty() && !changes.completesFirstScan()) {
       return;
     }
-    recordAge(changes);
     listener.onChanges(changes, nowMicros);
     if (changes.stream() == RegistryStream.OPERATOR && !changes.completesFirstScan()) {
-      PeerMessage message = recordsOf(era, changes.records(), nowMicros);
+      PeerMessage message = recordsOf(era, changes.records());
       randomPeers(nowMicros).forEach(name -> send(name, message));
     }
     if (changes.stream() == RegistryStream.MEMBERS && changes.completesFirstScan()) {
@@ -348,9 +350,7 @@
       operatorFollower()
           .state()
           .since(request.era(), request.fromOffset())
-          .forEach(
-              (recordEra, records) ->
-                  send(envelope.sender(), recordsOf(recordEra, records, nowMicros)));
+          .forEach((recordEra, records) -> send(envelope.sender(), recordsOf(recordEra, records)));
     } else if (message instanceof PeerMessage.ConfigurationRecords records) {
       onRecords(records, nowMicros);
     } else {
@@ -373,49 +373,17 @@
     onEra(Optional.of(message.era()), nowMicros);
     List<KeyedRecord> changes = operatorFollower().state().applyFromPeer(received, message.era());
     if (!changes.isEmpty()) {
-      RegistryChanges changed =
-          new RegistryChanges(
-              RegistryStream.OPERATOR, changes, false, writtenAfterMicros(message, nowMicros));
-      recordAge(changed);
-      listener.onChanges(changed, nowMicros);
-    }
-  }
-
-  /** Returns the time after which records of a peer were written; empty if that is not known. */
-  private Optional<Long> writtenAfterMicros(
-      PeerMessage.ConfigurationRecords message, long nowMicros) {
-    long arrivalMicros = interruptions.earliestArrivalMicros(nowMicros);
-    Optional<Long> bySender =
-        message.maximumAgeMicros().map(age -> arrivalMicros - KeyedFollower.DELIVERY_MICROS - age);
-    return Stream.of(bySender, operatorFollower().completeUntilMicros())
-        .flatMap(Optional::stream)
-        .max(Long::compare);
-  }
-
-  /** Remembers since when operators can have written records, to tell peers their age. */
-  private void recordAge(RegistryChanges changes) {
-    if (changes.stream() == RegistryStream.OPERATOR) {
-      changes
-          .records()
-          .forEach(
-              record ->
-                  changes
-                      .writtenAfterMicros()
-                      .ifPresentOrElse(
-                          micros -> operatorWrittenAfterMicros.put(record.key(), micros),
-                          () -> operatorWrittenAfterMicros.remove(record.key())));
+      // A complete read of the present era does not show what the store lost in a restore.
+      Optional<Long> writtenAfterMicros =
+          message.era() == era ? operatorFollower().completeUntilMicros() : Optional.empty();
+      WrittenTime written =
+          new WrittenTime(writtenAfterMicros, disruptedUntilMicros(operatorFollower()));
+      listener.onChanges(
+          new RegistryChanges(RegistryStream.OPERATOR, changes, false, written), nowMicros);
     }
   }
 
-  private PeerMessage recordsOf(long recordEra, List<KeyedRecord> records, long nowMicros) {
-    boolean areAgesKnown =
-        records.stream().allMatch(record -> operatorWrittenAfterMicros.containsKey(record.key()));
-    Optional<Long> maximumAgeMicros =
-        areAgesKnown
-            ? records.stream()
-                .map(record -> nowMicros - operatorWrittenAfterMicros.get(record.key()))
-                .max(Long::compare)
-            : Optional.empty();
+  private static PeerMessage recordsOf(long recordEra, List<KeyedRecord> records) {
     return new PeerMessage.ConfigurationRecords(
         records.stream()
             .map(
@@ -423,8 +391,7 @@
                     new LogRecord(
                         record.offset(), 0, record.key() + SEPARATOR + record.value().orElse("")))
             .toList(),
-        recordEra,
-        maximumAgeMicros);
+        recordEra);
   }
 
   private void requestFromRandomPeers(long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
@@ -5,10 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -34,7 +34,7 @@
   private static final double LAST_START_FRACTION = 0.75;
 
   /** Time over which the starts of an overdue rollout are spread, in microseconds. */
-  private static final long OVERDUE_ROLLOUT_MICROS = 1_500_000;
+  private static final long OVERDUE_ROLLOUT_MICROS = 3_000_000;
 
   /** Time after which a status that reports an unavailable server is ignored. */
   private static final long STATUS_VALIDITY_MICROS = 2_500_000;
@@ -100,14 +100,14 @@
   /**
    * Returns the time of a rollout that this process learns of now.
    *
-   * @param writtenAfterMicros time after which operators have set the version, in microseconds;
-   *     empty if they may have done so at any time
+   * @param written what is known of the time at which operators have set the version
    */
-  RolloutTime timeOf(Optional<Long> writtenAfterMicros, long nowMicros) {
+  RolloutTime timeOf(WrittenTime written, long nowMicros) {
     long overdueStartMicros = nowMicros + OVERDUE_ROLLOUT_MICROS;
     return new RolloutTime(
         nowMicros,
-        writtenAfterMicros
+        written
+            .afterMicros()
             .map(micros -> Math.max(micros + lastStartMicros, overdueStartMicros))
             .orElse(overdueStartMicros));
   }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
@@ -14,6 +14,7 @@
 import org.shallothook.coordination.placement.RendezvousHash;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -94,13 +95,11 @@
   /**
    * Records that operators want a version.
    *
-   * @param writtenAfterMicros time after which operators have set it, in microseconds; empty if
-   *     they may have done so at any time
+   * @param written what is known of the time at which operators have set it
    */
-  public void onDesiredVersion(
-      WeightVersion version, Optional<Long> writtenAfterMicros, long nowMicros) {
+  public void onDesiredVersion(WeightVersion version, WrittenTime written, long nowMicros) {
     WeightEvent.DesiredVersionChanged changed =
-        new WeightEvent.DesiredVersionChanged(version, writtenAfterMicros);
+        new WeightEvent.DesiredVersionChanged(version, written);
     desired.merge(
         version.model(),
         changed,
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.port.CoreEvent;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -18,11 +19,9 @@
    * Operators want a version.
    *
    * @param desired desired version
-   * @param writtenAfterMicros time after which operators have set it, on the decision clock in
-   *     microseconds; empty if they may have done so at any time
+   * @param written what is known of the time at which operators have set it
    */
-  record DesiredVersionChanged(WeightVersion desired, Optional<Long> writtenAfterMicros)
-      implements WeightEvent {}
+  record DesiredVersionChanged(WeightVersion desired, WrittenTime written) implements WeightEvent {}
 
   /** A report was read, or the read failed with the detail on the left. */
   record Reported(Either<String, EngineReport> result) implements WeightEvent {}
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
@@ -10,6 +10,7 @@
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.cache.ModelVersion;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.state.route.WeightVersion;
 
@@ -112,7 +113,7 @@
   /** Handles one event. */
   public void handle(WeightEvent event, long nowMicros) {
     if (event instanceof WeightEvent.DesiredVersionChanged changed) {
-      onDesiredVersion(changed.desired(), changed.writtenAfterMicros(), nowMicros);
+      onDesiredVersion(changed.desired(), changed.written(), nowMicros);
     } else if (event instanceof WeightEvent.Reported reported) {
       isReadingReport = false;
       reported.result().peek(read -> onReport(read, nowMicros)).peekLeft(this::onReportFailed);
@@ -131,14 +132,13 @@
     issueCommands(nowMicros);
   }
 
-  private void onDesiredVersion(
-      WeightVersion version, Optional<Long> writtenAfterMicros, long nowMicros) {
+  private void onDesiredVersion(WeightVersion version, WrittenTime written, long nowMicros) {
     WeightVersion known = desired.get(version.model());
     if (known == null || known.version() < version.version()) {
       // A server that still lacks the previous version keeps its latest start.
       boolean hasKnownVersion = known == null || versionOf(version.model()) >= known.version();
       if (hasKnownVersion) {
-        rolloutTimes.put(version.model(), schedule.timeOf(writtenAfterMicros, nowMicros));
+        rolloutTimes.put(version.model(), schedule.timeOf(written, nowMicros));
       }
       desired.put(version.model(), version);
       nextServersMicros = nowMicros;
@@ -149,7 +149,7 @@
           "version",
           version.version(),
           "maximum_age_ms",
-          DecisionJournal.ageMillis(writtenAfterMicros, nowMicros));
+          DecisionJournal.ageMillis(written.afterMicros(), nowMicros));
     }
   }
 
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageDecoder.java
@@ -6,7 +6,6 @@
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.protocol.generated.CallAnswerFrame;
 import org.shallothook.protocol.generated.CallFrame;
-import org.shallothook.protocol.generated.ConfigurationRecordsFrame;
 import org.shallothook.protocol.generated.EndedFrame;
 import org.shallothook.protocol.generated.EnvelopeFrame;
 import org.shallothook.protocol.generated.FailedFrame;
@@ -57,7 +56,13 @@
       case CALL_ANSWER -> Optional.of(callAnswer(frame.getCallAnswer()));
       case SIDECAR_STATUS -> Optional.of(sidecarStatus(frame.getSidecarStatus()));
       case CONFIGURATION_RECORDS ->
-          Optional.of(configurationRecords(frame.getConfigurationRecords()));
+          Optional.of(
+              new PeerMessage.ConfigurationRecords(
+                  frame.getConfigurationRecords().getRecordsList().stream()
+                      .map(FieldMapping::toLogRecord)
+                      .toList(),
+                  FieldMapping.requireNonNegative(
+                      "configuration_records.era", frame.getConfigurationRecords().getEra())));
       case CONFIGURATION_REQUEST ->
           Optional.of(
               new PeerMessage.ConfigurationRequest(
@@ -236,16 +241,4 @@
         EngineRole.of(frame.getRole()),
         frame.getReadySinceMicrosList());
   }
-
-  private static PeerMessage.ConfigurationRecords configurationRecords(
-      ConfigurationRecordsFrame frame) {
-    return new PeerMessage.ConfigurationRecords(
-        frame.getRecordsList().stream().map(FieldMapping::toLogRecord).toList(),
-        FieldMapping.requireNonNegative("configuration_records.era", frame.getEra()),
-        frame.hasMaximumAgeMicros()
-            ? Optional.of(
-                FieldMapping.requireNonNegative(
-                    "configuration_records.maximum_age_micros", frame.getMaximumAgeMicros()))
-            : Optional.empty());
-  }
 }
--- a/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
+++ b/protocol/src/main/java/org/shallothook/protocol/peer/MessageEncoder.java
@@ -221,11 +221,8 @@
 
   private static ConfigurationRecordsFrame.Builder configurationRecords(
       PeerMessage.ConfigurationRecords records) {
-    ConfigurationRecordsFrame.Builder frame =
-        ConfigurationRecordsFrame.newBuilder()
-            .addAllRecords(records.records().stream().map(FieldMapping::toFrame).toList())
-            .setEra(records.era());
-    records.maximumAgeMicros().ifPresent(frame::setMaximumAgeMicros);
-    return frame;
+    return ConfigurationRecordsFrame.newBuilder()
+        .addAllRecords(records.records().stream().map(FieldMapping::toFrame).toList())
+        .setEra(records.era());
   }
 }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -38,6 +38,7 @@
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.log.RecordVersion;
 import org.shallothook.state.log.RecordVersions;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
@@ -160,7 +161,7 @@
     List<KeyedRecord> records = changes.records();
     switch (changes.stream()) {
       case OPERATOR ->
-          records.forEach(record -> readOperator(record, changes.writtenAfterMicros(), nowMicros));
+          records.forEach(record -> readOperator(record, changes.written(), nowMicros));
       case SERVERS -> readServers(records, changes.completesFirstScan(), nowMicros);
       case MEMBERS -> readMembers(records, nowMicros);
       case QUARANTINES -> records.forEach(record -> readQuarantine(record, nowMicros));
@@ -254,15 +255,14 @@
     }
   }
 
-  private void readOperator(KeyedRecord record, Optional<Long> writtenAfterMicros, long nowMicros) {
+  private void readOperator(KeyedRecord record, WrittenTime written, long nowMicros) {
     node.readRoutes(record)
         .ifPresent(table -> core.handle(new ForwardEvent.RoutesRead(table), nowMicros));
     node.readVersion(record)
         .ifPresent(
             version -> {
-              core.handle(
-                  new ForwardEvent.DesiredVersionChanged(version, writtenAfterMicros), nowMicros);
-              sidecarless.onDesiredVersion(version, writtenAfterMicros, nowMicros);
+              core.handle(new ForwardEvent.DesiredVersionChanged(version, written), nowMicros);
+              sidecarless.onDesiredVersion(version, written, nowMicros);
             });
   }
 
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -22,6 +22,7 @@
 import org.shallothook.platform.ModelServerClient;
 import org.shallothook.platform.StoreRecordVersions;
 import org.shallothook.state.log.KeyedRecord;
+import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.route.ServerEntry;
 import org.shallothook.transport.Addresses;
@@ -94,7 +95,7 @@
   public void onChanges(RegistryChanges changes, long nowMicros) {
     for (KeyedRecord record : changes.records()) {
       switch (changes.stream()) {
-        case OPERATOR -> readOperator(record, changes.writtenAfterMicros(), nowMicros);
+        case OPERATOR -> readOperator(record, changes.written(), nowMicros);
         case SERVERS -> readServer(record, nowMicros);
         case MEMBERS ->
             node.readMember(record).ifPresent(member -> registry.onMember(member, nowMicros));
@@ -140,12 +141,11 @@
     }
   }
 
-  private void readOperator(KeyedRecord record, Optional<Long> writtenAfterMicros, long nowMicros) {
+  private void readOperator(KeyedRecord record, WrittenTime written, long nowMicros) {
     node.readVersion(record)
         .ifPresent(
             version ->
-                updater.handle(
-                    new WeightEvent.DesiredVersionChanged(version, writtenAfterMicros), nowMicros));
+                updater.handle(new WeightEvent.DesiredVersionChanged(version, written), nowMicros));
   }
 
   private void readServer(KeyedRecord record, long nowMicros) {
