Know which software version began a stream

A caller may resume a stream at any router, and all routers may end at once, so the software version that began a stream has to lie in the store. Versions of a service are declared in the order in which routers begin to use them; the oldest is the base version. Streams begun at another version are recorded in batches, each under a key of its own, so that a write that is executed late replaces nothing. A stream without a record was begun at the base version, for a router that has read the store since it was asked, unless an outage or a restore may have kept records from the store.

Nothing decides by it yet.

--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -116,6 +116,14 @@
         });
   }
 
+  /**
+   * Returns the offset below which every record is known and at or above which none is; empty while
+   * all keys are scanned.
+   */
+  Optional<Long> endOffset() {
+    return isScanning ? Optional.empty() : Optional.of(readFromOffset);
+  }
+
   /** Returns the read that is due, if any, and marks it as outstanding. */
   Optional<RegistryCommand> nextRead(long nowMicros) {
     if (outstanding.isPresent() || nowMicros < nextReadMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCommand.java
@@ -1,6 +1,7 @@
 package org.shallothook.coordination.registry;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage;
 import org.shallothook.state.membership.Instance;
@@ -26,6 +27,20 @@
   record Put(RegistryStream stream, String key, Optional<String> value)
       implements RegistryCommand {}
 
+  /**
+   * Write the values of keys to a stream, all or none; a key without a value is removed.
+   *
+   * @param atOffset offset at which the stream must end, or nothing is written; empty if it may end
+   *     anywhere
+   */
+  record Append(
+      RegistryStream stream, Map<String, Optional<String>> values, Optional<Long> atOffset)
+      implements RegistryCommand {
+    public Append {
+      values = Map.copyOf(values);
+    }
+  }
+
   /** Send a message to a peer. */
   record SendToPeer(String peer, PeerMessage message, long configurationOffset)
       implements RegistryCommand {}
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -157,6 +157,34 @@
     putDue(nowMicros);
   }
 
+  /**
+   * Writes the values of keys once, all or none; the listener learns how that ended. A key without
+   * a value is removed.
+   */
+  public void append(RegistryStream stream, Map<String, Optional<String>> values) {
+    commands.accept(new RegistryCommand.Append(stream, values, Optional.empty()));
+  }
+
+  /**
+   * Writes the values of keys once, all or none, unless the stream has records that are not known
+   * here. The listener learns how that ended; nothing happens while the stream is scanned.
+   */
+  public void appendIfAllKnown(RegistryStream stream, Map<String, Optional<String>> values) {
+    followers
+        .get(stream)
+        .endOffset()
+        .ifPresent(
+            end -> commands.accept(new RegistryCommand.Append(stream, values, Optional.of(end))));
+  }
+
+  /**
+   * Returns a time such that every record of a stream that was written before it is known; empty if
+   * the stream has not been read.
+   */
+  public Optional<Long> completeUntilMicros(RegistryStream stream) {
+    return followers.get(stream).completeUntilMicros();
+  }
+
   /** Handles one event. */
   public void handle(RegistryEvent event, long nowMicros) {
     interruptions
@@ -178,6 +206,10 @@
       if (put.isSuccessful() && !isOfEarlierEra(put.era())) {
         onWritten(new StreamKey(put.stream(), put.key()));
       }
+    } else if (event instanceof RegistryEvent.AppendEnded append) {
+      onEra(append.era(), nowMicros);
+      boolean isDone = append.isSuccessful() && !isOfEarlierEra(append.era());
+      listener.onAppended(append.stream(), isDone, nowMicros);
     } else if (event instanceof RegistryEvent.PeerMessageReceived received) {
       onEnvelope(received.envelope(), nowMicros);
     } else if (event instanceof RegistryEvent.PeerUnreachable unreachable) {
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryEvent.java
@@ -53,6 +53,15 @@
   record PutEnded(RegistryStream stream, String key, boolean isSuccessful, Optional<Long> era)
       implements RegistryEvent {}
 
+  /**
+   * A write of several keys has ended.
+   *
+   * @param isSuccessful whether it is known to be done
+   * @param era era of the store when it answered; empty if it is not known
+   */
+  record AppendEnded(RegistryStream stream, boolean isSuccessful, Optional<Long> era)
+      implements RegistryEvent {}
+
   /** A peer has sent a message. */
   record PeerMessageReceived(Envelope envelope) implements RegistryEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryListener.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryListener.java
@@ -27,6 +27,13 @@
    */
   void onInterrupted(long pauseMicros, long nowMicros);
 
+  /**
+   * Called when a write of several keys has ended. Does nothing unless overridden.
+   *
+   * @param isDone whether the write is known to be done and was not undone by a restore since
+   */
+  default void onAppended(RegistryStream stream, boolean isDone, long nowMicros) {}
+
   /** Called for each message of a peer that does not concern the registry. */
   void onMessage(Envelope envelope, long nowMicros);
 }
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryStream.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryStream.java
@@ -14,6 +14,10 @@
   MEMBERS("keyed.shallothook-members"),
   /** What requests that crash servers have in common, with the end of its quarantine. */
   QUARANTINES("keyed.shallothook-quarantines"),
+  /** Software versions of each service, in the order in which they were declared. */
+  SOFTWARE("keyed.shallothook-software"),
+  /** Software versions that began streams, as far as others do not assume them anyway. */
+  STREAMS("keyed.shallothook-streams"),
   /** Fencing tokens of server owners; only the offsets of the records are used. */
   FENCES("shallothook-fences");
 
--- a/state/src/main/java/org/shallothook/state/request/RefusalReason.java
+++ b/state/src/main/java/org/shallothook/state/request/RefusalReason.java
@@ -28,6 +28,10 @@
   ENGINE_LOST(502, "Send again; the upstream ended before its answer was complete."),
   CONNECTION_LOST(502, "Check whether the call took effect before sending it again."),
   STREAM_CANNOT_RESUME(502, "Send again; no upstream of the same weights version could resume."),
+  STREAM_ORIGIN_UNKNOWN(
+      503, "Start the stream anew; it is not known which software version began it."),
+  SOFTWARE_VERSION_GONE(
+      503, "Start the stream anew; the software version that began it serves no more."),
   IDEMPOTENCY_KEY_MISSING(
       400, "Send a header Idempotency-Key with calls that may not be repeated."),
   IDEMPOTENCY_KEY_REUSED(409, "Use a new Idempotency-Key for a different payload."),
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -96,6 +96,19 @@
     return Optional.ofNullable(teamsByDigest.get(digestOf(key)));
   }
 
+  /**
+   * Returns the longest time for which a stream may be resumed, in microseconds; 0 if there is no
+   * route whose streams may be.
+   */
+  public long longestResumableMicros() {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(Route::isResumable)
+        .mapToLong(Route::timeoutMicros)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the settings of a service, if it is configured. */
   public Optional<ServiceTraits> service(String name) {
     return Optional.ofNullable(services.get(name));
