--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -127,6 +127,20 @@
         entry.softwareVersion());
   }
 
+  /** Returns the entry of a server with another version of its software; empty if unreadable. */
+  static ServerEntry withSoftware(ServerEntry entry, Optional<String> softwareVersion) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.failureDomain(),
+        entry.slots(),
+        entry.isLeaving(),
+        entry.versions(),
+        entry.startedAtMillis(),
+        softwareVersion);
+  }
+
   static ServerEntry leaving(ServerEntry entry) {
     return entry.withLeaving(true);
   }
