Resume streams only at the software version that began them

A broken stream was resumed at any server of its service; the router did not know which software had begun it.

Change: `PendingRequest` keeps the `SoftwareOrigin` of its stream: the software version of its server as known when the request was sent, or the server's incarnation if the version is unknown. It is set when relaying starts, and `sendOrWait` considers only servers that it admits. If no other listed server has that software, the stream ends at once, before it draws on the retry budget. A request without a response may still go to any version.

A server may restart with other software under its identity before its new entry is read. After a failure of an attempt, or a sidecar's status of another incarnation, its entry counts as outdated until the next one is read: until then it resumes no stream, and the version of a stream that begins there is unknown. An entry or status that was written before a crash and read after it still counts as new.

Counters: `streams.resumed`, `streams.resume-impossible`.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -388,7 +388,11 @@
           nowMicros);
       return;
     }
-    List<Server> usable = servers.usable(request.service(), nowMicros);
+    if (isStranded(request, nowMicros)) {
+      endStranded(request, nowMicros);
+      return;
+    }
+    List<Server> usable = request.admittedBySoftware(servers.usable(request.service(), nowMicros));
     Optional<PromptOutline> prompt = promptOf(request);
     List<Server> eligible =
         prompt
@@ -405,18 +409,41 @@
     }
     Optional<Long> reopensAt =
         candidates.isEmpty()
-            ? servers.reopensAtMicros(request.service(), nowMicros)
+            ? servers.reopensAtMicros(request.service(), request::matchesOrigin, nowMicros)
             : Optional.empty();
     if (reopensAt.filter(at -> at > request.waitUntilMicros()).isPresent()) {
       String detail = "Every server has asked for a pause.";
+      countUnresumed(request);
       end(request, RefusalReason.NO_UPSTREAM, detail, reopensAt.get(), nowMicros);
     } else if (nowMicros >= request.waitUntilMicros()) {
+      countUnresumed(request);
       refuseAfterWait(request, eligible.isEmpty(), nowMicros);
     } else if (!candidates.isEmpty()) {
       request.waitUntil(slotWaitEndMicros(request));
     }
   }
 
+  /** Returns whether no listed server can go on with the stream of a request. */
+  private boolean isStranded(PendingRequest request, long nowMicros) {
+    return request.origin().isPresent()
+        && !servers.hasListed(
+            request.service(),
+            server -> request.mayUse(server) && request.matchesOrigin(server),
+            nowMicros);
+  }
+
+  private void endStranded(PendingRequest request, long nowMicros) {
+    countUnresumed(request);
+    String detail = "No other server with the software that began the stream is listed.";
+    end(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
+  }
+
+  private void countUnresumed(PendingRequest request) {
+    if (request.origin().isPresent()) {
+      options.counters().increment("streams.resume-impossible");
+    }
+  }
+
   /** Returns until when a request may wait for a slot at a server. */
   private static long slotWaitEndMicros(PendingRequest request) {
     long maxWaitMicros = (request.deadlineMicros() - request.arrivedMicros()) / SLOT_WAIT_DIVISOR;
@@ -623,6 +650,9 @@
       breakOff(request, "the stream could not be resumed: status " + response.status(), nowMicros);
       return;
     }
+    if (request.origin().isPresent() && response.isSuccess()) {
+      options.counters().increment("streams.resumed");
+    }
     request.onRelaying(response.isSuccess(), nowMicros);
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
@@ -751,7 +781,10 @@
   /** Repeats or resumes a request whose connection broke, or ends it if that is not possible. */
   private void repeatOrEnd(PendingRequest request, String detail, long nowMicros) {
     boolean mayResume = !request.hasStartedResponse() || request.route().isResumable();
-    if (request.route().isRepeatable() && mayResume && tryAcquireRetry(request, nowMicros)) {
+    boolean mayRepeat = request.route().isRepeatable() && mayResume && request.hasRunsRemaining();
+    if (mayRepeat && isStranded(request, nowMicros)) {
+      endStranded(request, nowMicros);
+    } else if (mayRepeat && tryAcquireRetry(request, nowMicros)) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
     } else if (request.hasStartedResponse()) {
       breakOff(request, detail, nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.shallothook.coordination.quarantine.RequestSignature;
+import org.shallothook.state.route.CallKind;
 import org.shallothook.state.route.CallerTeam;
 import org.shallothook.state.route.Route;
 
@@ -59,6 +60,8 @@
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
   private boolean hasStartedResponse;
+  private Optional<SoftwareOrigin> sentOrigin = Optional.empty();
+  private Optional<SoftwareOrigin> origin = Optional.empty();
   private Optional<PromptPlacement.Placement> placement = Optional.empty();
   private List<PromptPrefix> prefixes = List.of();
 
@@ -159,6 +162,25 @@
     return hasStartedResponse;
   }
 
+  /**
+   * Returns the origin of the stream that the request goes on with; empty if it may begin anywhere.
+   */
+  Optional<SoftwareOrigin> origin() {
+    return origin;
+  }
+
+  /** Returns whether the software that a server is listed with may run the request. */
+  boolean matchesOrigin(Server candidate) {
+    return origin.map(known -> known.matches(candidate)).orElse(true);
+  }
+
+  /** Returns those of some servers whose software is known to be one that may run the request. */
+  List<Server> admittedBySoftware(List<Server> candidates) {
+    return origin
+        .map(known -> candidates.stream().filter(known::admits).toList())
+        .orElse(candidates);
+  }
+
   /** Returns whether any server may have run the request, even in part. */
   boolean mayHaveRun() {
     return mayHaveRun;
@@ -173,6 +195,11 @@
     return triedServers.contains(candidate.name());
   }
 
+  /** Returns whether a server may get the request once more, now or when it is usable again. */
+  boolean mayUse(Server candidate) {
+    return !mayHaveRun || !hasTried(candidate);
+  }
+
   /**
    * Returns whether another attempt is allowed: nothing has run yet, or the route allows a repeat.
    */
@@ -222,6 +249,7 @@
     server = Optional.of(target);
     triedServers.add(target.name());
     expectedVersion = version;
+    sentOrigin = Optional.of(SoftwareOrigin.of(target));
     attempt++;
     phase = Phase.SENT;
     sentMicros = nowMicros;
@@ -244,6 +272,9 @@
     isSuccessful = isSuccess;
     phase = Phase.RELAYING;
     hasStartedResponse = true;
+    if (origin.isEmpty() && route.kind() == CallKind.STREAMING) {
+      origin = sentOrigin.map(sent -> sent.atResponse(server.orElseThrow()));
+    }
   }
 
   void onOutputStarted(long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -34,6 +34,7 @@
   private final long hash;
   private final Map<String, Long> versions = new HashMap<>();
   private ServerEntry entry;
+  private boolean isEntryCurrent = true;
   private int outstanding;
   private int failuresInRow;
   private double failureRate;
@@ -161,6 +162,7 @@
     // Leaving is final for an incarnation, also if a later entry does not repeat it.
     boolean isLeaving = newer.isLeaving() || (entry.isLeaving() && !hasRestarted);
     entry = newer.withLeaving(isLeaving);
+    isEntryCurrent = true;
     removedAtMicros = Long.MAX_VALUE;
     newer.versions().forEach(this::onVersion);
     return hasRestarted;
@@ -184,6 +186,7 @@
       }
       return;
     }
+    isEntryCurrent &= status.engineIncarnation().equals(incarnation());
     statusExpiresAtMicros = nowMicros + STATUS_VALID_MICROS;
     isNotReady = status.ready().isEmpty();
     queueDelayMicros = status.queueDelayMicros();
@@ -251,8 +254,21 @@
     failureRate += SMOOTHING * ((isFailure ? 1 : 0) - failureRate);
   }
 
-  /** Pauses the server, for longer with each failure in a row. */
+  /**
+   * Returns whether the registry entry was read after the latest failure and the latest status of
+   * another incarnation. Otherwise the server may have restarted, with other software, since its
+   * entry was written.
+   */
+  boolean isEntryCurrent() {
+    return isEntryCurrent;
+  }
+
+  /**
+   * Pauses the server, for longer with each failure in a row, and regards its entry as outdated
+   * until the next one is read.
+   */
   void onFailure(long nowMicros) {
+    isEntryCurrent = false;
     long pause = INITIAL_PAUSE_MICROS << Math.min(MAX_PAUSE_DOUBLINGS, failuresInRow);
     failuresInRow++;
     failureRate += SMOOTHING * (1 - failureRate);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.state.route.ServerEntry;
 
@@ -61,15 +62,23 @@
         .anyMatch(server -> server.entry().service().equals(service) && server.isUsable(nowMicros));
   }
 
+  /** Returns whether a service has a listed server that fulfils a condition. */
+  boolean hasListed(String service, Predicate<Server> condition, long nowMicros) {
+    return servers.values().stream()
+        .filter(server -> server.entry().service().equals(service))
+        .anyMatch(server -> server.isListed(nowMicros) && condition.test(server));
+  }
+
   /**
-   * Returns when the first server of a service reopens, if all that are not leaving are closed at
-   * their own request.
+   * Returns when the first server of a service that fulfils a condition reopens, if all of them
+   * that are not leaving are closed at their own request.
    */
-  Optional<Long> reopensAtMicros(String service, long nowMicros) {
+  Optional<Long> reopensAtMicros(String service, Predicate<Server> condition, long nowMicros) {
     List<Optional<Long>> listed =
         servers.values().stream()
             .filter(server -> server.entry().service().equals(service))
             .filter(server -> !server.entry().isLeaving())
+            .filter(condition)
             .map(server -> server.reopensAtMicros(nowMicros))
             .toList();
     return listed.stream().allMatch(Optional::isPresent)
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -40,6 +40,10 @@
 
   final List<ForwardCommand> commands = new ArrayList<>();
   final ForwardCore core;
+
+  /** Values of the core's counters. */
+  final Map<String, Integer> counted = new HashMap<>();
+
   private final Map<Long, Refusal> refusals = new HashMap<>();
   private final Map<Long, ForwardCommand.Send> latestSends = new HashMap<>();
   private final Set<Long> brokenOff = new HashSet<>();
@@ -51,20 +55,18 @@
   }
 
   ForwardHarness(DecisionJournal journal) {
-    core = new ForwardCore(options(60 * SECOND, 1, journal), this::recordCommand);
+    Counters counters = name -> counted.merge(name, 1, Integer::sum);
+    core = new ForwardCore(options(60 * SECOND, 1, counters, journal), this::recordCommand);
   }
 
   static ForwardOptions options(long quarantineMicros, long seed, DecisionJournal journal) {
+    return options(quarantineMicros, seed, Counters.NONE, journal);
+  }
+
+  private static ForwardOptions options(
+      long quarantineMicros, long seed, Counters counters, DecisionJournal journal) {
     return new ForwardOptions(
-        "domain-a",
-        0.2,
-        50,
-        10 * SECOND,
-        6 * SECOND,
-        quarantineMicros,
-        seed,
-        Counters.NONE,
-        journal);
+        "domain-a", 0.2, 50, 10 * SECOND, 6 * SECOND, quarantineMicros, seed, counters, journal);
   }
 
   /** Returns a harness whose core has a configuration and servers of both services. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/StreamSoftwareVersionTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/StreamSoftwareVersionTest.java
@@ -69,10 +69,14 @@
   }
 
   private void setReady(String server, boolean isReady) {
+    setReady(server, "1", isReady);
+  }
+
+  private void setReady(String server, String incarnation, boolean isReady) {
     List<ModelVersion> ready =
         isReady ? List.of(new ModelVersion(ForwardHarness.MODEL, "1", "")) : List.of();
     harness.handle(
-        new ForwardEvent.StatusReceived(new SidecarStatus(server, "1", ready, false, 0)));
+        new ForwardEvent.StatusReceived(new SidecarStatus(server, incarnation, ready, false, 0)));
   }
 
   private long send() {
@@ -145,6 +149,12 @@
     crashDuring(stream);
 
     assertIsResumed(stream, isResumed);
+    if (isResumed) {
+      harness.respond(stream, 200);
+    }
+    assertThat(harness.counted.getOrDefault("streams.resumed", 0)).isEqualTo(isResumed ? 1 : 0);
+    assertThat(harness.counted.getOrDefault("streams.resume-impossible", 0))
+        .isEqualTo(isResumed ? 0 : 1);
   }
 
   // Guards against a resumed stream at the best server instead of the best of its version.
@@ -234,6 +244,27 @@
     assertIsResumed(stream, isResumed);
   }
 
+  // Guards against a server whose sidecar reports a restart before its new entry is read.
+  @ParameterizedTest
+  @CsvSource({"1, v1, 1, true", "2, v1, 2, true", "2, v2, 2, false", "2, , 2, false"})
+  void aServerReportedInAnotherIncarnationResumesNoStreamUntilItsEntryIsReadAgain(
+      String reported, String readAgain, long startedAtMillis, boolean isResumed) {
+    list(entry(FIRST, "v1"));
+    long stream = begin();
+    list(entry(SECOND, "v1"));
+    setReady(SECOND, reported, true);
+
+    crashDuring(stream);
+
+    boolean isSameIncarnation = reported.equals("1");
+    assertWithMessage("sends before the entry is read")
+        .that(harness.sends(stream))
+        .isEqualTo(isSameIncarnation ? 2 : 1);
+    assertThat(harness.isBrokenOff(stream)).isFalse();
+    list(ForwardHarness.startedAt(entry(SECOND, readAgain), startedAtMillis));
+    assertIsResumed(stream, isResumed);
+  }
+
   // Guards against a stream that begins at a server which restarted with other software unseen.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
@@ -268,6 +299,34 @@
     assertIsResumed(stream, isResumed);
   }
 
+  // Guards against an unknown software version taken for equal to another unknown one.
+  @ParameterizedTest
+  @CsvSource({
+    "v1, 5, engine-2, v1, 9, true",
+    "v1, 0, engine-2, v1, 0, true",
+    "v1, 5, engine-1, v2, 5, false",
+    "v1, 5, engine-1, , 5, false",
+    ", 5, engine-1, , 5, true",
+    ", 5, engine-1, v1, 5, true",
+    ", 5, engine-1, , 6, false",
+    ", 0, engine-1, , 0, false",
+    ", 5, engine-2, , 5, false",
+    ", 5, engine-2, v1, 5, false",
+  })
+  void anOriginAdmitsItsSoftwareVersionOrIfThatIsUnknownItsIncarnation(
+      String began, long beganAt, String id, String other, long otherAt, boolean isAdmitted) {
+    SoftwareOrigin origin =
+        SoftwareOrigin.of(new Server(ForwardHarness.startedAt(entry(FIRST, began), beganAt)));
+    Server candidate = new Server(ForwardHarness.startedAt(entry(id, other), otherAt));
+
+    assertThat(origin.admits(candidate)).isEqualTo(isAdmitted);
+
+    candidate.onFailure(0);
+    assertThat(origin.admits(candidate)).isFalse();
+    candidate.onListed(candidate.entry());
+    assertThat(origin.admits(candidate)).isEqualTo(isAdmitted);
+  }
+
   // Guards against requests lost between software versions before anything has reached a caller.
   @ParameterizedTest
   @CsvSource({"v1, v1", "v1, v2", "v1, ", ", v2", ", "})
