--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -40,6 +40,10 @@
 
   final List<ForwardCommand> commands = new ArrayList<>();
   final ForwardCore core;
+
+  /** Values of the core's counters. */
+  final Map<String, Integer> counted = new HashMap<>();
+
   private final Map<Long, Refusal> refusals = new HashMap<>();
   private final Map<Long, ForwardCommand.Send> latestSends = new HashMap<>();
   private final Set<Long> brokenOff = new HashSet<>();
@@ -51,10 +55,16 @@
   }
 
   ForwardHarness(DecisionJournal journal) {
-    core = new ForwardCore(options(60 * SECOND, 1, journal), this::recordCommand);
+    Counters counters = name -> counted.merge(name, 1, Integer::sum);
+    core = new ForwardCore(options(60 * SECOND, 1, counters, journal), this::recordCommand);
   }
 
   static ForwardOptions options(long quarantineMicros, long seed, DecisionJournal journal) {
+    return options(quarantineMicros, seed, Counters.NONE, journal);
+  }
+
+  private static ForwardOptions options(
+      long quarantineMicros, long seed, Counters counters, DecisionJournal journal) {
     return new ForwardOptions(
         "domain-a",
         0.2,
@@ -64,7 +74,7 @@
         2_400 * MILLI,
         quarantineMicros,
         seed,
-        Counters.NONE,
+        counters,
         journal);
   }
 
@@ -128,6 +138,20 @@
         entry.softwareVersion());
   }
 
+  /** Returns the entry of a server with another version of its software; empty if unreadable. */
+  static ServerEntry withSoftware(ServerEntry entry, Optional<String> softwareVersion) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.failureDomain(),
+        entry.slots(),
+        entry.isLeaving(),
+        entry.versions(),
+        entry.startedAtMillis(),
+        softwareVersion);
+  }
+
   static ServerEntry leaving(ServerEntry entry) {
     return entry.withLeaving(true);
   }
