--- a/coordination/src/test/java/org/shallothook/coordination/weights/OverdueRolloutTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/OverdueRolloutTest.java
@@ -30,7 +30,8 @@
         8,
         false,
         Map.of(MODEL, 1L),
-        5);
+        5,
+        Optional.empty());
   }
 
   /** Returns when the sidecar of a server orders the version, without word of the other servers. */
