--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.coordination.origin.RecordedStreams;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.route.CallerLimits;
@@ -98,6 +100,31 @@
   record AnnounceLimit(String server, String incarnation, Optional<Double> requestsPerSecond)
       implements ForwardCommand {}
 
+  /** Read which software versions are declared and which streams are recorded, without delay. */
+  record ReadOrigins() implements ForwardCommand {}
+
+  /**
+   * Declare software versions in the store, unless it has declarations that are not known here.
+   *
+   * @param positions position of each version among those of its service; empty withdraws it
+   */
+  record DeclareSoftware(Map<SoftwareVersion, Optional<Long>> positions) implements ForwardCommand {
+    public DeclareSoftware {
+      positions = Map.copyOf(positions);
+    }
+  }
+
+  /**
+   * Record in the store which software version began streams.
+   *
+   * @param keys streams of each key; empty removes it
+   */
+  record RecordStreams(Map<String, Optional<RecordedStreams>> keys) implements ForwardCommand {
+    public RecordStreams {
+      keys = Map.copyOf(keys);
+    }
+  }
+
   /** Apply the limits on what callers may send. */
   record Limit(CallerLimits limits) implements ForwardCommand {}
 }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -1,8 +1,11 @@
 package org.shallothook.coordination.forward;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
+import org.shallothook.coordination.origin.RecordedStreams;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.route.RouteTable;
@@ -86,6 +89,43 @@
     }
   }
 
+  /**
+   * Declarations of software versions were read from the store.
+   *
+   * @param positions position of each version among those of its service; empty if it is withdrawn
+   */
+  record SoftwareDeclared(Map<SoftwareVersion, Optional<Long>> positions) implements ForwardEvent {
+    public SoftwareDeclared {
+      positions = Map.copyOf(positions);
+    }
+  }
+
+  /**
+   * Records of streams were read from the store.
+   *
+   * @param keys streams of each key; empty if it was removed or is unreadable
+   */
+  record StreamsRecorded(Map<String, Optional<RecordedStreams>> keys) implements ForwardEvent {
+    public StreamsRecorded {
+      keys = Map.copyOf(keys);
+    }
+  }
+
+  /**
+   * All declarations of software versions and all records of streams that were written before a
+   * time are known.
+   *
+   * @param allBeforeMicros the time, on the decision clock in microseconds
+   */
+  record OriginsRead(long allBeforeMicros) implements ForwardEvent {}
+
+  /**
+   * A write of records of streams has ended.
+   *
+   * @param isDone whether it is known to be done
+   */
+  record RecordingEnded(boolean isDone) implements ForwardEvent {}
+
   /** The output of an attempt's response has begun to arrive. */
   record OutputStarted(long request, int attempt) implements ForwardEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.shallothook.coordination.forward.PromptPlacement.Placement;
+import org.shallothook.coordination.origin.Origin;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.quarantine.RequestSignature;
@@ -245,6 +246,26 @@
         suspects);
   }
 
+  /** Logs what is known about the software version that began the stream of a request. */
+  void origin(PendingRequest request, Origin origin) {
+    journal.write(
+        Decision.ORIGIN,
+        request.head().id(),
+        "resumes",
+        request.head().resumedRequest().orElse(""),
+        "outcome",
+        origin.knowledge().code(),
+        "software",
+        origin.version().orElse(""),
+        "age_ms",
+        TimeUnit.MICROSECONDS.toMillis(origin.ageMicros()));
+  }
+
+  void baseVersion(String service, Optional<String> base, Optional<String> previous) {
+    journal.write(
+        Decision.SOFTWARE, service, "base", base.orElse(""), "previous", previous.orElse(""));
+  }
+
   void leaving(Server server, PendingRequest request) {
     journal.write(
         Decision.SERVER, server.name(), "outcome", "leaving", "request", request.head().id());
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardOptions.java
@@ -9,6 +9,8 @@
  *
  * <p>Immutable and thread-safe.
  *
+ * @param router name of the router
+ * @param timeOfDayMicros time of day when the decision clock is 0, in microseconds since the epoch
  * @param failureDomain failure domain of the router
  * @param retryRatio retries that all routers together may send, as a share of requests to a service
  * @param retrySlack retries that all routers together may send beyond that share
@@ -23,6 +25,8 @@
  * @param journal journal that receives one line per decision
  */
 public record ForwardOptions(
+    String router,
+    long timeOfDayMicros,
     String failureDomain,
     double retryRatio,
     double retrySlack,
@@ -34,6 +38,7 @@
     Counters counters,
     DecisionJournal journal) {
   public ForwardOptions {
+    Objects.requireNonNull(router, "router");
     Objects.requireNonNull(failureDomain, "failureDomain");
     Objects.requireNonNull(counters, "counters");
     Objects.requireNonNull(journal, "journal");
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -24,6 +24,8 @@
     SENT,
     /** At a server whose response is being relayed. */
     RELAYING,
+    /** Waits until it is known which software version began its stream. */
+    UNRESOLVED,
     /** Waits until it is known whether the server that broke its connection has crashed. */
     HELD;
 
@@ -59,6 +61,7 @@
   private long waitUntilMicros;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
+  private Optional<String> originVersion = Optional.empty();
   private boolean hasStartedResponse;
   private Optional<SoftwareOrigin> sentOrigin = Optional.empty();
   private Optional<SoftwareOrigin> origin = Optional.empty();
@@ -132,6 +135,21 @@
     phase = Phase.HELD;
   }
 
+  /** Lets the request wait until it is known which software version began its stream. */
+  void awaitOrigin() {
+    phase = Phase.UNRESOLVED;
+  }
+
+  /** Binds the request to the software version that began its stream. */
+  void beganAt(String version) {
+    originVersion = Optional.of(version);
+  }
+
+  /** Returns whether a server has the software version that began the stream, if there is one. */
+  boolean admits(Server candidate) {
+    return originVersion.isEmpty() || candidate.entry().softwareVersion().equals(originVersion);
+  }
+
   Optional<Server> server() {
     return server;
   }
--- a/coordination/src/main/java/org/shallothook/coordination/origin/OriginDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/origin/OriginDirectory.java
@@ -111,6 +111,11 @@
         request, version.version(), isCertainBase && !isRestoring, nowMicros + resumableMicros);
   }
 
+  /** Returns whether any version of a service is declared or listed. */
+  public boolean knowsVersions(String service) {
+    return versions.knows(service);
+  }
+
   /** Returns whether a stream has to be recorded and is not known to be. */
   public boolean isPending(String request) {
     return recorder.isPending(request);
--- a/coordination/src/main/java/org/shallothook/coordination/origin/OriginRecorder.java
+++ b/coordination/src/main/java/org/shallothook/coordination/origin/OriginRecorder.java
@@ -94,7 +94,8 @@
     boolean isRecorded = !needsNoRecord || (known != null && known.isRecorded());
     BoundedMaps.putNewest(
         begun, request, new Begun(version, isRecorded, expiresAtMicros), MAXIMUM_STREAMS);
-    if (isRecorded) {
+    boolean isUnchanged = known != null && known.isRecorded() && known.version().equals(version);
+    if (isRecorded && !isUnchanged) {
       BoundedMaps.putNewest(pending, request, version, MAXIMUM_STREAMS);
     }
   }
--- a/coordination/src/main/java/org/shallothook/coordination/origin/SoftwareVersions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/origin/SoftwareVersions.java
@@ -113,6 +113,12 @@
     return isSingle && !hasOthers ? base : Optional.empty();
   }
 
+  /** Returns whether any version of a service is declared or listed. */
+  boolean knows(String service) {
+    return positions.containsKey(service)
+        || listedSinceMicros.keySet().stream().anyMatch(listed -> listed.service().equals(service));
+  }
+
   /** Returns the latest time at which a listed version appeared; empty if none is listed. */
   public Optional<Long> latestListingMicros() {
     return listedSinceMicros.values().stream().max(Long::compare);
--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -36,6 +36,10 @@
   LIMIT(Weight.NOTABLE),
   /** The desired version of the weights has changed. */
   WEIGHTS(Weight.NOTABLE),
+  /** A stream is to be resumed; what is known about the software version that began it. */
+  ORIGIN(Weight.NOTABLE),
+  /** The oldest declared software version of a service has changed. */
+  SOFTWARE(Weight.NOTABLE),
   /** An order was issued to a server, or has ended. */
   ORDER(Weight.NOTABLE),
   /** A request has crashed a server. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
@@ -56,16 +57,24 @@
 
   ForwardHarness(DecisionJournal journal) {
     Counters counters = name -> counted.merge(name, 1, Integer::sum);
-    core = new ForwardCore(options(60 * SECOND, 1, counters, journal), this::recordCommand);
+    core =
+        new ForwardCore(
+            options("router-1", 60 * SECOND, 1, counters, journal), this::recordCommand);
   }
 
   static ForwardOptions options(long quarantineMicros, long seed, DecisionJournal journal) {
-    return options(quarantineMicros, seed, Counters.NONE, journal);
+    return options("router-" + seed, quarantineMicros, seed, Counters.NONE, journal);
   }
 
-  private static ForwardOptions options(
-      long quarantineMicros, long seed, Counters counters, DecisionJournal journal) {
+  static ForwardOptions options(
+      String router,
+      long quarantineMicros,
+      long seed,
+      Counters counters,
+      DecisionJournal journal) {
     return new ForwardOptions(
+        router,
+        0,
         "domain-a",
         0.2,
         50,
@@ -95,6 +104,9 @@
     }
     harness.handle(new ForwardEvent.RegistryReachable(true));
     harness.handle(new ForwardEvent.ServersRead(entries, true));
+    SoftwareVersion software = new SoftwareVersion("engines", SOFTWARE);
+    harness.handle(new ForwardEvent.SoftwareDeclared(Map.of(software, Optional.of(1L))));
+    harness.handle(new ForwardEvent.OriginsRead(harness.now()));
     return harness;
   }
 
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -5,6 +5,7 @@
 import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,8 @@
 import org.shallothook.coordination.forward.RouterFleet;
 import org.shallothook.coordination.message.Envelope;
 import org.shallothook.coordination.message.PeerMessage;
+import org.shallothook.coordination.origin.RecordedStreams;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.coordination.registry.PollingPolicy;
@@ -35,6 +38,7 @@
 import org.shallothook.platform.HostedRequestFormat;
 import org.shallothook.platform.ModelServerClient;
 import org.shallothook.platform.StoreRecordVersions;
+import org.shallothook.protocol.platform.RecordedStreamsFormat;
 import org.shallothook.state.log.KeyedRecord;
 import org.shallothook.state.log.RecordVersion;
 import org.shallothook.state.log.RecordVersions;
@@ -105,6 +109,7 @@
   private long nextSidecarlessTickMicros;
   private List<String> routers = List.of();
   private boolean areRoutersRead;
+  private List<Optional<Long>> originsComplete = List.of();
 
   /** A weight event of a server that has no sidecar and whose weights this router updates. */
   private record SidecarlessServerEvent(String address, WeightEvent event) implements CoreEvent {}
@@ -164,6 +169,8 @@
       case SERVERS -> readServers(records, changes.completesFirstScan(), nowMicros);
       case MEMBERS -> readMembers(records, nowMicros);
       case QUARANTINES -> records.forEach(record -> readQuarantine(record, nowMicros));
+      case SOFTWARE -> readSoftware(changes.records(), nowMicros);
+      case STREAMS -> readStreams(changes.records(), nowMicros);
       case FENCES ->
           throw new IllegalArgumentException("Routers do not follow " + changes.stream());
     }
@@ -182,6 +189,13 @@
     core.handle(new ForwardEvent.RegistryRestored(), nowMicros);
   }
 
+  @Override
+  public void onAppended(RegistryStream stream, boolean isDone, long nowMicros) {
+    if (stream == RegistryStream.STREAMS) {
+      core.handle(new ForwardEvent.RecordingEnded(isDone), nowMicros);
+    }
+  }
+
   @Override
   public void onInterrupted(long pauseMicros, long nowMicros) {
     node.logInterrupted(pauseMicros);
@@ -229,6 +243,7 @@
       sidecarless.handle(sidecarlessEvent.address(), sidecarlessEvent.event(), nowMicros);
     } else if (event instanceof RegistryEvent read) {
       registry.handle(read, nowMicros);
+      updateOrigins(nowMicros);
     }
   }
 
@@ -334,6 +349,22 @@
           RequestSignature.textOf(store.key()),
           store.untilMicros().map(this::quarantineRecord),
           latestMicros);
+    } else if (command instanceof ForwardCommand.ReadOrigins) {
+      registry.readSoon(RegistryStream.SOFTWARE, latestMicros);
+      registry.readSoon(RegistryStream.STREAMS, latestMicros);
+    } else if (command instanceof ForwardCommand.DeclareSoftware declare) {
+      Map<String, Optional<String>> records = new HashMap<>();
+      declare
+          .positions()
+          .forEach(
+              (version, position) -> records.put(version.key(), position.map(String::valueOf)));
+      registry.appendIfAllKnown(RegistryStream.SOFTWARE, records);
+    } else if (command instanceof ForwardCommand.RecordStreams record) {
+      Map<String, Optional<String>> records = new HashMap<>();
+      record
+          .keys()
+          .forEach((key, streams) -> records.put(key, streams.map(RecordedStreamsFormat::write)));
+      registry.append(RegistryStream.STREAMS, records);
     } else {
       transport.carryOut(command);
     }
@@ -367,6 +398,47 @@
     }
   }
 
+  private void readSoftware(List<KeyedRecord> records, long nowMicros) {
+    Map<SoftwareVersion, Optional<Long>> positions = new HashMap<>();
+    for (KeyedRecord record : records) {
+      Optional<Long> position = record.value().flatMap(text -> positionOf(record, text));
+      SoftwareVersion.ofKey(record.key())
+          .ifPresentOrElse(
+              version -> positions.put(version, position),
+              () -> node.logSkipped(record, "the key names no version"));
+    }
+    core.handle(new ForwardEvent.SoftwareDeclared(positions), nowMicros);
+  }
+
+  private Optional<Long> positionOf(KeyedRecord record, String text) {
+    try {
+      return Optional.of(Long.parseLong(text));
+    } catch (NumberFormatException e) {
+      node.logSkipped(record, String.valueOf(e.getMessage()));
+      return Optional.empty();
+    }
+  }
+
+  private void readStreams(List<KeyedRecord> records, long nowMicros) {
+    Map<String, Optional<RecordedStreams>> keys = new HashMap<>();
+    records.forEach(record -> keys.put(record.key(), node.readStreams(record)));
+    core.handle(new ForwardEvent.StreamsRecorded(keys), nowMicros);
+  }
+
+  /** Tells the core up to when it knows declarations and records of streams. */
+  private void updateOrigins(long nowMicros) {
+    List<Optional<Long>> complete =
+        List.of(
+            registry.completeUntilMicros(RegistryStream.SOFTWARE),
+            registry.completeUntilMicros(RegistryStream.STREAMS));
+    if (!complete.equals(originsComplete) && complete.stream().allMatch(Optional::isPresent)) {
+      long allBeforeMicros =
+          complete.stream().flatMap(Optional::stream).min(Long::compare).orElseThrow();
+      core.handle(new ForwardEvent.OriginsRead(allBeforeMicros), nowMicros);
+    }
+    originsComplete = complete;
+  }
+
   private static Map<RegistryStream, RecordVersions> versions() {
     Map<RegistryStream, RecordVersions> versions = new EnumMap<>(StoreRecordVersions.byStream());
     versions.put(RegistryStream.QUARANTINES, (key, value) -> quarantineVersion(value));
@@ -392,6 +464,10 @@
         RegistryStream.MEMBERS,
         HostedNode.MEMBERS_POLICY,
         RegistryStream.QUARANTINES,
+        HostedNode.MEMBERS_POLICY,
+        RegistryStream.SOFTWARE,
+        HostedNode.MEMBERS_POLICY,
+        RegistryStream.STREAMS,
         HostedNode.MEMBERS_POLICY);
   }
 
@@ -399,6 +475,8 @@
     long versionMicros = settings.micros(HostedKeys.VERSION_MILLIS, TimeUnit.MILLISECONDS);
     long settlingMicros = settings.micros(HostedKeys.SETTLING_MILLIS, TimeUnit.MILLISECONDS);
     return new ForwardOptions(
+        node.name(),
+        Clock.nowMicros() - Clock.steadyMicros(),
         settings.text(CommonKeys.FAILURE_DOMAIN),
         settings.amount(HostedKeys.RETRY_SHARE),
         settings.amount(HostedKeys.RETRY_SLACK),
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -98,7 +98,7 @@
         case SERVERS -> readServer(record, nowMicros);
         case MEMBERS ->
             node.readMember(record).ifPresent(member -> registry.onMember(member, nowMicros));
-        case QUARANTINES, FENCES ->
+        case QUARANTINES, SOFTWARE, STREAMS, FENCES ->
             throw new IllegalArgumentException("Sidecars do not follow " + changes.stream());
       }
     }
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -11,6 +11,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.shallothook.state.route.ServiceTraits.CacheStore;
 
 /**
@@ -109,6 +111,16 @@
         .orElse(0);
   }
 
+  /** Returns the services whose streams may be resumed. */
+  public Set<String> resumableServices() {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(Route::isResumable)
+        .flatMap(route -> route.destinations().stream())
+        .map(Route.Destination::service)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Returns the settings of a service, if it is configured. */
   public Optional<ServiceTraits> service(String name) {
     return Optional.ofNullable(services.get(name));
