Resume callers' streams only at the software version that began them

A caller resumes a stream with a new request at any router, which did not know which software version began it.

Change: the versions of a service are declared in the store; streams begun at another than the oldest declared one are recorded there, and their responses wait for that for at most 400 ms. A router that is to resume a stream reads both, once for all requests that wait, and sends the request to servers of the recorded version or, without a record, of the oldest. It refuses with 503 and one of two new reasons what it cannot know, or whose version serves no more. Own streams are known without a read. While records cannot be written, new streams begin at the oldest version if one of its servers is usable. With one version nothing is recorded and nothing waits.

The harness of forward tests declares its version, as a store would, and lets records be written before a response that waits for them; no assertion of an existing test is changed.

Evidence: the 24 cases of ResumedSoftwareTest pass, of which 21 failed; forward core, stream version, registry and restored store tests pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.shallothook.coordination.forward.PendingRequest.Phase;
 import org.shallothook.coordination.forward.PromptPlacement.Placement;
+import org.shallothook.coordination.origin.Origin;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.coordination.quarantine.CrashEvidence.Quarantine;
@@ -117,6 +118,7 @@
   private final ServerLimits limits;
   private final CallPlacement callPlacement;
   private final SplittableRandom random;
+  private final ResumableStreams streams;
   private final Map<Long, PendingRequest> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
   private Optional<Long> shutdownAtMicros = Optional.empty();
@@ -146,6 +148,7 @@
     this.announcements = new PrefixAnnouncements(commands);
     this.limits = new ServerLimits(commands, journal, options.counters());
     this.callPlacement = new CallPlacement(options.failureDomain(), random.split());
+    this.streams = new ResumableStreams(options, random.split(), commands, journal);
   }
 
   /** Returns whether configuration and servers are known, so that requests can be served. */
@@ -205,6 +208,7 @@
           .forEach(restarted -> onRestarted(restarted, nowMicros));
       knowsServers |= read.isWhole();
       read.entries().forEach(journal::listed);
+      streams.onServers(servers.all(), nowMicros);
       sendWaiting(nowMicros);
     } else if (event instanceof ForwardEvent.ServerRemoved removed) {
       servers.onRemoved(removed.id(), nowMicros);
@@ -214,8 +218,20 @@
     } else if (event instanceof ForwardEvent.RegistryReachable reachable) {
       isRegistryReachable = reachable.isReachable();
       servers.onReachable(reachable.isReachable(), nowMicros);
+      streams.onReachable(reachable.isReachable(), nowMicros);
     } else if (event instanceof ForwardEvent.RegistryRestored) {
       servers.onRestored(nowMicros);
+      streams.onRestored(nowMicros);
+    } else if (event instanceof ForwardEvent.SoftwareDeclared declared) {
+      streams.onDeclared(declared.positions(), nowMicros);
+    } else if (event instanceof ForwardEvent.StreamsRecorded recorded) {
+      streams.onRecorded(recorded.keys());
+    } else if (event instanceof ForwardEvent.OriginsRead read) {
+      streams.onRead(read.allBeforeMicros());
+      findOrigins(nowMicros);
+    } else if (event instanceof ForwardEvent.RecordingEnded ended) {
+      streams.onWritten(ended.isDone());
+      relayRecorded(nowMicros);
     } else if (event instanceof ForwardEvent.StatusReceived received) {
       // Waiting requests are reconsidered with the next tick; in large fleets statuses are too
       // frequent for doing it with each one.
@@ -255,6 +271,7 @@
       return;
     }
     table = Optional.of(newTable);
+    streams.onRoutes(newTable);
     commands.accept(new ForwardCommand.Limit(newTable.limits()));
     journal.applied(newTable);
   }
@@ -362,8 +379,12 @@
             deadlineMicros);
     open.put(event.request(), request);
     retries.onRequest(request.service(), nowMicros);
-    long noServerUntilMicros = nowMicros + route.targetMicros() / NO_SERVER_WAIT_DIVISOR;
-    request.waitUntil(Math.min(deadlineMicros, noServerUntilMicros));
+    if (streams.isResumed(request)) {
+      request.awaitOrigin();
+      findOrigin(request, nowMicros);
+      return;
+    }
+    waitForServer(request, nowMicros);
     if (servers.hasLimited(request.service(), nowMicros)) {
       // Requests that already wait for a limited server come first.
       sendWaiting(nowMicros);
@@ -375,6 +396,54 @@
     }
   }
 
+  /** Looks again which software versions began the streams of the requests that wait for it. */
+  private void findOrigins(long nowMicros) {
+    for (PendingRequest request : List.copyOf(open.values())) {
+      if (request.phase() == Phase.UNRESOLVED) {
+        findOrigin(request, nowMicros);
+      }
+    }
+  }
+
+  /**
+   * Sends a request that resumes a stream to the software version that began it, or refuses it if
+   * that is not known in time or serves no more.
+   */
+  private void findOrigin(PendingRequest request, long nowMicros) {
+    Origin origin = streams.find(request, nowMicros);
+    if (origin.version().isPresent()) {
+      request.beganAt(origin.version().get());
+      waitForServer(request, nowMicros);
+      sendOrWait(request, nowMicros);
+    } else if (origin.knowledge() == Origin.Knowledge.UNKNOWN) {
+      String detail = "It is not known which software version began the stream.";
+      end(request, RefusalReason.STREAM_ORIGIN_UNKNOWN, detail, nowMicros);
+    } else if (nowMicros >= request.arrivedMicros() + request.route().targetMicros()) {
+      String detail = "The software version that began the stream could not be read in time.";
+      end(request, RefusalReason.STREAM_ORIGIN_UNKNOWN, detail, nowMicros);
+    }
+  }
+
+  /** Relays the responses whose streams are recorded, or have waited for that long enough. */
+  private void relayRecorded(long nowMicros) {
+    for (long number : streams.held()) {
+      Optional<PendingRequest> request = find(number);
+      if (request.isEmpty()) {
+        streams.forget(number);
+      }
+      request.ifPresent(
+          waiting ->
+              streams
+                  .release(waiting, nowMicros)
+                  .ifPresent(response -> relay(waiting, response, nowMicros)));
+    }
+  }
+
+  private static void waitForServer(PendingRequest request, long nowMicros) {
+    long maxWaitMicros = request.route().targetMicros() / NO_SERVER_WAIT_DIVISOR;
+    request.waitUntil(Math.min(request.deadlineMicros(), nowMicros + maxWaitMicros));
+  }
+
   /** Sends a request if a server has a free slot for it; otherwise lets it wait or refuses it. */
   private void sendOrWait(PendingRequest request, long nowMicros) {
     Optional<Quarantine> refused =
@@ -392,7 +461,9 @@
       endStranded(request, nowMicros);
       return;
     }
-    List<Server> usable = request.admittedBySoftware(servers.usable(request.service(), nowMicros));
+    List<Server> admitted =
+        request.admittedBySoftware(servers.usable(request.service(), nowMicros));
+    List<Server> usable = streams.preferred(request, admitted, nowMicros);
     Optional<PromptOutline> prompt = promptOf(request);
     List<Server> eligible =
         prompt
@@ -435,7 +506,7 @@
   private void endStranded(PendingRequest request, long nowMicros) {
     countUnresumed(request);
     String detail = "No other server with the software that began the stream is listed.";
-    end(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
+    end(request, RefusalReason.SOFTWARE_VERSION_GONE, detail, nowMicros);
   }
 
   private void countUnresumed(PendingRequest request) {
@@ -575,6 +646,7 @@
     Optional<PromptOutline> prompt = promptOf(request);
     Optional<Long> version = prompt.flatMap(outline -> server.version(outline.model()));
     request.onSent(server, version, nowMicros);
+    streams.onSent(request, server, nowMicros);
     Dispatch dispatch =
         new Dispatch(
             server.name(),
@@ -653,6 +725,13 @@
     if (request.origin().isPresent() && response.isSuccess()) {
       options.counters().increment("streams.resumed");
     }
+    if (!streams.hold(request, response, nowMicros)) {
+      relay(request, response, nowMicros);
+    }
+  }
+
+  private void relay(PendingRequest request, ResponseHead response, long nowMicros) {
+    Server server = request.server().orElseThrow();
     request.onRelaying(response.isSuccess(), nowMicros);
     commands.accept(
         new ForwardCommand.Relay(request.number(), request.attempt(), stallMicros(request)));
@@ -872,8 +951,7 @@
 
   private void retry(PendingRequest request, Decision decision, long nowMicros) {
     journal.retried(decision, request);
-    long maxWaitMicros = request.route().targetMicros() / NO_SERVER_WAIT_DIVISOR;
-    request.waitUntil(Math.min(request.deadlineMicros(), nowMicros + maxWaitMicros));
+    waitForServer(request, nowMicros);
     sendOrWait(request, nowMicros);
   }
 
@@ -894,6 +972,9 @@
         onShutdown(request, nowMicros);
       }
     }
+    findOrigins(nowMicros);
+    streams.onTick(servers.all(), routers, nowMicros);
+    relayRecorded(nowMicros);
     sendWaiting(nowMicros);
     announcements.onTick(routers, nowMicros);
     updatePromptStatistics(nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -61,7 +61,6 @@
   private long waitUntilMicros;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
-  private Optional<String> originVersion = Optional.empty();
   private boolean hasStartedResponse;
   private Optional<SoftwareOrigin> sentOrigin = Optional.empty();
   private Optional<SoftwareOrigin> origin = Optional.empty();
@@ -142,12 +141,7 @@
 
   /** Binds the request to the software version that began its stream. */
   void beganAt(String version) {
-    originVersion = Optional.of(version);
-  }
-
-  /** Returns whether a server has the software version that began the stream, if there is one. */
-  boolean admits(Server candidate) {
-    return originVersion.isEmpty() || candidate.entry().softwareVersion().equals(originVersion);
+    origin = Optional.of(SoftwareOrigin.ofVersion(service, version));
   }
 
   Optional<Server> server() {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
@@ -104,7 +104,7 @@
 
   /** Records that all declarations and records written before a time are known. */
   void onRead(long allBeforeMicros) {
-    options.counters().increment("streams.origin-read");
+    options.counters().increment("streams.origin-reads");
     isReadRequested = false;
     directory.onRead(allBeforeMicros);
     if (directory.needsRead()) {
@@ -113,9 +113,7 @@
   }
 
   void onWritten(boolean isDone) {
-    options
-        .counters()
-        .increment(isDone ? "streams.origin-recorded" : "streams.origin-record-failed");
+    options.counters().increment(isDone ? "streams.origin-writes" : "streams.origin-write-failed");
     directory.onWritten(isDone);
   }
 
@@ -167,7 +165,7 @@
     if (request.route().isResumable()
         && !request.hasStartedResponse()
         && directory.knowsVersions(request.service())) {
-      String version = server.entry().softwareVersion().orElse(UNREADABLE);
+      String version = SoftwareOrigin.of(server).softwareVersion().orElse(UNREADABLE);
       directory.onBegun(
           request.head().id(), new SoftwareVersion(request.service(), version), nowMicros);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -54,14 +54,6 @@
     return usable;
   }
 
-  /** Returns whether a server of a service with a software version is listed and not leaving. */
-  boolean hasSoftware(String service, String version, long nowMicros) {
-    return servers.values().stream()
-        .filter(server -> server.entry().service().equals(service))
-        .filter(server -> server.entry().softwareVersion().equals(Optional.of(version)))
-        .anyMatch(server -> server.isListed(nowMicros));
-  }
-
   /** Returns whether any of the usable servers of a service states a limit. */
   boolean hasLimited(String service, long nowMicros) {
     return servers.values().stream()
--- a/coordination/src/main/java/org/shallothook/coordination/forward/SoftwareOrigin.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/SoftwareOrigin.java
@@ -17,7 +17,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param service service of the server that began the stream
- * @param server identity of that server
+ * @param server identity of that server; the empty string if unknown
  * @param startedAtMillis start of its incarnation, in milliseconds since the epoch; 0 if unknown
  * @param softwareVersion version of its software; empty if unknown
  */
@@ -40,6 +40,11 @@
         server.entry().softwareVersion().filter(version -> server.isEntryCurrent()));
   }
 
+  /** Returns the origin of a stream of which only the software version is known. */
+  static SoftwareOrigin ofVersion(String service, String version) {
+    return new SoftwareOrigin(service, "", UNKNOWN_START, Optional.of(version));
+  }
+
   /**
    * Returns the origin of a stream whose response begins now. If the server has restarted since the
    * request was sent to it, it is unknown which incarnation responds.
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -67,11 +67,7 @@
   }
 
   static ForwardOptions options(
-      String router,
-      long quarantineMicros,
-      long seed,
-      Counters counters,
-      DecisionJournal journal) {
+      String router, long quarantineMicros, long seed, Counters counters, DecisionJournal journal) {
     return new ForwardOptions(
         router,
         0,
@@ -334,7 +330,22 @@
   }
 
   void respond(long request, ResponseHead head) {
-    handle(new ForwardEvent.ResponseReceived(request, sent(request).orElseThrow().attempt(), head));
+    int attempt = sent(request).orElseThrow().attempt();
+    handle(new ForwardEvent.ResponseReceived(request, attempt, head));
+    if (head.isSuccess() && !isRelayed(request, attempt)) {
+      // The response waits until its stream is recorded, which begins with the next tick.
+      handle(new ForwardEvent.Tick());
+      handle(new ForwardEvent.RecordingEnded(true));
+    }
+  }
+
+  private boolean isRelayed(long request, int attempt) {
+    return commands.stream()
+        .anyMatch(
+            command ->
+                command instanceof ForwardCommand.Relay relay
+                    && relay.request() == request
+                    && relay.attempt() == attempt);
   }
 
   void complete(long request) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/SoftwareFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/SoftwareFleet.java
@@ -59,11 +59,7 @@
       core =
           new ForwardCore(
               ForwardHarness.options(
-                  "router-" + index,
-                  600 * SECOND,
-                  nextSeed++,
-                  Counters.NONE,
-                  DecisionJournal.NONE),
+                  "router-" + index, 600 * SECOND, nextSeed++, Counters.NONE, DecisionJournal.NONE),
               command -> carryOut(this, command));
     }
 
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
@@ -34,6 +34,8 @@
   private final ForwardCore core =
       new ForwardCore(
           new ForwardOptions(
+              "router-1",
+              0,
               "domain-a",
               0.2,
               50,
