--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.log.WrittenTime;
@@ -41,6 +42,10 @@
 
   final List<ForwardCommand> commands = new ArrayList<>();
   final ForwardCore core;
+
+  /** Values of the core's counters. */
+  final Map<String, Integer> counted = new HashMap<>();
+
   private final Map<Long, Refusal> refusals = new HashMap<>();
   private final Map<Long, ForwardCommand.Send> latestSends = new HashMap<>();
   private final Set<Long> brokenOff = new HashSet<>();
@@ -52,11 +57,21 @@
   }
 
   ForwardHarness(DecisionJournal journal) {
-    core = new ForwardCore(options(60 * SECOND, 1, journal), this::recordCommand);
+    Counters counters = name -> counted.merge(name, 1, Integer::sum);
+    core =
+        new ForwardCore(
+            options("router-1", 60 * SECOND, 1, counters, journal), this::recordCommand);
   }
 
   static ForwardOptions options(long quarantineMicros, long seed, DecisionJournal journal) {
+    return options("router-" + seed, quarantineMicros, seed, Counters.NONE, journal);
+  }
+
+  static ForwardOptions options(
+      String router, long quarantineMicros, long seed, Counters counters, DecisionJournal journal) {
     return new ForwardOptions(
+        router,
+        0,
         "domain-a",
         0.2,
         50,
@@ -65,7 +80,7 @@
         2_400 * MILLI,
         quarantineMicros,
         seed,
-        Counters.NONE,
+        counters,
         journal);
   }
 
@@ -86,6 +101,9 @@
     }
     harness.handle(new ForwardEvent.RegistryReachable(true));
     harness.handle(new ForwardEvent.ServersRead(entries, true));
+    SoftwareVersion software = new SoftwareVersion("engines", SOFTWARE);
+    harness.handle(new ForwardEvent.SoftwareDeclared(Map.of(software, Optional.of(1L))));
+    harness.handle(new ForwardEvent.OriginsRead(harness.now()));
     return harness;
   }
 
@@ -129,6 +147,20 @@
         entry.softwareVersion());
   }
 
+  /** Returns the entry of a server with another version of its software; empty if unreadable. */
+  static ServerEntry withSoftware(ServerEntry entry, Optional<String> softwareVersion) {
+    return new ServerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.failureDomain(),
+        entry.slots(),
+        entry.isLeaving(),
+        entry.versions(),
+        entry.startedAtMillis(),
+        softwareVersion);
+  }
+
   static ServerEntry leaving(ServerEntry entry) {
     return entry.withLeaving(true);
   }
@@ -301,7 +333,22 @@
   }
 
   void respond(long request, ResponseHead head) {
-    handle(new ForwardEvent.ResponseReceived(request, sent(request).orElseThrow().attempt(), head));
+    int attempt = sent(request).orElseThrow().attempt();
+    handle(new ForwardEvent.ResponseReceived(request, attempt, head));
+    if (head.isSuccess() && !isRelayed(request, attempt)) {
+      // The response waits until its stream is recorded, which begins with the next tick.
+      handle(new ForwardEvent.Tick());
+      handle(new ForwardEvent.RecordingEnded(true));
+    }
+  }
+
+  private boolean isRelayed(long request, int attempt) {
+    return commands.stream()
+        .anyMatch(
+            command ->
+                command instanceof ForwardCommand.Relay relay
+                    && relay.request() == request
+                    && relay.attempt() == attempt);
   }
 
   void complete(long request) {
