Withdraw requests that wait at servers with overdue weights

Requests that were sent in time to a server with older weights, whose host stood still, began there 8.9 s after the newer version was acknowledged.

Cause: eligibility is checked when a request is sent; nothing looked at those that wait at a server when the deadline passes. The check for stuck requests needs the retry budget, which was empty.

Change: a repeatable request without a response is withdrawn 1 s after the deadline of its server's weights; it is repeated if the budget allows it, and answered with a failure otherwise. The case added to OverdueVersionTest fails without it.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -980,6 +980,7 @@
     updatePromptStatistics(nowMicros);
     pauseSilentServers(nowMicros);
     retryStuckRequests(nowMicros);
+    withdrawFromOutdatedServers(nowMicros);
     servers.removeUnlisted(nowMicros);
     crashes.removeExpired(nowMicros).forEach(name -> onServerChecked(name, false, nowMicros));
     quarantine.onTick(routers, nowMicros);
@@ -1072,6 +1073,32 @@
     }
   }
 
+  /**
+   * Withdraws repeatable requests that wait at servers whose weights are overdue by now: a server
+   * that stands still would start them whenever it goes on.
+   */
+  private void withdrawFromOutdatedServers(long nowMicros) {
+    for (PendingRequest request : List.copyOf(open.values())) {
+      boolean isOverdue =
+          request.phase() == Phase.SENT
+              && request.route().isRepeatable()
+              && promptOf(request)
+                  .flatMap(
+                      prompt ->
+                          request
+                              .expectedVersion()
+                              .filter(
+                                  sent -> eligibility.isOverdue(prompt.model(), sent, nowMicros)))
+                  .isPresent();
+      if (isOverdue) {
+        Server server = request.server().orElseThrow();
+        dropAttempt(request, true);
+        journal.failed(request, server, "its weights are overdue", nowMicros);
+        repeatOrEnd(request, "the server has older weights", nowMicros);
+      }
+    }
+  }
+
   private void sendWaiting(long nowMicros) {
     List<PendingRequest> waiting = new ArrayList<>();
     for (PendingRequest request : open.values()) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/VersionEligibility.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/VersionEligibility.java
@@ -30,6 +30,12 @@
    */
   private static final long GRACE_MICROS = 1_200_000;
 
+  /**
+   * Time after the deadline within which a request that was sent before it may still start, in
+   * microseconds.
+   */
+  private static final long LATE_START_MICROS = 1_000_000;
+
   /** Penalty for a server with older weights, as a share of the request's target. */
   private static final double OUTDATED_PENALTY_SHARE = 0.25;
 
@@ -99,6 +105,14 @@
     return nowMicros >= version.deadlineMicros();
   }
 
+  /**
+   * Returns whether a request that was sent to a server with a version of the weights, and has not
+   * started there, must no longer start.
+   */
+  boolean isOverdue(String model, long version, long nowMicros) {
+    return version < oldestAllowed(model, nowMicros - LATE_START_MICROS);
+  }
+
   /** Returns the oldest version on which a request may still start. */
   private long oldestAllowed(String model, long nowMicros) {
     return versionsByModel.getOrDefault(model, List.of()).stream()
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -247,7 +247,8 @@
 
   private long outstandingWaitMicros() {
     return outstanding
-        .map(command -> command instanceof RegistryCommand.Read read ? read.maximumWaitMicros() : 0L)
+        .map(
+            command -> command instanceof RegistryCommand.Read read ? read.maximumWaitMicros() : 0L)
         .orElse(0L);
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/forward/OverdueVersionTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/OverdueVersionTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -61,4 +62,21 @@
     harness.setDesiredVersion(2, new WrittenTime(Optional.of(beforeNow(9_000)), harness.now()));
     assertThat(isServedAfter(afterMillis)).isEqualTo(isServed);
   }
+
+  // Guards against a request that starts on older weights when its server is thawed.
+  @ParameterizedTest(name = "{0} ms after the deadline: withdrawn {1}")
+  @CsvSource({"800, false", "1100, true"})
+  void aRequestThatHasNotStartedIsWithdrawnAfterTheDeadline(long millis, boolean isWithdrawn) {
+    harness.setDesiredVersion(2);
+    harness.advance(5_900 * ForwardHarness.MILLI);
+    long request = harness.submitLongPrompt("register");
+    assertThat(harness.serverOf(request)).isEqualTo("engine-1");
+    long other = harness.submitShortPrompt("letter");
+    harness.advance(100 * ForwardHarness.MILLI);
+    harness.respond(other, 200);
+    harness.handle(
+        new ForwardEvent.ServersRead(List.of(ForwardHarness.engine("engine-2", 2, 2)), false));
+    harness.advance(millis * ForwardHarness.MILLI);
+    assertThat(harness.sends(request) > 1).isEqualTo(isWithdrawn);
+  }
 }
