Let the store of crashing fleets answer what routers ask of it

The routers of the fleet ask which software versions are declared and record streams; without an answer each response waited. No assertion is changed.

--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.shallothook.coordination.fake.VirtualTime;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -257,8 +258,20 @@
     time.schedule(delayMicros, action);
   }
 
+  /** Returns what a store says in which the version of all servers has been declared. */
+  private static ForwardEvent declaredSoftware() {
+    return new ForwardEvent.SoftwareDeclared(
+        Map.of(new SoftwareVersion("engines", ForwardHarness.SOFTWARE), Optional.of(1L)));
+  }
+
   private void carryOut(Router router, ForwardCommand command) {
-    if (command instanceof ForwardCommand.Send send) {
+    if (command instanceof ForwardCommand.ReadOrigins) {
+      ForwardEvent read = new ForwardEvent.OriginsRead(time.now());
+      after(MESSAGE_MICROS, () -> router.handle(declaredSoftware()));
+      after(MESSAGE_MICROS, () -> router.handle(read));
+    } else if (command instanceof ForwardCommand.RecordStreams) {
+      after(MESSAGE_MICROS, () -> router.handle(new ForwardEvent.RecordingEnded(true)));
+    } else if (command instanceof ForwardCommand.Send send) {
       after(MESSAGE_MICROS, () -> arrive(router, send));
     } else if (command instanceof ForwardCommand.Drop drop) {
       runs.values()
