--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -40,6 +40,19 @@
     }
   }
 
+  private static RequestHead resumption(String resumed) {
+    return new RequestHead(
+        "resumption",
+        "linen.example",
+        "/ask/1",
+        Optional.of(ForwardHarness.KEY),
+        Optional.empty(),
+        Optional.of(ForwardHarness.prompt("north", 6_000, 2_000)),
+        Optional.of(2L),
+        Optional.of(resumed),
+        1);
+  }
+
   @Test
   void everyDecisionWritesALine() {
     ForwardHarness harness = ForwardHarness.ready(3, 3, this::write);
@@ -60,6 +73,7 @@
     harness.handle(new ForwardEvent.CallerGone(read));
 
     harness.submitCall("/nowhere/1");
+    harness.handle(new ForwardEvent.Requested(1_000, resumption("request-" + served)));
 
     for (int engine = 1; engine <= 3; engine++) {
       harness.handle(new ForwardEvent.ServerRemoved("engine-" + engine));
