Withdraw waiting requests that may not be repeated as well

They now fail 1 s after the deadline: an answer on older weights must not begin any more. The case added to OverdueVersionTest fails without it.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -1074,14 +1074,13 @@
   }
 
   /**
-   * Withdraws repeatable requests that wait at servers whose weights are overdue by now: a server
-   * that stands still would start them whenever it goes on.
+   * Withdraws requests that wait at servers whose weights are overdue by now: a server that stands
+   * still would start them whenever it goes on. Those that may not be repeated fail.
    */
   private void withdrawFromOutdatedServers(long nowMicros) {
     for (PendingRequest request : List.copyOf(open.values())) {
       boolean isOverdue =
           request.phase() == Phase.SENT
-              && request.route().isRepeatable()
               && promptOf(request)
                   .flatMap(
                       prompt ->
--- a/coordination/src/test/java/org/shallothook/coordination/forward/OverdueVersionTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/OverdueVersionTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.shallothook.state.log.WrittenTime;
+import org.shallothook.state.request.Outcome;
+import org.shallothook.state.request.Refusal;
 
 /** Routers that learn late of a version of weights: after a start, a pause or an outage. */
 final class OverdueVersionTest {
@@ -79,4 +81,19 @@
     harness.advance(millis * ForwardHarness.MILLI);
     assertThat(harness.sends(request) > 1).isEqualTo(isWithdrawn);
   }
+
+  // Guards against the same for a request that may not be repeated: it must fail instead.
+  @ParameterizedTest(name = "{0} ms after the deadline: failed {1}")
+  @CsvSource({"800, false", "1100, true"})
+  void aRequestThatMayNotBeRepeatedFailsAfterTheDeadline(long millis, boolean hasFailed) {
+    harness.setDesiredVersion(2);
+    harness.advance(5_900 * ForwardHarness.MILLI);
+    long request = harness.submitShortPrompt("letter");
+    harness.handle(
+        new ForwardEvent.ServersRead(List.of(ForwardHarness.engine("engine-2", 2, 2)), false));
+    harness.advance((100 + millis) * ForwardHarness.MILLI);
+    assertThat(harness.sends(request)).isEqualTo(1);
+    assertThat(harness.refusal(request).map(Refusal::outcome))
+        .isEqualTo(hasFailed ? Optional.of(Outcome.UNKNOWN) : Optional.empty());
+  }
 }
