--- a/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
@@ -3,12 +3,13 @@
 import java.util.Optional;
 
 /**
- * Notices when the process did not run for a while, because its machine was frozen or overloaded.
+ * Notices when the process did not run for a while, because its instance was frozen or overloaded.
  *
  * <p>What arrived during an interruption is handled after it, so its age is not known from the time
  * at which it is handled.
  *
- * <p>Not thread-safe.
+ * <p>Invariant: the earliest arrival of an input is never later than the time at which it is
+ * handled. Not thread-safe.
  */
 final class Interruptions {
   /** Time between two calls from which on the process counts as interrupted, in microseconds. */
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -105,7 +105,7 @@
 
   /**
    * Returns the time after which the records that the outstanding read returns were written; empty
-   * if they may be of any age.
+   * if they may be of any age. Must be called before the answer is applied.
    *
    * @param arrivalMicros earliest time at which the answer may have arrived
    */
