--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -39,13 +39,7 @@
   }
 
   void desiredVersion(WeightVersion version, WrittenTime written, long nowMicros) {
-    journal.write(
-        Decision.WEIGHTS,
-        version.model(),
-        "version",
-        version.version(),
-        "maximum_age_ms",
-        DecisionJournal.ageMillis(written.afterMicros(), nowMicros));
+    journal.writeDesiredVersion(version, written, nowMicros);
   }
 
   void listed(ServerEntry entry) {
--- a/coordination/src/main/java/org/shallothook/coordination/origin/OriginDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/origin/OriginDirectory.java
@@ -106,9 +106,13 @@
   public void onBegun(String request, SoftwareVersion version, long nowMicros) {
     boolean isCertainBase =
         completeUntilMicros.filter(until -> versions.isCertainBase(version, until)).isPresent();
-    boolean isRestoring = nowMicros - restoredMicros < AFTERMATH_MICROS;
-    recorder.onBegun(
-        request, version.version(), isCertainBase && !isRestoring, nowMicros + resumableMicros);
+    boolean needsNoRecord = isCertainBase && !isRestoring(nowMicros);
+    recorder.onBegun(request, version.version(), needsNoRecord, nowMicros + resumableMicros);
+  }
+
+  /** Returns whether the store was restored so recently that it may lack what was written. */
+  private boolean isRestoring(long nowMicros) {
+    return nowMicros - restoredMicros < AFTERMATH_MICROS;
   }
 
   /** Returns whether any version of a service is declared or listed. */
@@ -163,10 +167,9 @@
       return new Origin(Origin.Knowledge.RECORDED, recorded, ageMicros);
     }
     Optional<String> only = versions.only(service);
-    boolean isRestoring = nowMicros - restoredMicros < AFTERMATH_MICROS;
     boolean mayLackRecords =
-        isRestoring || !isReachable || nowMicros - outageEndedMicros < AFTERMATH_MICROS;
-    if (only.isPresent() && !isRestoring) {
+        isRestoring(nowMicros) || !isReachable || nowMicros - outageEndedMicros < AFTERMATH_MICROS;
+    if (only.isPresent() && !isRestoring(nowMicros)) {
       return new Origin(Origin.Knowledge.ONLY, only, ageMicros);
     }
     Optional<String> base = mayLackRecords ? Optional.empty() : versions.base(service);
--- a/coordination/src/main/java/org/shallothook/coordination/port/DecisionJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/DecisionJournal.java
@@ -1,7 +1,8 @@
 package org.shallothook.coordination.port;
 
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.shallothook.state.log.WrittenTime;
+import org.shallothook.state.route.WeightVersion;
 
 /**
  * Structured log with one line for each decision about a request or about the known state of a
@@ -26,10 +27,17 @@
    */
   void write(Decision decision, String subject, Object... fields);
 
-  /** Returns an age for a field, in milliseconds; {@link #UNKNOWN_AGE} if there is no start. */
-  static long ageMillis(Optional<Long> sinceMicros, long nowMicros) {
-    return sinceMicros
-        .map(micros -> TimeUnit.MICROSECONDS.toMillis(nowMicros - micros))
-        .orElse(UNKNOWN_AGE);
+  /** Writes the line on a desired version of weights that the process has learned of. */
+  default void writeDesiredVersion(WeightVersion version, WrittenTime written, long nowMicros) {
+    write(
+        Decision.WEIGHTS,
+        version.model(),
+        "version",
+        version.version(),
+        "maximum_age_ms",
+        written
+            .afterMicros()
+            .map(micros -> TimeUnit.MICROSECONDS.toMillis(nowMicros - micros))
+            .orElse(UNKNOWN_AGE));
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/Interruptions.java
@@ -13,7 +13,7 @@
  */
 final class Interruptions {
   /** Time between two calls from which on the process counts as interrupted, in microseconds. */
-  static final long MINIMUM_MICROS = 500_000;
+  private static final long MINIMUM_MICROS = 500_000;
 
   /** Time within which input that arrived during an interruption is handled, in microseconds. */
   private static final long BACKLOG_MICROS = 500_000;
--- a/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/KeyedFollower.java
@@ -28,7 +28,7 @@
    * Time within which an answer of an undisturbed store arrives, in microseconds. A read that was
    * issued longer ago was held by the store until a record was written.
    */
-  static final long DELIVERY_MICROS = 500_000;
+  private static final long DELIVERY_MICROS = 500_000;
 
   /** Maximum delay before the first retry of a read; doubled for each further one. */
   private static final long INITIAL_RETRY_DELAY_MICROS = 100_000;
@@ -110,17 +110,24 @@
    * @param arrivalMicros earliest time at which the answer may have arrived
    */
   Optional<Long> writtenAfterMicros(long arrivalMicros) {
-    // The store answers a read as soon as a record exists. A read that continues the previous one
-    // and is answered late was held until then, for no longer than it has asked for.
     return completeUntilMicros.map(
-        completeMicros -> {
-          boolean isContinuous = completeMicros >= issuedMicros - DELIVERY_MICROS;
-          long heldUntilMicros = arrivalMicros - DELIVERY_MICROS;
-          return !isScanning && isContinuous && heldUntilMicros > issuedMicros
-              ? Math.max(
-                  completeMicros, Math.min(heldUntilMicros, issuedMicros + outstandingWaitMicros()))
-              : completeMicros;
-        });
+        completeMicros ->
+            wasHeld(completeMicros, arrivalMicros)
+                ? Math.max(
+                    completeMicros,
+                    Math.min(
+                        arrivalMicros - DELIVERY_MICROS, issuedMicros + outstandingWaitMicros()))
+                : completeMicros);
+  }
+
+  /**
+   * Returns whether the store held the outstanding read until a record was written, as it answers a
+   * read at once if one exists: the read continues the previous one and is answered late.
+   */
+  private boolean wasHeld(long completeMicros, long arrivalMicros) {
+    return !isScanning
+        && completeMicros >= issuedMicros - DELIVERY_MICROS
+        && arrivalMicros - DELIVERY_MICROS > issuedMicros;
   }
 
   /**
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -188,9 +188,7 @@
 
   /** Handles one event. */
   public void handle(RegistryEvent event, long nowMicros) {
-    interruptions
-        .onRunning(nowMicros)
-        .ifPresent(micros -> listener.onInterrupted(micros, nowMicros));
+    noticeInterruption(nowMicros);
     if (event instanceof RegistryEvent.PageRead read) {
       onEra(read.era(), nowMicros);
       onPage(read, nowMicros);
@@ -222,9 +220,7 @@
 
   /** Issues the writes, requests and reads that are due. */
   public void onTick(long nowMicros) {
-    interruptions
-        .onRunning(nowMicros)
-        .ifPresent(micros -> listener.onInterrupted(micros, nowMicros));
+    noticeInterruption(nowMicros);
     if (!isMemberWritten && !isMemberPutOutstanding && nowMicros >= nextMemberPutMicros) {
       isMemberPutOutstanding = true;
       commands.accept(new RegistryCommand.PutMember(options.self()));
@@ -264,6 +260,12 @@
     reachableRouters(nowMicros).forEach(name -> send(name, message));
   }
 
+  private void noticeInterruption(long nowMicros) {
+    interruptions
+        .onRunning(nowMicros)
+        .ifPresent(micros -> listener.onInterrupted(micros, nowMicros));
+  }
+
   /** Notices that the store was restored since its last answer. */
   private void onEra(Optional<Long> answered, long nowMicros) {
     if (answered.filter(newer -> newer > era).isEmpty()) {
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
@@ -143,13 +143,7 @@
       desired.put(version.model(), version);
       nextServersMicros = nowMicros;
       nextReportMicros = nowMicros;
-      journal.write(
-          Decision.WEIGHTS,
-          version.model(),
-          "version",
-          version.version(),
-          "maximum_age_ms",
-          DecisionJournal.ageMillis(written.afterMicros(), nowMicros));
+      journal.writeDesiredVersion(version, written, nowMicros);
     }
   }
 
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -170,8 +170,8 @@
       case SERVERS -> readServers(records, changes.completesFirstScan(), nowMicros);
       case MEMBERS -> readMembers(records, nowMicros);
       case QUARANTINES -> records.forEach(record -> readQuarantine(record, nowMicros));
-      case SOFTWARE -> readSoftware(changes.records(), nowMicros);
-      case STREAMS -> readStreams(changes.records(), nowMicros);
+      case SOFTWARE -> readSoftware(records, nowMicros);
+      case STREAMS -> readStreams(records, nowMicros);
       case FENCES ->
           throw new IllegalArgumentException("Routers do not follow " + changes.stream());
     }
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.shallothook.state.route.ServiceTraits.CacheStore;
 
 /**
@@ -103,24 +104,21 @@
    * route whose streams may be.
    */
   public long longestResumableMicros() {
-    return routesByHost.values().stream()
-        .flatMap(List::stream)
-        .filter(Route::isResumable)
-        .mapToLong(Route::timeoutMicros)
-        .max()
-        .orElse(0);
+    return resumableRoutes().mapToLong(Route::timeoutMicros).max().orElse(0);
   }
 
   /** Returns the services whose streams may be resumed. */
   public Set<String> resumableServices() {
-    return routesByHost.values().stream()
-        .flatMap(List::stream)
-        .filter(Route::isResumable)
+    return resumableRoutes()
         .flatMap(route -> route.destinations().stream())
         .map(Route.Destination::service)
         .collect(Collectors.toUnmodifiableSet());
   }
 
+  private Stream<Route> resumableRoutes() {
+    return routesByHost.values().stream().flatMap(List::stream).filter(Route::isResumable);
+  }
+
   /** Returns the settings of a service, if it is configured. */
   public Optional<ServiceTraits> service(String name) {
     return Optional.ofNullable(services.get(name));
