Log what the known crashes say about a key, and when they are cleared

The lines say that three servers crashed under one content at 48.1 s and that it was quarantined at 52.6 s, but neither how many crashes each router counted in between, nor whether evidence was cleared.

Change: a crash line for each key with more than one known crash whenever another one is known: crashes, counted, required, span; one when such evidence is cleared; counters crashes.assessed and crashes.cleared. CrashEvidence.decide returns what it has assessed; what it decides is unchanged.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.quarantine.CrashEvidence;
+import org.shallothook.coordination.quarantine.CrashEvidence.Assessment;
 import org.shallothook.coordination.quarantine.CrashEvidence.Cleared;
 import org.shallothook.coordination.quarantine.CrashEvidence.Quarantine;
 import org.shallothook.coordination.quarantine.RequestSignature;
@@ -92,7 +93,9 @@
 
   /** Clears keys that another router has cleared. */
   void onClearedAnnounced(List<Long> keys, long nowMicros) {
-    lift(evidence.onCleared(keys, nowMicros).quarantined(), "cleared by a peer");
+    Cleared cleared = evidence.onCleared(keys, nowMicros);
+    logCleared(cleared, "cleared by a peer");
+    lift(cleared.quarantined(), "cleared by a peer");
   }
 
   /** Adopts a quarantine of another router or of the store. */
@@ -107,7 +110,10 @@
 
   /** Decides on new quarantines, ends old ones and announces those in force when it is time. */
   void onTick(int routers, long nowMicros) {
-    List<Quarantine> decided = evidence.decide(nowMicros);
+    List<Assessment> assessments = evidence.decide(nowMicros);
+    assessments.forEach(this::logAssessment);
+    List<Quarantine> decided =
+        assessments.stream().flatMap(assessment -> assessment.quarantine().stream()).toList();
     for (Quarantine quarantine : decided) {
       counters.increment("quarantine.started");
       journal.quarantined(
@@ -126,6 +132,14 @@
     announce(active, routers, nowMicros);
   }
 
+  /** Logs an assessment unless it rests on a single crash, which most suspects are innocent of. */
+  private void logAssessment(Assessment assessment) {
+    if (assessment.crashes() > 1) {
+      counters.increment("crashes.assessed");
+      journal.assessed(assessment);
+    }
+  }
+
   private void announce(List<Quarantine> active, int routers, long nowMicros) {
     if (nowMicros < nextAnnounceMicros) {
       return;
@@ -141,12 +155,20 @@
   }
 
   private void clear(Cleared cleared, String why) {
+    logCleared(cleared, why);
     if (!cleared.suspected().isEmpty()) {
       commands.accept(new ForwardCommand.AnnounceCleared(cleared.suspected()));
     }
     cleared.quarantined().forEach(key -> endOwn(key, why));
   }
 
+  private void logCleared(Cleared cleared, String why) {
+    for (long key : cleared.repeated()) {
+      counters.increment("crashes.cleared");
+      journal.cleared(key, why);
+    }
+  }
+
   /** Records the end of a quarantine, and removes it from the store. */
   private void endOwn(long key, String why) {
     lift(List.of(key), why);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -8,6 +8,7 @@
 import org.shallothook.coordination.origin.Origin;
 import org.shallothook.coordination.port.Decision;
 import org.shallothook.coordination.port.DecisionJournal;
+import org.shallothook.coordination.quarantine.CrashEvidence.Assessment;
 import org.shallothook.coordination.quarantine.RequestSignature;
 import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.request.Refusal;
@@ -116,6 +117,29 @@
         "recorded");
   }
 
+  /** Logs what the known crashes say about the content of requests or a part of prompts. */
+  void assessed(Assessment assessment) {
+    journal.write(
+        Decision.CRASH,
+        RequestSignature.textOf(assessment.key()),
+        "outcome",
+        assessment.quarantine().isPresent() ? "decided" : "undecided",
+        "crashes",
+        assessment.crashes(),
+        "counted",
+        assessment.counted(),
+        "required",
+        assessment.required(),
+        "span_ms",
+        TimeUnit.MICROSECONDS.toMillis(assessment.spanMicros()));
+  }
+
+  /** Logs that the known crashes no longer count against a key. */
+  void cleared(long key, String why) {
+    journal.write(
+        Decision.CRASH, RequestSignature.textOf(key), "detail", why, "outcome", "cleared");
+  }
+
   void quarantined(long key, String source, int crashes, long durationMicros) {
     journal.write(
         Decision.QUARANTINE,
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -20,7 +21,7 @@
  *
  * <pre>{@code
  * evidence.onCrash(crash, signature, nowMicros);
- * List<Quarantine> quarantined = evidence.decide(nowMicros);
+ * List<Assessment> assessed = evidence.decide(nowMicros);
  * Optional<Quarantine> refused = evidence.check(signature, nowMicros);
  * }</pre>
  *
@@ -80,13 +81,32 @@
    */
   public record Quarantine(long key, long sinceMicros, long untilMicros, int crashes) {}
 
+  /**
+   * What the crashes known so far say about a key.
+   *
+   * @param key the key
+   * @param crashes number of known crashes
+   * @param counted number of those that count, as crashes with a common cause count as one
+   * @param required number that must count before the key is quarantined
+   * @param spanMicros time from the first known crash to the last, in microseconds
+   * @param quarantine the quarantine that has begun for them, if any
+   */
+  public record Assessment(
+      long key,
+      int crashes,
+      int counted,
+      int required,
+      long spanMicros,
+      Optional<Quarantine> quarantine) {}
+
   /**
    * Keys that no longer count as a cause of crashes.
    *
    * @param suspected keys that crashes had counted against
+   * @param repeated those of them with several known crashes
    * @param quarantined those of them that were quarantined
    */
-  public record Cleared(List<Long> suspected, List<Long> quarantined) {}
+  public record Cleared(List<Long> suspected, List<Long> repeated, List<Long> quarantined) {}
 
   private static final class Suspicion {
     private final Map<String, Long> crashes = new LinkedHashMap<>();
@@ -104,6 +124,13 @@
       return crashNames().containsAll(other.crashNames());
     }
 
+    /** Returns the time from the first known crash to the last, in microseconds. */
+    private long spanMicros() {
+      LongSummaryStatistics times =
+          crashes.values().stream().mapToLong(Long::longValue).summaryStatistics();
+      return crashes.isEmpty() ? 0 : times.getMax() - times.getMin();
+    }
+
     /** Returns the number of crashes, those at the same moment counted as one. */
     private int independentCrashes() {
       int count = 0;
@@ -229,20 +256,37 @@
         .findFirst();
   }
 
-  /** Quarantines the keys that the crashes since the last call decide on, and returns them. */
-  public List<Quarantine> decide(long nowMicros) {
-    List<Quarantine> decided = new ArrayList<>();
+  /**
+   * Assesses the keys with crashes since the last call, and quarantines those on which these
+   * decide.
+   *
+   * @return the assessments of all such keys that were not quarantined before
+   */
+  public List<Assessment> decide(long nowMicros) {
+    List<Assessment> assessed = new ArrayList<>();
     for (long key : undecided) {
       Suspicion suspicion = suspicions.get(key);
-      if (suspicion != null
-          && suspicion.quarantine.isEmpty()
-          && suspicion.independentCrashes() >= requiredCrashes(key, suspicion, nowMicros)
-          && !isExplained(suspicion, suspicions.values())) {
-        decided.add(quarantine(key, suspicion, nowMicros + quarantineMicros, nowMicros));
+      if (suspicion != null && suspicion.quarantine.isEmpty()) {
+        assessed.add(assess(key, suspicion, nowMicros));
       }
     }
     undecided.clear();
-    return decided;
+    return assessed;
+  }
+
+  private Assessment assess(long key, Suspicion suspicion, long nowMicros) {
+    int counted = suspicion.independentCrashes();
+    int required = requiredCrashes(key, suspicion, nowMicros);
+    if (counted >= required && !isExplained(suspicion, suspicions.values())) {
+      quarantine(key, suspicion, nowMicros + quarantineMicros, nowMicros);
+    }
+    return new Assessment(
+        key,
+        suspicion.crashes.size(),
+        counted,
+        required,
+        suspicion.spanMicros(),
+        suspicion.quarantine);
   }
 
   /** Lifts the quarantines of keys whose crashes another quarantined key explains. */
@@ -329,11 +373,9 @@
             other -> other.crashes.size() > suspicion.crashes.size() && other.covers(suspicion));
   }
 
-  private static Quarantine quarantine(
-      long key, Suspicion suspicion, long untilMicros, long nowMicros) {
-    Quarantine quarantine = new Quarantine(key, nowMicros, untilMicros, suspicion.crashes.size());
-    suspicion.quarantine = Optional.of(quarantine);
-    return quarantine;
+  private static void quarantine(long key, Suspicion suspicion, long untilMicros, long nowMicros) {
+    suspicion.quarantine =
+        Optional.of(new Quarantine(key, nowMicros, untilMicros, suspicion.crashes.size()));
   }
 
   private void recordCleared(long key, long nowMicros) {
@@ -342,11 +384,15 @@
 
   private Cleared removeSuspicions(Collection<Long> keys) {
     List<Long> suspected = new ArrayList<>();
+    List<Long> repeated = new ArrayList<>();
     List<Long> quarantined = new ArrayList<>();
     for (long key : keys) {
       Suspicion removed = suspicions.remove(key);
       if (removed != null) {
         suspected.add(key);
+        if (removed.crashes.size() > 1) {
+          repeated.add(key);
+        }
         removed.quarantine.ifPresent(quarantine -> quarantined.add(key));
       }
     }
@@ -354,6 +400,6 @@
       // A key that these had explained may now account for its crashes.
       undecided.addAll(suspicions.keySet());
     }
-    return new Cleared(suspected, quarantined);
+    return new Cleared(suspected, repeated, quarantined);
   }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/RequestQuarantine.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/RequestQuarantine.java
@@ -173,7 +173,11 @@
 
   /** Quarantines the parts that the crashes so far decide on. */
   private void decideOnParts(long nowMicros) {
-    for (CrashEvidence.Quarantine decided : evidence.decide(nowMicros)) {
+    List<CrashEvidence.Quarantine> started =
+        evidence.decide(nowMicros).stream()
+            .flatMap(assessment -> assessment.quarantine().stream())
+            .toList();
+    for (CrashEvidence.Quarantine decided : started) {
       counters.increment("quarantine.parts");
       QuarantineRecord record = QuarantineRecord.ofPart(decided.key(), decided.untilMicros());
       append(record);
--- a/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
@@ -26,7 +26,15 @@
   private List<Long> crash(String name, RequestSignature signature) {
     nowMicros += SECOND;
     evidence.onCrash(name, signature, nowMicros);
-    return evidence.decide(nowMicros).stream().map(Quarantine::key).toList();
+    return decide();
+  }
+
+  /** Returns the keys that are quarantined now and were not before. */
+  private List<Long> decide() {
+    return evidence.decide(nowMicros).stream()
+        .flatMap(assessment -> assessment.quarantine().stream())
+        .map(Quarantine::key)
+        .toList();
   }
 
   @Test
@@ -43,7 +51,7 @@
     for (int server = 0; server < 8; server++) {
       evidence.onCrash("server-" + server, request(PART), nowMicros);
     }
-    assertThat(evidence.decide(nowMicros)).isEmpty();
+    assertThat(decide()).isEmpty();
   }
 
   @Test
