--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -19,11 +19,12 @@
 import org.shallothook.state.route.ServerEntry;
 
 /**
- * Several forwarding cores before servers that crash when they begin an answer on a deadly part, on
- * a virtual clock.
+ * Several forwarding cores before servers that crash when they begin an answer on a deadly part of
+ * a prompt, or when they run a call with a deadly content, on a virtual clock.
  *
  * <p>A server that crashes breaks all its open requests and is listed again under a new identity
- * after its restart. Prompts consist of rules, one of several registers and an own part.
+ * after its restart. Prompts consist of rules, one of several registers and an own part. Calls have
+ * no prompt and no parts; what a call is about, its content, takes the place of the parts.
  *
  * <p>Not thread-safe.
  */
@@ -32,10 +33,15 @@
   static final long SECOND = 1_000_000;
 
   private static final long MESSAGE_MICROS = 2 * MILLI;
-  private static final long RESTART_MICROS = 3 * SECOND;
+
+  /** Time after a crash within which requests still leave on connections that it has broken. */
+  private static final long KEPT_CONNECTION_MICROS = 4 * MILLI;
+
   private static final long FIRST_OUTPUT_MICROS = 150 * MILLI;
   private static final long OUTPUT_MICROS = 400 * MILLI;
   private static final long CRASH_AFTER_OUTPUT_MICROS = 80 * MILLI;
+  private static final long MINIMUM_CALL_MICROS = 20 * MILLI;
+  private static final long CALL_SPREAD_MICROS = 70 * MILLI;
   private static final int REGISTERS = 12;
 
   /** One request at a server: when it was sent, by which router, and with which parts. */
@@ -44,12 +50,17 @@
   final List<Arrival> arrivals = new ArrayList<>();
   final List<Long> crashTimes = new ArrayList<>();
   final Set<String> deadlyParts = new HashSet<>();
+
+  /** Time after which a server that has crashed is listed again, in microseconds. */
+  long restartMicros = 3 * SECOND;
+
   private final Map<String, List<Long>> crashTimesByPart = new HashMap<>();
   private final SplittableRandom random;
   private final VirtualTime time = new VirtualTime(100 * SECOND);
   private final List<Router> routers = new ArrayList<>();
   private final Map<String, ServerEntry> listed = new LinkedHashMap<>();
   private final Map<String, Map<Run, Boolean>> runs = new HashMap<>();
+  private final Map<String, Long> crashedAtMicros = new HashMap<>();
   private final Map<Long, Set<String>> partsByRequest = new HashMap<>();
   private final Map<Long, Long> submittedAtMicros = new HashMap<>();
   private final Map<Long, Refusal> refusals = new HashMap<>();
@@ -80,9 +91,16 @@
   }
 
   CrashingFleet(int routerCount, int serverCount, long seed) {
+    this(routerCount, serverCount, 0, seed);
+  }
+
+  CrashingFleet(int routerCount, int engineCount, int serviceCount, long seed) {
     random = new SplittableRandom(seed);
-    for (int index = 0; index < serverCount; index++) {
-      list(nextServer++);
+    for (int index = 0; index < engineCount; index++) {
+      list(true, nextServer++);
+    }
+    for (int index = 0; index < serviceCount; index++) {
+      list(false, nextServer++);
     }
     for (int index = 0; index < routerCount; index++) {
       routers.add(started(index));
@@ -147,6 +165,50 @@
     parts.forEach(part -> names.add(part.id()));
     parts.add(new Part("own-" + request, 2_000));
     PromptOutline prompt = new PromptOutline(ForwardHarness.MODEL, 8_200, 50, parts);
+    submit(router, request, names, "/ask/1", Optional.of(prompt), request);
+    return request;
+  }
+
+  /** Sends calls with a content at a mean rate until a time, each to a random router. */
+  void submitCallsEvery(long intervalMicros, long untilMicros, String content) {
+    long delayMicros = intervalMicros / 2 + random.nextLong(intervalMicros);
+    after(
+        delayMicros,
+        () -> {
+          if (time.now() < untilMicros) {
+            submitCall(random.nextInt(routers.size()), content);
+            submitCallsEvery(intervalMicros, untilMicros, content);
+          }
+        });
+  }
+
+  /** Sends calls of which no two are alike at a mean rate until a time. */
+  void submitDistinctCallsEvery(long intervalMicros, long untilMicros) {
+    long delayMicros = intervalMicros / 2 + random.nextLong(intervalMicros);
+    after(
+        delayMicros,
+        () -> {
+          if (time.now() < untilMicros) {
+            submitCall(random.nextInt(routers.size()), "call-" + nextRequest);
+            submitDistinctCallsEvery(intervalMicros, untilMicros);
+          }
+        });
+  }
+
+  /** Sends one repeatable call with a content to a router. */
+  long submitCall(int router, String content) {
+    long request = nextRequest++;
+    submit(router, request, Set.of(content), "/read/1", Optional.empty(), content.hashCode());
+    return request;
+  }
+
+  private void submit(
+      int router,
+      long request,
+      Set<String> names,
+      String target,
+      Optional<PromptOutline> prompt,
+      long contentHash) {
     partsByRequest.put(request, names);
     submittedAtMicros.put(request, time.now());
     routers
@@ -157,14 +219,13 @@
                 new RequestHead(
                     "request-" + request,
                     "linen.example",
-                    "/ask/1",
+                    target,
                     Optional.of(ForwardHarness.KEY),
                     Optional.empty(),
-                    Optional.of(prompt),
+                    prompt,
                     Optional.empty(),
                     Optional.empty(),
-                    request)));
-    return request;
+                    contentHash)));
   }
 
   /** Crashes a share of the servers at once, for a reason that no request has caused. */
@@ -242,8 +303,11 @@
     return router;
   }
 
-  private void list(int number) {
-    ServerEntry entry = ForwardHarness.engine("engine-" + number, number, 1);
+  private void list(boolean isEngine, int number) {
+    ServerEntry entry =
+        isEngine
+            ? ForwardHarness.engine("engine-" + number, number, 1)
+            : ForwardHarness.service("service-" + number, number);
     listed.put(entry.id(), entry);
     runs.put(entry.id(), new LinkedHashMap<>());
     routers.forEach(router -> router.handle(new ForwardEvent.ServersRead(List.of(entry), false)));
@@ -324,13 +388,54 @@
     String server = send.dispatch().server();
     Run run = new Run(router.index, send.request(), send.attempt());
     if (!listed.containsKey(server)) {
-      router.handle(new ForwardEvent.Unsent(send.request(), send.attempt(), "refused"));
+      boolean isKeptConnection =
+          time.now() - crashedAtMicros.getOrDefault(server, 0L) < KEPT_CONNECTION_MICROS;
+      router.handle(
+          isKeptConnection
+              ? broken(send.request(), send.attempt())
+              : new ForwardEvent.Unsent(send.request(), send.attempt(), "refused"));
       return;
     }
     arrivals.add(new Arrival(time.now(), router.index, partsByRequest.get(send.request())));
     runs.get(server).put(run, false);
-    long outputMicros = FIRST_OUTPUT_MICROS + random.nextLong(FIRST_OUTPUT_MICROS);
-    after(outputMicros, () -> begin(router, server, run));
+    if (server.startsWith("engine")) {
+      long outputMicros = FIRST_OUTPUT_MICROS + random.nextLong(FIRST_OUTPUT_MICROS);
+      after(outputMicros, () -> begin(router, server, run));
+    } else {
+      long callMicros = MINIMUM_CALL_MICROS + random.nextLong(CALL_SPREAD_MICROS);
+      after(callMicros, () -> endCall(router, server, run));
+    }
+  }
+
+  private void endCall(Router router, String server, Run run) {
+    if (!isRunning(server, run)) {
+      return;
+    }
+    Set<String> deadly = deadlyPartsOf(run.request());
+    if (!deadly.isEmpty()) {
+      crashBy(deadly, server);
+      return;
+    }
+    begun.add(run.request());
+    router.handle(responseTo(run));
+    finish(router, server, run);
+  }
+
+  private Set<String> deadlyPartsOf(long request) {
+    Set<String> deadly = new HashSet<>(partsByRequest.get(request));
+    deadly.retainAll(deadlyParts);
+    return deadly;
+  }
+
+  private static ForwardEvent responseTo(Run run) {
+    return new ForwardEvent.ResponseReceived(
+        run.request(),
+        run.attempt(),
+        new ResponseHead(200, false, Optional.empty(), Optional.empty(), false, Optional.empty()));
+  }
+
+  private static ForwardEvent broken(long request, int attempt) {
+    return new ForwardEvent.Broken(request, attempt, true, "reset", Optional.empty());
   }
 
   private void begin(Router router, String server, Run run) {
@@ -338,15 +443,9 @@
       return;
     }
     begun.add(run.request());
-    router.handle(
-        new ForwardEvent.ResponseReceived(
-            run.request(),
-            run.attempt(),
-            new ResponseHead(
-                200, false, Optional.empty(), Optional.empty(), false, Optional.empty())));
+    router.handle(responseTo(run));
     router.handle(new ForwardEvent.OutputStarted(run.request(), run.attempt()));
-    Set<String> deadly = new HashSet<>(partsByRequest.get(run.request()));
-    deadly.retainAll(deadlyParts);
+    Set<String> deadly = deadlyPartsOf(run.request());
     if (!deadly.isEmpty()) {
       after(CRASH_AFTER_OUTPUT_MICROS, () -> crashBy(deadly, server));
     } else {
@@ -380,23 +479,19 @@
       return;
     }
     crashTimes.add(time.now());
+    crashedAtMicros.put(server, time.now());
     List<Run> broken = List.copyOf(runs.get(server).keySet());
     runs.get(server).clear();
     after(
         MESSAGE_MICROS,
         () ->
             broken.forEach(
-                run ->
-                    routers
-                        .get(run.router())
-                        .handle(
-                            new ForwardEvent.Broken(
-                                run.request(), run.attempt(), true, "reset", Optional.empty()))));
+                run -> routers.get(run.router()).handle(broken(run.request(), run.attempt()))));
     after(
-        RESTART_MICROS,
+        restartMicros,
         () -> {
           routers.forEach(router -> router.handle(new ForwardEvent.ServerRemoved(server)));
-          list(nextServer++);
+          list(server.startsWith("engine"), nextServer++);
         });
   }
 }
