Count crashes at the same moment separately against a content not in use

What callers saw: a booking service was away again and again, as one schedule read crashed all its servers; 5 copies reached servers after its third crash.

Cause: crashes within 0.2 s counted as one, whatever key they counted against. That is right for a part of prompts, which most servers run when they lose power together. A call without a prompt is repeated by its router and its caller and brings down a service of three within a tenth of a second; that counted as one crash, and three such moments had to come before it was quarantined.

Change: KeyKind. Against a content all crashes of a moment count, as several servers run the same content at once only if it is being repeated. If it has been answered within a minute it may be in use by many callers, and two count; the next moment without an answer in between decides. The same holds in the first 5 s of a process, which cannot know what is in use. Parts are as before.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/CrashQuarantine.java
@@ -66,8 +66,8 @@
   }
 
   /** Returns whether a request should not be repeated, as it may crash the next server too. */
-  boolean isSuspected(RequestSignature signature) {
-    return evidence.isSuspected(signature);
+  boolean isSuspected(RequestSignature signature, long nowMicros) {
+    return evidence.isSuspected(signature, nowMicros);
   }
 
   /** Returns the number of quarantines in force. Thread-safe. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -936,7 +936,7 @@
   private boolean tryAcquireRetry(PendingRequest request, long nowMicros) {
     return request.hasRunsRemaining()
         && nowMicros < request.deadlineMicros()
-        && !quarantine.isSuspected(request.signature())
+        && !quarantine.isSuspected(request.signature(), nowMicros)
         && retries.tryRetry(request.service(), nowMicros);
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -25,15 +25,16 @@
  * Optional<Quarantine> refused = evidence.check(signature, nowMicros);
  * }</pre>
  *
- * <p>Invariants: each crash counts once against a key, and crashes at the same moment count as one,
- * since they have a common cause. At most {@link #MAXIMUM_SUSPICIONS} keys with crashes and {@link
- * #MAXIMUM_CLEARED} cleared keys are kept; the oldest are evicted first. Not thread-safe.
+ * <p>Invariants: each crash counts once against a key. Of crashes at the same moment, which may
+ * have a common cause, no more count than {@link KeyKind} says for the key. At most {@link
+ * #MAXIMUM_SUSPICIONS} keys with crashes and {@link #MAXIMUM_CLEARED} cleared keys are kept; the
+ * oldest are evicted first. Not thread-safe.
  */
 public final class CrashEvidence {
   /** Maximum number of keys with crashes. */
   static final int MAXIMUM_SUSPICIONS = 4_096;
 
-  /** Maximum number of cleared keys. */
+  /** Maximum number of cleared keys, and of contents whose answers were survived. */
   static final int MAXIMUM_CLEARED = 8_192;
 
   /** Crashes from which on requests with a key are not repeated by the system itself. */
@@ -48,12 +49,18 @@
    */
   private static final int CLEARED_QUARANTINE_CRASHES = 5;
 
-  /** Time within which crashes count as one, in microseconds. */
+  /** Time within which crashes may have a common cause, in microseconds. */
   private static final long COMMON_CAUSE_MICROS = 200_000;
 
-  /** Time for which a cleared key counts as having worked recently, in microseconds. */
+  /** Time for which a key that was survived counts as having worked recently, in microseconds. */
   private static final long CLEARED_VALID_MICROS = 60_000_000;
 
+  /**
+   * Time for which answers must have been observed before a content without one counts as not in
+   * use, in microseconds.
+   */
+  private static final long OBSERVATION_MICROS = 5_000_000;
+
   /** Crashes kept for a key; more do not change a decision. */
   private static final int MAXIMUM_CRASHES = 16;
 
@@ -68,8 +75,53 @@
   private final long quarantineMicros;
   private final Map<Long, Suspicion> suspicions = new LinkedHashMap<>();
   private final Map<Long, Long> clearedAtMicros = new LinkedHashMap<>();
+  private final Map<Long, Long> survivedContents = new LinkedHashMap<>();
   private final Map<String, Long> crashedAtMicros = new LinkedHashMap<>();
   private final Set<Long> undecided = new HashSet<>();
+  private Optional<Long> observedSinceMicros = Optional.empty();
+
+  /** What a key identifies; decides how many crashes of one moment count against it. */
+  private enum KeyKind {
+    /**
+     * A part of prompts: many requests have it, so it is at most servers that lose power at once.
+     */
+    PART {
+      @Override
+      int countedPerMoment(boolean mayBeInUse) {
+        return 1;
+      }
+
+      @Override
+      int requiredCrashes(boolean wasClearedRecently) {
+        return wasClearedRecently ? CLEARED_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
+      }
+    },
+    /**
+     * The whole content of a request: unless it is in use by many callers, several servers run it
+     * at once only because it is being repeated.
+     */
+    CONTENT {
+      @Override
+      int countedPerMoment(boolean mayBeInUse) {
+        return mayBeInUse ? QUARANTINE_CRASHES - 1 : Integer.MAX_VALUE;
+      }
+
+      @Override
+      int requiredCrashes(boolean wasClearedRecently) {
+        return QUARANTINE_CRASHES;
+      }
+    };
+
+    /**
+     * Returns how many crashes of one moment count.
+     *
+     * @param mayBeInUse whether requests with the key have been answered recently, or may have been
+     */
+    abstract int countedPerMoment(boolean mayBeInUse);
+
+    /** Returns how many crashes must count for a quarantine. */
+    abstract int requiredCrashes(boolean wasClearedRecently);
+  }
 
   /**
    * A key whose requests are refused.
@@ -86,7 +138,7 @@
    *
    * @param key the key
    * @param crashes number of known crashes
-   * @param counted number of those that count, as crashes with a common cause count as one
+   * @param counted number of those that count; crashes with a common cause may not
    * @param required number that must count before the key is quarantined
    * @param spanMicros time from the first known crash to the last, in microseconds
    * @param quarantine the quarantine that has begun for them, if any
@@ -110,6 +162,7 @@
 
   private static final class Suspicion {
     private final Map<String, Long> crashes = new LinkedHashMap<>();
+    private KeyKind kind = KeyKind.PART;
     private Optional<Quarantine> quarantine = Optional.empty();
     private boolean isOnProbation;
     private long nextTrialMicros;
@@ -131,14 +184,23 @@
       return crashes.isEmpty() ? 0 : times.getMax() - times.getMin();
     }
 
-    /** Returns the number of crashes, those at the same moment counted as one. */
-    private int independentCrashes() {
+    /**
+     * Returns the number of crashes that count.
+     *
+     * @param maximumPerMoment how many of the crashes at the same moment count
+     */
+    private int countedCrashes(int maximumPerMoment) {
       int count = 0;
-      long countedUntilMicros = Long.MIN_VALUE;
+      int countOfMoment = 0;
+      long momentEndMicros = Long.MIN_VALUE;
       for (long atMicros : crashes.values().stream().sorted().toList()) {
-        if (atMicros >= countedUntilMicros) {
+        if (atMicros >= momentEndMicros) {
+          countOfMoment = 0;
+          momentEndMicros = atMicros + COMMON_CAUSE_MICROS;
+        }
+        if (countOfMoment < maximumPerMoment) {
+          countOfMoment++;
           count++;
-          countedUntilMicros = atMicros + COMMON_CAUSE_MICROS;
         }
       }
       return count;
@@ -163,18 +225,23 @@
   public void onCrash(String crash, RequestSignature signature, long nowMicros) {
     long atMicros = crashedAtMicros.computeIfAbsent(crash, name -> nowMicros);
     BoundedMaps.removeEldest(crashedAtMicros, MAXIMUM_CRASH_TIMES);
-    for (long key : signature.keys()) {
-      Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
-      suspicion.crashes.putIfAbsent(crash, atMicros);
-      BoundedMaps.removeEldest(suspicion.crashes, MAXIMUM_CRASHES);
-      suspicion.expiresAtMicros = nowMicros + quarantineMicros;
-      undecided.add(key);
-    }
+    signature.parts().forEach(part -> count(crash, atMicros, part, KeyKind.PART, nowMicros));
+    count(crash, atMicros, signature.content(), KeyKind.CONTENT, nowMicros);
     BoundedMaps.removeEldest(suspicions, MAXIMUM_SUSPICIONS);
   }
 
+  private void count(String crash, long atMicros, long key, KeyKind kind, long nowMicros) {
+    Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
+    suspicion.kind = kind;
+    suspicion.crashes.putIfAbsent(crash, atMicros);
+    BoundedMaps.removeEldest(suspicion.crashes, MAXIMUM_CRASHES);
+    suspicion.expiresAtMicros = nowMicros + quarantineMicros;
+    undecided.add(key);
+  }
+
   /** Clears a request whose answer its server has survived. */
   public Cleared onSurvived(RequestSignature signature, long nowMicros) {
+    BoundedMaps.putNewest(survivedContents, signature.content(), nowMicros, MAXIMUM_CLEARED);
     signature.parts().forEach(part -> recordCleared(part, nowMicros));
     return removeSuspicions(signature.keys());
   }
@@ -215,14 +282,15 @@
   }
 
   /** Returns whether a request is so likely to crash its server that it should not be repeated. */
-  public boolean isSuspected(RequestSignature signature) {
-    return signature.keys().stream()
-        .map(suspicions::get)
-        .anyMatch(
-            suspicion ->
-                suspicion != null
-                    && (suspicion.quarantine.isPresent()
-                        || suspicion.independentCrashes() >= SUSPECTED_CRASHES));
+  public boolean isSuspected(RequestSignature signature, long nowMicros) {
+    return signature.keys().stream().anyMatch(key -> isSuspected(key, nowMicros));
+  }
+
+  private boolean isSuspected(long key, long nowMicros) {
+    Suspicion suspicion = suspicions.get(key);
+    return suspicion != null
+        && (suspicion.quarantine.isPresent()
+            || countedCrashes(key, suspicion, nowMicros) >= SUSPECTED_CRASHES);
   }
 
   /**
@@ -263,6 +331,9 @@
    * @return the assessments of all such keys that were not quarantined before
    */
   public List<Assessment> decide(long nowMicros) {
+    if (observedSinceMicros.isEmpty()) {
+      observedSinceMicros = Optional.of(nowMicros);
+    }
     List<Assessment> assessed = new ArrayList<>();
     for (long key : undecided) {
       Suspicion suspicion = suspicions.get(key);
@@ -275,7 +346,7 @@
   }
 
   private Assessment assess(long key, Suspicion suspicion, long nowMicros) {
-    int counted = suspicion.independentCrashes();
+    int counted = countedCrashes(key, suspicion, nowMicros);
     int required = requiredCrashes(key, suspicion, nowMicros);
     if (counted >= required && !isExplained(suspicion, suspicions.values())) {
       quarantine(key, suspicion, nowMicros + quarantineMicros, nowMicros);
@@ -336,9 +407,9 @@
     return suspicions.size();
   }
 
-  /** Returns the number of cleared keys that are kept. */
+  /** Returns the number of cleared parts or survived contents that are kept, whichever is more. */
   int clearedCount() {
-    return clearedAtMicros.size();
+    return Math.max(clearedAtMicros.size(), survivedContents.size());
   }
 
   private boolean isTrial(Suspicion suspicion, List<Long> keys, long nowMicros) {
@@ -359,12 +430,29 @@
     if (suspicion.isOnProbation) {
       return 1;
     }
-    return wasClearedRecently(key, nowMicros) ? CLEARED_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
+    return suspicion.kind.requiredCrashes(wasClearedRecently(key, nowMicros));
+  }
+
+  private int countedCrashes(long key, Suspicion suspicion, long nowMicros) {
+    return suspicion.countedCrashes(suspicion.kind.countedPerMoment(mayBeInUse(key, nowMicros)));
+  }
+
+  /** Returns whether requests with a content have been answered recently, or may have been. */
+  private boolean mayBeInUse(long content, long nowMicros) {
+    boolean hasObserved =
+        observedSinceMicros.filter(since -> nowMicros - since >= OBSERVATION_MICROS).isPresent();
+    return !hasObserved
+        || isRecent(survivedContents, content, nowMicros)
+        || wasClearedRecently(content, nowMicros);
   }
 
   private boolean wasClearedRecently(long key, long nowMicros) {
-    Long clearedAt = clearedAtMicros.get(key);
-    return clearedAt != null && nowMicros - clearedAt < CLEARED_VALID_MICROS;
+    return isRecent(clearedAtMicros, key, nowMicros);
+  }
+
+  private static boolean isRecent(Map<Long, Long> survivedAtMicros, long key, long nowMicros) {
+    Long survivedAt = survivedAtMicros.get(key);
+    return survivedAt != null && nowMicros - survivedAt < CLEARED_VALID_MICROS;
   }
 
   private static boolean isExplained(Suspicion suspicion, Collection<Suspicion> others) {
--- a/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.shallothook.coordination.quarantine.CrashEvidence.Quarantine;
 
@@ -54,6 +55,53 @@
     assertThat(decide()).isEmpty();
   }
 
+  /**
+   * Crashes at the same moment count separately against a content, unless it is in use or may be,
+   * as for a process that has just started.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "2, 60, false, false",
+    "3, 60, false, true",
+    "8, 60, true, false",
+    "8, 1, false, false",
+    "8, 5, false, true",
+  })
+  void crashesAtTheSameMomentCountAgainstAContentThatIsNotInUse(
+      int servers, long observedSeconds, boolean isInUse, boolean isQuarantined) {
+    RequestSignature call = request();
+    assertThat(decide()).isEmpty();
+    nowMicros += observedSeconds * SECOND;
+    if (isInUse) {
+      evidence.onSurvived(call, nowMicros);
+    }
+    for (int server = 0; server < servers; server++) {
+      evidence.onCrash("server-" + server, call, nowMicros);
+    }
+    assertThat(decide()).isEqualTo(isQuarantined ? List.of(call.content()) : List.of());
+  }
+
+  @Test
+  void aSecondMomentQuarantinesAContentThatWasInUse() {
+    RequestSignature call = request();
+    evidence.onSurvived(call, nowMicros);
+    for (int server = 0; server < 3; server++) {
+      evidence.onCrash("server-" + server, call, nowMicros);
+    }
+    assertThat(decide()).isEmpty();
+    assertThat(crash("later", call)).containsExactly(call.content());
+  }
+
+  @Test
+  void anAnswerBetweenTwoMomentsClearsAContent() {
+    RequestSignature call = request();
+    for (int moment = 0; moment < 6; moment++) {
+      evidence.onSurvived(call, nowMicros);
+      evidence.onCrash("first-" + moment, call, nowMicros);
+      assertThat(crash("second-" + moment, call)).isEmpty();
+    }
+  }
+
   @Test
   void aSurvivedAnswerClearsItsParts() {
     crash("1", request(PART));
@@ -118,7 +166,7 @@
     for (int crash = 1; crash <= crashes; crash++) {
       crash("crash-" + crash, request(PART));
     }
-    assertThat(evidence.isSuspected(request(PART))).isEqualTo(crashes >= 2);
+    assertThat(evidence.isSuspected(request(PART), nowMicros)).isEqualTo(crashes >= 2);
   }
 
   // Guards against evidence that grows with traffic whose parts never come twice.
