Relay unrecorded streams if all servers of the base version are leaving

Leaving ones take no resumed stream, but stay listed while the store is away: after a release no new stream would be served for the whole outage.

Change: only servers that are not leaving count.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
@@ -212,8 +212,8 @@
    * request has none or it must still wait.
    *
    * <p>A stream without a record goes on at the base version if another router resumes it. So the
-   * response of a stream of another version waits for as long as the caller does, unless no server
-   * of the base version is listed.
+   * response of a stream of another version waits for as long as the caller does, unless all listed
+   * servers of the base version are leaving.
    */
   Optional<ResponseHead> release(PendingRequest request, ServerDirectory servers, long nowMicros) {
     HeldResponse held = heldResponses.get(request.number());
@@ -245,7 +245,8 @@
         request.service(),
         server -> {
           Optional<String> version = server.entry().softwareVersion();
-          return !version.equals(begun) && (base.isEmpty() || version.equals(base));
+          boolean isOther = !version.equals(begun) && (base.isEmpty() || version.equals(base));
+          return isOther && !server.entry().isLeaving();
         },
         nowMicros);
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/OutOfStepRouterTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/OutOfStepRouterTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -127,6 +128,19 @@
     assertNoneChangedItsVersion(relayedLater, resumedLater);
   }
 
+  // Guards against an outage of the store in which no new stream is served, as none is recorded.
+  @Test
+  void streamsAreServedWhileTheStoreIsAwayAndTheOldServersLeave() {
+    fleet.advance(SECOND);
+    joinNewVersion();
+    fleet.advance(100 * MILLI);
+    OLD_SERVERS.forEach(fleet::leave);
+    fleet.setStoreUp(false);
+    List<Long> begun = begin(IN_STEP);
+    fleet.advance(SECOND);
+    assertThat(relayed(begun)).isEqualTo(begun);
+  }
+
   private void joinNewVersion() {
     fleet.list("new-1", Optional.of("v2"));
     fleet.list("new-2", Optional.of("v2"));
--- a/coordination/src/test/java/org/shallothook/coordination/forward/SoftwareFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/SoftwareFleet.java
@@ -182,6 +182,13 @@
                     new ForwardEvent.ServersRead(List.of(engine(server, version)), false)));
   }
 
+  /** Lets a server report that it is leaving; it serves on. */
+  void leave(String server) {
+    ServerEntry leaving = ForwardHarness.leaving(listed.get(server));
+    listed.put(server, leaving);
+    routers.forEach(router -> router.handle(new ForwardEvent.ServersRead(List.of(leaving), false)));
+  }
+
   void remove(String server) {
     listed.remove(server);
     routers.forEach(router -> router.handle(new ForwardEvent.ServerRemoved(server)));
