Count two crashes of a moment against a part that is not in use

What callers would see: requests with one deadly part come in bursts and bring down most servers each time (BUDGET).

Change: two crashes of a moment count against a part that is not in use. All would quarantine a sound part that came into use just before an outage; a test has that case, with a new part 0.25 s before an outage of all servers.

--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -56,8 +56,8 @@
   private static final long CLEARED_VALID_MICROS = 60_000_000;
 
   /**
-   * Time for which answers must have been observed before a content without one counts as not in
-   * use, in microseconds.
+   * Time for which answers must have been observed before a key without one counts as not in use,
+   * in microseconds.
    */
   private static final long OBSERVATION_MICROS = 5_000_000;
 
@@ -83,12 +83,13 @@
   /** What a key identifies; decides how many crashes of one moment count against it. */
   private enum KeyKind {
     /**
-     * A part of prompts: many requests have it, so it is at most servers that lose power at once.
+     * A part of prompts: if it is in use, most servers that lose power at once have it. One that is
+     * not may have come into use just now.
      */
     PART {
       @Override
       int countedPerMoment(boolean mayBeInUse) {
-        return 1;
+        return mayBeInUse ? 1 : QUARANTINE_CRASHES - 1;
       }
 
       @Override
@@ -437,13 +438,13 @@
     return suspicion.countedCrashes(suspicion.kind.countedPerMoment(mayBeInUse(key, nowMicros)));
   }
 
-  /** Returns whether requests with a content have been answered recently, or may have been. */
-  private boolean mayBeInUse(long content, long nowMicros) {
+  /** Returns whether requests with a key have been answered recently, or may have been. */
+  private boolean mayBeInUse(long key, long nowMicros) {
     boolean hasObserved =
         observedSinceMicros.filter(since -> nowMicros - since >= OBSERVATION_MICROS).isPresent();
     return !hasObserved
-        || isRecent(survivedContents, content, nowMicros)
-        || wasClearedRecently(content, nowMicros);
+        || isRecent(survivedContents, key, nowMicros)
+        || wasClearedRecently(key, nowMicros);
   }
 
   private boolean wasClearedRecently(long key, long nowMicros) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingPartTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingPartTest.java
@@ -138,4 +138,48 @@
     assertThat(fleet.arrivalsAfter(DEADLY, decidedAt)).isAtMost(ALLOWED_ARRIVALS);
     assertThat(fleet.wronglyRefused()).isEqualTo(0);
   }
+
+  // Guards against requests with a deadly part that come all at once, again and again, and whose
+  // crashes are taken for one outage each time.
+  @ParameterizedTest
+  @CsvSource({"1, 4", "2, 6", "3, 8", "4, 8", "5, 12", "6, 12", "7, 6", "8, 8"})
+  void burstsOfRequestsWithADeadlyPartStopReachingServers(long seed, int burst) {
+    CrashingFleet fleet = new CrashingFleet(4, 12, seed);
+    fleet.deadlyParts.add(DEADLY);
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    for (int time = 6; time < 40; time += 4) {
+      fleet.runUntil(start + time * SECOND);
+      for (int request = 0; request < burst; request++) {
+        fleet.submit("register-" + request, List.of(DEADLY));
+      }
+    }
+    fleet.runUntil(end);
+    fleet
+        .crashTimeBy(DEADLY, 5)
+        .ifPresent(
+            fifth ->
+                assertThat(fleet.arrivalsAfter(DEADLY, fifth + CONTACT_MICROS))
+                    .isAtMost(ALLOWED_ARRIVALS));
+    assertThat(fleet.wronglyRefused()).isEqualTo(0);
+  }
+
+  // Guards against a part that many callers have just begun to use being refused after an outage.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void anOutageJustAfterAPartCameIntoUseDoesNotQuarantineIt(long seed) {
+    CrashingFleet fleet = new CrashingFleet(4, 8, seed);
+    long start = fleet.now();
+    long end = start + 40 * SECOND;
+    fleet.submitSoundEvery(30 * MILLI, end);
+    for (int week = 1; week <= 6; week++) {
+      fleet.runUntil(start + 6L * week * SECOND);
+      fleet.submitEvery(10 * MILLI, fleet.now() + 4 * SECOND, List.of("week-" + week));
+      fleet.runUntil(fleet.now() + 250 * MILLI);
+      fleet.crashServers(1);
+    }
+    fleet.runUntil(end);
+    assertThat(fleet.wronglyRefused()).isEqualTo(0);
+  }
 }
