Check that a router back in step resumes streams of the version that joined

Callers of the first half leave before, as servers whose open streams stand still count as silent; with them a frozen router's streams were refused (no-upstream), which the simulation caused.

--- a/coordination/src/test/java/org/shallothook/coordination/forward/SoftwareFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/SoftwareFleet.java
@@ -235,6 +235,11 @@
     return submit(router, Optional.of("request-of-nobody"), Optional.of(3L));
   }
 
+  /** Lets the caller of a request leave; a server whose streams stand still counts as silent. */
+  void hangUp(int router, long request) {
+    routers.get(router).handle(new ForwardEvent.CallerGone(request));
+  }
+
   private long submit(int router, Optional<String> resumed, Optional<Long> lastEvent) {
     long number = nextRequest++;
     RequestHead head =
