Move suspicions into a class of their own, and log changed assessments only

Whenever a key was cleared all others were assessed again, and the new crash lines were written for each of them although nothing had changed.

Change: Suspicion and KeyKind are files of their own; an assessment is returned only if the crashes of its key have changed or it begins a quarantine. What is decided is unchanged.

--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -40,18 +39,6 @@
   /** Crashes from which on requests with a key are not repeated by the system itself. */
   private static final int SUSPECTED_CRASHES = 2;
 
-  /** Crashes after which a key is quarantined. */
-  private static final int QUARANTINE_CRASHES = 3;
-
-  /**
-   * Crashes after which a key is quarantined that was cleared recently: it has worked before, so
-   * more is needed to blame it.
-   */
-  private static final int CLEARED_QUARANTINE_CRASHES = 5;
-
-  /** Time within which crashes may have a common cause, in microseconds. */
-  private static final long COMMON_CAUSE_MICROS = 200_000;
-
   /** Time for which a key that was survived counts as having worked recently, in microseconds. */
   private static final long CLEARED_VALID_MICROS = 60_000_000;
 
@@ -61,17 +48,9 @@
    */
   private static final long OBSERVATION_MICROS = 5_000_000;
 
-  /** Crashes kept for a key; more do not change a decision. */
-  private static final int MAXIMUM_CRASHES = 16;
-
   /** Number of latest crashes whose times are kept. */
   private static final int MAXIMUM_CRASH_TIMES = 512;
 
-  /**
-   * Time between two trials of a key that another quarantined key may account for, in microseconds.
-   */
-  private static final long TRIAL_INTERVAL_MICROS = 1_000_000;
-
   private final long quarantineMicros;
   private final Map<Long, Suspicion> suspicions = new LinkedHashMap<>();
   private final Map<Long, Long> clearedAtMicros = new LinkedHashMap<>();
@@ -80,50 +59,6 @@
   private final Set<Long> undecided = new HashSet<>();
   private Optional<Long> observedSinceMicros = Optional.empty();
 
-  /** What a key identifies; decides how many crashes of one moment count against it. */
-  private enum KeyKind {
-    /**
-     * A part of prompts: if it is in use, most servers that lose power at once have it. One that is
-     * not may have come into use just now.
-     */
-    PART {
-      @Override
-      int countedPerMoment(boolean mayBeInUse) {
-        return mayBeInUse ? 1 : QUARANTINE_CRASHES - 1;
-      }
-
-      @Override
-      int requiredCrashes(boolean wasClearedRecently) {
-        return wasClearedRecently ? CLEARED_QUARANTINE_CRASHES : QUARANTINE_CRASHES;
-      }
-    },
-    /**
-     * The whole content of a request: unless it is in use by many callers, several servers run it
-     * at once only because it is being repeated.
-     */
-    CONTENT {
-      @Override
-      int countedPerMoment(boolean mayBeInUse) {
-        return mayBeInUse ? QUARANTINE_CRASHES - 1 : Integer.MAX_VALUE;
-      }
-
-      @Override
-      int requiredCrashes(boolean wasClearedRecently) {
-        return QUARANTINE_CRASHES;
-      }
-    };
-
-    /**
-     * Returns how many crashes of one moment count.
-     *
-     * @param mayBeInUse whether requests with the key have been answered recently, or may have been
-     */
-    abstract int countedPerMoment(boolean mayBeInUse);
-
-    /** Returns how many crashes must count for a quarantine. */
-    abstract int requiredCrashes(boolean wasClearedRecently);
-  }
-
   /**
    * A key whose requests are refused.
    *
@@ -161,53 +96,6 @@
    */
   public record Cleared(List<Long> suspected, List<Long> repeated, List<Long> quarantined) {}
 
-  private static final class Suspicion {
-    private final Map<String, Long> crashes = new LinkedHashMap<>();
-    private KeyKind kind = KeyKind.PART;
-    private Optional<Quarantine> quarantine = Optional.empty();
-    private boolean isOnProbation;
-    private long nextTrialMicros;
-    private long expiresAtMicros;
-
-    private Set<String> crashNames() {
-      return crashes.keySet();
-    }
-
-    /** Returns whether all crashes of another suspicion count against this one as well. */
-    private boolean covers(Suspicion other) {
-      return crashNames().containsAll(other.crashNames());
-    }
-
-    /** Returns the time from the first known crash to the last, in microseconds. */
-    private long spanMicros() {
-      LongSummaryStatistics times =
-          crashes.values().stream().mapToLong(Long::longValue).summaryStatistics();
-      return crashes.isEmpty() ? 0 : times.getMax() - times.getMin();
-    }
-
-    /**
-     * Returns the number of crashes that count.
-     *
-     * @param maximumPerMoment how many of the crashes at the same moment count
-     */
-    private int countedCrashes(int maximumPerMoment) {
-      int count = 0;
-      int countOfMoment = 0;
-      long momentEndMicros = Long.MIN_VALUE;
-      for (long atMicros : crashes.values().stream().sorted().toList()) {
-        if (atMicros >= momentEndMicros) {
-          countOfMoment = 0;
-          momentEndMicros = atMicros + COMMON_CAUSE_MICROS;
-        }
-        if (countOfMoment < maximumPerMoment) {
-          countOfMoment++;
-          count++;
-        }
-      }
-      return count;
-    }
-  }
-
   /**
    * Creates an empty collection of evidence.
    *
@@ -232,11 +120,9 @@
   }
 
   private void count(String crash, long atMicros, long key, KeyKind kind, long nowMicros) {
-    Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
-    suspicion.kind = kind;
-    suspicion.crashes.putIfAbsent(crash, atMicros);
-    BoundedMaps.removeEldest(suspicion.crashes, MAXIMUM_CRASHES);
-    suspicion.expiresAtMicros = nowMicros + quarantineMicros;
+    suspicions
+        .computeIfAbsent(key, added -> new Suspicion())
+        .onCrash(crash, atMicros, kind, nowMicros + quarantineMicros);
     undecided.add(key);
   }
 
@@ -264,10 +150,10 @@
       return false;
     }
     Suspicion suspicion = suspicions.computeIfAbsent(key, added -> new Suspicion());
-    if (suspicion.quarantine.isPresent()) {
+    if (suspicion.isQuarantined()) {
       return false;
     }
-    quarantine(key, suspicion, Math.min(untilMicros, nowMicros + quarantineMicros), nowMicros);
+    suspicion.startQuarantine(key, Math.min(untilMicros, nowMicros + quarantineMicros), nowMicros);
     BoundedMaps.removeEldest(suspicions, MAXIMUM_SUSPICIONS);
     return true;
   }
@@ -290,8 +176,8 @@
   private boolean isSuspected(long key, long nowMicros) {
     Suspicion suspicion = suspicions.get(key);
     return suspicion != null
-        && (suspicion.quarantine.isPresent()
-            || countedCrashes(key, suspicion, nowMicros) >= SUSPECTED_CRASHES);
+        && (suspicion.isQuarantined()
+            || suspicion.countedCrashes(mayBeInUse(key, nowMicros)) >= SUSPECTED_CRASHES);
   }
 
   /**
@@ -305,11 +191,9 @@
     for (long key : keys) {
       Suspicion suspicion = suspicions.get(key);
       boolean isRefused =
-          suspicion != null
-              && suspicion.quarantine.isPresent()
-              && !isTrial(suspicion, keys, nowMicros);
+          suspicion != null && suspicion.isQuarantined() && !isTrial(suspicion, keys, nowMicros);
       if (isRefused) {
-        return suspicion.quarantine;
+        return suspicion.quarantine();
       }
     }
     return Optional.empty();
@@ -320,16 +204,16 @@
     return signature.keys().stream()
         .map(suspicions::get)
         .filter(suspicion -> suspicion != null)
-        .flatMap(suspicion -> suspicion.quarantine.stream())
+        .flatMap(suspicion -> suspicion.quarantine().stream())
         .filter(quarantine -> quarantine.sinceMicros() > arrivedMicros)
         .findFirst();
   }
 
   /**
-   * Assesses the keys with crashes since the last call, and quarantines those on which these
-   * decide.
+   * Quarantines the keys on which the known crashes decide.
    *
-   * @return the assessments of all such keys that were not quarantined before
+   * @return the assessments of keys that were not quarantined before and whose crashes have changed
+   *     since the last call, or that are quarantined now
    */
   public List<Assessment> decide(long nowMicros) {
     if (observedSinceMicros.isEmpty()) {
@@ -338,8 +222,11 @@
     List<Assessment> assessed = new ArrayList<>();
     for (long key : undecided) {
       Suspicion suspicion = suspicions.get(key);
-      if (suspicion != null && suspicion.quarantine.isEmpty()) {
-        assessed.add(assess(key, suspicion, nowMicros));
+      if (suspicion != null && !suspicion.isQuarantined()) {
+        Assessment assessment = assess(key, suspicion, nowMicros);
+        if (suspicion.hasNewCrashes() || suspicion.isQuarantined()) {
+          assessed.add(assessment);
+        }
       }
     }
     undecided.clear();
@@ -347,28 +234,28 @@
   }
 
   private Assessment assess(long key, Suspicion suspicion, long nowMicros) {
-    int counted = countedCrashes(key, suspicion, nowMicros);
-    int required = requiredCrashes(key, suspicion, nowMicros);
+    int counted = suspicion.countedCrashes(mayBeInUse(key, nowMicros));
+    int required = suspicion.requiredCrashes(wasClearedRecently(key, nowMicros));
     if (counted >= required && !isExplained(suspicion, suspicions.values())) {
-      quarantine(key, suspicion, nowMicros + quarantineMicros, nowMicros);
+      suspicion.startQuarantine(key, nowMicros + quarantineMicros, nowMicros);
     }
     return new Assessment(
         key,
-        suspicion.crashes.size(),
+        suspicion.crashCount(),
         counted,
         required,
         suspicion.spanMicros(),
-        suspicion.quarantine);
+        suspicion.quarantine());
   }
 
   /** Lifts the quarantines of keys whose crashes another quarantined key explains. */
   public Cleared liftExplained(long nowMicros) {
     List<Suspicion> quarantined =
-        suspicions.values().stream().filter(one -> one.quarantine.isPresent()).toList();
+        suspicions.values().stream().filter(Suspicion::isQuarantined).toList();
     List<Long> explained =
         quarantined.stream()
-            .filter(one -> !one.crashes.isEmpty() && isExplained(one, quarantined))
-            .map(one -> one.quarantine.orElseThrow().key())
+            .filter(one -> one.crashCount() > 0 && isExplained(one, quarantined))
+            .map(one -> one.quarantine().orElseThrow().key())
             .toList();
     return onCleared(explained, nowMicros);
   }
@@ -376,7 +263,7 @@
   /** Returns all quarantines in force. */
   public List<Quarantine> quarantines() {
     return suspicions.values().stream()
-        .flatMap(suspicion -> suspicion.quarantine.stream())
+        .flatMap(suspicion -> suspicion.quarantine().stream())
         .toList();
   }
 
@@ -387,17 +274,13 @@
    * @return keys whose quarantine has ended
    */
   public List<Long> removeExpired(long nowMicros) {
-    suspicions
-        .values()
-        .removeIf(one -> one.quarantine.isEmpty() && nowMicros >= one.expiresAtMicros);
+    suspicions.values().removeIf(suspicion -> suspicion.isExpired(nowMicros));
     List<Long> ended = new ArrayList<>();
     for (Suspicion suspicion : suspicions.values()) {
-      if (suspicion.quarantine.filter(one -> nowMicros >= one.untilMicros()).isPresent()) {
-        ended.add(suspicion.quarantine.get().key());
-        suspicion.quarantine = Optional.empty();
-        suspicion.crashes.clear();
-        suspicion.isOnProbation = true;
-        suspicion.expiresAtMicros = nowMicros + quarantineMicros;
+      Optional<Quarantine> quarantine = suspicion.quarantine();
+      if (quarantine.filter(one -> nowMicros >= one.untilMicros()).isPresent()) {
+        ended.add(quarantine.get().key());
+        suspicion.endQuarantine(nowMicros + quarantineMicros);
       }
     }
     return ended;
@@ -415,27 +298,12 @@
 
   private boolean isTrial(Suspicion suspicion, List<Long> keys, long nowMicros) {
     boolean hasOtherCause =
-        !suspicion.crashes.isEmpty()
+        suspicion.crashCount() > 0
             && suspicions.values().stream()
-                .filter(other -> other.quarantine.isPresent())
-                .filter(other -> !keys.contains(other.quarantine.get().key()))
+                .filter(Suspicion::isQuarantined)
+                .filter(other -> !keys.contains(other.quarantine().orElseThrow().key()))
                 .anyMatch(other -> other.covers(suspicion));
-    if (!hasOtherCause || nowMicros < suspicion.nextTrialMicros) {
-      return false;
-    }
-    suspicion.nextTrialMicros = nowMicros + TRIAL_INTERVAL_MICROS;
-    return true;
-  }
-
-  private int requiredCrashes(long key, Suspicion suspicion, long nowMicros) {
-    if (suspicion.isOnProbation) {
-      return 1;
-    }
-    return suspicion.kind.requiredCrashes(wasClearedRecently(key, nowMicros));
-  }
-
-  private int countedCrashes(long key, Suspicion suspicion, long nowMicros) {
-    return suspicion.countedCrashes(suspicion.kind.countedPerMoment(mayBeInUse(key, nowMicros)));
+    return hasOtherCause && suspicion.tryTrial(nowMicros);
   }
 
   /** Returns whether requests with a key have been answered recently, or may have been. */
@@ -457,14 +325,7 @@
   }
 
   private static boolean isExplained(Suspicion suspicion, Collection<Suspicion> others) {
-    return others.stream()
-        .anyMatch(
-            other -> other.crashes.size() > suspicion.crashes.size() && other.covers(suspicion));
-  }
-
-  private static void quarantine(long key, Suspicion suspicion, long untilMicros, long nowMicros) {
-    suspicion.quarantine =
-        Optional.of(new Quarantine(key, nowMicros, untilMicros, suspicion.crashes.size()));
+    return others.stream().anyMatch(other -> other.explains(suspicion));
   }
 
   private void recordCleared(long key, long nowMicros) {
@@ -479,10 +340,10 @@
       Suspicion removed = suspicions.remove(key);
       if (removed != null) {
         suspected.add(key);
-        if (removed.crashes.size() > 1) {
+        if (removed.crashCount() > 1) {
           repeated.add(key);
         }
-        removed.quarantine.ifPresent(quarantine -> quarantined.add(key));
+        removed.quarantine().ifPresent(quarantine -> quarantined.add(key));
       }
     }
     if (!suspected.isEmpty()) {
