--- a/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
@@ -92,6 +92,29 @@
     assertThat(crash("later", call)).containsExactly(call.content());
   }
 
+  @Test
+  void twoCrashesOfAMomentCountAgainstAPartThatIsNotInUse() {
+    assertThat(decide()).isEmpty();
+    nowMicros += 60 * SECOND;
+    for (int server = 0; server < 8; server++) {
+      evidence.onCrash("server-" + server, request(PART), nowMicros);
+    }
+    assertThat(decide()).isEmpty();
+    assertThat(crash("later", request(PART))).containsExactly(PART);
+  }
+
+  // Guards against a line in the log for every key whenever any other key is cleared.
+  @Test
+  void aKeyIsAssessedAgainOnlyAfterAnotherCrash() {
+    evidence.onCrash("1", request(PART), nowMicros);
+    evidence.onCrash("1", request(OTHER_PART), nowMicros);
+    assertThat(evidence.decide(nowMicros)).hasSize(4);
+    evidence.onSurvived(request(OTHER_PART), nowMicros);
+    assertThat(evidence.decide(nowMicros)).isEmpty();
+    evidence.onCrash("2", request(PART), nowMicros);
+    assertThat(evidence.decide(nowMicros)).hasSize(2);
+  }
+
   @Test
   void anAnswerBetweenTwoMomentsClearsAContent() {
     RequestSignature call = request();
