--- a/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
@@ -42,7 +42,8 @@
   /**
    * The head of a response that waits until its stream is recorded.
    *
-   * @param isOverdue whether the record is known to have taken longer than the wait
+   * @param untilMicros when the record is overdue, in microseconds
+   * @param isOverdue whether it has been logged that the record is overdue
    */
   record HeldResponse(int attempt, ResponseHead head, long untilMicros, boolean isOverdue) {
     HeldResponse overdue() {
@@ -221,22 +222,29 @@
       return Optional.empty();
     }
     boolean isPresent = request.isAtServer() && held.attempt() == request.attempt();
-    if (isPresent && directory.isPending(request.head().id())) {
-      boolean mustWait =
-          nowMicros < held.untilMicros() || isMistakable(request, servers, nowMicros);
-      if (nowMicros >= held.untilMicros() && !held.isOverdue()) {
-        options.counters().increment("streams.origin-overdue");
-        journal.originOverdue(request, directory.begunVersion(request.head().id()), mustWait);
-        heldResponses.put(request.number(), held.overdue());
-      }
-      if (mustWait) {
-        return Optional.empty();
-      }
+    boolean isPending = directory.isPending(request.head().id());
+    if (isPresent && isPending && mustWait(request, held, servers, nowMicros)) {
+      return Optional.empty();
     }
     heldResponses.remove(request.number());
     return isPresent ? Optional.of(held.head()) : Optional.empty();
   }
 
+  /** Returns whether the response of an unrecorded stream must wait; logs when it is overdue. */
+  private boolean mustWait(
+      PendingRequest request, HeldResponse held, ServerDirectory servers, long nowMicros) {
+    if (nowMicros < held.untilMicros()) {
+      return true;
+    }
+    boolean isMistakable = isMistakable(request, servers, nowMicros);
+    if (!held.isOverdue()) {
+      options.counters().increment("streams.origin-overdue");
+      journal.originOverdue(request, directory.begunVersion(request.head().id()), isMistakable);
+      heldResponses.put(request.number(), held.overdue());
+    }
+    return isMistakable;
+  }
+
   /** Returns whether other routers may take an unrecorded stream for one of another version. */
   private boolean isMistakable(PendingRequest request, ServerDirectory servers, long nowMicros) {
     Optional<String> begun = directory.begunVersion(request.head().id());
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -224,7 +224,7 @@
       Suspicion suspicion = suspicions.get(key);
       if (suspicion != null && !suspicion.isQuarantined()) {
         Assessment assessment = assess(key, suspicion, nowMicros);
-        if (suspicion.hasNewCrashes() || suspicion.isQuarantined()) {
+        if (suspicion.markAssessed() || suspicion.isQuarantined()) {
           assessed.add(assessment);
         }
       }
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/Suspicion.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/Suspicion.java
@@ -26,7 +26,10 @@
   private static final long TRIAL_INTERVAL_MICROS = 1_000_000;
 
   private final Map<String, Long> crashes = new LinkedHashMap<>();
+
+  /** Not used before the first crash: a quarantine of another process does not name it. */
   private KeyKind kind = KeyKind.PART;
+
   private Optional<Quarantine> quarantine = Optional.empty();
   private boolean isOnProbation;
   private int assessedCrashes;
@@ -86,11 +89,14 @@
     return isOnProbation ? 1 : kind.requiredCrashes(wasClearedRecently);
   }
 
-  /** Returns whether the known crashes have changed since the last call. */
-  boolean hasNewCrashes() {
-    boolean hasNew = crashes.size() != assessedCrashes;
+  /**
+   * Notes that the known crashes are assessed; returns whether they have changed since the last
+   * time.
+   */
+  boolean markAssessed() {
+    boolean hasChanged = crashes.size() != assessedCrashes;
     assessedCrashes = crashes.size();
-    return hasNew;
+    return hasChanged;
   }
 
   Optional<Quarantine> quarantine() {
