--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -139,15 +139,10 @@
 
   /** Sends requests that carry further parts at a mean rate until a time. */
   void submitEvery(long intervalMicros, long untilMicros, List<String> furtherParts) {
-    long delayMicros = intervalMicros / 2 + random.nextLong(intervalMicros);
-    after(
-        delayMicros,
-        () -> {
-          if (time.now() < untilMicros) {
-            submit("register-" + random.nextInt(REGISTERS), furtherParts);
-            submitEvery(intervalMicros, untilMicros, furtherParts);
-          }
-        });
+    repeatEvery(
+        intervalMicros,
+        untilMicros,
+        () -> submit("register-" + random.nextInt(REGISTERS), furtherParts));
   }
 
   /** Sends one request with a register and further parts to a random router. */
@@ -171,26 +166,26 @@
 
   /** Sends calls with a content at a mean rate until a time, each to a random router. */
   void submitCallsEvery(long intervalMicros, long untilMicros, String content) {
-    long delayMicros = intervalMicros / 2 + random.nextLong(intervalMicros);
-    after(
-        delayMicros,
-        () -> {
-          if (time.now() < untilMicros) {
-            submitCall(random.nextInt(routers.size()), content);
-            submitCallsEvery(intervalMicros, untilMicros, content);
-          }
-        });
+    repeatEvery(
+        intervalMicros, untilMicros, () -> submitCall(random.nextInt(routers.size()), content));
   }
 
   /** Sends calls of which no two are alike at a mean rate until a time. */
   void submitDistinctCallsEvery(long intervalMicros, long untilMicros) {
+    repeatEvery(
+        intervalMicros,
+        untilMicros,
+        () -> submitCall(random.nextInt(routers.size()), "call-" + nextRequest));
+  }
+
+  private void repeatEvery(long intervalMicros, long untilMicros, Runnable submission) {
     long delayMicros = intervalMicros / 2 + random.nextLong(intervalMicros);
     after(
         delayMicros,
         () -> {
           if (time.now() < untilMicros) {
-            submitCall(random.nextInt(routers.size()), "call-" + nextRequest);
-            submitDistinctCallsEvery(intervalMicros, untilMicros);
+            submission.run();
+            repeatEvery(intervalMicros, untilMicros, submission);
           }
         });
   }
