--- a/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ResumableStreams.java
@@ -17,9 +17,10 @@
 /**
  * Lets callers resume streams at the software version that began them, at any router.
  *
- * <p>Streams that others cannot know of are recorded in the store; their responses wait for that
- * for a bounded time. The store is read when a stream is to be resumed, once for all requests that
- * wait for it.
+ * <p>Streams that others cannot know of are recorded in the store. Their responses wait for that:
+ * for a bounded time, or for as long as another router could take the stream for one of another
+ * version. The store is read when a stream is to be resumed, once for all requests that wait for
+ * it.
  *
  * <p>Invariant: at most one read is asked for at a time. Not thread-safe.
  */
--- a/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
+++ b/coordination/src/main/java/org/shallothook/coordination/quarantine/CrashEvidence.java
@@ -54,7 +54,10 @@
   private final long quarantineMicros;
   private final Map<Long, Suspicion> suspicions = new LinkedHashMap<>();
   private final Map<Long, Long> clearedAtMicros = new LinkedHashMap<>();
-  private final Map<Long, Long> survivedContents = new LinkedHashMap<>();
+
+  /** Kept apart from cleared keys, which are not quarantined when another process asks for it. */
+  private final Map<Long, Long> contentSurvivedAtMicros = new LinkedHashMap<>();
+
   private final Map<String, Long> crashedAtMicros = new LinkedHashMap<>();
   private final Set<Long> undecided = new HashSet<>();
   private Optional<Long> observedSinceMicros = Optional.empty();
@@ -128,7 +131,7 @@
 
   /** Clears a request whose answer its server has survived. */
   public Cleared onSurvived(RequestSignature signature, long nowMicros) {
-    BoundedMaps.putNewest(survivedContents, signature.content(), nowMicros, MAXIMUM_CLEARED);
+    BoundedMaps.putNewest(contentSurvivedAtMicros, signature.content(), nowMicros, MAXIMUM_CLEARED);
     signature.parts().forEach(part -> recordCleared(part, nowMicros));
     return removeSuspicions(signature.keys());
   }
@@ -291,9 +294,14 @@
     return suspicions.size();
   }
 
-  /** Returns the number of cleared parts or survived contents that are kept, whichever is more. */
+  /** Returns the number of cleared keys that are kept. */
   int clearedCount() {
-    return Math.max(clearedAtMicros.size(), survivedContents.size());
+    return clearedAtMicros.size();
+  }
+
+  /** Returns the number of contents that are kept as survived. */
+  int survivedContentCount() {
+    return contentSurvivedAtMicros.size();
   }
 
   private boolean isTrial(Suspicion suspicion, List<Long> keys, long nowMicros) {
@@ -311,7 +319,7 @@
     boolean hasObserved =
         observedSinceMicros.filter(since -> nowMicros - since >= OBSERVATION_MICROS).isPresent();
     return !hasObserved
-        || isRecent(survivedContents, key, nowMicros)
+        || isRecent(contentSurvivedAtMicros, key, nowMicros)
         || wasClearedRecently(key, nowMicros);
   }
 
--- a/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/quarantine/CrashEvidenceTest.java
@@ -202,5 +202,6 @@
     }
     assertThat(evidence.suspicionCount()).isAtMost(CrashEvidence.MAXIMUM_SUSPICIONS);
     assertThat(evidence.clearedCount()).isAtMost(CrashEvidence.MAXIMUM_CLEARED);
+    assertThat(evidence.survivedContentCount()).isAtMost(CrashEvidence.MAXIMUM_CLEARED);
   }
 }
