Show that large bodies of callers hang a router

Rule: CONFIG, requests unanswered at their route's timeout_ms have an answer half a second later.

Order of events: within 3 s, 30 callers begin to send bodies of 4 MB, which the configuration allows. The bodies that are received or held exceed the direct memory of the process (64 MB). The next allocation blocks its thread for half a second and fails. That thread is the event loop of callers, servers, store, peers and readiness, so the process answers nobody any more.

Code: InboundConnection.receiveContent bounds each body, nothing bounds their sum.

--- /dev/null
+++ b/review/standins/ModelServer.java
@@ -0,0 +1,185 @@
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stand-in for a model server that generates a fixed number of events for each request. */
+final class ModelServer {
+  static final int EVENTS = 13;
+  private static final long EVENT_MILLIS = 50;
+  private static final int SLOTS = 64;
+
+  final String id;
+  private final Rig rig;
+  private final String zone;
+  private final ServerSocket listening;
+  private final long born = System.currentTimeMillis();
+  private final AtomicInteger active = new AtomicInteger();
+  private volatile long version = 1;
+  private volatile long orders;
+  private volatile boolean isBusy;
+  private volatile String preempted = "";
+  private volatile long pauseMillis;
+  private volatile int pauseAfter;
+  private long beats;
+
+  ModelServer(Rig rig, String id, String zone) throws IOException {
+    this.rig = rig;
+    this.id = id;
+    this.zone = zone;
+    this.listening = Wire.listen();
+    rig.thread("server", () -> Wire.accept(listening, rig, this::serve));
+    rig.thread(
+        "heartbeat",
+        () -> {
+          while (true) {
+            beat();
+            Rig.sleep(1_200);
+          }
+        });
+  }
+
+  String address() {
+    return Wire.address(listening);
+  }
+
+  /**
+   * Preempts the run of a request once, after so many events, and reads it in again later: memory
+   * has run out, and the request is the newest of the least urgent ones.
+   */
+  void preempt(String request, int afterEvents, long millis) {
+    preempted = request;
+    pauseAfter = afterEvents;
+    pauseMillis = millis;
+  }
+
+  private synchronized void beat() {
+    beats++;
+    rig.store.put(
+        "keyed.servers",
+        id,
+        "{\"service\":\"llm\",\"address\":\""
+            + address()
+            + "\",\"zone\":\""
+            + zone
+            + "\",\"version\":\"v1\",\"slots\":"
+            + SLOTS
+            + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":"
+            + beats
+            + ",\"born\":"
+            + born
+            + ",\"stage\":\"colocated\",\"models\":"
+            + models()
+            + "}");
+  }
+
+  private String models() {
+    return "[{\"name\":\"" + Rig.MODEL + "\",\"version\":" + version + ",\"adapters\":[]}]";
+  }
+
+  private void serve(Socket socket) throws IOException {
+    Wire wire = new Wire(socket);
+    Wire.Message call = wire.read();
+    boolean isOpen = true;
+    while (call != null && isOpen) {
+      if (call.path().equals("/v1/report")) {
+        report(wire);
+      } else if (call.path().equals("/v1/order")) {
+        order(wire, call);
+      } else {
+        isOpen = run(wire, call);
+      }
+      call = isOpen ? wire.read() : null;
+    }
+  }
+
+  private void report(Wire wire) throws IOException {
+    String report =
+        "{\"stage\":\"colocated\",\"models\":"
+            + models()
+            + ",\"busy\":"
+            + isBusy
+            + ",\"sequence\":"
+            + orders
+            + ",\"queued_requests\":0,\"active_requests\":"
+            + active.get()
+            + ",\"kv_cache_used\":41000,\"kv_cache_total\":103239,\"handles\":0,\"born\":"
+            + born
+            + "}";
+    wire.respond(200, "application/json", report.getBytes());
+  }
+
+  private void order(Wire wire, Wire.Message call) throws IOException {
+    String body = new String(call.body);
+    rig.log(id + ": order " + body);
+    long wanted = Long.parseLong(body.replaceAll(".*\"version\":(\\d+).*", "$1"));
+    if (isBusy) {
+      wire.respond(409, "application/json", "{}".getBytes());
+    } else if (wanted <= version) {
+      wire.respond(200, "application/json", "{}".getBytes());
+    } else {
+      orders++;
+      isBusy = true;
+      wire.respond(202, "application/json", "{}".getBytes());
+      Rig.sleep(600);
+      version = wanted;
+      isBusy = false;
+      beat();
+    }
+  }
+
+  /** Runs a request; returns false when the connection has ended. */
+  private boolean run(Wire wire, Wire.Message call) throws IOException {
+    String request = call.header("X-Shallothook-Request-Id");
+    String expected = call.header("X-Shallothook-Expected-Version");
+    boolean isOther =
+        !call.header("X-Shallothook-Expected-Instance").equals(id)
+            || (!expected.isEmpty() && !expected.equals(Long.toString(version)));
+    if (isOther) {
+      wire.respond(
+          421,
+          "text/plain",
+          new byte[0],
+          "X-Shallothook-Request-Id: " + request,
+          "X-Shallothook-Instance-Id: " + id,
+          "X-Shallothook-Not-Executed: 1");
+      return true;
+    }
+    String last = call.header("Last-Event-Id");
+    int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+    rig.log(id + ": runs " + request + " from event " + first);
+    active.incrementAndGet();
+    try {
+      wire.write(
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+              + "Keep-Alive: timeout=20\r\nX-Shallothook-Request-Id: "
+              + request
+              + "\r\nX-Shallothook-Response-Signature: "
+              + request
+              + "."
+              + id
+              + "\r\nX-Shallothook-Weight-Versions: "
+              + version
+              + "\r\n\r\n");
+      int made = 0;
+      for (int event = first; event <= EVENTS; event++) {
+        boolean isPreempted = request.equals(preempted) && made == pauseAfter;
+        long waitMillis = isPreempted ? pauseMillis : EVENT_MILLIS;
+        if (isPreempted) {
+          rig.log(id + ": preempts " + request + " for " + waitMillis + " ms");
+        }
+        if (!wire.waitWhileOpen(waitMillis)) {
+          rig.log(id + ": the system closed the channel of " + request + " before event " + event);
+          return false;
+        }
+        wire.writeChunk("id: " + event + "\ndata: " + request + "-" + event + "\n\n");
+        made++;
+      }
+      wire.write("0\r\n\r\n");
+      rig.log(id + ": has completed " + request);
+      return true;
+    } finally {
+      active.decrementAndGet();
+    }
+  }
+}
