Show that an isolated team's cached parts stay shared after it is isolated

Rule: WALL, no request uses KV cache of another team if one of the two is isolated.

Order of events: requests of a team that is not isolated make cached parts; a configuration isolates the team and is applied by both routers; requests of another team, sent 4 s later and more, run on those parts.

Code: ForwardCore.scopeOf; the salt of the other teams stays the same when a team is isolated.

--- a/review/standins/ModelServer.java
+++ b/review/standins/ModelServer.java
@@ -1,6 +1,8 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in for a model server that generates a fixed number of events for each request. */
@@ -9,7 +11,17 @@
   private static final long EVENT_MILLIS = 50;
   private static final int SLOTS = 64;
 
+  /** A cached part and the request that made it. */
+  private record Part(String tenant, String request) {}
+
+  private static final Map<String, ModelServer> BY_ADDRESS = new ConcurrentHashMap<>();
+
   final String id;
+
+  /** Uses of parts that a request of another tenant has made, while one of them is isolated. */
+  final AtomicInteger foreignUses = new AtomicInteger();
+
+  private final Map<String, Part> cache = new ConcurrentHashMap<>();
   private final Rig rig;
   private final String zone;
   private final ServerSocket listening;
@@ -28,6 +40,7 @@
     this.id = id;
     this.zone = zone;
     this.listening = Wire.listen();
+    BY_ADDRESS.put(address(), this);
     rig.thread("server", () -> Wire.accept(listening, rig, this::serve));
     rig.thread(
         "heartbeat",
@@ -128,6 +141,42 @@
     }
   }
 
+  /** Reads a prompt: takes the leading parts that are cached under its salt, and caches the rest. */
+  private void prefill(Wire.Message call, String request) {
+    String salt = call.header("X-Shallothook-Cache-Salt");
+    String tenant = call.header("X-Shallothook-Tenant-Name");
+    ModelServer source = BY_ADDRESS.get(call.header("X-Shallothook-Kv-Fetch-From"));
+    boolean isLeading = true;
+    for (String entry : call.header("X-Shallothook-Prompt-Prefix").split(",")) {
+      String key = salt + "|" + call.header("X-Shallothook-Model") + "|" + entry.split(":")[0];
+      Part cached = cache.get(key);
+      if (cached == null && source != null) {
+        cached = source.cache.get(key);
+      }
+      if (isLeading && cached != null) {
+        cache.put(key, cached);
+        boolean isOther = !cached.tenant().equals(tenant);
+        boolean isForeign = isOther && rig.isIsolated;
+        rig.log(
+            id
+                + ": "
+                + request
+                + " of "
+                + tenant
+                + " uses part "
+                + key
+                + " made by "
+                + cached.request()
+                + " of "
+                + cached.tenant());
+        foreignUses.addAndGet(isForeign ? 1 : 0);
+      } else {
+        isLeading = false;
+        cache.put(key, new Part(tenant, request));
+      }
+    }
+  }
+
   /** Runs a request; returns false when the connection has ended. */
   private boolean run(Wire wire, Wire.Message call) throws IOException {
     String request = call.header("X-Shallothook-Request-Id");
@@ -148,6 +197,7 @@
     String last = call.header("Last-Event-Id");
     int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
     rig.log(id + ": runs " + request + " from event " + first);
+    prefill(call, request);
     active.incrementAndGet();
     try {
       wire.write(
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -13,6 +13,7 @@
 /** A small deployment on loopback: programs as separate processes, everything else stand-ins. */
 final class Rig implements AutoCloseable {
   static final String KEY = "key-of-tenant-a";
+  static final String OTHER_KEY = "key-of-tenant-b";
   static final String HOST = "review.example";
   static final String MODEL = "model-a";
 
@@ -50,6 +51,9 @@
   private final List<Program> programs = new ArrayList<>();
   final Store store;
 
+  /** Whether tenant-a is isolated in the newest configuration. */
+  volatile boolean isIsolated;
+
   Rig(Path recordFile) throws IOException {
     record = new PrintWriter(Files.newBufferedWriter(recordFile));
     folder = Files.createTempDirectory("review");
@@ -104,12 +108,24 @@
             + "\"models\":[{\"name\":\""
             + MODEL
             + "\"}]}},{\"name\":\"app\",\"connection_limit\":96}],"
-            + "\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[\""
-            + KEY
-            + "\"]}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+            + "\"tenants\":["
+            + tenant("tenant-a", KEY, isIsolated)
+            + ","
+            + tenant("tenant-b", OTHER_KEY, false)
+            + "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
             + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
     store.put("keyed.op", "config", document);
-    log("operator: config version " + version);
+    log("operator: config version " + version + ", tenant-a isolated: " + isIsolated);
+  }
+
+  private static String tenant(String name, String key, boolean isIsolated) {
+    return "{\"name\":\""
+        + name
+        + "\",\"api_keys\":[\""
+        + key
+        + "\"],\"priority\":1,\"isolated\":"
+        + isIsolated
+        + "}";
   }
 
   void publishVersion(int version) {
--- a/review/standins/Streams.java
+++ b/review/standins/Streams.java
@@ -32,12 +32,18 @@
 
   /** Sends a request and reads its stream on a thread of its own. */
   static Result open(Rig rig, Rig.Program router, String request, long budgetMillis) {
+    return open(rig, router, Rig.KEY, request, budgetMillis);
+  }
+
+  /** Sends a request with a key and reads its stream on a thread of its own. */
+  static Result open(
+      Rig rig, Rig.Program router, String key, String request, long budgetMillis) {
     Result result = new Result(request);
     rig.thread(
         request,
         () -> {
           try (Socket socket = Rig.connect(router.front)) {
-            read(rig, result, new Wire(socket), budgetMillis);
+            read(rig, result, new Wire(socket), key, budgetMillis);
           } catch (IOException e) {
             rig.log(request + ": the channel failed: " + e.getMessage());
           } finally {
@@ -58,7 +64,7 @@
     return result;
   }
 
-  private static void read(Rig rig, Result result, Wire wire, long budgetMillis)
+  private static void read(Rig rig, Result result, Wire wire, String key, long budgetMillis)
       throws IOException {
     String body = "question of " + result.request;
     result.sentMillis = rig.millis();
@@ -66,7 +72,7 @@
         "POST /ask/q HTTP/1.1\r\nHost: "
             + Rig.HOST
             + "\r\nAuthorization: Token "
-            + Rig.KEY
+            + key
             + "\r\nX-Shallothook-Request-Id: "
             + result.request
             + "\r\nX-Shallothook-Request-Deadline: "
