Show that an answer to HEAD without a length spoils the caller's connection

Order of events: a caller sends HEAD on a safe route; the server answers without a length; the router makes the answer chunked and writes the last chunk; the caller reads it as the beginning of the answer to its next request on the connection.

Code: InboundExchange.startResponse and onResponseCompleted; the encoder of ForwardTransport.accept does not know the request's method.

--- a/review/standins/Wire.java
+++ b/review/standins/Wire.java
@@ -106,18 +106,23 @@
     if (message == null) {
       return null;
     }
-    if (message.header("Transfer-Encoding").equalsIgnoreCase("chunked")) {
+    message.body = readBody(message);
+    return message;
+  }
+
+  /** Reads the body that follows a head. */
+  byte[] readBody(Message head) throws IOException {
+    if (head.header("Transfer-Encoding").equalsIgnoreCase("chunked")) {
       ByteArrayOutputStream body = new ByteArrayOutputStream();
       byte[] chunk = readChunk();
       while (chunk.length > 0) {
         body.write(chunk);
         chunk = readChunk();
       }
-      message.body = body.toByteArray();
-    } else if (!message.header("Content-Length").isEmpty()) {
-      message.body = in.readNBytes(Integer.parseInt(message.header("Content-Length")));
+      return body.toByteArray();
     }
-    return message;
+    String length = head.header("Content-Length");
+    return in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
   }
 
   /** Reads the first line and the headers; returns null at the end of the connection. */
