--- a/review/standins/IsolatedTenant.java
+++ b/review/standins/IsolatedTenant.java
@@ -24,8 +24,8 @@
   private static int run(Rig rig) throws IOException {
     List<ModelServer> servers =
         List.of(
-            new ModelServer(rig, "i-model-1", "zone-a"),
-            new ModelServer(rig, "i-model-2", "zone-b"));
+            new ModelServer(rig, "i-model-1", "zone-a").start(),
+            new ModelServer(rig, "i-model-2", "zone-b").start());
     // Without the trouble, the tenant is isolated from the start, and the change is another one.
     rig.isIsolated = !rig.hasTrouble;
     rig.publishConfig(3, 64, Streams.route(2));
--- a/review/standins/PreemptedStreams.java
+++ b/review/standins/PreemptedStreams.java
@@ -27,8 +27,8 @@
   private static int run(Rig rig) throws IOException {
     List<ModelServer> servers =
         List.of(
-            new ModelServer(rig, "i-model-1", "zone-a"),
-            new ModelServer(rig, "i-model-2", "zone-b"));
+            new ModelServer(rig, "i-model-1", "zone-a").start(),
+            new ModelServer(rig, "i-model-2", "zone-b").start());
     rig.publishConfig(3, 64, Streams.route(2));
     rig.publishVersion(1);
     Rig.Program first = rig.router("front-1", "zone-a");
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in for the platform's store: topics with one partition, and the newest record of a key. */
 final class Store {
@@ -18,6 +20,7 @@
   private final ServerSocket listening;
   private final Map<String, List<byte[]>> topics = new HashMap<>();
   private final Map<String, Map<String, Integer>> newest = new HashMap<>();
+  private final Map<String, AtomicInteger> reads = new ConcurrentHashMap<>();
 
   Store(Rig rig) throws IOException {
     this.rig = rig;
@@ -98,8 +101,14 @@
     wire.respond(status, "application/json", answer.getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Returns how often the records of a topic have been read. */
+  int reads(String topic) {
+    return reads.getOrDefault(topic, new AtomicInteger()).get();
+  }
+
   private void read(Wire wire, Wire.Message call) throws IOException {
     String topic = call.query("topic");
+    reads.computeIfAbsent(topic, name -> new AtomicInteger()).incrementAndGet();
     int from = Integer.parseInt(call.query("from"));
     String wait = call.query("wait_ms");
     long untilNanos = System.nanoTime() + (wait.isEmpty() ? 0 : Long.parseLong(wait)) * 1_000_000;
--- a/review/standins/Wire.java
+++ b/review/standins/Wire.java
@@ -16,6 +16,8 @@
 
 /** One HTTP/1.1 connection, read and written without any client or server library. */
 final class Wire {
+  static final String LOOPBACK = "127.0.0.1";
+
   /** Handles a connection. */
   interface Handler {
     void serve(Socket socket) throws IOException;
@@ -72,17 +74,23 @@
   }
 
   static ServerSocket listen() throws IOException {
-    return new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+    return listen(LOOPBACK);
+  }
+
+  /** Listens on an address of the loopback range, which stands for a machine. */
+  static ServerSocket listen(String ip) throws IOException {
+    return new ServerSocket(0, 256, InetAddress.getByName(ip));
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = listen()) {
-      return socket.getLocalPort();
+  /** Returns an address with a port that is free. */
+  static String freeAddress(String ip) throws IOException {
+    try (ServerSocket socket = listen(ip)) {
+      return address(socket);
     }
   }
 
   static String address(ServerSocket listening) {
-    return "127.0.0.1:" + listening.getLocalPort();
+    return listening.getInetAddress().getHostAddress() + ":" + listening.getLocalPort();
   }
 
   static void accept(ServerSocket listening, Rig rig, Handler handler) throws IOException {
