--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -237,7 +237,12 @@
       }
       sleep(100);
     }
-    log(program.name + " is not ready");
+    log(program.name + " is not ready; alive: " + program.process.isAlive());
+    try {
+      quote(program, "INFO", "WARN", "ERROR", "Exception", "Cannot");
+    } catch (IOException e) {
+      log(program.name + ": its log cannot be read: " + e.getMessage());
+    }
     return false;
   }
 
