Log and count server responses that are not taken as the current request's

Skipped and surplus responses left no line and no counter. Change: a line `unexpected-response` with the request that waits, the id that the response names, its status, how many requests the connection has carried and how long ago the last was sent; one counter per kind. No logic changes.

--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -22,6 +22,8 @@
   RESUME(Weight.NOTABLE),
   /** An attempt has failed. */
   ATTEMPT_FAILED(Weight.NOTABLE),
+  /** A server sent a response that is not taken as that of the current request. */
+  UNEXPECTED_RESPONSE(Weight.NOTABLE),
   /** A request was refused. */
   REFUSE(Weight.NOTABLE),
   /** A response was aborted before it was complete. */
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -130,6 +130,7 @@
             ForwardSettings.DEFAULT.withinGracePeriod(longestStop()),
             node.events(),
             node.metrics(),
+            node.decisionLog(),
             Clock::steadyMicros);
     core = new ForwardCore(forwardOptions(), this::carryOut);
     registry =
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -20,6 +20,7 @@
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Channels;
 import org.shallothook.transport.EventLoops;
@@ -31,7 +32,7 @@
  *
  * <pre>{@code
  * ForwardTransport transport =
- *     new ForwardTransport(loop, form, ForwardSettings.DEFAULT, thread, metrics, clock);
+ *     new ForwardTransport(loop, form, ForwardSettings.DEFAULT, thread, metrics, log, clock);
  * transport.listen(address);
  * transport.carryOut(command);
  * }</pre>
@@ -65,6 +66,7 @@
    * @param settings limits and timeouts
    * @param events receives the events of requests and connections
    * @param counters counts connections and refusals
+   * @param journal receives a line for each unexpected response of a server
    * @param clockMicros the decision clock, in microseconds
    */
   public ForwardTransport(
@@ -73,10 +75,12 @@
       ForwardSettings settings,
       EventSink<CoreEvent> events,
       Counters counters,
+      DecisionJournal journal,
       LongSupplier clockMicros) {
     this.loop = loop;
     this.settings = settings;
-    this.serverConnections = new ServerConnectionPool(loop, form, settings, clockMicros, counters);
+    this.serverConnections =
+        new ServerConnectionPool(loop, form, settings, clockMicros, counters, journal);
     this.context = new ForwardContext(form, serverConnections, events, counters, clockMicros);
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -36,6 +36,12 @@
 
     /** Called when the connection is closed. */
     void onClosed(ServerConnection connection);
+
+    /**
+     * Called with the head of a response that is not taken as the response to the current request.
+     */
+    void onUnexpected(
+        ServerConnection connection, UnexpectedResponse unexpected, HttpResponse head);
   }
 
   /**
@@ -63,6 +69,7 @@
   private boolean isPersistent;
   private boolean hasResponseHead;
   private int sentRequests;
+  private long lastSentNanos = System.nanoTime();
   private int skippedHeads;
   private long skippedBytes;
 
@@ -93,6 +100,21 @@
     return idleSinceNanos;
   }
 
+  /** Returns the identifier of the request that waits for a response. */
+  Optional<String> waitingRequest() {
+    return currentAttempt.map(attempt -> attempt.request().parsedHead().id());
+  }
+
+  /** Returns the number of requests that were sent over the connection. */
+  int sentRequests() {
+    return sentRequests;
+  }
+
+  /** Returns when the last request was sent, by {@link System#nanoTime}. */
+  long lastSentNanos() {
+    return lastSentNanos;
+  }
+
   /** Returns the server's keep-alive timeout in milliseconds, if it has announced one. */
   Optional<Long> keepAliveMillis() {
     return keepAliveMillis;
@@ -102,6 +124,7 @@
   void send(ServerAttempt attempt, long nowMicros) {
     currentAttempt = Optional.of(attempt);
     sentRequests++;
+    lastSentNanos = System.nanoTime();
     hasResponseHead = false;
     skippedHeads = 0;
     skippedBytes = 0;
@@ -161,6 +184,9 @@
       failCurrentAttempt(isCutShort(message), "the response is not valid HTTP");
       close();
     } else if (currentAttempt.isEmpty()) {
+      if (part instanceof HttpResponse head) {
+        pool.onUnexpected(this, UnexpectedResponse.NOT_REQUESTED, head);
+      }
       ReferenceCountUtil.release(message);
       close();
     } else {
@@ -193,6 +219,9 @@
       isSkipping = isInterim || isForeign;
       mustClose |= isForeign;
       skippedHeads += isSkipping ? 1 : 0;
+      if (isForeign) {
+        pool.onUnexpected(this, unexpectedKind(head), head);
+      }
       if (!isSkipping) {
         onHead(attempt, head);
       }
@@ -220,6 +249,12 @@
         .orElseGet(() -> sentRequests == 1 && form.parseResponseHead(head).isNotRun());
   }
 
+  private UnexpectedResponse unexpectedKind(HttpResponse head) {
+    return form.requestIdOf(head).isPresent()
+        ? UnexpectedResponse.OTHER_REQUEST
+        : UnexpectedResponse.NO_IDENTIFIER;
+  }
+
   private void onHead(ServerAttempt attempt, HttpResponse head) {
     hasResponseHead = true;
     if (form.parseResponseHead(head).isNotRun()) {
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -17,6 +18,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.Decision;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
@@ -40,6 +43,7 @@
   private final ForwardSettings settings;
   private final LongSupplier clockMicros;
   private final Counters counters;
+  private final DecisionJournal journal;
   private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
   ServerConnectionPool(
@@ -47,12 +51,14 @@
       HeaderTranslation form,
       ForwardSettings settings,
       LongSupplier clockMicros,
-      Counters counters) {
+      Counters counters,
+      DecisionJournal journal) {
     this.loop = loop;
     this.form = form;
     this.settings = settings;
     this.clockMicros = clockMicros;
     this.counters = counters;
+    this.journal = journal;
   }
 
   /** Starts to close connections that have been idle for too long. */
@@ -121,6 +127,27 @@
     }
   }
 
+  @Override
+  public void onUnexpected(
+      ServerConnection connection, UnexpectedResponse unexpected, HttpResponse head) {
+    counters.increment("servers.responses-" + unexpected.code());
+    journal.write(
+        Decision.UNEXPECTED_RESPONSE,
+        connection.waitingRequest().orElse(""),
+        "address",
+        connection.address(),
+        "outcome",
+        unexpected.code(),
+        "status",
+        head.status().code(),
+        "names",
+        form.requestIdOf(head).orElse(""),
+        "carried",
+        connection.sentRequests(),
+        "sent_ms",
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connection.lastSentNanos()));
+  }
+
   /** Returns the most recently used connection, as its server is least likely to close it. */
   private Optional<ServerConnection> takeIdle(String address, OutboundRequest request) {
     Deque<ServerConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
--- a/transport/src/test/java/org/shallothook/transport/forward/DepartedCallerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DepartedCallerTest.java
@@ -20,6 +20,7 @@
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.decision.EventSink;
 
@@ -63,6 +64,7 @@
           ForwardSettings.DEFAULT,
           this,
           Counters.NONE,
+          DecisionJournal.NONE,
           () -> 1);
 
   private InetSocketAddress address;
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -27,6 +27,7 @@
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.transport.EventLoops;
@@ -51,6 +52,7 @@
           ForwardSettings.DEFAULT,
           this,
           Counters.NONE,
+          DecisionJournal.NONE,
           () -> Clock.steadyMicros() + pausedMicros.get());
   private final InetSocketAddress address =
       transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
--- a/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -17,6 +17,7 @@
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.transport.EventLoops;
@@ -39,6 +40,7 @@
           settings(),
           this,
           Counters.NONE,
+          DecisionJournal.NONE,
           Clock::steadyMicros);
   private final InetSocketAddress address =
       transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
