--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -291,6 +291,49 @@
     assertThat(server.connections()).isEqualTo(2);
   }
 
+  private static String failure(String headers) {
+    return "HTTP/1.1 500 Error\r\n" + headers + "Content-Length: 0\r\n\r\n";
+  }
+
+  static List<String> firstAnswers() {
+    return List.of(failure("id: 1\r\n"), response("1", "own"));
+  }
+
+  // Guards against a late second answer to a request being taken for that to its next attempt.
+  @ParameterizedTest
+  @MethodSource("firstAnswers")
+  void aRequestIsNotSentAgainOverTheSameConnection(String firstAnswer) throws IOException {
+    server = new RawServer(request -> firstAnswer);
+    exchange(post("1", "keep-alive", "a") + post("1", "close", "a"));
+    assertThat(server.requests()).hasSize(2);
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
+  static Stream<Arguments> failuresThatNameNoRequest() {
+    return Stream.of("", "id: 0\r\nid: 1\r\n", "id: 1\r\nid: 0\r\n")
+        .flatMap(
+            headers ->
+                Stream.of(
+                    Arguments.of(headers, ""),
+                    Arguments.of(headers, post("0", "keep-alive", "a"))));
+  }
+
+  // Guards against a second answer that is a success replacing a failure that names no request.
+  @ParameterizedTest
+  @MethodSource("failuresThatNameNoRequest")
+  void aFailureThatNamesNoRequestIsNotReplacedByASecondAnswer(String headers, String earlier)
+      throws IOException {
+    server =
+        new RawServer(
+            request ->
+                request.contains("id: 1\r\n")
+                    ? failure(headers) + response("1", "second")
+                    : response("0", "earlier"));
+    String answers = exchange(earlier + post("1", "close", "a"));
+    assertThat(answers).doesNotContain("second");
+    assertThat(answers).contains("HTTP/1.1 502 ");
+  }
+
   // Guards against a crash that is taken for a broken connection, and the reverse.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
