Send each request at most once over a connection

What callers saw: a success where the server had answered with a failure (MIXED). Cause (one of two found): the id in a response names the request, not the send. A connection remembered only requests that were refused on it. A request that was answered 500 is repeated over the most recently used connection, which is the same one if the server is chosen again, and so is a request that its caller sends again; a late second answer to the first send then bears the right id and is taken for that to the second. Change: a connection remembers the hashes of all ids that it carried, and is closed after 128 requests. Replaces the set of refused requests and its limit of 32. Why it works: with each id at most once on a connection, id and connection together name the send.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -19,14 +19,16 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import net.openhft.hashing.LongHashFunction;
 import org.shallothook.transport.Channels;
 
 /**
  * A connection to a server, with at most one exchange at a time.
  *
- * <p>Invariant: a connection is not reused after it received data that belongs to no request, or
- * after a response that ended before its request was completely written. Confined to the event
- * loop.
+ * <p>Invariant: a connection carries each request identifier at most once, so that the identifier
+ * in a response also tells which attempt it answers. It is not reused after it received data that
+ * belongs to no request, or after a response that ended before its request was completely written.
+ * Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
   /** The pool that owns the connection. */
@@ -52,13 +54,20 @@
   /** Maximum total size of the skipped bodies of other requests' responses. */
   private static final long MAXIMUM_SKIPPED_BYTES = 1 << 20;
 
-  /** Rejections on one connection after which it is closed. */
-  private static final int MAXIMUM_REJECTED_REQUESTS = 32;
+  /**
+   * Requests after which a connection is closed, which bounds the identifiers that it remembers.
+   */
+  private static final int MAXIMUM_REQUESTS = 128;
+
+  private static final LongHashFunction HASH = LongHashFunction.xx3();
 
   private final Pool pool;
   private final HeaderTranslation form;
   private final String address;
-  private final Set<String> rejectedRequests = new HashSet<>();
+
+  /** Hashes of the identifiers; a collision only makes a request use another connection. */
+  private final Set<Long> carriedRequests = new HashSet<>();
+
   private Channel channel;
   private Optional<ServerAttempt> currentAttempt = Optional.empty();
   private Optional<Long> keepAliveMillis = Optional.empty();
@@ -68,7 +77,6 @@
   private boolean isRequestWritten;
   private boolean isPersistent;
   private boolean hasResponseHead;
-  private int sentRequests;
   private long lastSentNanos = System.nanoTime();
   private int skippedHeads;
   private long skippedBytes;
@@ -88,11 +96,11 @@
   }
 
   /**
-   * Returns whether the connection may carry a request. If the server has rejected it here before,
-   * a late copy of that response could not be told from the next one.
+   * Returns whether the connection may carry a request. If it has carried the same request before,
+   * a second response to that attempt could not be told from the response to the next one.
    */
   boolean mayCarry(OutboundRequest request) {
-    return !rejectedRequests.contains(request.parsedHead().id());
+    return !carriedRequests.contains(HASH.hashChars(request.parsedHead().id()));
   }
 
   /** Returns when the connection became idle, by {@link System#nanoTime}. */
@@ -107,7 +115,7 @@
 
   /** Returns the number of requests that were sent over the connection. */
   int sentRequests() {
-    return sentRequests;
+    return carriedRequests.size();
   }
 
   /** Returns when the last request was sent, by {@link System#nanoTime}. */
@@ -123,7 +131,8 @@
   /** Writes a request. The connection must be idle. */
   void send(ServerAttempt attempt, long nowMicros) {
     currentAttempt = Optional.of(attempt);
-    sentRequests++;
+    carriedRequests.add(HASH.hashChars(attempt.request().parsedHead().id()));
+    mustClose |= carriedRequests.size() >= MAXIMUM_REQUESTS;
     lastSentNanos = System.nanoTime();
     hasResponseHead = false;
     skippedHeads = 0;
@@ -246,7 +255,7 @@
     String id = attempt.request().parsedHead().id();
     return form.requestIdOf(head)
         .map(id::equals)
-        .orElseGet(() -> sentRequests == 1 && form.parseResponseHead(head).isNotRun());
+        .orElseGet(() -> carriedRequests.size() == 1 && form.parseResponseHead(head).isNotRun());
   }
 
   private UnexpectedResponse unexpectedKind(HttpResponse head) {
@@ -257,10 +266,6 @@
 
   private void onHead(ServerAttempt attempt, HttpResponse head) {
     hasResponseHead = true;
-    if (form.parseResponseHead(head).isNotRun()) {
-      rejectedRequests.add(attempt.request().parsedHead().id());
-      mustClose |= rejectedRequests.size() > MAXIMUM_REJECTED_REQUESTS;
-    }
     isPersistent =
         HttpUtil.isKeepAlive(head)
             && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
