Fail a request whose server sends a response that names no request

What callers saw: a success where the server had answered with a failure (MIXED). Cause (the second of two found): a response without an id, or with two, was taken for one of another request on the same connection, skipped without a line in the log, and the next response that bears the id was relayed. If the skipped one was the server's failure and the next a second answer, the caller got a success. Change: such a response ends the attempt (repeatable requests go to another server, others get 502 with unknown outcome) and its connection. A refusal without an id is treated as before: it counts for the first request, and is skipped on a later one. A response with two ids names none. Why it works: of the responses on a connection, only those are skipped that certainly belong to another request.

--- a/transport/src/main/java/org/shallothook/transport/forward/HeaderTranslation.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/HeaderTranslation.java
@@ -45,7 +45,8 @@
   ResponseHead parseResponseHead(HttpResponse response);
 
   /**
-   * Returns the identifier of the request that a response belongs to, if the response states it.
+   * Returns the identifier of the request that a response belongs to, if the response states
+   * exactly one.
    */
   Optional<String> requestIdOf(HttpResponse response);
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -222,18 +222,10 @@
   }
 
   private void onResponsePart(ServerAttempt attempt, HttpObject part) {
-    if (part instanceof HttpResponse head) {
-      boolean isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-      boolean isForeign = !isInterim && !belongsTo(attempt, head);
-      isSkipping = isInterim || isForeign;
-      mustClose |= isForeign;
-      skippedHeads += isSkipping ? 1 : 0;
-      if (isForeign) {
-        pool.onUnexpected(this, unexpectedKind(head), head);
-      }
-      if (!isSkipping) {
-        onHead(attempt, head);
-      }
+    if (part instanceof HttpResponse head && !startResponse(attempt, head)) {
+      ReferenceCountUtil.release(part);
+      failCurrentAttempt(false, "the server sent a response that names no request");
+      return;
     }
     if (isSkipping && part instanceof HttpContent content) {
       skippedBytes += content.content().readableBytes();
@@ -247,21 +239,37 @@
   }
 
   /**
-   * Returns whether a response belongs to an attempt. A server may reject a request before it has
-   * read all of it, and then omit the identifier; on a connection that has carried other requests,
-   * such a rejection may be a repeated one of theirs.
+   * Begins a response, which is skipped if it is interim or belongs to another request. Returns
+   * false if it cannot be told which request it belongs to.
    */
-  private boolean belongsTo(ServerAttempt attempt, HttpResponse head) {
-    String id = attempt.request().parsedHead().id();
-    return form.requestIdOf(head)
-        .map(id::equals)
-        .orElseGet(() -> carriedRequests.size() == 1 && form.parseResponseHead(head).isNotRun());
+  private boolean startResponse(ServerAttempt attempt, HttpResponse head) {
+    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skipResponse();
+      return true;
+    }
+    Optional<String> id = form.requestIdOf(head);
+    boolean isRefusal = form.parseResponseHead(head).isNotRun();
+    boolean isFirstRequest = carriedRequests.size() == 1;
+    // A server may refuse a request before it has read all of it, and then omit the identifier.
+    boolean isOwn =
+        id.map(attempt.request().parsedHead().id()::equals).orElse(isRefusal && isFirstRequest);
+    if (isOwn) {
+      isSkipping = false;
+      onHead(attempt, head);
+      return true;
+    }
+    pool.onUnexpected(
+        this,
+        id.isPresent() ? UnexpectedResponse.OTHER_REQUEST : UnexpectedResponse.NO_IDENTIFIER,
+        head);
+    skipResponse();
+    mustClose = true;
+    return id.isPresent() || isRefusal;
   }
 
-  private UnexpectedResponse unexpectedKind(HttpResponse head) {
-    return form.requestIdOf(head).isPresent()
-        ? UnexpectedResponse.OTHER_REQUEST
-        : UnexpectedResponse.NO_IDENTIFIER;
+  private void skipResponse() {
+    isSkipping = true;
+    skippedHeads++;
   }
 
   private void onHead(ServerAttempt attempt, HttpResponse head) {
--- a/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
 import org.shallothook.coordination.forward.Dispatch;
 import org.shallothook.coordination.forward.RequestHead;
@@ -59,7 +60,8 @@
 
   @Override
   public Optional<String> requestIdOf(HttpResponse response) {
-    return Optional.ofNullable(response.headers().get(ID));
+    List<String> ids = response.headers().getAll(ID);
+    return ids.size() == 1 ? Optional.of(ids.get(0)) : Optional.empty();
   }
 
   @Override
