Give each call that needs its own answer its own connection

Cause: their responses name no request and are matched by turn. GET and DELETE took any idle connection of the address, also one that had carried an append or an order. A late second answer was taken for that to the next call: a read's for one from another offset, an append's or an order's for a read. If it came in parts, its beginning stayed in the decoder. Change: a call has a connection of its own unless it says that an earlier answer to the same method and URI does no harm; only the report of a model server says so, as connections to servers are priced. Reads of the store don't: the follower takes an answer to hold all that was written before it asked. An idle connection has no codec, so each byte closes it, is read before it is used again, and is closed 5 s after its first response, which bounds the age of an earlier report. Such closes are counted (platform.connections-surplus-data) and logged, one line a connection. Tests: HttpClientTest.get() now says that it accepts an earlier answer, so that its tests of reuse still reuse. Conclusion: after the next request was written a second answer can't be told apart, so reuse is a choice of the call.

--- a/router/src/main/java/org/shallothook/router/AdminClient.java
+++ b/router/src/main/java/org/shallothook/router/AdminClient.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import org.shallothook.coordination.port.Counters;
 import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.platform.HttpCall;
 import org.shallothook.transport.platform.HttpClient;
@@ -22,7 +23,8 @@
 
   private final InetSocketAddress address;
   private final EventLoops loops = EventLoops.create(1);
-  private final HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
+  private final HttpClient client =
+      new HttpClient(loops.internal(), HttpSettings.DEFAULT, Counters.NONE);
 
   AdminClient(InetSocketAddress address) {
     this.address = address;
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -73,7 +73,7 @@
             Clock::nowMicros);
     RouterEvents events = new RouterEvents(thread);
     peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), events, metrics);
-    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
+    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT, metrics);
     platform =
         PlatformClients.create(
             settings,
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -62,7 +62,7 @@
             metrics);
     SidecarEvents events = new SidecarEvents(thread);
     peers = new PeerNetwork(identity(), PeerSettings.DEFAULT, loops.internal(), events, metrics);
-    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT);
+    HttpClient client = new HttpClient(loops.internal(), HttpSettings.DEFAULT, metrics);
     upstream = new UpstreamClient(settings, role(), client, thread::deliver);
     platform =
         PlatformClients.create(
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpCall.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpCall.java
@@ -21,8 +21,9 @@
  * @param headers headers other than Host and Content-Length, which the client sets
  * @param body body, if any
  * @param timeout for a buffered response, time until it is complete; for a stream, longest gap
- * @param isRepeatable whether the request may be sent on a pooled connection, where it fails
- *     without a known outcome if the server is just closing the connection
+ * @param acceptsEarlierAnswer whether an answer to an earlier call with the same request line does
+ *     no harm; then a connection may be used again, where a server that answers twice gives such an
+ *     answer, and where the call fails if the server is just closing the connection
  * @param responseHeader name of a header to report with a buffered response, if any
  */
 public record HttpCall(
@@ -32,7 +33,7 @@
     Map<String, String> headers,
     Optional<ByteBuffer> body,
     Duration timeout,
-    boolean isRepeatable,
+    boolean acceptsEarlierAnswer,
     Optional<String> responseHeader) {
   private static final String CONTENT_TYPE = "content-type";
   private static final String JSON = "application/json";
@@ -43,53 +44,65 @@
     headers = Map.copyOf(headers);
   }
 
-  /** Creates a call that asks for no header of the response. */
+  /** What a response on a connection that is used again may belong to. */
+  record RequestLine(InetSocketAddress address, HttpMethod method, String uri) {}
+
+  /** Creates a call on a connection of its own that asks for no header of the response. */
   public HttpCall(
       InetSocketAddress address,
       HttpMethod method,
       String uri,
       Map<String, String> headers,
       Optional<ByteBuffer> body,
-      Duration timeout,
-      boolean isRepeatable) {
-    this(address, method, uri, headers, body, timeout, isRepeatable, Optional.empty());
+      Duration timeout) {
+    this(address, method, uri, headers, body, timeout, false, Optional.empty());
   }
 
   /** Returns a GET request. */
   public static HttpCall get(InetSocketAddress address, String uri, Duration timeout) {
-    return new HttpCall(address, HttpMethod.GET, uri, Map.of(), Optional.empty(), timeout, true);
+    return new HttpCall(address, HttpMethod.GET, uri, Map.of(), Optional.empty(), timeout);
   }
 
-  /** Returns a POST request with a JSON body; not repeatable. */
+  /** Returns a POST request with a JSON body. */
   public static HttpCall postJson(
       InetSocketAddress address, String uri, String body, Duration timeout) {
     Map<String, String> headers = Map.of(CONTENT_TYPE, JSON);
-    return new HttpCall(address, HttpMethod.POST, uri, headers, bytesOf(body), timeout, false);
+    return new HttpCall(address, HttpMethod.POST, uri, headers, bytesOf(body), timeout);
   }
 
-  /** Returns a POST request with a binary body; not repeatable. */
+  /** Returns a POST request with a binary body. */
   public static HttpCall postBytes(
       InetSocketAddress address, String uri, ByteBuffer body, Duration timeout) {
     Map<String, String> headers = Map.of(CONTENT_TYPE, OCTETS);
-    return new HttpCall(address, HttpMethod.POST, uri, headers, Optional.of(body), timeout, false);
+    return new HttpCall(address, HttpMethod.POST, uri, headers, Optional.of(body), timeout);
   }
 
-  /** Returns a DELETE request; repeatable. */
+  /** Returns a DELETE request. */
   public static HttpCall delete(InetSocketAddress address, String uri, Duration timeout) {
-    return new HttpCall(address, HttpMethod.DELETE, uri, Map.of(), Optional.empty(), timeout, true);
+    return new HttpCall(address, HttpMethod.DELETE, uri, Map.of(), Optional.empty(), timeout);
   }
 
   /** Returns this request with the given content type and headers in place of its own headers. */
   public HttpCall withHeaders(String contentType, Map<String, String> further) {
     Map<String, String> all = new LinkedHashMap<>(further);
     all.put(CONTENT_TYPE, contentType);
-    return new HttpCall(address, method, uri, all, body, timeout, isRepeatable, responseHeader);
+    return new HttpCall(
+        address, method, uri, all, body, timeout, acceptsEarlierAnswer, responseHeader);
+  }
+
+  /** Returns this request on a connection that may be used again. */
+  public HttpCall acceptingEarlierAnswer() {
+    return new HttpCall(address, method, uri, headers, body, timeout, true, responseHeader);
   }
 
   /** Returns this request with the name of a header to report with the response. */
   public HttpCall withResponseHeader(String name) {
     return new HttpCall(
-        address, method, uri, headers, body, timeout, isRepeatable, Optional.of(name));
+        address, method, uri, headers, body, timeout, acceptsEarlierAnswer, Optional.of(name));
+  }
+
+  RequestLine requestLine() {
+    return new RequestLine(address, method, uri);
   }
 
   /** Returns a body with the text in UTF-8. */
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -13,17 +13,20 @@
 import io.netty.util.NetUtil;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.shallothook.coordination.port.Counters;
 import org.shallothook.transport.Channels;
 
 /**
- * Small HTTP/1.1 client with a connection pool, which reports whether a failed request was sent.
+ * Small HTTP/1.1 client, which reports whether a failed request was sent.
  *
  * <pre>{@code
  * client.send(HttpCall.get(address, "/v1/status", timeout), result -> ...);
  * }</pre>
  *
  * <p>Invariant: {@link HttpResult.NotSent} is reported only if no byte of the request was written.
- * Thread-safe; results are delivered on the client's event loop.
+ * A response names no request, so each call has a connection of its own, unless it accepts the
+ * answer to an earlier call with the same request line. Thread-safe; results are delivered on the
+ * client's event loop.
  */
 public final class HttpClient {
   private final EventLoop loop;
@@ -35,11 +38,12 @@
    *
    * @param loop event loop of all connections
    * @param settings limits and timeouts
+   * @param counters counts connections that are closed because of surplus data
    */
-  public HttpClient(EventLoop loop, HttpSettings settings) {
+  public HttpClient(EventLoop loop, HttpSettings settings, Counters counters) {
     this.loop = loop;
     this.settings = settings;
-    this.idle = new IdleConnections(settings);
+    this.idle = new IdleConnections(settings, counters);
   }
 
   /** Returns the event loop that results are delivered on. */
@@ -75,19 +79,15 @@
     if (exchange.hasEnded()) {
       return;
     }
-    if (call.isRepeatable()) {
-      Optional<Channel> pooled = idle.acquire(call.address());
+    if (call.acceptsEarlierAnswer()) {
+      Optional<Channel> pooled = idle.acquire(call.requestLine());
       if (pooled.isPresent()) {
         write(pooled.get(), exchange);
         return;
       }
     }
     ChannelFuture connecting =
-        Channels.client(
-                loop,
-                settings.connectTimeout(),
-                channel -> channel.pipeline().addLast(new HttpClientCodec()))
-            .connect(call.address());
+        Channels.client(loop, settings.connectTimeout(), channel -> {}).connect(call.address());
     connecting.addListener(
         done -> {
           if (!done.isSuccess()) {
@@ -109,7 +109,7 @@
       exchange.failBeforeSending(String.valueOf(e.getMessage()));
       return;
     }
-    channel.pipeline().addLast(exchange);
+    channel.pipeline().addLast(new HttpClientCodec(), exchange);
     exchange.attach(channel);
     channel
         .writeAndFlush(request)
@@ -127,7 +127,7 @@
         .ifPresent(
             channel -> {
               channel.pipeline().remove(exchange);
-              idle.release(exchange.call().address(), channel);
+              idle.release(exchange.call().requestLine(), channel);
             });
   }
 
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
@@ -144,7 +144,7 @@
   private void end(Channel open) {
     hasEnded = true;
     stopTimeout();
-    if (isKeepAlive && !isStream) {
+    if (isKeepAlive && !isStream && call.acceptsEarlierAnswer()) {
       reuse.accept(this);
     } else {
       Channels.close(open);
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
@@ -8,13 +8,14 @@
  * <p>Immutable and thread-safe.
  *
  * @param connectTimeout timeout of connecting
- * @param idleTimeout time after which an idle pooled connection is closed
- * @param maximumIdleConnections maximum number of idle connections to one server
+ * @param maximumReuse time after its first response in which a connection is used again, which
+ *     bounds the age of an earlier answer
+ * @param maximumIdleConnections maximum number of idle connections for one request line
  * @param maximumResponseBytes maximum body size of a buffered response
  */
 public record HttpSettings(
     Duration connectTimeout,
-    Duration idleTimeout,
+    Duration maximumReuse,
     int maximumIdleConnections,
     int maximumResponseBytes) {
   /** Default settings. */
--- a/transport/src/main/java/org/shallothook/transport/platform/IdleConnections.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/IdleConnections.java
@@ -3,89 +3,113 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
-import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.shallothook.coordination.port.Counters;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.logging.LogComponent;
+import org.shallothook.transport.platform.HttpCall.RequestLine;
 
 /**
- * Pool of idle connections, by server address.
+ * Pool of idle connections, by the request line that each has carried.
  *
- * <p>Invariant: the number of connections to each server is limited. A connection is closed after
- * the idle timeout, or when the server closes it or sends data that was not requested. Used only on
- * the client's event loop.
+ * <p>Invariant: a connection carries one request line only, and no byte has arrived on it since the
+ * end of the last response. The number of connections for each request line is limited, and each is
+ * closed some time after its first response. Used only on the client's event loop.
  */
 final class IdleConnections {
+  private static final AttributeKey<Long> FIRST_RELEASE_NANOS =
+      AttributeKey.valueOf(IdleConnections.class, "first-release");
+
   private final HttpSettings settings;
-  private final Map<InetSocketAddress, Deque<IdleConnection>> byServer = new HashMap<>();
+  private final Counters counters;
+  private final Map<RequestLine, Deque<IdleConnection>> byRequestLine = new HashMap<>();
 
-  IdleConnections(HttpSettings settings) {
+  IdleConnections(HttpSettings settings, Counters counters) {
     this.settings = settings;
+    this.counters = counters;
   }
 
-  void release(InetSocketAddress server, Channel channel) {
+  void release(RequestLine requestLine, Channel channel) {
     Deque<IdleConnection> connections =
-        byServer.computeIfAbsent(server, address -> new ArrayDeque<>());
-    if (connections.size() >= settings.maximumIdleConnections()) {
+        byRequestLine.computeIfAbsent(requestLine, line -> new ArrayDeque<>());
+    Duration reused = reused(channel);
+    if (connections.size() >= settings.maximumIdleConnections()
+        || reused.compareTo(settings.maximumReuse()) >= 0) {
+      removeIfEmpty(requestLine, connections);
       Channels.close(channel);
       return;
     }
-    IdleConnection connection = new IdleConnection(server, channel);
+    IdleConnection connection = new IdleConnection(requestLine, channel);
+    connections.addLast(connection);
     channel.config().setAutoRead(true);
     channel.pipeline().addLast(connection);
-    connections.addLast(connection);
-    connection.startTimeout();
+    // The codec passes bytes that it has not decoded to the next handler when it is removed.
+    channel.pipeline().remove(HttpClientCodec.class);
+    Channels.after(channel.eventLoop(), settings.maximumReuse().minus(reused), connection::close);
   }
 
-  Optional<Channel> acquire(InetSocketAddress server) {
-    Deque<IdleConnection> connections = byServer.get(server);
-    IdleConnection connection = connections == null ? null : connections.pollLast();
-    while (connection != null) {
-      connection.detach();
-      if (connection.channel.isActive()) {
-        return Optional.of(connection.channel);
-      }
-      connection = connections.pollLast();
+  Optional<Channel> acquire(RequestLine requestLine) {
+    Deque<IdleConnection> connections = byRequestLine.getOrDefault(requestLine, new ArrayDeque<>());
+    Optional<Channel> acquired = Optional.empty();
+    while (acquired.isEmpty() && !connections.isEmpty()) {
+      acquired = connections.removeLast().detachIfOpen();
     }
-    byServer.remove(server);
-    return Optional.empty();
+    removeIfEmpty(requestLine, connections);
+    return acquired;
+  }
+
+  private static Duration reused(Channel channel) {
+    long nowNanos = System.nanoTime();
+    Long firstNanos = channel.attr(FIRST_RELEASE_NANOS).setIfAbsent(nowNanos);
+    return Duration.ofNanos(firstNanos == null ? 0 : nowNanos - firstNanos);
   }
 
-  private void remove(IdleConnection connection) {
-    Deque<IdleConnection> connections = byServer.get(connection.server);
-    if (connections != null && connections.remove(connection) && connections.isEmpty()) {
-      byServer.remove(connection.server);
+  private void removeIfEmpty(RequestLine requestLine, Deque<IdleConnection> connections) {
+    if (connections.isEmpty()) {
+      byRequestLine.remove(requestLine);
     }
   }
 
-  /** Closes one pooled connection on a timeout, unexpected data or an error. */
+  /** Closes one pooled connection when its time is over, and on surplus data or an error. */
   private final class IdleConnection extends ChannelInboundHandlerAdapter {
-    private final InetSocketAddress server;
+    private final RequestLine requestLine;
     private final Channel channel;
     private boolean isDetached;
 
-    IdleConnection(InetSocketAddress server, Channel channel) {
-      this.server = server;
+    IdleConnection(RequestLine requestLine, Channel channel) {
+      this.requestLine = requestLine;
       this.channel = channel;
     }
 
-    void startTimeout() {
-      Channels.after(channel.eventLoop(), settings.idleTimeout(), this::close);
-    }
-
-    void detach() {
+    /** Returns the connection for use unless it is closed, or must be for what has arrived. */
+    Optional<Channel> detachIfOpen() {
+      if (!Channels.isOpenAfterReading(channel)) {
+        return Optional.empty();
+      }
       isDetached = true;
       channel.pipeline().remove(this);
+      return Optional.of(channel);
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object unexpected) {
-      ReferenceCountUtil.release(unexpected);
-      close();
+    public void channelRead(ChannelHandlerContext context, Object surplus) {
+      ReferenceCountUtil.release(surplus);
+      if (channel.isActive()) {
+        counters.increment("platform.connections-surplus-data");
+        LogComponent.PLATFORM.warn(
+            "Closed the connection to {}: data arrived after the response to {}.",
+            requestLine.address(),
+            requestLine.uri());
+        close();
+      }
     }
 
     @Override
@@ -100,7 +124,10 @@
 
     private void close() {
       if (!isDetached) {
-        remove(this);
+        Deque<IdleConnection> connections =
+            byRequestLine.getOrDefault(requestLine, new ArrayDeque<>());
+        connections.remove(this);
+        removeIfEmpty(requestLine, connections);
         Channels.close(channel);
       }
     }
--- a/transport/src/main/java/org/shallothook/transport/platform/LogClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/LogClient.java
@@ -62,13 +62,7 @@
     Map<String, String> headers = Map.of("content-type", "text/plain; charset=utf-8");
     HttpCall call =
         new HttpCall(
-            address,
-            HttpMethod.POST,
-            path(stream),
-            headers,
-            HttpCall.bytesOf(payload),
-            timeout,
-            false);
+            address, HttpMethod.POST, path(stream), headers, HttpCall.bytesOf(payload), timeout);
     client.send(call, result -> appended(token, result));
   }
 
