Send HEAD and other requests over separate connections

Cause: Netty's client codec pairs responses with requests by turn, and reads a response to HEAD as one without a body. After a second answer to an earlier request the turns are shifted: the body of a second answer is read as the next head, or the answer to HEAD waits for a body that never comes and takes what follows for it. Change: a connection carries either HEAD requests or none, so that the end of a response is known whichever request it answers. The codec is made in one place, ServerConnection.addTo.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -3,13 +3,16 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -26,11 +29,13 @@
  * A connection to a server, with at most one exchange at a time.
  *
  * <p>Invariant: a connection carries each request identifier at most once, so that the identifier
- * in a response also tells which attempt it answers. It is not reused after it received data that
- * belongs to no request, or after a response that ended before its request was completely written.
- * Confined to the event loop.
+ * in a response also tells which attempt it answers. It carries either HEAD requests or none, so
+ * that the end of a response is known whichever request it answers. It is not reused after it
+ * received data that belongs to no request, or after a response that ended before its request was
+ * completely written. Confined to the event loop.
  */
-final class ServerConnection extends ChannelInboundHandlerAdapter {
+final class ServerConnection extends ChannelInboundHandlerAdapter
+    implements StrictResponseDecoder.Requests {
   /** The pool that owns the connection. */
   interface Pool {
     /** Called when the connection can be reused for another request. */
@@ -72,6 +77,7 @@
   private Optional<ServerAttempt> currentAttempt = Optional.empty();
   private Optional<Long> keepAliveMillis = Optional.empty();
   private long idleSinceNanos = System.nanoTime();
+  private boolean carriesHeads;
   private boolean isSkipping;
   private boolean mustClose;
   private boolean isRequestWritten;
@@ -87,6 +93,11 @@
     this.address = address;
   }
 
+  /** Adds the connection and its codec to the pipeline of a new channel. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(new StrictResponseDecoder(this), new HttpRequestEncoder(), this);
+  }
+
   String address() {
     return address;
   }
@@ -100,7 +111,8 @@
    * a second response to that attempt could not be told from the response to the next one.
    */
   boolean mayCarry(OutboundRequest request) {
-    return !carriedRequests.contains(HASH.hashChars(request.parsedHead().id()));
+    boolean isSameKind = carriedRequests.isEmpty() || isHead(request) == carriesHeads;
+    return isSameKind && !carriedRequests.contains(HASH.hashChars(request.parsedHead().id()));
   }
 
   /** Returns when the connection became idle, by {@link System#nanoTime}. */
@@ -132,6 +144,7 @@
   void send(ServerAttempt attempt, long nowMicros) {
     currentAttempt = Optional.of(attempt);
     carriedRequests.add(HASH.hashChars(attempt.request().parsedHead().id()));
+    carriesHeads = isHead(attempt.request());
     mustClose |= carriedRequests.size() >= MAXIMUM_REQUESTS;
     lastSentNanos = System.nanoTime();
     hasResponseHead = false;
@@ -181,6 +194,11 @@
     Channels.close(channel);
   }
 
+  @Override
+  public boolean areHeads() {
+    return carriesHeads;
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
@@ -221,6 +239,10 @@
         && part.decoderResult().cause() instanceof PrematureChannelClosureException;
   }
 
+  private static boolean isHead(OutboundRequest request) {
+    return HttpMethod.HEAD.equals(request.method());
+  }
+
   private void onResponsePart(ServerAttempt attempt, HttpObject part) {
     if (part instanceof HttpResponse head && !startResponse(attempt, head)) {
       ReferenceCountUtil.release(part);
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.ConnectException;
 import java.time.Duration;
@@ -212,9 +211,7 @@
 
   private ChannelFuture connect(ServerConnection connection) {
     return Channels.client(
-            loop,
-            settings.connectTimeout(),
-            channel -> channel.pipeline().addLast(new HttpClientCodec(), connection))
+            loop, settings.connectTimeout(), channel -> connection.addTo(channel.pipeline()))
         .connect(Addresses.parse(connection.address()));
   }
 
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -334,6 +334,22 @@
     assertThat(answers).contains("HTTP/1.1 502 ");
   }
 
+  // Guards against a late second response being read as if it answered the HEAD request, and the
+  // reverse: a body was read as the next response, or the response to HEAD waited for a body.
+  @ParameterizedTest
+  @CsvSource({"GET, HEAD", "HEAD, GET"})
+  void headRequestsHaveTheirOwnConnections(String first, String second) throws IOException {
+    server =
+        new RawServer(
+            request -> failure(request.contains("id: 1\r\n") ? "id: 1\r\n" : "id: 2\r\n"));
+    exchange(
+        first
+            + " /a HTTP/1.1\r\nHost: h\r\nid: 1\r\n\r\n"
+            + second
+            + " /a HTTP/1.1\r\nHost: h\r\nid: 2\r\nConnection: close\r\n\r\n");
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
   // Guards against a crash that is taken for a broken connection, and the reverse.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
