--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -334,6 +334,43 @@
     assertThat(answers).contains("HTTP/1.1 502 ");
   }
 
+  static Stream<String> ambiguousResponses() {
+    String chunked = "Transfer-Encoding: chunked\r\n";
+    String own = "id: 1\r\nContent-Length: 3\r\n\r\nabc";
+    return Stream.of(
+        "XHTTP/1.1 200 OK\r\n" + own,
+        "HTTP/2.0 200 OK\r\n" + own,
+        "HTTP/1.1 +200 OK\r\n" + own,
+        "HTTP/1.1 0200 OK\r\n" + own,
+        "HTTP/1.1 099 OK\r\n" + own,
+        "HTTP/1.1 600 OK\r\n" + own,
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + chunked + own,
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + own,
+        "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: +3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nid: 1\r\n" + chunked + chunked + "\r\n" + "0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nid: 1\r\n" + chunked + "\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: identity\r\n\r\nabc"
+            + RawServer.THEN_CLOSE);
+  }
+
+  // Guards against a response that another reader understands differently being relayed.
+  @ParameterizedTest
+  @MethodSource("ambiguousResponses")
+  void anAmbiguousResponseIsNotRelayed(String ambiguous) throws IOException {
+    server = new RawServer(request -> ambiguous);
+    assertThat(exchange(post("1", "close", "a"))).startsWith("HTTP/1.1 502 ");
+  }
+
+  // Guards against a success of an earlier head that was cut short hiding the server's failure.
+  @ParameterizedTest
+  @ValueSource(strings = {"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nx: y"})
+  void aFailureBehindAHeadThatIsCutShortIsNoSuccess(String cutShort) throws IOException {
+    server = new RawServer(request -> cutShort + failure("id: 1\r\n"));
+    assertThat(exchange(post("1", "close", "a"))).startsWith("HTTP/1.1 502 ");
+  }
+
   // Guards against a late second response being read as if it answered the HEAD request, and the
   // reverse: a body was read as the next response, or the response to HEAD waited for a body.
   @ParameterizedTest
