Close an idle connection on which part of a response arrives

Cause: bytes that begin a response, but don't complete its head, stay in the decoder without notice. The connection went back to the pool, or stayed there, and the next answer was read together with them. Change: the decoder reports bytes that arrive while no request waits; the connection is closed. Evidence: aConnectionWithAPartOfAnotherResponseIsNotReused, 4 of 4 cases failed before and pass.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -194,11 +194,21 @@
     Channels.close(channel);
   }
 
+  @Override
+  public boolean isResponseDue() {
+    return currentAttempt.isPresent();
+  }
+
   @Override
   public boolean areHeads() {
     return carriesHeads;
   }
 
+  @Override
+  public void onSurplusBytes() {
+    close();
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
--- a/transport/src/main/java/org/shallothook/transport/forward/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/StrictResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.shallothook.transport.forward;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -19,8 +21,14 @@
 final class StrictResponseDecoder extends HttpResponseDecoder {
   /** The requests that a connection carries. */
   interface Requests {
+    /** Returns whether a request waits for a response. */
+    boolean isResponseDue();
+
     /** Returns whether the requests are HEAD requests, whose responses have no body. */
     boolean areHeads();
+
+    /** Called when bytes have arrived that neither belong to a response nor complete one. */
+    void onSurplusBytes();
   }
 
   private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
@@ -37,6 +45,16 @@
     this.requests = requests;
   }
 
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out)
+      throws Exception {
+    boolean isDue = requests.isResponseDue();
+    super.decode(context, bytes, out);
+    if (!isDue && out.isEmpty()) {
+      requests.onSurplusBytes();
+    }
+  }
+
   @Override
   protected HttpMessage createMessage(String[] initialLine) {
     require(VERSION.matcher(initialLine[0]).matches(), "HTTP version");
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -371,6 +371,21 @@
     assertThat(exchange(post("1", "close", "a"))).startsWith("HTTP/1.1 502 ");
   }
 
+  // Guards against the reuse of a connection on which a part of another response has arrived.
+  @ParameterizedTest
+  @ValueSource(strings = {"\r\n", "H", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nx: "})
+  void aConnectionWithAPartOfAnotherResponseIsNotReused(String part) throws IOException {
+    server =
+        new RawServer(
+            request ->
+                request.contains("id: 1\r\n")
+                    ? response("1", "first") + part
+                    : failure("id: 2\r\n"));
+    String both = exchange(post("1", "keep-alive", "a") + post("2", "close", "b"));
+    assertThat(both).contains("HTTP/1.1 500 ");
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
   // Guards against a late second response being read as if it answered the HEAD request, and the
   // reverse: a body was read as the next response, or the response to HEAD waited for a body.
   @ParameterizedTest
