Read an idle connection to a server before it is used again

Cause: a refusal without an id is taken as that of the first request of a connection, as a server may refuse before it has read the request. One that had arrived on the idle connection, but was not read yet, was taken so too: the caller was told "not run", and the server ran the request (REFUSED, TWICE). Conclusion: an idle connection is clean as far as bytes have reached this machine. Open: a refusal of which only a part has arrived by then, on a connection that never carried a request, lies in the decoder unseen.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -95,6 +95,11 @@
     return channel != null && channel.isActive();
   }
 
+  /** Returns whether the idle connection is open, and no response has arrived on it unasked. */
+  boolean isOpenAfterReading() {
+    return Channels.isOpenAfterReading(channel);
+  }
+
   /**
    * Returns whether the connection may carry a request. If it has carried the same request before,
    * a second response to that attempt could not be told from the response to the next one.
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -159,7 +159,7 @@
         continue;
       }
       newestFirst.remove();
-      if (isUsable) {
+      if (isUsable && connection.isOpenAfterReading()) {
         return Optional.of(connection);
       }
       connection.close();
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -349,6 +349,19 @@
     assertThat(events).contains(expected);
   }
 
+  // Guards against "not run" for a request that ran: the refusal was there before it was sent.
+  @Test
+  void aRefusalThatArrivedBeforeARequestDoesNotRefuseIt() throws Exception {
+    server = new RawServer(request -> response("1", "done"));
+    transport.carryOut(new ForwardCommand.CheckServer("server", server.address()));
+    assertThat(serverChecked.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    // Runs on the event loop, which therefore reads the refusal only after the request is sent.
+    onRequested = () -> server.sendUnasked(refusal(""));
+
+    assertThat(exchange(post("1", "close", "a"))).endsWith("done");
+    assertThat(server.requests()).hasSize(1);
+  }
+
   static List<String> incompleteHeads() {
     return List.of(
         "HTTP/1.1 200",
--- a/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -112,6 +113,17 @@
     return connectionClosedByPeer.await(millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Sends bytes on every connection without a request. */
+  void sendUnasked(String bytes) {
+    for (Socket socket : sockets) {
+      try {
+        write(socket, bytes);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
   /** Sends the rest of a paused response. */
   void proceed() {
     proceedPermits.release();
