--- a/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -73,6 +73,8 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc" + ScriptedServer.THEN_CLOSE,
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
             + ScriptedServer.THEN_CLOSE,
+        "HTTP/1.1 200 OK\r\n\r\nabc" + ScriptedServer.THEN_RESET,
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc",
         "not an HTTP response\r\n\r\n",
       })
   void anAnswerThatIsNotWholeIsLost(String step) throws Exception {
@@ -81,6 +83,18 @@
     assertThat(get()).isInstanceOf(HttpResult.Lost.class);
   }
 
+  // Guards against a connection being used again that ended its response without a length.
+  @Test
+  void anAnswerThatEndsWithItsConnectionIsWholeAndTheConnectionNotUsedAgain() throws Exception {
+    server
+        .then("HTTP/1.1 200 OK\r\n\r\na" + ScriptedServer.THEN_CLOSE)
+        .then(ScriptedServer.response(200, "b"));
+
+    assertThat(get()).isEqualTo(new HttpResult.Answered(200, "", "a"));
+    assertThat(get()).isEqualTo(new HttpResult.Answered(200, "", "b"));
+    assertThat(server.connections()).isEqualTo(2);
+  }
+
   @Test
   void anInformationalResponseIsSkipped() throws Exception {
     server.then("HTTP/1.1 100 Continue\r\n\r\n" + ScriptedServer.response(200, "a"));
--- a/transport/src/test/java/org/shallothook/transport/platform/ScriptedServer.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/ScriptedServer.java
@@ -31,6 +31,9 @@
   /** Suffix of a step that closes the connection after the response. */
   static final String THEN_CLOSE = "\0close";
 
+  /** Suffix of a step that resets the connection after the response. */
+  static final String THEN_RESET = "\0reset";
+
   /**
    * Separates a response from text that is sent later on the same connection: by {@link
    * #sendLateText}, or before the response to the next request there.
@@ -150,8 +153,9 @@
     if (step.equals(SILENCE)) {
       return in.read() >= 0;
     }
-    boolean isLast = step.endsWith(THEN_CLOSE);
-    String text = step.replace(THEN_CLOSE, "");
+    boolean isReset = step.endsWith(THEN_RESET);
+    boolean isLast = isReset || step.endsWith(THEN_CLOSE);
+    String text = step.replace(THEN_CLOSE, "").replace(THEN_RESET, "");
     LateText unsent = late.get();
     if (unsent != null && unsent.socket() == socket && late.compareAndSet(unsent, null)) {
       text = unsent.text() + text;
@@ -162,6 +166,9 @@
       text = text.substring(0, lateStart);
     }
     write(socket, text);
+    if (isReset) {
+      socket.setSoLinger(true, 0);
+    }
     return !isLast;
   }
 
