Answer one request on an admin connection

A handler that answers at once overtook one that waits, and its response was taken for that to the first request. Change: a further request on the connection is dropped with a log line and not carried out. Evidence: aSecondRequestOnAConnectionIsNotAnswered failed before ("second") and passes; AdminServerTest 48 of 48. Conclusion: the doc of the class, one request a connection, now holds.

--- a/transport/src/main/java/org/shallothook/transport/admin/AdminConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminConnection.java
@@ -22,7 +22,8 @@
 /**
  * One connection to the admin port, which is closed after one request.
  *
- * <p>Used only on the event loop of the admin port.
+ * <p>Invariant: further requests are dropped, as their responses could come before the first's.
+ * Used only on the event loop of the admin port.
  */
 final class AdminConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final AdminResponse NOT_FOUND =
@@ -32,6 +33,7 @@
       AdminResponse.json(500, "{\"error\":\"The request failed. See the log of this process.\"}");
 
   private final Map<HttpMethod, Map<String, AdminHandler>> handlers;
+  private boolean hasRequest;
 
   AdminConnection(Map<HttpMethod, Map<String, AdminHandler>> handlers) {
     this.handlers = handlers;
@@ -40,6 +42,11 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     String uri = request.uri();
+    if (hasRequest) {
+      LogComponent.ADMIN.debug("A further request on an admin connection was dropped: {}.", uri);
+      return;
+    }
+    hasRequest = true;
     int queryStart = uri.indexOf('?');
     String path = queryStart < 0 ? uri : uri.substring(0, queryStart);
     Optional<Map.Entry<String, AdminHandler>> handler = findHandler(request.method(), path);
--- a/transport/src/test/java/org/shallothook/transport/admin/AdminServerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/admin/AdminServerTest.java
@@ -2,11 +2,19 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -43,6 +51,26 @@
     loops.close();
   }
 
+  // Guards against the answer to a second request being taken for that to the first.
+  @Test
+  void aSecondRequestOnAConnectionIsNotAnswered() {
+    CompletableFuture<AdminResponse> first = new CompletableFuture<>();
+    AdminHandler quick = request -> CompletableFuture.completedFuture(AdminResponse.ok("second"));
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            new AdminConnection(
+                Map.of(HttpMethod.GET, Map.of("/slow", request -> first, "/quick", quick))));
+    for (String path : List.of("/slow", "/quick")) {
+      channel.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path));
+    }
+    first.complete(AdminResponse.ok("first"));
+    FullHttpResponse response = channel.readOutbound();
+
+    assertThat(response.content().toString(StandardCharsets.UTF_8)).isEqualTo("first");
+    assertThat(channel.<Object>readOutbound()).isNull();
+    response.release();
+  }
+
   @Test
   void healthReportsLeaving() throws Exception {
     HttpResponse<String> serving = get("/healthz");
