Skip only responses to earlier requests of the connection

Cause: a response with any other id was taken for one of another request and skipped. If the id of the server's own failure was damaged, or names a request that this connection never carried, a second answer with the right id replaced it. Change: only an id that the connection has carried is skipped; any other ends the attempt and the connection. Three tests used ids that were never carried for skipped responses. A server can't have been asked for them on that connection, so skipping them was the fault: aResponseToAnEarlierRequestIsSkipped and endlessBytesEndTheRequest now carry the other request first, with the same checks, and a refusal with an unknown id gives 502 in place of the answer behind it.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -261,7 +261,7 @@
   private void onResponsePart(ServerAttempt attempt, HttpObject part) {
     if (part instanceof HttpResponse head && !startResponse(attempt, head)) {
       ReferenceCountUtil.release(part);
-      failCurrentAttempt(false, "the server sent a response that names no request");
+      failCurrentAttempt(false, "the server sent a response to an unknown request");
       return;
     }
     if (isSkipping && part instanceof HttpContent content) {
@@ -295,13 +295,19 @@
       onHead(attempt, head);
       return true;
     }
-    pool.onUnexpected(
-        this,
-        id.isPresent() ? UnexpectedResponse.OTHER_REQUEST : UnexpectedResponse.NO_IDENTIFIER,
-        head);
+    UnexpectedResponse unexpected =
+        id.map(this::unexpectedKind).orElse(UnexpectedResponse.NO_IDENTIFIER);
+    pool.onUnexpected(this, unexpected, head);
     skipResponse();
     mustClose = true;
-    return id.isPresent() || isRefusal;
+    boolean isRepeatedRefusal = id.isEmpty() && isRefusal;
+    return unexpected == UnexpectedResponse.OTHER_REQUEST || isRepeatedRefusal;
+  }
+
+  private UnexpectedResponse unexpectedKind(String id) {
+    return carriedRequests.contains(HASH.hashChars(id))
+        ? UnexpectedResponse.OTHER_REQUEST
+        : UnexpectedResponse.UNKNOWN_REQUEST;
   }
 
   private void skipResponse() {
--- a/transport/src/main/java/org/shallothook/transport/forward/UnexpectedResponse.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/UnexpectedResponse.java
@@ -8,9 +8,11 @@
  * <p>Immutable and thread-safe.
  */
 enum UnexpectedResponse {
-  /** The response names another request than the one that waits for a response. */
+  /** The response names an earlier request of the connection. */
   OTHER_REQUEST,
-  /** The response names no request, and may belong to an earlier one. */
+  /** The response names a request that the connection has not carried. */
+  UNKNOWN_REQUEST,
+  /** The response names no request or several, and may belong to any that was carried. */
   NO_IDENTIFIER,
   /** No request waits for a response. */
   NOT_REQUESTED;
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -194,12 +194,34 @@
     assertThat(server.connections()).isEqualTo(1);
   }
 
+  /** Answers request 0 with a body, and request 1 with a text. */
+  private void serve(String answerOfRequest1) throws IOException {
+    server =
+        new RawServer(
+            request -> request.contains("id: 0\r\n") ? response("0", "late") : answerOfRequest1);
+  }
+
+  private String exchangeAfterRequest0() throws IOException {
+    return exchange(post("0", "keep-alive", "a") + post("1", "close", "a"));
+  }
+
   @Test
-  void aResponseToAnotherRequestIsSkipped() throws IOException {
-    server = new RawServer(request -> response("0", "late") + response("1", "own"));
-    String answer = exchange(post("1", "close", "a"));
-    assertThat(answer).contains("own");
-    assertThat(answer).doesNotContain("late");
+  void aResponseToAnEarlierRequestIsSkipped() throws IOException {
+    serve(response("0", "again") + response("1", "own"));
+    String answers = exchangeAfterRequest0();
+    assertThat(answers).endsWith("own");
+    assertThat(answers).doesNotContain("again");
+    assertThat(server.connections()).isEqualTo(1);
+  }
+
+  // Guards against a second answer replacing the server's failure, whose id is damaged.
+  @ParameterizedTest
+  @ValueSource(strings = {"id: 2\r\n", "id: 1 x\r\n", "id: \r\n"})
+  void aFailureOfAnUnknownRequestIsNotReplacedByASecondAnswer(String header) throws IOException {
+    serve(failure(header) + response("1", "second"));
+    String answers = exchangeAfterRequest0();
+    assertThat(answers).contains("HTTP/1.1 502 ");
+    assertThat(answers).doesNotContain("second");
   }
 
   @Test
@@ -275,7 +297,7 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"'', 503", "'id: 1\r\n', 503", "'id: 0\r\n', 200"})
+  @CsvSource({"'', 503", "'id: 1\r\n', 503", "'id: 0\r\n', 502"})
   void aRefusalWithoutAnIdAnswersTheFirstRequestOfAConnection(String headers, int status)
       throws IOException {
     server = new RawServer(request -> refusal(headers) + response("1", "own"));
@@ -652,9 +674,11 @@
   @MethodSource("endlessResponses")
   void endlessBytesEndTheRequest(String place, String answer)
       throws IOException, InterruptedException {
-    server = new RawServer(request -> answer);
+    server =
+        new RawServer(
+            request -> request.contains("id: other\r\n") ? response("other", "whole") : answer);
 
-    String received = exchange(post("a", "close", "one"));
+    String received = exchange(post("other", "keep-alive", "one") + post("a", "close", "one"));
 
     assertThat(received).doesNotContain("0\r\n\r\n");
     assertThat(server.awaitClosedByPeer(TIMEOUT_MILLIS)).isTrue();
