Reject unknown interim statuses of servers

Change: 100, 102 and 103 are interim responses; any other status below 200 is not valid. A case of anAmbiguousResponseIsNotRelayed.

--- a/transport/src/main/java/org/shallothook/transport/forward/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/StrictResponseDecoder.java
@@ -33,8 +33,8 @@
 
   private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
 
-  /** A status with which a final or interim response may begin; 101 is never asked for. */
-  private static final Pattern STATUS = Pattern.compile("(?!101)[1-5]\\d\\d");
+  /** A status with which a response may begin: a known interim one, but not 101, or a final one. */
+  private static final Pattern STATUS = Pattern.compile("10[023]|[2-5]\\d\\d");
 
   /** A status line inside a head: the one before it was cut short. */
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d\\d\\d");
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -367,6 +367,7 @@
         "HTTP/1.1 099 OK\r\n" + own,
         "HTTP/1.1 600 OK\r\n" + own,
         "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        "HTTP/1.1 199 Any\r\nid: 1\r\n\r\n" + response("1", "second"),
         "HTTP/1.1 200 OK\r\n" + chunked + own,
         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + own,
         "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: +3\r\n\r\nabc",
