Fail a request whose response may be hidden in a skipped one

What callers would see: a success where the server had answered with a failure (MIXED). Cause: the second answer to an earlier request, cut short within its body, took the beginning of the next response for its rest. If it ended exactly with the server's failure, a second answer that is a success was relayed after it. Change: a skipped body that contains the beginning of a status line ends the attempt. It is watched byte by byte over its parts, without being kept. What can't be told apart: the same inside the body of the request's own response, where the bytes may be the server's.

--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -56,9 +56,6 @@
    */
   private static final int MAXIMUM_SKIPPED_HEADS = 32;
 
-  /** Maximum total size of the skipped bodies of other requests' responses. */
-  private static final long MAXIMUM_SKIPPED_BYTES = 1 << 20;
-
   /**
    * Requests after which a connection is closed, which bounds the identifiers that it remembers.
    */
@@ -73,6 +70,7 @@
   /** Hashes of the identifiers; a collision only makes a request use another connection. */
   private final Set<Long> carriedRequests = new HashSet<>();
 
+  private final SkippedBodies skippedBodies = new SkippedBodies();
   private Channel channel;
   private Optional<ServerAttempt> currentAttempt = Optional.empty();
   private Optional<Long> keepAliveMillis = Optional.empty();
@@ -85,7 +83,6 @@
   private boolean hasResponseHead;
   private long lastSentNanos = System.nanoTime();
   private int skippedHeads;
-  private long skippedBytes;
 
   ServerConnection(Pool pool, HeaderTranslation form, String address) {
     this.pool = pool;
@@ -154,7 +151,7 @@
     lastSentNanos = System.nanoTime();
     hasResponseHead = false;
     skippedHeads = 0;
-    skippedBytes = 0;
+    skippedBodies.reset();
     isRequestWritten = false;
     attempt.attach(this);
     OutboundRequest request = attempt.request();
@@ -265,11 +262,14 @@
       return;
     }
     if (isSkipping && part instanceof HttpContent content) {
-      skippedBytes += content.content().readableBytes();
+      skippedBodies.add(content.content());
     }
-    if (skippedHeads > MAXIMUM_SKIPPED_HEADS || skippedBytes > MAXIMUM_SKIPPED_BYTES) {
+    if (skippedHeads > MAXIMUM_SKIPPED_HEADS || skippedBodies.isTooLarge()) {
       ReferenceCountUtil.release(part);
       failCurrentAttempt(false, "the server sent too many responses that belong to no request");
+    } else if (skippedBodies.containsResponse()) {
+      ReferenceCountUtil.release(part);
+      failCurrentAttempt(false, "the response of another request hides one");
     } else if (part instanceof HttpContent content) {
       onContent(attempt, content);
     }
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -224,6 +224,22 @@
     assertThat(answers).doesNotContain("second");
   }
 
+  // Guards against a skipped response whose body was cut short hiding the server's failure.
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 30})
+  void aFailureInsideASkippedBodyIsNotReplacedByASecondAnswer(int sent) throws IOException {
+    String failure = failure("id: 1\r\n");
+    String cutShort =
+        "HTTP/1.1 200 OK\r\nid: 0\r\nContent-Length: "
+            + (sent + failure.length())
+            + "\r\n\r\n"
+            + "x".repeat(sent);
+    serve(cutShort + failure + response("1", "second"));
+    String answers = exchangeAfterRequest0();
+    assertThat(answers).contains("HTTP/1.1 502 ");
+    assertThat(answers).doesNotContain("second");
+  }
+
   @Test
   void aConnectionWithSurplusBytesIsNotReused() throws IOException {
     server =
