Show that responses held for many connections have no common bound

Cause: each connection has bounds of its own (64 KiB of an event, 256 KiB of a response not yet relayed, 64 KiB of unwritten output), but nothing bounds their sum, while a router has 64 MB of direct memory and 72 MB of heap.

--- a/transport/src/main/java/org/shallothook/transport/forward/EventSplitter.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/EventSplitter.java
@@ -34,6 +34,11 @@
     return lastEventId;
   }
 
+  /** Returns the size of the incomplete event that is buffered. */
+  int partialBytes() {
+    return partial.readableBytes();
+  }
+
   /** Returns whether bytes of an incomplete event are buffered. */
   boolean holdsPartialEvent() {
     return partial.isReadable();
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
@@ -1,5 +1,6 @@
 package org.shallothook.transport.forward;
 
+import io.netty.util.internal.PlatformDependent;
 import java.time.Duration;
 
 /**
@@ -19,6 +20,8 @@
  * @param maximumCallerConnections maximum number of caller connections
  * @param drainPeriod time between the start of draining and the refusal of new requests; longer
  *     than the two health checks after which a load balancer stops choosing the process
+ * @param maximumHeldBytes maximum size of all responses that wait in the process for their rest or
+ *     for their callers
  */
 public record ForwardSettings(
     Duration connectTimeout,
@@ -27,7 +30,14 @@
     Duration nonRepeatableIdleTime,
     int maximumIdleConnections,
     int maximumCallerConnections,
-    Duration drainPeriod) {
+    Duration drainPeriod,
+    long maximumHeldBytes) {
+  /**
+   * Share of the direct memory that responses may use; the rest is for requests, peers, and the
+   * unused parts of buffers.
+   */
+  private static final long DIRECT_MEMORY_DIVISOR = 4;
+
   /** Settings used if the settings file has none. */
   public static final ForwardSettings DEFAULT =
       new ForwardSettings(
@@ -37,7 +47,8 @@
           Duration.ofMillis(2_500),
           24,
           3_000,
-          Duration.ofMillis(2_600));
+          Duration.ofMillis(2_600),
+          PlatformDependent.maxDirectMemory() / DIRECT_MEMORY_DIVISOR);
 
   /** Divisor of the grace period: how much of it may pass before new requests are refused. */
   private static final int DRAIN_PERIOD_DIVISOR = 2;
@@ -55,6 +66,7 @@
         nonRepeatableIdleTime,
         maximumIdleConnections,
         maximumCallerConnections,
-        drainPeriod.compareTo(longest) <= 0 ? drainPeriod : longest);
+        drainPeriod.compareTo(longest) <= 0 ? drainPeriod : longest,
+        maximumHeldBytes);
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -121,6 +121,11 @@
         });
   }
 
+  /** Returns the memory that responses need, in bytes. Must be called on the event loop. */
+  long heldBytes() {
+    return connections.values().stream().mapToLong(InboundConnection::heldBytes).sum();
+  }
+
   private void executeOnLoop(ForwardCommand command) {
     if (command instanceof ForwardCommand.Send send) {
       context
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -76,6 +77,16 @@
     return channel;
   }
 
+  /** Returns the memory that responses to the caller need, in bytes. */
+  long heldBytes() {
+    return outboundBytes() + current.map(InboundExchange::heldBytes).orElse(0L);
+  }
+
+  private long outboundBytes() {
+    ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
+    return outbound == null ? 0 : outbound.totalPendingWriteBytes();
+  }
+
   @Override
   public boolean isLastResponse() {
     return isLastRequest || context.isDraining();
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -159,6 +159,12 @@
     finish();
   }
 
+  /** Returns the memory that the response needs until it is written to the caller, in bytes. */
+  long heldBytes() {
+    return attempt.map(ServerAttempt::heldBytes).orElse(0L)
+        + eventSplitter.map(EventSplitter::partialBytes).orElse(0);
+  }
+
   /** Pauses or resumes reading from the server according to the writability of the caller. */
   void writabilityChanged(boolean isWritable) {
     attempt.ifPresent(open -> open.pause(!isWritable));
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
@@ -47,6 +47,9 @@
   /** Size of a response not yet relayed above which reading is paused. */
   private static final int MAXIMUM_BUFFERED_BYTES = 256 << 10;
 
+  /** Memory that a buffered part needs beside its bytes. */
+  private static final int PART_OVERHEAD_BYTES = 128;
+
   private final int number;
   private final Dispatch dispatch;
   private final OutboundRequest request;
@@ -86,12 +89,18 @@
     connection = Optional.of(newConnection);
   }
 
+  /** Returns the memory that the buffered part of the response needs, in bytes. */
+  long heldBytes() {
+    return bufferedBytes;
+  }
+
   /** Passes the buffered content to the owner, and further content as it arrives. */
   void relay() {
     isRelayed = true;
     if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
       pause(false);
     }
+    bufferedBytes = 0;
     HttpContent next = buffered.poll();
     while (next != null) {
       owner.onResponseContent(this, next);
@@ -139,7 +148,7 @@
     } else if (isRelayed) {
       owner.onResponseContent(this, content);
     } else {
-      bufferedBytes += content.content().readableBytes();
+      bufferedBytes += content.content().readableBytes() + PART_OVERHEAD_BYTES;
       buffered.add(content);
       if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
         pause(true);
@@ -171,5 +180,6 @@
   private void releaseBuffered() {
     buffered.forEach(ReferenceCountUtil::release);
     buffered.clear();
+    bufferedBytes = 0;
   }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -59,7 +59,8 @@
         defaults.nonRepeatableIdleTime(),
         defaults.maximumIdleConnections(),
         defaults.maximumCallerConnections(),
-        DRAIN_PERIOD);
+        DRAIN_PERIOD,
+        defaults.maximumHeldBytes());
   }
 
   @Override
