--- a/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
@@ -132,9 +132,7 @@
         Arguments.of("large chunks", chunked + RawServer.REPEAT_FOREVER + chunk("x".repeat(8_000))),
         Arguments.of(
             "small chunks", chunked + RawServer.REPEAT_FOREVER + chunk("x").repeat(10_000)),
-        Arguments.of(
-            "whole responses",
-            "Content-Length: 200000\r\n\r\n" + "x".repeat(200_000)));
+        Arguments.of("whole responses", "Content-Length: 200000\r\n\r\n" + "x".repeat(200_000)));
   }
 
   /**
