Bound the memory of all responses that wait in the process

Cause: bounds held for each connection only, so the responses of many faulty servers and slow callers could together use up the memory of a process. Change: ResponseBudget sums up, after each 64 KiB read from servers, what callers' connections hold (unwritten output with its overhead, parts not yet relayed, incomplete events). Above half of the maximum, a quarter of the direct memory, reading is paused for callers above an equal share; above the maximum, those that hold the most lose their response or their connection. In the test the connect timeout is now 10 s, because 60 connections at once overflow the backlog of the test's server; its checks are unchanged.

--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -55,6 +55,7 @@
   private final ForwardSettings settings;
   private final ForwardContext context;
   private final ServerConnectionPool serverConnections;
+  private final ResponseBudget budget;
   private final Map<Channel, InboundConnection> connections = new HashMap<>();
   private Runnable onDrained = () -> {};
 
@@ -79,8 +80,13 @@
       LongSupplier clockMicros) {
     this.loop = loop;
     this.settings = settings;
+    this.budget =
+        new ResponseBudget(
+            settings.maximumHeldBytes(),
+            connections::values,
+            (delay, task) -> Channels.after(loop, delay, task));
     this.serverConnections =
-        new ServerConnectionPool(loop, form, settings, clockMicros, counters, journal);
+        new ServerConnectionPool(loop, form, settings, clockMicros, counters, journal, budget);
     this.context = new ForwardContext(form, serverConnections, events, counters, clockMicros);
   }
 
@@ -161,6 +167,7 @@
 
   private void checkStalls() {
     context.openExchangeList().forEach(InboundExchange::checkStall);
+    budget.check();
     Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -46,7 +46,7 @@
  * smuggling). Confined to the event loop.
  */
 final class InboundConnection extends ChannelInboundHandlerAdapter
-    implements InboundExchange.Connection {
+    implements InboundExchange.Connection, ResponseBudget.Holder {
   /** Pipelined requests that may wait behind the open one before reading is paused. */
   private static final int MAXIMUM_QUEUED_REQUESTS = 2;
 
@@ -77,11 +77,28 @@
     return channel;
   }
 
-  /** Returns the memory that responses to the caller need, in bytes. */
-  long heldBytes() {
+  @Override
+  public long heldBytes() {
     return outboundBytes() + current.map(InboundExchange::heldBytes).orElse(0L);
   }
 
+  @Override
+  public void pauseReading(boolean shouldPause) {
+    current.ifPresent(exchange -> exchange.pauseReading(shouldPause));
+  }
+
+  @Override
+  public void shed() {
+    long attemptBytes = current.map(InboundExchange::heldBytes).orElse(0L);
+    if (attemptBytes > outboundBytes()) {
+      context.counters().increment("servers.failed-for-memory");
+      current.orElseThrow().failAttempt("the memory for responses is used up");
+    } else {
+      context.counters().increment("callers.closed-for-memory");
+      Channels.close(channel);
+    }
+  }
+
   private long outboundBytes() {
     ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
     return outbound == null ? 0 : outbound.totalPendingWriteBytes();
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -62,6 +62,7 @@
   private boolean hasEnded;
   private Optional<Long> stallMicros = Optional.empty();
   private long lastProgressMicros;
+  private boolean isReadingPaused;
 
   InboundExchange(
       long number, OutboundRequest request, ForwardContext context, Connection connection) {
@@ -167,7 +168,24 @@
 
   /** Pauses or resumes reading from the server according to the writability of the caller. */
   void writabilityChanged(boolean isWritable) {
-    attempt.ifPresent(open -> open.pause(!isWritable));
+    attempt.ifPresent(open -> open.pause(!isWritable || isReadingPaused));
+  }
+
+  /** Pauses or resumes reading from the server, in addition to the writability of the caller. */
+  void pauseReading(boolean shouldPause) {
+    if (isReadingPaused != shouldPause) {
+      isReadingPaused = shouldPause;
+      writabilityChanged(connection.channel().isWritable());
+    }
+  }
+
+  /** Fails the current attempt and releases what it holds. */
+  void failAttempt(String detail) {
+    attempt.ifPresent(
+        open -> {
+          open.drop();
+          onBroken(open, false, detail);
+        });
   }
 
   @Override
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -44,6 +44,7 @@
   private final LongSupplier clockMicros;
   private final Counters counters;
   private final DecisionJournal journal;
+  private final ResponseBudget budget;
   private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
   ServerConnectionPool(
@@ -52,13 +53,15 @@
       ForwardSettings settings,
       LongSupplier clockMicros,
       Counters counters,
-      DecisionJournal journal) {
+      DecisionJournal journal,
+      ResponseBudget budget) {
     this.loop = loop;
     this.form = form;
     this.settings = settings;
     this.clockMicros = clockMicros;
     this.counters = counters;
     this.journal = journal;
+    this.budget = budget;
   }
 
   /** Starts to close connections that have been idle for too long. */
@@ -214,7 +217,7 @@
     return Channels.client(
             loop,
             settings.connectTimeout(),
-            channel -> channel.pipeline().addLast(new HttpClientCodec(), connection))
+            channel -> channel.pipeline().addLast(budget, new HttpClientCodec(), connection))
         .connect(Addresses.parse(connection.address()));
   }
 
--- a/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -56,7 +57,7 @@
   private static ForwardSettings settings() {
     ForwardSettings defaults = ForwardSettings.DEFAULT;
     return new ForwardSettings(
-        defaults.connectTimeout(),
+        Duration.ofMillis(TIMEOUT_MILLIS),
         defaults.idleTimeout(),
         defaults.maximumIdleTime(),
         defaults.nonRepeatableIdleTime(),
@@ -93,7 +94,7 @@
     } else if (event instanceof ForwardEvent.Unsent unsent) {
       transport.carryOut(
           new ForwardCommand.Refuse(
-              unsent.request(), Refusal.notRun(RefusalReason.CONNECTION_LOST, "")));
+              unsent.request(), Refusal.notRun(RefusalReason.CONNECTION_LOST, unsent.detail())));
     }
   }
 
