Bound the sum of the response bodies that a client buffers

Cause: each buffered response of the store, a model server or another platform service could have 6 MB, and nothing bounded how many of them are buffered at once (heap: 72 MB on a router, 40 MB on a sidecar). Change: ResponseBuffers bounds the sum for a client to a third more than one largest response; above it, the response that holds the most is lost as any other that breaks off. The fault itself was not shown with real processes. Conclusion: the peak is 8 MB of bodies, and not yet what their text and its parsing need.

--- a/transport/src/main/java/org/shallothook/transport/platform/BufferedResponse.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/BufferedResponse.java
@@ -15,8 +15,9 @@
  *
  * <p>Invariant: buffers no more than the maximum number of bytes. Not thread-safe.
  */
-final class BufferedResponse implements HttpStreamHandler {
+final class BufferedResponse implements HttpStreamHandler, ResponseBuffers.Owner {
   private final int maximumBytes;
+  private final ResponseBuffers buffers;
   private final Consumer<HttpResult> result;
   private final boolean isBinary;
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -26,19 +27,22 @@
   private Optional<String> header = Optional.empty();
   private boolean isTooLarge;
 
-  BufferedResponse(int maximumBytes, Consumer<HttpResult> result) {
-    this(maximumBytes, result, false);
+  BufferedResponse(int maximumBytes, ResponseBuffers buffers, Consumer<HttpResult> result) {
+    this(maximumBytes, buffers, result, false);
   }
 
-  private BufferedResponse(int maximumBytes, Consumer<HttpResult> result, boolean isBinary) {
+  private BufferedResponse(
+      int maximumBytes, ResponseBuffers buffers, Consumer<HttpResult> result, boolean isBinary) {
     this.maximumBytes = maximumBytes;
+    this.buffers = buffers;
     this.result = result;
     this.isBinary = isBinary;
   }
 
   /** Returns a handler whose result has the body as bytes instead of text. */
-  static BufferedResponse ofBytes(int maximumBytes, Consumer<HttpResult> result) {
-    return new BufferedResponse(maximumBytes, result, true);
+  static BufferedResponse ofBytes(
+      int maximumBytes, ResponseBuffers buffers, Consumer<HttpResult> result) {
+    return new BufferedResponse(maximumBytes, buffers, result, true);
   }
 
   void setExchange(HttpExchange newExchange) {
@@ -59,13 +63,22 @@
       exchange.failAfterSending("the response is larger than " + maximumBytes + " bytes");
       return;
     }
+    if (!buffers.add(this, part.remaining())) {
+      return;
+    }
     byte[] copy = new byte[part.remaining()];
     part.get(copy);
     bytes.writeBytes(copy);
   }
 
+  @Override
+  public void failForMemory() {
+    exchange.failAfterSending("the memory for responses is used up");
+  }
+
   @Override
   public void ended() {
+    buffers.remove(this);
     if (isBinary) {
       ByteBuffer body = ByteBuffer.wrap(bytes.toByteArray()).asReadOnlyBuffer();
       result.accept(new HttpResult.AnsweredBytes(status, body, header));
@@ -80,6 +93,7 @@
 
   @Override
   public void failed(boolean wasSent, String detail) {
+    buffers.remove(this);
     result.accept(
         wasSent ? new HttpResult.Lost(detail, isTooLarge) : new HttpResult.NotSent(detail));
   }
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -29,6 +29,7 @@
   private final EventLoop loop;
   private final HttpSettings settings;
   private final IdleConnections idle;
+  private final ResponseBuffers buffers;
 
   /**
    * Creates a client without connections.
@@ -40,6 +41,7 @@
     this.loop = loop;
     this.settings = settings;
     this.idle = new IdleConnections(settings);
+    this.buffers = new ResponseBuffers(settings.maximumBufferedBytes());
   }
 
   /** Returns the event loop that results are delivered on. */
@@ -49,12 +51,12 @@
 
   /** Sends a request and buffers the response, which must be UTF-8 text. */
   public void send(HttpCall call, Consumer<HttpResult> result) {
-    send(call, new BufferedResponse(settings.maximumResponseBytes(), result));
+    send(call, new BufferedResponse(settings.maximumResponseBytes(), buffers, result));
   }
 
   /** Sends a request and buffers the response as bytes. */
   public void sendForBytes(HttpCall call, Consumer<HttpResult> result) {
-    send(call, BufferedResponse.ofBytes(settings.maximumResponseBytes(), result));
+    send(call, BufferedResponse.ofBytes(settings.maximumResponseBytes(), buffers, result));
   }
 
   private void send(HttpCall call, BufferedResponse response) {
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
@@ -20,4 +20,12 @@
   /** Default settings. */
   public static final HttpSettings DEFAULT =
       new HttpSettings(Duration.ofMillis(500), Duration.ofSeconds(5), 2, 6 << 20);
+
+  /** Part of one largest response that others may use beside it. */
+  private static final int OTHER_RESPONSES_DIVISOR = 3;
+
+  /** Returns the maximum size of all bodies that are buffered at once, in bytes. */
+  int maximumBufferedBytes() {
+    return maximumResponseBytes + maximumResponseBytes / OTHER_RESPONSES_DIVISOR;
+  }
 }
