--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -43,6 +43,7 @@
   private final LongSupplier clockMicros;
   private final Counters counters;
   private final DecisionJournal journal;
+  private final ResponseBudget budget;
   private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
   ServerConnectionPool(
@@ -51,13 +52,15 @@
       ForwardSettings settings,
       LongSupplier clockMicros,
       Counters counters,
-      DecisionJournal journal) {
+      DecisionJournal journal,
+      ResponseBudget budget) {
     this.loop = loop;
     this.form = form;
     this.settings = settings;
     this.clockMicros = clockMicros;
     this.counters = counters;
     this.journal = journal;
+    this.budget = budget;
   }
 
   /** Starts to close connections that have been idle for too long. */
@@ -132,7 +135,7 @@
     counters.increment("servers.responses-" + unexpected.code());
     journal.write(
         Decision.UNEXPECTED_RESPONSE,
-        connection.waitingRequest().orElse(""),
+        connection.waitingRequest().orElse(connection.address()),
         "address",
         connection.address(),
         "outcome",
@@ -211,7 +214,9 @@
 
   private ChannelFuture connect(ServerConnection connection) {
     return Channels.client(
-            loop, settings.connectTimeout(), channel -> connection.addTo(channel.pipeline()))
+            loop,
+            settings.connectTimeout(),
+            channel -> connection.addTo(channel.pipeline().addLast(budget)))
         .connect(Addresses.parse(connection.address()));
   }
 
