Do not take a crash that is seen late for a survived request

Cause: a server counts as having survived a request if its connection broke a second or more after the output had begun. That time was measured to the moment at which the router saw the break. A router that stood still, or was cut off from the server, while it crashed saw the break seconds late, cleared the content and its parts, and announced it, which ended a justified quarantine at all routers. Three crashes had to follow again.

Change: the time is measured to the last output (Broken.lastOutputMicros), and time for which the process stood still does not count (RunningClock): output that waits in the socket is read late as well.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -112,6 +112,7 @@
   private final VersionEligibility eligibility;
   private final FleetRetryBudget retries;
   private final CrashDetector crashes = new CrashDetector();
+  private final RunningClock clock = new RunningClock();
   private final CrashQuarantine quarantine;
   private final PromptPlacement promptPlacement;
   private final PrefixAnnouncements announcements;
@@ -173,6 +174,7 @@
    * @param nowMicros time of the event on a steady clock, in microseconds; never decreases
    */
   public void handle(ForwardEvent event, long nowMicros) {
+    clock.onEvent(nowMicros);
     if (event instanceof ForwardEvent.Requested requested) {
       onRequested(requested, nowMicros);
     } else if (event instanceof ForwardEvent.Tick) {
@@ -187,7 +189,7 @@
           .ifPresent(request -> onAnswered(request, answered.answer(), nowMicros));
     } else if (event instanceof ForwardEvent.OutputStarted started) {
       find(started.request(), started.attempt())
-          .ifPresent(request -> request.onOutputStarted(nowMicros));
+          .ifPresent(request -> request.onOutputStarted(clock.at(nowMicros)));
     } else if (event instanceof ForwardEvent.Completed completed) {
       find(completed.request(), completed.attempt())
           .ifPresent(request -> onCompleted(request, nowMicros));
@@ -844,7 +846,7 @@
     Server server = request.server().orElseThrow();
     server.onFailure(nowMicros);
     if (broken.isReset()) {
-      onConnectionReset(request, server, nowMicros);
+      onConnectionReset(request, server, broken.lastOutputMicros(), nowMicros);
     }
     request.onLastEvent(broken.lastEvent());
     request.onAttemptEnded(true);
@@ -873,8 +875,9 @@
   }
 
   /** Finds out whether a server that broke a connection has crashed, and whether by the request. */
-  private void onConnectionReset(PendingRequest request, Server server, long nowMicros) {
-    boolean hasSurvived = request.outputMicros(nowMicros) >= SURVIVAL_MICROS;
+  private void onConnectionReset(
+      PendingRequest request, Server server, long lastOutputMicros, long nowMicros) {
+    boolean hasSurvived = request.outputMicros(clock.at(lastOutputMicros)) >= SURVIVAL_MICROS;
     if (hasSurvived) {
       quarantine.onSurvived(request.signature(), nowMicros);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -41,8 +41,16 @@
    *
    * @param isReset whether the server broke the connection, rather than sent an invalid response
    * @param lastEvent number of the last complete event that was relayed to the caller
+   * @param lastOutputMicros when output last arrived, on the decision clock in microseconds; the
+   *     server need not have run for longer
    */
-  record Broken(long request, int attempt, boolean isReset, String detail, Optional<Long> lastEvent)
+  record Broken(
+      long request,
+      int attempt,
+      boolean isReset,
+      String detail,
+      Optional<Long> lastEvent,
+      long lastOutputMicros)
       implements ForwardEvent {}
 
   /** A version of the configuration was read. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -289,13 +289,18 @@
     }
   }
 
-  void onOutputStarted(long nowMicros) {
-    outputStartedMicros = Optional.of(nowMicros);
+  /** Records that output of the current attempt has begun to arrive, on a {@link RunningClock}. */
+  void onOutputStarted(long runningMicros) {
+    outputStartedMicros = Optional.of(runningMicros);
   }
 
-  /** Returns for how long the response of the current attempt has had output, in microseconds. */
-  long outputMicros(long nowMicros) {
-    return outputStartedMicros.map(at -> nowMicros - at).orElse(0L);
+  /**
+   * Returns for how long output of the current attempt has arrived, in microseconds.
+   *
+   * @param lastOutputMicros when output last arrived, on the clock of {@link #onOutputStarted}
+   */
+  long outputMicros(long lastOutputMicros) {
+    return outputStartedMicros.map(at -> lastOutputMicros - at).orElse(0L);
   }
 
   /** Returns whether the response being relayed is a success. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/CrashingFleet.java
@@ -44,6 +44,22 @@
   private static final long CALL_SPREAD_MICROS = 70 * MILLI;
   private static final int REGISTERS = 12;
 
+  /** A route of the configuration, by what its requests are. */
+  enum Kind {
+    RESUMABLE_STREAM("/ask/1", true),
+    STREAM("/draft/1", true),
+    UNSAFE_CALL("/book/1", false),
+    SAFE_CALL("/read/1", false);
+
+    private final String target;
+    private final boolean hasPrompt;
+
+    Kind(String target, boolean hasPrompt) {
+      this.target = target;
+      this.hasPrompt = hasPrompt;
+    }
+  }
+
   /** One request at a server: when it was sent, by which router, and with which parts. */
   record Arrival(long atMicros, int router, Set<String> parts) {}
 
@@ -54,6 +70,12 @@
   /** Time after which a server that has crashed is listed again, in microseconds. */
   long restartMicros = 3 * SECOND;
 
+  /**
+   * Time until the caller of a deadly request that failed sends it once more, in microseconds;
+   * empty if it does not.
+   */
+  Optional<Long> callerRetryMicros = Optional.empty();
+
   private final Map<String, List<Long>> crashTimesByPart = new HashMap<>();
   private final SplittableRandom random;
   private final VirtualTime time = new VirtualTime(100 * SECOND);
@@ -62,6 +84,7 @@
   private final Map<String, Map<Run, Boolean>> runs = new HashMap<>();
   private final Map<String, Long> crashedAtMicros = new HashMap<>();
   private final Map<Long, Set<String>> partsByRequest = new HashMap<>();
+  private final Map<Long, Copy> copies = new HashMap<>();
   private final Map<Long, Long> submittedAtMicros = new HashMap<>();
   private final Map<Long, Refusal> refusals = new HashMap<>();
   private final Map<Long, Long> stored = new HashMap<>();
@@ -70,12 +93,17 @@
   private long nextRequest = 1;
   private int nextServer = 1;
 
+  private record Copy(Kind kind, String content) {}
+
   private record Run(int router, long request, int attempt) {}
 
   private final class Router {
     private final int index;
     private final ForwardCore core;
+    private final List<ForwardEvent> delayed = new ArrayList<>();
     private boolean isConnected = true;
+    private boolean isFrozen;
+    private long breakDelayMicros;
 
     Router(int index) {
       this.index = index;
@@ -86,7 +114,24 @@
     }
 
     void handle(ForwardEvent event) {
-      core.handle(event, time.now());
+      if (isFrozen) {
+        delayed.add(event);
+      } else {
+        core.handle(event, time.now());
+      }
+    }
+
+    void thaw() {
+      isFrozen = false;
+      delayed.forEach(event -> handle(readNow(event)));
+      delayed.clear();
+    }
+
+    /** Returns an event as it is when the output before it is read only now. */
+    private ForwardEvent readNow(ForwardEvent event) {
+      return event instanceof ForwardEvent.Broken broken
+          ? broken(broken.request(), broken.attempt())
+          : event;
     }
   }
 
@@ -132,6 +177,21 @@
     routers.get(router).isConnected = isConnected;
   }
 
+  /** Lets a router stand still; what reaches it meanwhile waits until it is thawed. */
+  void freeze(int router) {
+    routers.get(router).isFrozen = true;
+  }
+
+  /** Lets a router that stood still go on. */
+  void thaw(int router) {
+    routers.get(router).thaw();
+  }
+
+  /** Lets a router see only after a time that a connection is broken, as over a cut link. */
+  void delayBreaks(int router, long delayMicros) {
+    routers.get(router).breakDelayMicros = delayMicros;
+  }
+
   /** Sends requests without a deadly part at a mean rate until a time. */
   void submitSoundEvery(long intervalMicros, long untilMicros) {
     submitEvery(intervalMicros, untilMicros, List.of());
@@ -170,6 +230,38 @@
         intervalMicros, untilMicros, () -> submitCall(random.nextInt(routers.size()), content));
   }
 
+  /** Sends copies of one request at a mean rate until a time, each to a random router. */
+  void submitCopiesEvery(long intervalMicros, long untilMicros, Kind kind, String content) {
+    repeatEvery(
+        intervalMicros,
+        untilMicros,
+        () -> submitCopy(random.nextInt(routers.size()), kind, content));
+  }
+
+  /** Sends a copy of the request with a content to a router. */
+  long submitCopy(int router, Kind kind, String content) {
+    copies.put(nextRequest, new Copy(kind, content));
+    return sendCopy(router, kind, content);
+  }
+
+  private long sendCopy(int router, Kind kind, String content) {
+    long request = nextRequest++;
+    String register = "register-" + Math.floorMod(content.hashCode(), REGISTERS);
+    Optional<PromptOutline> prompt =
+        Optional.of(promptOf(List.of("rules", register), "own-" + content))
+            .filter(outline -> kind.hasPrompt);
+    Set<String> names = kind.hasPrompt ? Set.of(content, register) : Set.of(content);
+    submit(router, request, names, kind.target, prompt, content.hashCode());
+    return request;
+  }
+
+  private static PromptOutline promptOf(List<String> shared, String own) {
+    List<Part> parts = new ArrayList<>();
+    shared.forEach(part -> parts.add(new Part(part, 3_000)));
+    parts.add(new Part(own, 2_000));
+    return new PromptOutline(ForwardHarness.MODEL, 8_200, 50, parts);
+  }
+
   /** Sends calls of which no two are alike at a mean rate until a time. */
   void submitDistinctCallsEvery(long intervalMicros, long untilMicros) {
     repeatEvery(
@@ -240,6 +332,11 @@
         .count();
   }
 
+  /** Returns the number of servers that requests with a part have crashed. */
+  int crashesBy(String part) {
+    return crashTimesByPart.getOrDefault(part, List.of()).size();
+  }
+
   /** Returns the share of the requests without a deadly part sent in an interval that begun. */
   double begunShare(long fromMicros, long untilMicros) {
     List<Long> sound = soundRequests(fromMicros, untilMicros);
@@ -276,6 +373,10 @@
     return Optional.ofNullable(refusals.get(request));
   }
 
+  boolean hasBegun(long request) {
+    return begun.contains(request);
+  }
+
   boolean isCompleted(long request) {
     return completed.contains(request);
   }
@@ -337,6 +438,9 @@
           .forEach(open -> open.remove(new Run(router.index, drop.request(), drop.attempt())));
     } else if (command instanceof ForwardCommand.Refuse refuse) {
       refusals.put(refuse.request(), refuse.refusal());
+      retryAsCaller(refuse.request());
+    } else if (command instanceof ForwardCommand.BreakOff brokenOff) {
+      retryAsCaller(brokenOff.request());
     } else if (command instanceof ForwardCommand.AnnounceCrash crash) {
       sendToOthers(router, new ForwardEvent.CrashAnnounced(crash.signature(), crash.crash()));
     } else if (command instanceof ForwardCommand.AnnounceCleared cleared) {
@@ -363,6 +467,18 @@
     }
   }
 
+  /** Sends a deadly request once more, to any router, as its caller would after a failure. */
+  private void retryAsCaller(long request) {
+    Copy copy = copies.remove(request);
+    boolean isRetried =
+        copy != null && deadlyParts.contains(copy.content()) && callerRetryMicros.isPresent();
+    if (isRetried) {
+      after(
+          callerRetryMicros.get(),
+          () -> sendCopy(random.nextInt(routers.size()), copy.kind(), copy.content()));
+    }
+  }
+
   private void sendToOthers(Router sender, ForwardEvent event) {
     if (sender.isConnected) {
       routers.stream()
@@ -429,8 +545,8 @@
         new ResponseHead(200, false, Optional.empty(), Optional.empty(), false, Optional.empty()));
   }
 
-  private static ForwardEvent broken(long request, int attempt) {
-    return new ForwardEvent.Broken(request, attempt, true, "reset", Optional.empty());
+  private ForwardEvent broken(long request, int attempt) {
+    return new ForwardEvent.Broken(request, attempt, true, "reset", Optional.empty(), time.now());
   }
 
   private void begin(Router router, String server, Run run) {
@@ -477,11 +593,11 @@
     crashedAtMicros.put(server, time.now());
     List<Run> broken = List.copyOf(runs.get(server).keySet());
     runs.get(server).clear();
-    after(
-        MESSAGE_MICROS,
-        () ->
-            broken.forEach(
-                run -> routers.get(run.router()).handle(broken(run.request(), run.attempt()))));
+    for (Run run : broken) {
+      Router router = routers.get(run.router());
+      ForwardEvent event = broken(run.request(), run.attempt());
+      after(MESSAGE_MICROS + router.breakDelayMicros, () -> router.handle(event));
+    }
     after(
         restartMicros,
         () -> {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -358,7 +358,7 @@
   void breakConnection(long request, Optional<Long> lastEvent) {
     handle(
         new ForwardEvent.Broken(
-            request, sent(request).orElseThrow().attempt(), true, "reset", lastEvent));
+            request, sent(request).orElseThrow().attempt(), true, "reset", lastEvent, nowMicros));
   }
 
   private void recordCommand(ForwardCommand command) {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -220,7 +220,10 @@
   @Override
   public void onBroken(ServerAttempt ended, boolean isReset, String detail) {
     Optional<Long> lastEventId = eventSplitter.flatMap(EventSplitter::lastEventId);
-    deliver(ended, new ForwardEvent.Broken(number, ended.number(), isReset, detail, lastEventId));
+    deliver(
+        ended,
+        new ForwardEvent.Broken(
+            number, ended.number(), isReset, detail, lastEventId, lastProgressMicros));
     eventSplitter.ifPresent(EventSplitter::release);
   }
 
--- a/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
+++ b/transport/src/test/java/org/shallothook/transport/logging/RequestTraceTest.java
@@ -131,7 +131,7 @@
   void aBookingWhoseOutcomeIsUnknown() throws InterruptedException {
     start(false);
     request("/book/1");
-    handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.empty()));
+    handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.empty(), 0));
     RequestTrace trace = trace();
     assertThat(trace.outcome()).isEqualTo(TraceOutcome.REFUSED);
     assertThat(decisions(trace.steps()))
@@ -153,7 +153,7 @@
             1,
             new ResponseHead(
                 200, false, Optional.empty(), Optional.empty(), false, Optional.empty())));
-    handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.of(4L)));
+    handle(new ForwardEvent.Broken(1, 1, true, "connection reset", Optional.of(4L), 0));
     RequestTrace trace = trace();
     assertThat(trace.outcome()).isEqualTo(TraceOutcome.BROKEN_OFF);
     assertThat(trace.text()).contains("broken off: connection reset; at server-1");
