Cover the line on unexpected responses of servers

DecisionCoverageTest failed for want of the new decision, which the transport writes and the core does not: it is now among those covered elsewhere, by aSkippedResponseWritesALine, which checks subject and fields.

--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -14,14 +14,15 @@
 /** Checks that each decision of a router writes a journal line with its subject and its inputs. */
 final class DecisionCoverageTest {
   /**
-   * Decisions written by sidecars and processes, and crashes, which {@link #aCrashWritesALine}
-   * covers.
+   * Decisions written by sidecars, processes and the transport, and crashes, which {@link
+   * #aCrashWritesALine} covers.
    */
   private static final Set<Decision> NOT_HERE =
       EnumSet.of(
           Decision.ORDER,
           Decision.DEPENDENCY,
           Decision.PROCESS,
+          Decision.UNEXPECTED_RESPONSE,
           Decision.CRASH,
           Decision.QUARANTINE);
 
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -27,7 +27,7 @@
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
-import org.shallothook.coordination.port.DecisionJournal;
+import org.shallothook.coordination.port.Decision;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.transport.EventLoops;
@@ -39,6 +39,7 @@
   private static final int TIMEOUT_MILLIS = 10_000;
   private final EventLoops loops = EventLoops.create(1);
   private final List<ForwardEvent> events = new CopyOnWriteArrayList<>();
+  private final List<List<Object>> decisions = new CopyOnWriteArrayList<>();
   private final CountDownLatch callerGoneReported = new CountDownLatch(1);
   private final CountDownLatch serverChecked = new CountDownLatch(1);
 
@@ -52,7 +53,7 @@
           ForwardSettings.DEFAULT,
           this,
           Counters.NONE,
-          DecisionJournal.NONE,
+          (decision, subject, fields) -> decisions.add(List.of(decision, subject, List.of(fields))),
           () -> Clock.steadyMicros() + pausedMicros.get());
   private final InetSocketAddress address =
       transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
@@ -214,6 +215,18 @@
     assertThat(server.connections()).isEqualTo(1);
   }
 
+  @Test
+  void aSkippedResponseWritesALine() throws IOException {
+    serve(response("0", "again") + response("1", "own"));
+    exchangeAfterRequest0();
+    assertThat(decisions).hasSize(1);
+    assertThat(decisions.get(0).subList(0, 2))
+        .containsExactly(Decision.UNEXPECTED_RESPONSE, "1")
+        .inOrder();
+    assertThat((List<?>) decisions.get(0).get(2))
+        .containsAtLeast("outcome", "other-request", "status", 200, "names", "0", "carried", 2);
+  }
+
   // Guards against a second answer replacing the server's failure, whose id is damaged.
   @ParameterizedTest
   @ValueSource(strings = {"id: 2\r\n", "id: 1 x\r\n", "id: \r\n"})
