Write no body to a caller whose response has none

Cause: a response without a length was made chunked, also where it has no body, so "0\r\n\r\n" followed the head of an answer to HEAD; a refusal of a HEAD request was written with its text. The caller takes either for the beginning of its next answer. Change: responses to HEAD, 204 and 304 are not made chunked and are no event stream; a refusal of HEAD keeps its length and loses its text. Not changed: a refusal that ends the connection before its request is parsed has its text, as the method may be unknown.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -235,7 +236,8 @@
     hasStartedResponse = true;
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
     response.headers().set(context.form().toCaller(head));
-    boolean isEventStream = isEventStream(head);
+    boolean hasBody = hasBody(head.status());
+    boolean isEventStream = hasBody && isEventStream(head);
     if (isEventStream) {
       eventSplitter =
           Optional.of(
@@ -243,9 +245,9 @@
                   connection.channel().alloc(),
                   attempt.flatMap(open -> open.dispatch().resumesAfter())));
     }
-    if (isEventStream || !HttpUtil.isContentLengthSet(head)) {
+    if (isEventStream || (hasBody && !HttpUtil.isContentLengthSet(head))) {
       HttpUtil.setTransferEncodingChunked(response, true);
-    } else {
+    } else if (HttpUtil.isContentLengthSet(head)) {
       response
           .headers()
           .set(HttpHeaderNames.CONTENT_LENGTH, head.headers().get(HttpHeaderNames.CONTENT_LENGTH));
@@ -284,6 +286,13 @@
     }
   }
 
+  /** Returns whether a response with the given status has a body, which callers know as well. */
+  private boolean hasBody(HttpResponseStatus status) {
+    return !HttpMethod.HEAD.equals(request.method())
+        && !HttpResponseStatus.NO_CONTENT.equals(status)
+        && !HttpResponseStatus.NOT_MODIFIED.equals(status);
+  }
+
   private static boolean isEventStream(HttpResponse head) {
     String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
     return HttpResponseStatus.OK.equals(head.status())
@@ -316,6 +325,9 @@
             refusal,
             isLast,
             connection.channel().alloc());
+    if (!hasBody(response.status())) {
+      response.content().clear();
+    }
     response.headers().set(CallerHeaders.OUTCOME, refusal.outcome().headerValue());
     refusal
         .retryAtMicros()
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -402,6 +403,36 @@
     assertThat(server.connections()).isEqualTo(2);
   }
 
+  static Stream<Arguments> answersWithoutABody() {
+    String ok = "HTTP/1.1 200 OK\r\nid: 1\r\n";
+    return Stream.of(
+        Arguments.of("HEAD", ok + "\r\n"),
+        Arguments.of("HEAD", ok + "Content-Length: 5\r\n\r\n"),
+        Arguments.of("HEAD", ok + "Transfer-Encoding: chunked\r\n\r\n"),
+        Arguments.of("HEAD", ok + "Content-Type: text/event-stream\r\n\r\n"),
+        Arguments.of("HEAD", "HTTP/1.1 404 Not Found\r\nid: 1\r\n\r\n"),
+        Arguments.of("HEAD", RawServer.CLOSE),
+        Arguments.of("GET", "HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n"),
+        Arguments.of("GET", "HTTP/1.1 204 No Content\r\nid: 1\r\nContent-Length: 5\r\n\r\n"),
+        Arguments.of("GET", "HTTP/1.1 304 Not Modified\r\nid: 1\r\n\r\n"),
+        Arguments.of("GET", "HTTP/1.1 304 Not Modified\r\nid: 1\r\nContent-Length: 5\r\n\r\n"));
+  }
+
+  // Guards against bytes of a body that the caller takes for the beginning of its next response.
+  @ParameterizedTest
+  @MethodSource("answersWithoutABody")
+  void aResponseWithoutABodyIsFollowedByTheNextOne(String method, String answer)
+      throws IOException {
+    server =
+        new RawServer(request -> request.contains("id: 1\r\n") ? answer : response("2", "second"));
+    String both =
+        exchange(method + " /a HTTP/1.1\r\nHost: h\r\nid: 1\r\n\r\n" + post("2", "close", "b"));
+    int end = both.indexOf("\r\n\r\n") + 4;
+    assertThat(both.substring(0, end).toLowerCase(Locale.ROOT)).doesNotContain("chunked");
+    assertThat(both.substring(end)).startsWith("HTTP/1.1 200 ");
+    assertThat(both).endsWith("second");
+  }
+
   // Guards against a crash that is taken for a broken connection, and the reverse.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
