Relay the body of a 205

Cause: Netty's encoder drops the body of a 205 and sets its length to 0; its decoder, and the framing rules, read one. Change: WholeResponseEncoder frames a 205 like any other response.

--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -207,7 +206,7 @@
         .pipeline()
         .addLast(
             new StrictRequestDecoder(context.limits().headerBytes()),
-            new HttpResponseEncoder(),
+            new WholeResponseEncoder(),
             connection);
   }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -433,6 +433,18 @@
     assertThat(both).endsWith("second");
   }
 
+  // Guards against a success that loses its body: 205 was written without it.
+  @ParameterizedTest
+  @ValueSource(ints = {200, 203, 205, 206, 299, 300, 399, 404, 500, 599})
+  void aBodyOfAnyFinalStatusIsRelayedWhole(int status) throws IOException {
+    server =
+        new RawServer(
+            request -> response("1", "whole").replace("200 OK", Integer.toString(status) + " Any"));
+    String answer = exchange(post("1", "close", "a"));
+    assertThat(answer).startsWith("HTTP/1.1 " + status + " ");
+    assertThat(answer).endsWith("\r\n\r\nwhole");
+  }
+
   // Guards against a crash that is taken for a broken connection, and the reverse.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
