Use a connection for reports for 30 seconds, and close it after 5 idle ones

Change: the time of reuse, 30 s, is apart from the idle timeout, 5 s as before. Conclusion: a report that is a turn behind is followed by a current one unless the server takes longer to answer than the interval of reports (0.25 s); the 30 s bound that case.

--- a/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpSettings.java
@@ -8,6 +8,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param connectTimeout timeout of connecting
+ * @param idleTimeout time after which an idle connection is closed
  * @param maximumReuse time after its first response in which a connection is used again, which
  *     bounds the age of an earlier answer
  * @param maximumIdleConnections maximum number of idle connections for one request line
@@ -15,10 +16,12 @@
  */
 public record HttpSettings(
     Duration connectTimeout,
+    Duration idleTimeout,
     Duration maximumReuse,
     int maximumIdleConnections,
     int maximumResponseBytes) {
   /** Default settings. */
   public static final HttpSettings DEFAULT =
-      new HttpSettings(Duration.ofMillis(500), Duration.ofSeconds(5), 2, 6 << 20);
+      new HttpSettings(
+          Duration.ofMillis(500), Duration.ofSeconds(5), Duration.ofSeconds(30), 2, 6 << 20);
 }
--- a/transport/src/main/java/org/shallothook/transport/platform/IdleConnections.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/IdleConnections.java
@@ -21,8 +21,8 @@
  * Pool of idle connections, by the request line that each has carried.
  *
  * <p>Invariant: a connection carries one request line only, and no byte has arrived on it since the
- * end of the last response. The number of connections for each request line is limited, and each is
- * closed some time after its first response. Used only on the client's event loop.
+ * end of the last response. The number of connections for each request line is limited, as are the
+ * idle time of each and the time for which it is used again. Used only on the client's event loop.
  */
 final class IdleConnections {
   private static final AttributeKey<Long> FIRST_RELEASE_NANOS =
@@ -40,9 +40,8 @@
   void release(RequestLine requestLine, Channel channel) {
     Deque<IdleConnection> connections =
         byRequestLine.computeIfAbsent(requestLine, line -> new ArrayDeque<>());
-    Duration reused = reused(channel);
     if (connections.size() >= settings.maximumIdleConnections()
-        || reused.compareTo(settings.maximumReuse()) >= 0) {
+        || reused(channel).compareTo(settings.maximumReuse()) >= 0) {
       removeIfEmpty(requestLine, connections);
       Channels.close(channel);
       return;
@@ -53,7 +52,7 @@
     channel.pipeline().addLast(connection);
     // The codec passes bytes that it has not decoded to the next handler when it is removed.
     channel.pipeline().remove(HttpClientCodec.class);
-    Channels.after(channel.eventLoop(), settings.maximumReuse().minus(reused), connection::close);
+    Channels.after(channel.eventLoop(), settings.idleTimeout(), connection::close);
   }
 
   Optional<Channel> acquire(RequestLine requestLine) {
@@ -78,7 +77,7 @@
     }
   }
 
-  /** Closes one pooled connection when its time is over, and on surplus data or an error. */
+  /** Closes one pooled connection on a timeout, surplus data or an error. */
   private final class IdleConnection extends ChannelInboundHandlerAdapter {
     private final RequestLine requestLine;
     private final Channel channel;
--- a/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -26,7 +26,7 @@
   private final HttpClient client =
       new HttpClient(
           loops.internal(),
-          new HttpSettings(Duration.ofSeconds(5), Duration.ofSeconds(30), 2, MAX_BODY_BYTES),
+          new HttpSettings(Duration.ofSeconds(5), LONG_TIMEOUT, LONG_TIMEOUT, 2, MAX_BODY_BYTES),
           Counters.NONE);
   private ScriptedServer server;
 
--- a/transport/src/test/java/org/shallothook/transport/platform/SecondAnswerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/SecondAnswerTest.java
@@ -209,7 +209,7 @@
   // Issue 43: a connection that was never idle for long could stay a turn behind for good.
   @Test
   void aConnectionIsNotUsedAgainAfterItsTime() throws Exception {
-    HttpSettings settings = new HttpSettings(LONG_TIMEOUT, Duration.ZERO, 2, 1_000);
+    HttpSettings settings = new HttpSettings(LONG_TIMEOUT, LONG_TIMEOUT, Duration.ZERO, 2, 1_000);
     HttpClient shortLived = new HttpClient(loops.internal(), settings, metrics);
     server.then(FIRST).then(SECOND);
 
