--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -369,10 +369,44 @@
   }
 
   private List<Boolean> brokenByReset() {
+    return broken().map(ForwardEvent.Broken::isReset).toList();
+  }
+
+  private Stream<ForwardEvent.Broken> broken() {
     return events.stream()
         .filter(ForwardEvent.Broken.class::isInstance)
-        .map(event -> ((ForwardEvent.Broken) event).isReset())
-        .toList();
+        .map(ForwardEvent.Broken.class::cast);
+  }
+
+  // Guards against a stream that breaks long after its last event counting as one that had output
+  // until then, so that its server seems to have survived it.
+  @ParameterizedTest
+  @ValueSource(strings = {"", "6\r\nid: 2\n\r\n", "zz\r\n"})
+  void aBrokenStreamNamesTheTimeOfItsLastWholeEvent(String rest) throws IOException {
+    server =
+        new RawServer(
+            request ->
+                streamHead("1")
+                    + chunk("id: 1\ndata: a\n\n")
+                    + RawServer.PAUSE
+                    + rest
+                    + RawServer.THEN_CLOSE);
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(post("1", "close", "a").getBytes(StandardCharsets.ISO_8859_1));
+      StringBuilder answer = new StringBuilder();
+      while (answer.indexOf("data: a\n\n") < 0) {
+        int next = socket.getInputStream().read();
+        assertThat(next).isAtLeast(0);
+        answer.append((char) next);
+      }
+      long seenMicros = Clock.steadyMicros();
+      pausedMicros.set(TimeUnit.SECONDS.toMicros(5));
+      server.proceed();
+      socket.getInputStream().readAllBytes();
+      List<Long> lastOutput = broken().map(ForwardEvent.Broken::lastOutputMicros).toList();
+      assertThat(lastOutput).hasSize(1);
+      assertThat(lastOutput.get(0)).isAtMost(seenMicros);
+    }
   }
 
   @Test
