Count the heads of responses among what responses hold

Cause: the head of a response is kept until the response ends. Some 300 open responses with heads of 8 KB in short fields filled the 72 MB heap of a router, whatever the bound on bodies. Change: a response holds 200 bytes for each field of its head. Evidence: headsOfManyShortFieldsAreHeldResponsesToo failed before (no response ended in 10 s) and passes now; all 267 tests of the module transport pass. Conclusion: a head that is not complete is bounded to 4 KB and 8 KB of bytes, but not counted.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -35,6 +35,10 @@
  */
 final class InboundExchange implements ServerAttempt.Owner {
   private static final String EVENT_STREAM = "text/event-stream";
+
+  /** Memory that a header field of a received response needs, however short it is. */
+  private static final long HEADER_FIELD_BYTES = 200;
+
   private static final double MICROS_PER_SECOND = 1_000_000;
 
   /** The caller connection of an exchange. */
@@ -163,7 +167,8 @@
 
   /** Returns the memory that the response needs until it is written to the caller, in bytes. */
   long heldBytes() {
-    return attempt.map(ServerAttempt::heldBytes).orElse(0L)
+    return responseHead.map(head -> head.headers().size() * HEADER_FIELD_BYTES).orElse(0L)
+        + attempt.map(ServerAttempt::heldBytes).orElse(0L)
         + eventSplitter.map(EventSplitter::partialBytes).orElse(0);
   }
 
--- a/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
@@ -11,8 +11,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -52,6 +55,7 @@
           Clock::steadyMicros);
   private final InetSocketAddress address =
       transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
+  private final CountDownLatch broken = new CountDownLatch(1);
   private RawServer server;
 
   private static ForwardSettings settings() {
@@ -89,8 +93,9 @@
     } else if (event instanceof ForwardEvent.ResponseReceived answered) {
       transport.carryOut(
           new ForwardCommand.Relay(answered.request(), answered.attempt(), Optional.empty()));
-    } else if (event instanceof ForwardEvent.Broken broken) {
-      transport.carryOut(new ForwardCommand.BreakOff(broken.request(), broken.detail()));
+    } else if (event instanceof ForwardEvent.Broken ended) {
+      broken.countDown();
+      transport.carryOut(new ForwardCommand.BreakOff(ended.request(), ended.detail()));
     } else if (event instanceof ForwardEvent.Unsent unsent) {
       transport.carryOut(
           new ForwardCommand.Refuse(
@@ -161,6 +166,24 @@
     assertThat(mostHeldBytes).isAtMost(MAXIMUM_HELD_BYTES);
   }
 
+  /**
+   * Guards against a heap that is full of the heads of open responses, which take much more memory
+   * than their bytes if their fields are short.
+   */
+  @Test
+  void headsOfManyShortFieldsAreHeldResponsesToo() throws Exception {
+    String rest = "a: \r\n".repeat(1_300) + "Transfer-Encoding: chunked\r\n\r\n" + RawServer.PAUSE;
+    server = new RawServer(request -> answer(request, rest));
+    for (int number = 0; number < FAULTY_REQUESTS; number++) {
+      send("faulty" + number);
+    }
+
+    assertThat(broken.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    Socket sound = send(SOUND);
+    assertThat(new String(sound.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1))
+        .endsWith("\r\n\r\ndone");
+  }
+
   private static String answer(String request, String rest) {
     String id = request.lines().filter(line -> line.startsWith("id: ")).findFirst().orElseThrow();
     String head = "HTTP/1.1 200 OK\r\n" + id + "\r\n";
