--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -262,7 +262,7 @@
       return;
     }
     if (isSkipping && part instanceof HttpContent content) {
-      skippedBodies.add(content.content());
+      skippedBodies.add(content.content(), content instanceof LastHttpContent);
     }
     if (skippedHeads > MAXIMUM_SKIPPED_HEADS || skippedBodies.isTooLarge()) {
       ReferenceCountUtil.release(part);
--- a/transport/src/main/java/org/shallothook/transport/forward/SkippedBodies.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/SkippedBodies.java
@@ -29,9 +29,13 @@
   }
 
   /** Adds a part of a body. */
-  void add(ByteBuf part) {
+  void add(ByteBuf part, boolean isLast) {
     bytes += part.readableBytes();
     part.forEachByte(this::match);
+    if (isLast) {
+      containsResponse |= matched > 0;
+      matched = 0;
+    }
   }
 
   /** Returns whether the bodies are too large. */
@@ -39,7 +43,9 @@
     return bytes > MAXIMUM_BYTES;
   }
 
-  /** Returns whether the bodies contain the beginning of another response. */
+  /**
+   * Returns whether a body contains the beginning of another response, or ends with a part of it.
+   */
   boolean containsResponse() {
     return containsResponse;
   }
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -238,17 +238,20 @@
     assertThat(answers).doesNotContain("second");
   }
 
-  // Guards against a skipped response whose body was cut short hiding the server's failure.
+  // Guards against a skipped response whose body was cut short hiding the server's failure, or the
+  // beginning of it.
   @ParameterizedTest
-  @ValueSource(ints = {0, 1, 30})
-  void aFailureInsideASkippedBodyIsNotReplacedByASecondAnswer(int sent) throws IOException {
-    String failure = failure("id: 1\r\n");
+  @CsvSource({"0, 200", "1, 200", "30, 200", "30, 1", "30, 7"})
+  void aFailureInsideASkippedBodyIsNotReplacedByASecondAnswer(int sent, int most)
+      throws IOException {
+    String whole = failure("id: 1\r\n");
+    String hidden = whole.substring(0, Math.min(most, whole.length()));
     String cutShort =
         "HTTP/1.1 200 OK\r\nid: 0\r\nContent-Length: "
-            + (sent + failure.length())
+            + (sent + hidden.length())
             + "\r\n\r\n"
             + "x".repeat(sent);
-    serve(cutShort + failure + response("1", "second"));
+    serve(cutShort + hidden + response("1", "second"));
     String answers = exchangeAfterRequest0();
     assertThat(answers).contains("HTTP/1.1 502 ");
     assertThat(answers).doesNotContain("second");
