--- a/transport/src/main/java/org/shallothook/transport/forward/ResponseBudget.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ResponseBudget.java
@@ -42,6 +42,12 @@
   /** Bytes read from servers between two checks. */
   static final int CHECK_INTERVAL_BYTES = 64 << 10;
 
+  /** Share of the maximum above which reading is paused for callers that hold much. */
+  private static final long PAUSE_DIVISOR = 2;
+
+  /** Share of the maximum that is free after callers have been shed. */
+  private static final long FREE_DIVISOR = 4;
+
   /** Interval of checks while reading is paused, after which a caller who has read goes on. */
   private static final Duration PAUSED_CHECK_INTERVAL = Duration.ofMillis(20);
 
@@ -89,9 +95,9 @@
       holding += bytes > 0 ? 1 : 0;
     }
     if (heldBytes > maximumBytes) {
-      heldBytes -= shed(heldBytes - maximumBytes + maximumBytes / 4);
+      heldBytes -= shed(heldBytes - maximumBytes + maximumBytes / FREE_DIVISOR);
     }
-    long pauseBytes = maximumBytes / 2;
+    long pauseBytes = maximumBytes / PAUSE_DIVISOR;
     boolean mustPause = heldBytes > pauseBytes;
     if (mustPause || isPausing) {
       long share = mustPause ? pauseBytes / holding : Long.MAX_VALUE;
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -49,6 +49,9 @@
      */
     void onUnexpected(
         ServerConnection connection, UnexpectedResponse unexpected, HttpResponse head);
+
+    /** Called when a part of a response has arrived on an idle connection, which is then closed. */
+    void onSurplusBytes(ServerConnection connection);
   }
 
   /**
@@ -208,6 +211,7 @@
 
   @Override
   public void onSurplusBytes() {
+    pool.onSurplusBytes(this);
     close();
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -22,6 +22,7 @@
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.logging.LogComponent;
 
 /**
  * Pool of connections to servers. A connection is reused only while its server has certainly not
@@ -150,6 +151,13 @@
         TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connection.lastSentNanos()));
   }
 
+  @Override
+  public void onSurplusBytes(ServerConnection connection) {
+    counters.increment("servers.connections-surplus-data");
+    LogComponent.UPSTREAM.warn(
+        "Closed the connection to {}: data arrived after a response.", connection.address());
+  }
+
   /** Returns the most recently used connection, as its server is least likely to close it. */
   private Optional<ServerConnection> takeIdle(String address, OutboundRequest request) {
     Deque<ServerConnection> connections = idle.getOrDefault(address, new ArrayDeque<>());
--- a/transport/src/main/java/org/shallothook/transport/forward/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/StrictResponseDecoder.java
@@ -27,7 +27,7 @@
     /** Returns whether the requests are HEAD requests, whose responses have no body. */
     boolean areHeads();
 
-    /** Called when bytes have arrived that neither belong to a response nor complete one. */
+    /** Called when a part of a response has arrived although no request waits for one. */
     void onSurplusBytes();
   }
 
@@ -48,9 +48,9 @@
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out)
       throws Exception {
-    boolean isDue = requests.isResponseDue();
+    boolean isSurplus = bytes.isReadable() && !requests.isResponseDue();
     super.decode(context, bytes, out);
-    if (!isDue && out.isEmpty()) {
+    if (isSurplus && out.isEmpty()) {
       requests.onSurplusBytes();
     }
   }
--- a/transport/src/test/java/org/shallothook/transport/forward/SecondAnswerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/SecondAnswerTest.java
@@ -210,6 +210,11 @@
       log.add("unexpected " + kind);
     }
 
+    @Override
+    public void onSurplusBytes(ServerConnection unexpected) {
+      log.add("surplus bytes");
+    }
+
     private boolean isReusable() {
       return isReleased && channel.isActive();
     }
