Fail an attempt in one place

Change: all four call it. The comment on the hashes of ids no longer says what a collision does, which had become untrue: the hashes also tell earlier requests from unknown ones. No change of behaviour.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -105,8 +105,7 @@
     if (!hasStartedResponse) {
       startResponse(responseHead.orElseThrow());
     } else if (eventSplitter.isEmpty() || !isEventStream(responseHead.orElseThrow())) {
-      current.drop();
-      onBroken(current, false, "the response of the next server does not continue the stream");
+      failAttempt("the response of the next server does not continue the stream");
       return;
     }
     current.relay();
@@ -153,10 +152,8 @@
         connection.channel().isWritable()
             && stallMicros.filter(limit -> inactiveMicros > limit).isPresent();
     if (isStalled && attempt.isPresent()) {
-      ServerAttempt stalled = attempt.get();
       stallMicros = Optional.empty();
-      stalled.drop();
-      onBroken(stalled, false, "the server sent nothing within the stall timeout of the stream");
+      failAttempt("the server sent nothing within the stall timeout of the stream");
     }
   }
 
@@ -300,11 +297,7 @@
     try {
       completeEvents = eventSplitter.get().split(bytes);
     } catch (IllegalArgumentException e) {
-      attempt.ifPresent(
-          open -> {
-            open.drop();
-            onBroken(open, false, String.valueOf(e.getMessage()));
-          });
+      failAttempt(String.valueOf(e.getMessage()));
       return;
     }
     if (completeEvents.isReadable()) {
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -70,7 +70,7 @@
   private final HeaderTranslation form;
   private final String address;
 
-  /** Hashes of the identifiers; a collision only makes a request use another connection. */
+  /** Hashes of the identifiers, which are of any length. */
   private final Set<Long> carriedRequests = new HashSet<>();
 
   private final SkippedBodies skippedBodies = new SkippedBodies();
