Share the event sink and the dispatch of the forwarding tests

Change: OpenEventSink and PlainRequestForm.dispatch; comments only otherwise. All assertions are as before.

--- a/transport/src/test/java/org/shallothook/transport/forward/DepartedCallerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DepartedCallerTest.java
@@ -22,14 +22,13 @@
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.transport.EventLoops;
-import org.shallothook.transport.decision.EventSink;
 
 /**
  * Guards against sending a request to a server after its caller has disconnected. This can happen
  * when the event loop is busy: it has read the request, but not yet the end of the caller's
  * connection.
  */
-final class DepartedCallerTest implements EventSink<CoreEvent> {
+final class DepartedCallerTest implements OpenEventSink {
   private static final long TIMEOUT_MILLIS = 10_000;
   private static final String DEPARTED = "departed";
 
@@ -86,12 +85,6 @@
     server.close();
   }
 
-  @Override
-  public boolean offer(CoreEvent event) {
-    deliver(event);
-    return true;
-  }
-
   @Override
   public void deliver(CoreEvent event) {
     if (event instanceof ForwardEvent.Requested requested) {
@@ -111,11 +104,6 @@
     }
   }
 
-  @Override
-  public boolean isCongested() {
-    return false;
-  }
-
   /** Load pattern: callers disconnect before their requests are sent (GONE in docs/PROOFS.md). */
   @ParameterizedTest
   @EnumSource(ServerConnectionKind.class)
@@ -146,17 +134,7 @@
   }
 
   private Dispatch dispatch() {
-    return new Dispatch(
-        "server",
-        server.address(),
-        Long.MAX_VALUE,
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty());
+    return PlainRequestForm.dispatch(server.address(), Optional.empty());
   }
 
   private String exchange(String id) throws IOException {
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -32,11 +32,10 @@
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.transport.EventLoops;
-import org.shallothook.transport.decision.EventSink;
 import org.shallothook.transport.process.Clock;
 
 /** Forwards requests and responses over sockets, with servers that violate the protocol. */
-final class ForwardTransportTest implements EventSink<CoreEvent> {
+final class ForwardTransportTest implements OpenEventSink {
   private static final int TIMEOUT_MILLIS = 10_000;
   private final EventLoops loops = EventLoops.create(1);
   private final List<ForwardEvent> events = new CopyOnWriteArrayList<>();
@@ -70,12 +69,6 @@
     }
   }
 
-  @Override
-  public boolean offer(CoreEvent event) {
-    deliver(event);
-    return true;
-  }
-
   /** Makes the simplest decisions: one attempt, always relayed; a failure ends the request. */
   @Override
   public void deliver(CoreEvent event) {
@@ -113,23 +106,8 @@
     }
   }
 
-  @Override
-  public boolean isCongested() {
-    return false;
-  }
-
   private Dispatch dispatch(Optional<Long> resumesAfter) {
-    return new Dispatch(
-        "server",
-        server.address(),
-        Long.MAX_VALUE,
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        resumesAfter);
+    return PlainRequestForm.dispatch(server.address(), resumesAfter);
   }
 
   private static String response(String id, String body) {
--- a/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/HeldResponsesTest.java
@@ -29,12 +29,11 @@
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.transport.EventLoops;
-import org.shallothook.transport.decision.EventSink;
 import org.shallothook.transport.process.Clock;
 
 /** Bounds the sum of the responses that many faulty servers or slow callers make a process hold. */
 @Timeout(60)
-final class HeldResponsesTest implements EventSink<CoreEvent> {
+final class HeldResponsesTest implements OpenEventSink {
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final int MAXIMUM_HELD_BYTES = 1 << 20;
   private static final int FAULTY_REQUESTS = 60;
@@ -80,12 +79,6 @@
     }
   }
 
-  @Override
-  public boolean offer(CoreEvent event) {
-    deliver(event);
-    return true;
-  }
-
   @Override
   public void deliver(CoreEvent event) {
     if (event instanceof ForwardEvent.Requested requested) {
@@ -103,23 +96,8 @@
     }
   }
 
-  @Override
-  public boolean isCongested() {
-    return false;
-  }
-
   private Dispatch dispatch() {
-    return new Dispatch(
-        "server",
-        server.address(),
-        Long.MAX_VALUE,
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty(),
-        Optional.empty());
+    return PlainRequestForm.dispatch(server.address(), Optional.empty());
   }
 
   private static String chunk(String text) {
--- a/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -68,4 +68,19 @@
   public Optional<Long> keepAliveMillis(HttpResponse response) {
     return Optional.of(60_000L);
   }
+
+  /** Returns a dispatch without anything that this form would send along. */
+  static Dispatch dispatch(String address, Optional<Long> resumesAfter) {
+    return new Dispatch(
+        "server",
+        address,
+        Long.MAX_VALUE,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        resumesAfter);
+  }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -21,11 +21,10 @@
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.transport.EventLoops;
-import org.shallothook.transport.decision.EventSink;
 import org.shallothook.transport.process.Clock;
 
 /** Load pattern: callers continue to use their connections while the process is draining. */
-final class PlannedStopTest implements EventSink<CoreEvent> {
+final class PlannedStopTest implements OpenEventSink {
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final Duration DRAIN_PERIOD = Duration.ofMillis(1_500);
   private static final String BUSY = "busy";
@@ -63,12 +62,6 @@
         defaults.maximumHeldBytes());
   }
 
-  @Override
-  public boolean offer(CoreEvent event) {
-    deliver(event);
-    return true;
-  }
-
   @Override
   public void deliver(CoreEvent event) {
     if (event instanceof ForwardEvent.Requested requested) {
@@ -81,11 +74,6 @@
     }
   }
 
-  @Override
-  public boolean isCongested() {
-    return false;
-  }
-
   /**
    * Guards against dropping a request that is already in the socket buffer when idle connections
    * are closed at the end of the drain period.
--- a/transport/src/test/java/org/shallothook/transport/forward/SecondAnswerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/SecondAnswerTest.java
@@ -56,18 +56,7 @@
 
   private static final List<Integer> STATUSES = List.of(200, 200, 200, 500, 503, 404, 204, 304);
 
-  private static final Dispatch DISPATCH =
-      new Dispatch(
-          "server",
-          "server",
-          Long.MAX_VALUE,
-          Optional.empty(),
-          Optional.empty(),
-          Optional.empty(),
-          Optional.empty(),
-          Optional.empty(),
-          Optional.empty(),
-          Optional.empty());
+  private static final Dispatch DISPATCH = PlainRequestForm.dispatch("server", Optional.empty());
 
   private final List<String> log = new ArrayList<>();
   private final List<ByteBuf> buffers = new ArrayList<>();
--- a/transport/src/test/java/org/shallothook/transport/platform/SecondAnswerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/SecondAnswerTest.java
@@ -158,7 +158,7 @@
                                 .map(next -> Arguments.of(arrival, first, next))));
   }
 
-  // Issue 43: a late second answer was taken for that to the next call on the connection.
+  // Guards against a late second answer being taken for that to the next call on its connection.
   @ParameterizedTest
   @MethodSource("secondAnswers")
   void aSecondAnswerIsNotTakenForThatToTheNextCall(Arrival arrival, Kind first, Kind next)
@@ -173,7 +173,7 @@
     assertThat(bodyOf(result)).isEqualTo("second");
   }
 
-  // Issue 43: data that had arrived before a call, or was left undecoded, began its response.
+  // Guards against data that arrived before a call, or was left undecoded, beginning its response.
   @ParameterizedTest
   @EnumSource(
       names = {"AFTER_THE_NEXT"},
@@ -192,7 +192,7 @@
     assertThat(metrics.count("platform.connections-surplus-data")).isEqualTo(1);
   }
 
-  // Issue 43: every later answer was that to the call before.
+  // Guards against every later answer being that to the call before.
   @Test
   void anEarlierReportIsFollowedByACurrentOne() throws Exception {
     server
@@ -206,7 +206,7 @@
     assertThat(server.connections()).isEqualTo(2);
   }
 
-  // Issue 43: a connection that was never idle for long could stay a turn behind for good.
+  // Guards against a connection that is never idle for long staying a turn behind for good.
   @Test
   void aConnectionIsNotUsedAgainAfterItsTime() throws Exception {
     HttpSettings settings = new HttpSettings(LONG_TIMEOUT, LONG_TIMEOUT, Duration.ZERO, 2, 1_000);
