Log and count connections closed over a request

Change: each connection that is closed although a request that was read has no complete response has a line with its reason and a counter, also at the end of the process, and so has a request that arrives after the close. A write that fails on an open connection is reported to its handlers, which close it as before. Exceptions other than those of the socket are logged as errors.

Conclusion: no decision is changed.

--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -30,6 +30,8 @@
   BREAK_OFF(Weight.NOTABLE),
   /** A caller disconnected before its response was complete. */
   CALLER_GONE(Weight.NOTABLE),
+  /** A caller's connection was closed although a request that was read has no complete response. */
+  CONNECTION_CLOSED(Weight.NOTABLE),
   /** A version of the configuration took effect. */
   CONFIGURATION(Weight.NOTABLE),
   /** The known state of a server has changed. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -23,6 +23,7 @@
           Decision.DEPENDENCY,
           Decision.PROCESS,
           Decision.UNEXPECTED_RESPONSE,
+          Decision.CONNECTION_CLOSED,
           Decision.CRASH,
           Decision.QUARANTINE);
 
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.shallothook.coordination.forward.ForwardCommand;
@@ -51,6 +52,7 @@
 import org.shallothook.transport.admin.AdminServer;
 import org.shallothook.transport.forward.ForwardSettings;
 import org.shallothook.transport.forward.ForwardTransport;
+import org.shallothook.transport.logging.LogComponent;
 import org.shallothook.transport.process.Clock;
 import org.shallothook.transport.process.GracefulStop;
 import org.shallothook.transport.process.Listening;
@@ -96,6 +98,9 @@
   /** Time reserved for closing sockets before the process is killed, in microseconds. */
   private static final long CLOSE_MARGIN_MICROS = 700_000;
 
+  /** Time allowed for reporting connections that are still open at the end, in milliseconds. */
+  private static final long FINAL_REPORT_MILLIS = 200;
+
   private final Settings settings;
   private final AtomicBoolean isLeaving = new AtomicBoolean();
   private final AtomicBoolean isReady = new AtomicBoolean();
@@ -150,7 +155,7 @@
             node.loop(), node.metrics().registry(), () -> isLeaving.get() || !isReady.get());
     node.metrics().gauge("requests.open", core::openRequests);
     node.metrics().gauge("quarantine.active", core::quarantines);
-    stop = new GracefulStop(this::drain, node::close);
+    stop = new GracefulStop(this::drain, this::close);
   }
 
   /** Starts to serve; returns a failure if an address cannot be bound. */
@@ -500,6 +505,19 @@
     Channels.after(node.loop(), longest, stop::onDrained);
   }
 
+  private void close() {
+    CountDownLatch reported = new CountDownLatch(1);
+    transport.reportOpenAtEnd(reported::countDown);
+    try {
+      if (!reported.await(FINAL_REPORT_MILLIS, TimeUnit.MILLISECONDS)) {
+        LogComponent.PROCESS.warn("Open connections could not be reported in time.");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    node.close();
+  }
+
   /** Returns the time from the signal to stop until the process closes its sockets. */
   private Duration longestStop() {
     long graceMicros = settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS);
--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -25,6 +26,7 @@
  */
 public final class Channels {
   private static final Duration GRACEFUL_CLOSE_TIMEOUT = Duration.ofSeconds(2);
+  private static final ChannelFutureListener REPORT_FAILURE = Channels::reportFailure;
 
   private Channels() {}
 
@@ -95,14 +97,23 @@
     return connection.isActive();
   }
 
-  /** Writes a message without flushing; closes the connection if the write fails. */
+  /**
+   * Writes a message without flushing. If the write fails on an open connection, its handlers get
+   * the exception, and must close the connection.
+   */
   public static void write(ChannelOutboundInvoker connection, Object message) {
-    connection.write(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    connection.write(message).addListener(REPORT_FAILURE);
   }
 
-  /** Writes a message and flushes; closes the connection if the write fails. */
+  /** Writes a message like {@link #write}, and flushes. */
   public static void writeAndFlush(ChannelOutboundInvoker connection, Object message) {
-    connection.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    connection.writeAndFlush(message).addListener(REPORT_FAILURE);
+  }
+
+  private static void reportFailure(ChannelFuture written) {
+    if (!written.isSuccess() && written.channel().isActive()) {
+      written.channel().pipeline().fireExceptionCaught(written.cause());
+    }
   }
 
   /** Schedules a task that is never cancelled; logs an exception that it throws. */
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import org.shallothook.coordination.port.CoreEvent;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.state.route.CallerLimits;
 import org.shallothook.transport.decision.EventSink;
 
@@ -14,13 +15,15 @@
  * State shared by all caller connections.
  *
  * <p>Invariant: {@link #find} returns every open exchange by its number. Confined to the event
- * loop, except for the event sink and the counters, which have their own thread safety.
+ * loop, except for the event sink, the counters and the journal, which have their own thread
+ * safety.
  */
 final class ForwardContext {
   private final HeaderTranslation form;
   private final ServerConnectionPool servers;
   private final EventSink<CoreEvent> events;
   private final Counters counters;
+  private final DecisionJournal journal;
   private final LongSupplier clockMicros;
   private final Map<Long, InboundExchange> openExchanges = new HashMap<>();
   private CallerLimits limits = CallerLimits.DEFAULT;
@@ -33,11 +36,13 @@
       ServerConnectionPool servers,
       EventSink<CoreEvent> events,
       Counters counters,
+      DecisionJournal journal,
       LongSupplier clockMicros) {
     this.form = form;
     this.servers = servers;
     this.events = events;
     this.counters = counters;
+    this.journal = journal;
     this.clockMicros = clockMicros;
   }
 
@@ -57,6 +62,10 @@
     return counters;
   }
 
+  DecisionJournal journal() {
+    return journal;
+  }
+
   long nowMicros() {
     return clockMicros.getAsLong();
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -66,7 +66,8 @@
    * @param settings limits and timeouts
    * @param events receives the events of requests and connections
    * @param counters counts connections and refusals
-   * @param journal receives a line for each unexpected response of a server
+   * @param journal receives a line for each unexpected response of a server, and for each
+   *     connection that is closed over a request
    * @param clockMicros the decision clock, in microseconds
    */
   public ForwardTransport(
@@ -86,7 +87,8 @@
             (delay, task) -> Channels.after(loop, delay, task));
     this.serverConnections =
         new ServerConnectionPool(loop, form, settings, clockMicros, counters, journal, budget);
-    this.context = new ForwardContext(form, serverConnections, events, counters, clockMicros);
+    this.context =
+        new ForwardContext(form, serverConnections, events, counters, journal, clockMicros);
   }
 
   /** Starts listening and returns the bound address. Blocks until the address is bound. */
@@ -126,6 +128,20 @@
         });
   }
 
+  /**
+   * Reports the connections that the process leaves open at its end although they hold a request or
+   * a part of a response.
+   *
+   * @param whenReported called on the event loop afterwards
+   */
+  public void reportOpenAtEnd(Runnable whenReported) {
+    loop.execute(
+        () -> {
+          connections.values().forEach(InboundConnection::reportOpenAtEnd);
+          whenReported.run();
+        });
+  }
+
   /** Returns the memory that responses need, in bytes. Must be called on the event loop. */
   long heldBytes() {
     return connections.values().stream().mapToLong(InboundConnection::heldBytes).sum();
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -32,6 +33,7 @@
 import net.openhft.hashing.LongHashFunction;
 import org.shallothook.coordination.forward.ForwardEvent;
 import org.shallothook.coordination.forward.RequestHead;
+import org.shallothook.coordination.port.Decision;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.state.request.RequestId;
@@ -63,6 +65,8 @@
   private boolean isDiscarding;
   private boolean isLastRequest;
   private boolean isClosing;
+  private boolean hasDiscardedRequest;
+  private Optional<CloseReason> closeReason = Optional.empty();
   private long lastActivityMicros;
 
   /** A completely received request that waits for earlier ones. */
@@ -95,6 +99,7 @@
       current.orElseThrow().failAttempt("the memory for responses is used up");
     } else {
       context.counters().increment("callers.closed-for-memory");
+      startClosing(CloseReason.MEMORY);
       Channels.close(channel);
     }
   }
@@ -114,7 +119,7 @@
     // Reads first: a request that is already in the socket buffer must not be dropped.
     boolean isOpen = Channels.isOpenAfterReading(channel);
     if (isOpen && current.isEmpty() && head.isEmpty() && queued.isEmpty()) {
-      isClosing = true;
+      startClosing(CloseReason.IDLE);
       Channels.closeAfterWrites((SocketChannel) channel);
     }
   }
@@ -134,7 +139,7 @@
   public void channelRead(ChannelHandlerContext handlerContext, Object message) {
     lastActivityMicros = context.nowMicros();
     if (isDiscarding || isClosing || !(message instanceof HttpObject part)) {
-      ReferenceCountUtil.release(message);
+      discard(message);
       return;
     }
     if (part.decoderResult().isFailure()) {
@@ -153,6 +158,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext handlerContext) {
     stopTimer();
+    startClosing(CloseReason.CALLER_LEFT);
     releaseBody();
     queued.forEach(
         request -> {
@@ -176,7 +182,12 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
     context.counters().increment("caller.connection-failed");
-    LogComponent.CALLER.debug("A caller connection failed: {}.", cause.getMessage());
+    if (cause instanceof IOException) {
+      LogComponent.CALLER.debug("A caller connection failed: {}.", cause.getMessage());
+    } else {
+      LogComponent.CALLER.error(cause, "Handling a message of a caller connection failed.");
+    }
+    startClosing(CloseReason.FAILED);
     Channels.close(handlerContext);
   }
 
@@ -186,7 +197,7 @@
     current = Optional.empty();
     lastActivityMicros = context.nowMicros();
     if (shouldClose || isDiscarding) {
-      isClosing = true;
+      startClosing(isDiscarding ? CloseReason.UNREADABLE_REQUEST : CloseReason.LAST_RESPONSE);
       Channels.closeAfterWrites((SocketChannel) channel);
     } else {
       // Runs the next request as a new task, so that many pipelined requests do not deepen the
@@ -197,6 +208,7 @@
 
   @Override
   public void onResponseFailed(InboundExchange exchange) {
+    startClosing(CloseReason.BROKEN_OFF);
     current = Optional.empty();
     Channels.close(channel);
   }
@@ -276,7 +288,7 @@
         context.form().read(received.head(), contentHash, context.nowMicros());
     if (parsedHead.isLeft()) {
       received.body().release();
-      isClosing = true;
+      startClosing(CloseReason.UNREADABLE_REQUEST);
       writeRefusal(parsedHead.getLeft());
       return;
     }
@@ -325,10 +337,89 @@
       // The open request's response is written first; the connection is closed after it.
       return;
     }
-    isClosing = true;
+    startClosing(CloseReason.UNREADABLE_REQUEST);
     writeRefusal(Refusal.notRun(reason, detail));
   }
 
+  /**
+   * Marks the connection as closing, and reports the requests that were read and that get no
+   * complete response. A caller who leaves while only one request is open is reported by the
+   * decision thread.
+   */
+  private void startClosing(CloseReason reason) {
+    isClosing = true;
+    if (closeReason.isEmpty()) {
+      closeReason = Optional.of(reason);
+      boolean isOver =
+          reason == CloseReason.CALLER_LEFT
+              ? !queued.isEmpty()
+              : current.isPresent() || !queued.isEmpty();
+      if (isOver) {
+        reportClosedOver(reason);
+      }
+    }
+  }
+
+  /** Reports a connection that the process leaves open at its end. */
+  void reportOpenAtEnd() {
+    if (closeReason.isEmpty()) {
+      startClosing(CloseReason.PROCESS_STOPPED);
+    } else if (outboundBytes() > 0) {
+      reportClosedOver(CloseReason.PROCESS_STOPPED);
+    }
+  }
+
+  private void reportClosedOver(CloseReason reason) {
+    context.counters().increment("callers.closed-over-request-" + reason.code());
+    context
+        .journal()
+        .write(
+            Decision.CONNECTION_CLOSED,
+            current
+                .map(exchange -> exchange.request().parsedHead().id())
+                .or(() -> Optional.ofNullable(queued.peek()).map(next -> idOf(next.head())))
+                .orElse("none"),
+            "outcome",
+            reason.code(),
+            "has_response",
+            current.map(InboundExchange::hasStartedResponse).orElse(true),
+            "queued",
+            queued.size(),
+            "unwritten_bytes",
+            outboundBytes(),
+            "draining",
+            context.isDraining(),
+            "inactive_ms",
+            TimeUnit.MICROSECONDS.toMillis(context.nowMicros() - lastActivityMicros));
+  }
+
+  /** Drops a message that arrives on a closing connection, and reports the first request. */
+  private void discard(Object message) {
+    if (message instanceof HttpRequest request && !hasDiscardedRequest) {
+      hasDiscardedRequest = true;
+      context.counters().increment("callers.discarded-after-close");
+      context
+          .journal()
+          .write(
+              Decision.CONNECTION_CLOSED,
+              idOf(request),
+              "outcome",
+              "discarded",
+              "closed_as",
+              closeReason.map(CloseReason::code).orElse("none"),
+              "draining",
+              context.isDraining());
+    }
+    ReferenceCountUtil.release(message);
+  }
+
+  private String idOf(HttpRequest request) {
+    return context
+        .form()
+        .read(request, 0, context.nowMicros())
+        .fold(left -> "none", RequestHead::id);
+  }
+
   private void writeRefusal(Refusal refusal) {
     context.counters().refused(refusal.reason());
     FullHttpResponse response =
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -85,6 +85,11 @@
     return request;
   }
 
+  /** Returns whether a part of a response was written to the caller. */
+  boolean hasStartedResponse() {
+    return hasStartedResponse;
+  }
+
   void send(int attemptNumber, Dispatch dispatch) {
     if (hasEnded) {
       return;
