--- a/transport/src/test/java/org/shallothook/transport/forward/ClosedConnectionTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ClosedConnectionTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -127,6 +128,25 @@
     }
   }
 
+  @Test
+  void aRequestThatArrivesOnAClosedConnectionHasALine() throws Exception {
+    server =
+        new RawServer(request -> "HTTP/1.1 200 OK\r\nid: request-0\r\nContent-Length: 0\r\n\r\n");
+    try (Socket caller = connect()) {
+      transport.drain(() -> {}, () -> {});
+      write(caller, "request-0");
+      // Reads the response, until the connection is closed.
+      assertThat(caller.getInputStream().readAllBytes()).isNotEmpty();
+      write(caller, "request-1");
+      Line line = lines.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+      assertThat(line.decision()).isEqualTo(Decision.CONNECTION_CLOSED);
+      assertThat(line.subject()).isEqualTo("request-1");
+      assertThat(line.fields()).containsAtLeast("outcome", "discarded", "draining", true);
+      assertThat(counted).containsEntry("callers.discarded-after-close", 1);
+    }
+  }
+
   private Socket connect() throws IOException {
     Socket socket = new Socket(address.getAddress(), address.getPort());
     socket.setSoTimeout(TIMEOUT_MILLIS);
