Close a connection after its last response, not at once

What callers saw: a reset in place of a closed connection, if anything that they had sent was unread, or arrived afterwards; a reset may cost them the response.

Cause: a response that is complete when it is relayed ends its connection within the call that relays it. The flush behind that call then failed on the output that was shut down, and a failed write closes the connection. Found by the new line of closed connections (reason failed), on most calls during a drain.

Change: flush only while the response is open.

That a caller lost a response by it is not shown.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -1,7 +1,6 @@
 package org.shallothook.transport.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -114,7 +113,9 @@
       return;
     }
     current.relay();
-    Channels.writeAndFlush(connection.channel(), Unpooled.EMPTY_BUFFER);
+    if (!hasEnded) {
+      connection.channel().flush();
+    }
   }
 
   void drop(int attemptNumber) {
