Answer what is queued on a connection before it is closed

What callers saw: a closed connection in place of an answer, on a connection on which they had sent requests behind an open one, or that they had kept without being told that it would be closed.

Cause: whether a response is the last one on its connection was asked twice, as it began and as it ended. A drain that began in between closed the connection over the requests queued on it, and without notice. A request that could not be read closed it over the readable ones before and behind it.

Change: the decision is made once, as a response begins, and only when nothing is queued. A connection whose caller was not told stays open for the next request, until the drain period ends. The refusal of an unreadable request is written after the answers to the requests before it.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -62,8 +62,10 @@
   private CompositeByteBuf body;
   private Optional<InboundExchange> current = Optional.empty();
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
+  private Optional<Refusal> refusalBehind = Optional.empty();
   private boolean isDiscarding;
   private boolean isLastRequest;
+  private boolean isLastResponse;
   private boolean isClosing;
   private boolean hasDiscardedRequest;
   private Optional<CloseReason> closeReason = Optional.empty();
@@ -110,15 +112,18 @@
   }
 
   @Override
-  public boolean isLastResponse() {
-    return isLastRequest || context.isDraining();
+  public boolean decideLastResponse() {
+    boolean isLastOnDrain = context.isDraining() && queued.isEmpty() && refusalBehind.isEmpty();
+    isLastResponse = isLastRequest || isLastOnDrain;
+    return isLastResponse;
   }
 
   /** Closes the connection if no request is open, queued or being received. */
   void closeIfIdle() {
     // Reads first: a request that is already in the socket buffer must not be dropped.
     boolean isOpen = Channels.isOpenAfterReading(channel);
-    if (isOpen && current.isEmpty() && head.isEmpty() && queued.isEmpty()) {
+    boolean hasRequest = current.isPresent() || head.isPresent() || !queued.isEmpty();
+    if (isOpen && !isClosing && !hasRequest) {
       startClosing(CloseReason.IDLE);
       Channels.closeAfterWrites((SocketChannel) channel);
     }
@@ -193,11 +198,10 @@
 
   @Override
   public void onResponseCompleted(InboundExchange exchange) {
-    boolean shouldClose = isLastResponse();
     current = Optional.empty();
     lastActivityMicros = context.nowMicros();
-    if (shouldClose || isDiscarding) {
-      startClosing(isDiscarding ? CloseReason.UNREADABLE_REQUEST : CloseReason.LAST_RESPONSE);
+    if (isLastResponse) {
+      startClosing(CloseReason.LAST_RESPONSE);
       Channels.closeAfterWrites((SocketChannel) channel);
     } else {
       // Runs the next request as a new task, so that many pipelined requests do not deepen the
@@ -274,6 +278,10 @@
       return;
     }
     if (queued.isEmpty()) {
+      refusalBehind.ifPresent(this::refuseAndClose);
+      if (context.hasDrainPeriodEnded()) {
+        closeIfIdle();
+      }
       return;
     }
     CompleteRequest request = queued.remove();
@@ -288,8 +296,7 @@
         context.form().read(received.head(), contentHash, context.nowMicros());
     if (parsedHead.isLeft()) {
       received.body().release();
-      startClosing(CloseReason.UNREADABLE_REQUEST);
-      writeRefusal(parsedHead.getLeft());
+      refuseUnopened(parsedHead.getLeft());
       return;
     }
     OutboundRequest request =
@@ -330,15 +337,30 @@
    * much would have to be read to reach it.
    */
   private void refuseAndClose(RefusalReason reason, String detail) {
+    refuseAndClose(Refusal.notRun(reason, detail));
+  }
+
+  private void refuseAndClose(Refusal refusal) {
     isDiscarding = true;
     head = Optional.empty();
     releaseBody();
-    if (current.isPresent()) {
-      // The open request's response is written first; the connection is closed after it.
+    if (current.isPresent() || !queued.isEmpty()) {
+      // The requests before this one are answered first.
+      refusalBehind = Optional.of(refusal);
       return;
     }
     startClosing(CloseReason.UNREADABLE_REQUEST);
-    writeRefusal(Refusal.notRun(reason, detail));
+    writeRefusal(refusal, true);
+  }
+
+  /** Refuses a request that cannot be opened; the connection stays open for those behind it. */
+  private void refuseUnopened(Refusal refusal) {
+    if (queued.isEmpty() && refusalBehind.isEmpty()) {
+      refuseAndClose(refusal);
+    } else {
+      writeRefusal(refusal, false);
+      channel.eventLoop().execute(this::runNext);
+    }
   }
 
   /**
@@ -420,12 +442,14 @@
         .fold(left -> "none", RequestHead::id);
   }
 
-  private void writeRefusal(Refusal refusal) {
+  private void writeRefusal(Refusal refusal, boolean isLast) {
     context.counters().refused(refusal.reason());
     FullHttpResponse response =
-        RefusalResponse.of(new RequestId("unread"), refusal, true, channel.alloc());
+        RefusalResponse.of(new RequestId("unread"), refusal, isLast, channel.alloc());
     Channels.writeAndFlush(channel, response);
-    Channels.closeAfterWrites((SocketChannel) channel);
+    if (isLast) {
+      Channels.closeAfterWrites((SocketChannel) channel);
+    }
   }
 
   private void releaseBody() {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -50,8 +50,11 @@
     /** Called when the response cannot be completed; the connection must be closed. */
     void onResponseFailed(InboundExchange exchange);
 
-    /** Returns whether the connection is closed after the current response. */
-    boolean isLastResponse();
+    /**
+     * Decides, as a response begins, whether its caller is told that it is the last one on the
+     * connection.
+     */
+    boolean decideLastResponse();
   }
 
   private final long number;
@@ -131,7 +134,7 @@
     if (!hasEnded && !hasStartedResponse) {
       hasStartedResponse = true;
       finish();
-      boolean isLast = connection.isLastResponse();
+      boolean isLast = connection.decideLastResponse();
       Channels.writeAndFlush(connection.channel(), refusalResponse(refusal, isLast));
       connection.onResponseCompleted(this);
     }
@@ -287,7 +290,7 @@
           .headers()
           .set(HttpHeaderNames.CONTENT_LENGTH, head.headers().get(HttpHeaderNames.CONTENT_LENGTH));
     }
-    if (connection.isLastResponse()) {
+    if (connection.decideLastResponse()) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     Channels.write(connection.channel(), response);
--- a/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
@@ -43,6 +43,10 @@
   private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
   private static final long MINIMUM_HELD_BYTES = 1_000;
+
+  /** Time after which what is still held is not on its way to the caller. */
+  private static final long SETTLING_MILLIS = 50;
+
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
   /** Time for which a caller does not read after the server has sent all of its response. */
@@ -145,7 +149,7 @@
     try (Socket socket = listening.accept()) {
       readHead(socket);
       socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-      while (loops.internal().submit(transport::heldBytes).get() < MINIMUM_HELD_BYTES) {
+      while (!isHolding()) {
         socket.getOutputStream().write(chunk);
       }
       socket.getOutputStream().write(LAST_CHUNK.getBytes(StandardCharsets.US_ASCII));
@@ -154,6 +158,15 @@
     }
   }
 
+  /** Returns whether the process holds a part of a response that its caller does not take. */
+  private boolean isHolding() throws InterruptedException, ExecutionException {
+    if (loops.internal().submit(transport::heldBytes).get() < MINIMUM_HELD_BYTES) {
+      return false;
+    }
+    TimeUnit.MILLISECONDS.sleep(SETTLING_MILLIS);
+    return loops.internal().submit(transport::heldBytes).get() >= MINIMUM_HELD_BYTES;
+  }
+
   /**
    * Guards against closing a connection over a request that was read while an earlier response on
    * it was open, which began before the drain and thus said nothing of closing.
@@ -165,9 +178,7 @@
     try (Socket kept = connect()) {
       write(kept, SERVED, "keep-alive");
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      for (int index = 0; index < queued; index++) {
-        write(kept, "refused-" + index, "keep-alive");
-      }
+      write(kept, request("refused", "keep-alive").repeat(queued));
       drain();
       server.proceed();
 
@@ -207,8 +218,7 @@
     try (Socket kept = connect()) {
       write(kept, SERVED, "keep-alive");
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      write(kept, "refused", "keep-alive");
-      kept.getOutputStream().write("no request\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      write(kept, request("refused", "keep-alive") + "no request\r\n\r\n");
       loops.internal().submit(() -> {}).sync();
       if (isDraining) {
         drain();
@@ -220,6 +230,23 @@
     }
   }
 
+  /** Guards against closing a connection over a request because the one before it is refused. */
+  @Test
+  void aRequestBehindOneThatCannotBeReadIsAnswered() throws Exception {
+    startServer();
+    try (Socket kept = connect()) {
+      write(kept, SERVED, "keep-alive");
+      assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+      write(
+          kept,
+          request(PlainRequestForm.UNREADABLE, "keep-alive") + request("refused", "keep-alive"));
+      loops.internal().submit(() -> {}).sync();
+      server.proceed();
+
+      assertThat(readStatuses(kept, 3)).containsExactly("200", "400", "503").inOrder();
+    }
+  }
+
   /**
    * Guards against ending the process over connections that were established and never accepted: it
    * stops to listen, answers what it has accepted, and only then ends.
@@ -270,17 +297,24 @@
   private Socket connect() throws IOException {
     Socket socket = new Socket(address.getAddress(), address.getPort());
     socket.setSoTimeout(TIMEOUT_MILLIS);
+    socket.setTcpNoDelay(true);
     return socket;
   }
 
   private static void write(Socket socket, String id, String connection) throws IOException {
-    String request =
-        "POST /a HTTP/1.1\r\nHost: h\r\nConnection: "
-            + connection
-            + "\r\nid: "
-            + id
-            + "\r\nContent-Length: 0\r\n\r\n";
-    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    write(socket, request(id, connection));
+  }
+
+  private static void write(Socket socket, String bytes) throws IOException {
+    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String request(String id, String connection) {
+    return "POST /a HTTP/1.1\r\nHost: h\r\nConnection: "
+        + connection
+        + "\r\nid: "
+        + id
+        + "\r\nContent-Length: 0\r\n\r\n";
   }
 
   /** Reads responses and returns their statuses; fewer if the connection is closed before. */
--- a/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlainRequestForm.java
@@ -11,6 +11,7 @@
 import org.shallothook.coordination.forward.RequestHead;
 import org.shallothook.coordination.forward.ResponseHead;
 import org.shallothook.state.request.Refusal;
+import org.shallothook.state.request.RefusalReason;
 
 /**
  * Request form with a single header, the id of the request.
@@ -21,8 +22,14 @@
   static final String ID = "id";
   static final String NOT_RUN = "not-run";
 
+  /** Identifier of requests that cannot be read. */
+  static final String UNREADABLE = "unreadable";
+
   @Override
   public Either<Refusal, RequestHead> read(HttpRequest request, long contentHash, long nowMicros) {
+    if (request.headers().contains(ID, UNREADABLE, false)) {
+      return Either.left(Refusal.notRun(RefusalReason.MALFORMED_REQUEST, "not readable"));
+    }
     return Either.right(
         new RequestHead(
             request.headers().get(ID, "none"),
