Handle signals before the first listener opens

SIGTERM in between ended the process by the default of the JVM, with the requests that it had taken.

Change: a start is a list of steps. The hook is installed before the first, waits for the step that runs, leaves the others out and drains as always; a process that has not listened for callers yet ends at once. Callers are listened for last, and readiness waits for it. The same in both programs and both forms. SIGHUP was handled before the start already.

Class of fault: work is accepted before it can be handed over.

--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.shallothook.coordination.forward.ForwardCommand;
 import org.shallothook.coordination.forward.ForwardCore;
 import org.shallothook.coordination.forward.ForwardEvent;
@@ -104,6 +105,7 @@
   private final Settings settings;
   private final AtomicBoolean isLeaving = new AtomicBoolean();
   private final AtomicBoolean isReady = new AtomicBoolean();
+  private final AtomicBoolean isListening = new AtomicBoolean();
   private final HostedNode node;
   private final ForwardTransport transport;
   private final ForwardCore core;
@@ -152,7 +154,9 @@
             node.decisionLog());
     admin =
         new AdminServer(
-            node.loop(), node.metrics().registry(), () -> isLeaving.get() || !isReady.get());
+            node.loop(),
+            node.metrics().registry(),
+            () -> isLeaving.get() || !isReady.get() || !isListening.get());
     node.metrics().gauge("requests.open", core::openRequests);
     node.metrics().gauge("quarantine.active", core::quarantines);
     stop = new GracefulStop(this::drain, this::close);
@@ -160,11 +164,13 @@
 
   /** Starts to serve; returns a failure if an address cannot be bound. */
   Try<Void> start() {
-    node.start(this::handle);
-    return Listening.start(
-            "callers", transport::listen, settings.address(RouterSettings.LISTEN_CALLERS))
-        .flatMap(done -> node.listen(admin))
-        .onSuccess(done -> stop.install());
+    List<Supplier<Try<Void>>> steps = new ArrayList<>(node.startSteps(this::handle, admin));
+    steps.add(
+        () ->
+            Listening.start(
+                    "callers", transport::listen, settings.address(RouterSettings.LISTEN_CALLERS))
+                .onSuccess(done -> isListening.set(true)));
+    return stop.start(steps);
   }
 
   @Override
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -1,6 +1,7 @@
 package org.shallothook.router;
 
 import io.vavr.control.Try;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -88,16 +89,16 @@
 
   /** Starts to serve; returns a failure if an address cannot be bound. */
   Try<Void> start() {
-    thread.start(core::handle);
-    return Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
-        .flatMap(
-            done ->
+    return stop.start(
+        List.of(
+            () -> Try.run(() -> thread.start(core::handle)),
+            () ->
+                Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS)),
+            () ->
+                Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)),
+            () ->
                 Listening.start(
-                    "callers", callers::listen, settings.address(RouterSettings.LISTEN_CALLERS)))
-        .flatMap(
-            done ->
-                Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
-        .onSuccess(done -> stop.install());
+                    "callers", callers::listen, settings.address(RouterSettings.LISTEN_CALLERS))));
   }
 
   private CallerSettings callerSettings() {
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -87,8 +87,7 @@
 
   /** Starts to serve; returns a failure if an address cannot be bound. */
   Try<Void> start() {
-    node.start(this::handle);
-    return node.listen(admin).onSuccess(done -> stop.install());
+    return stop.start(node.startSteps(this::handle, admin));
   }
 
   @Override
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -1,6 +1,7 @@
 package org.shallothook.sidecar;
 
 import io.vavr.control.Try;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -78,12 +79,14 @@
 
   /** Starts to serve; returns a failure if an address cannot be bound. */
   Try<Void> start() {
-    thread.start(core::handle);
-    return Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS))
-        .flatMap(
-            done ->
-                Listening.start("admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN)))
-        .onSuccess(done -> stop.install());
+    return stop.start(
+        List.of(
+            () -> Try.run(() -> thread.start(core::handle)),
+            () ->
+                Listening.start("peers", peers::listen, settings.address(CommonKeys.LISTEN_PEERS)),
+            () ->
+                Listening.start(
+                    "admin", admin::listen, settings.address(CommonKeys.LISTEN_ADMIN))));
   }
 
   private InstanceRole role() {
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerServer.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerServer.java
@@ -16,6 +16,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -48,7 +49,7 @@
   private final EventLoopGroup loops;
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final CompletableFuture<Void> closed = new CompletableFuture<>();
-  private Channel serverChannel;
+  private Optional<Channel> listener = Optional.empty();
 
   /**
    * Creates a server that is not listening yet.
@@ -75,8 +76,9 @@
   public Try<InetSocketAddress> listen(InetSocketAddress address) {
     return Try.of(
         () -> {
-          serverChannel = bootstrap().bind(address).sync().channel();
-          return (InetSocketAddress) serverChannel.localAddress();
+          Channel bound = bootstrap().bind(address).sync().channel();
+          listener = Optional.of(bound);
+          return (InetSocketAddress) bound.localAddress();
         });
   }
 
@@ -115,7 +117,9 @@
    */
   public CompletableFuture<Void> close() {
     drain();
-    serverChannel.close().addListener(future -> closeIdleConnections());
+    listener.ifPresentOrElse(
+        open -> open.close().addListener(future -> closeIdleConnections()),
+        this::closeIdleConnections);
     return closed;
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -128,9 +128,11 @@
     loop.execute(
         () -> {
           context.drain();
+          // A process that has not listened yet has no balancer that could still choose it.
+          Duration drainPeriod = listener.isPresent() ? settings.drainPeriod() : Duration.ZERO;
           Channels.after(
               loop,
-              settings.drainPeriod(),
+              drainPeriod,
               () -> {
                 onRefuseNew.run();
                 context.onDrainPeriodEnded();
