Count the times of a stop from the signal

Cause: the drain period and the end counted from when the process had noticed the signal, and requests were refused from when a timer had run on the event loop. A process that is late, as one that still starts, took requests too late to end them.

Change: the time at which the stop was requested is kept. The decision thread is told at once from when to refuse and when the process ends, and compares them with the time of each request.

Figures: RouterShutdownTest (4 new cases; the event had no such time before) and GracefulStopTest pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -123,6 +123,7 @@
   private final Map<Long, PendingRequest> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
   private Optional<Long> shutdownAtMicros = Optional.empty();
+  private long refusesFromMicros = Long.MAX_VALUE;
   private boolean isRegistryReachable;
   private boolean knowsServers;
   private int routers = 1;
@@ -251,6 +252,7 @@
     } else if (event instanceof ForwardEvent.ServerChecked checked) {
       onServerChecked(checked.server(), checked.hasCrashed(), nowMicros);
     } else if (event instanceof ForwardEvent.Leaving leaving) {
+      refusesFromMicros = leaving.refusesFromMicros();
       shutdownAtMicros = Optional.of(leaving.endsAtMicros() - FINAL_RESPONSE_MICROS);
     } else if (event instanceof ForwardEvent.LimitAnnounced announced) {
       servers
@@ -320,7 +322,7 @@
               refused.get().untilMicros()));
       return;
     }
-    if (shutdownAtMicros.isPresent() && !endsBeforeShutdown(event, route.get(), nowMicros)) {
+    if (nowMicros >= refusesFromMicros && !endsBeforeShutdown(event, route.get(), nowMicros)) {
       refuseOnArrival(
           event,
           Refusal.notRun(
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -181,11 +181,13 @@
   record RoutersKnown(RouterFleet fleet) implements ForwardEvent {}
 
   /**
-   * The process is going to end; callers have had time to move to other routers.
+   * The process is going to end.
    *
+   * @param refusesFromMicros time from which callers have had time to move to other routers, in
+   *     microseconds
    * @param endsAtMicros latest time at which the process ends, in microseconds
    */
-  record Leaving(long endsAtMicros) implements ForwardEvent {}
+  record Leaving(long refusesFromMicros, long endsAtMicros) implements ForwardEvent {}
 
   /** Periodic tick, at least every {@link ForwardCore#TICK_INTERVAL_MICROS}. */
   record Tick() implements ForwardEvent {}
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardCoreTest.java
@@ -217,7 +217,7 @@
 
   @Test
   void aLeavingRouterRefusesNewRequestsAsNotRun() {
-    harness.handle(new ForwardEvent.Leaving(harness.now() + 5_000_000));
+    harness.handle(new ForwardEvent.Leaving(harness.now(), harness.now() + 5_000_000));
     long request = harness.submitCall("/book/1");
     assertThat(harness.refusal(request).get().reason()).isEqualTo(RefusalReason.ROUTER_LEAVING);
     assertThat(harness.refusal(request).get().outcome()).isEqualTo(Outcome.NOT_RUN);
@@ -226,7 +226,7 @@
   @Test
   void aLeavingRouterWithStreamsAcceptsRequestsThatEndBeforeIt() {
     long stream = harness.submitLongPrompt("north");
-    harness.handle(new ForwardEvent.Leaving(harness.now() + 2_000_000));
+    harness.handle(new ForwardEvent.Leaving(harness.now(), harness.now() + 2_000_000));
     assertThat(harness.sent(harness.submitCall("/book/1"))).isPresent();
     assertThat(harness.refusal(harness.submitLongPrompt("south"))).isPresent();
     harness.advance(1_300_000);
--- a/coordination/src/test/java/org/shallothook/coordination/forward/RouterShutdownTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/RouterShutdownTest.java
@@ -23,7 +23,7 @@
   void aRequestAtAServerGetsAFinalResponseBeforeTheProcessEnds(String target, Outcome outcome) {
     ForwardHarness harness = ForwardHarness.ready(0, 1);
     long request = harness.submitCall(target);
-    harness.handle(new ForwardEvent.Leaving(harness.now() + GRACE_MICROS));
+    harness.handle(new ForwardEvent.Leaving(harness.now(), harness.now() + GRACE_MICROS));
 
     harness.advance(GRACE_MICROS - 40 * MILLI);
 
@@ -43,7 +43,7 @@
     }
     long waiting = harness.submitCall("/book/9");
     assertThat(harness.sent(waiting)).isEmpty();
-    harness.handle(new ForwardEvent.Leaving(harness.now() + 150 * MILLI));
+    harness.handle(new ForwardEvent.Leaving(harness.now(), harness.now() + 150 * MILLI));
 
     harness.advance(120 * MILLI);
 
@@ -52,12 +52,27 @@
     assertThat(refusal.outcome()).isEqualTo(Outcome.NOT_RUN);
   }
 
+  // Guards against requests taken too late in a stop whose process is slow to notice the time.
+  @ParameterizedTest
+  @CsvSource({"0, false", "199, false", "200, true", "400, true"})
+  void aRequestIsRefusedFromTheTimeThatWasGivenAtTheSignal(long afterMillis, boolean isRefused) {
+    ForwardHarness harness = ForwardHarness.ready(1, 0);
+    harness.handle(
+        new ForwardEvent.Leaving(harness.now() + 200 * MILLI, harness.now() + GRACE_MICROS));
+
+    harness.advance(afterMillis * MILLI);
+    long request = harness.submitShortPrompt("letter");
+
+    assertThat(harness.refusal(request).map(Refusal::reason))
+        .isEqualTo(isRefused ? Optional.of(RefusalReason.ROUTER_LEAVING) : Optional.empty());
+  }
+
   @Test
   void aStreamThatHasBegunIsBrokenOffVisibly() {
     ForwardHarness harness = ForwardHarness.ready(1, 0);
     long stream = harness.submitShortPrompt("letter");
     harness.respond(stream, 200);
-    harness.handle(new ForwardEvent.Leaving(harness.now() + GRACE_MICROS));
+    harness.handle(new ForwardEvent.Leaving(harness.now(), harness.now() + GRACE_MICROS));
     harness.advance(GRACE_MICROS - 200 * MILLI);
     assertThat(harness.isBrokenOff(stream)).isFalse();
     harness.advance(160 * MILLI);
@@ -70,7 +85,7 @@
   void aRequestThatEndsInTimeKeepsItsResponse(long respondsAfterMillis) {
     ForwardHarness harness = ForwardHarness.ready(0, 1);
     long request = harness.submitCall("/book/1");
-    harness.handle(new ForwardEvent.Leaving(harness.now() + GRACE_MICROS));
+    harness.handle(new ForwardEvent.Leaving(harness.now(), harness.now() + GRACE_MICROS));
     harness.advance(respondsAfterMillis * MILLI);
     harness.respond(request, 200);
     harness.complete(request);
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -134,7 +134,7 @@
         new ForwardTransport(
             node.loop(),
             new HostedRequestFormat(),
-            ForwardSettings.DEFAULT.withinGracePeriod(longestStop()),
+            forwardSettings(),
             node.events(),
             node.metrics(),
             node.decisionLog(),
@@ -501,14 +501,24 @@
         node.decisionLog());
   }
 
-  private void drain() {
+  /** Drains; all times count from the signal, also if the process notices it late. */
+  private void drain(long requestedMicros) {
     isLeaving.set(true);
     node.logProcess("draining");
-    Duration longest = longestStop();
-    long endsAtMicros = Clock.steadyMicros() + TimeUnit.NANOSECONDS.toMicros(longest.toNanos());
-    transport.drain(
-        () -> node.events().deliver(new ForwardEvent.Leaving(endsAtMicros)), stop::onDrained);
-    Channels.after(node.loop(), longest, stop::onDrained);
+    long refusesFromMicros = requestedMicros + microsOf(forwardSettings().drainPeriod());
+    long endsAtMicros = requestedMicros + microsOf(longestStop());
+    node.events().deliver(new ForwardEvent.Leaving(refusesFromMicros, endsAtMicros));
+    transport.drain(refusesFromMicros, stop::onDrained);
+    long remainingMicros = Math.max(0, endsAtMicros - Clock.steadyMicros());
+    Channels.after(node.loop(), Duration.of(remainingMicros, ChronoUnit.MICROS), stop::onDrained);
+  }
+
+  private ForwardSettings forwardSettings() {
+    return ForwardSettings.DEFAULT.withinGracePeriod(longestStop());
+  }
+
+  private static long microsOf(Duration duration) {
+    return TimeUnit.NANOSECONDS.toMicros(duration.toNanos());
   }
 
   private void close() {
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -51,7 +51,7 @@
   private final PlatformClients platform;
   private final RouterCore core;
   private final AdminServer admin;
-  private final GracefulStop stop = new GracefulStop(this::drain, this::close);
+  private final GracefulStop stop = new GracefulStop(requestedMicros -> drain(), this::close);
 
   RouterProcess(Settings settings) {
     this.settings = settings;
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -82,7 +82,7 @@
             node::carryOut,
             this);
     admin = new AdminServer(node.loop(), node.metrics().registry(), isLeaving::get);
-    stop = new GracefulStop(this::drain, node::close);
+    stop = new GracefulStop(requestedMicros -> drain(), node::close);
   }
 
   /** Starts to serve; returns a failure if an address cannot be bound. */
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -48,7 +48,7 @@
   private final PlatformClients platform;
   private final SidecarCore core;
   private final AdminServer admin;
-  private final GracefulStop stop = new GracefulStop(this::drain, this::close);
+  private final GracefulStop stop = new GracefulStop(requestedMicros -> drain(), this::close);
 
   SidecarProcess(Settings settings) {
     this.settings = settings;
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -10,6 +10,7 @@
 import io.vavr.control.Try;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -115,26 +116,25 @@
 
   /**
    * Starts draining. Requests are still served, and each connection is closed after its current
-   * response. After {@link ForwardSettings#drainPeriod}, idle connections are closed and new
-   * requests are refused: a load balancer without another process to choose keeps sending requests
-   * for as long as they are accepted. Once no request is open, the process stops listening.
+   * response. From the given time on, idle connections are closed; a load balancer without another
+   * process to choose may send requests for as long as they are accepted. Once no request is open,
+   * the process stops listening.
    *
-   * @param onRefuseNew called on the event loop at the end of the drain period; starts to refuse
-   *     new requests
-   * @param whenDrained called on the event loop once the drain period has ended and every
-   *     connection is closed, after its caller has received all responses
+   * @param closesIdleFromMicros time from which idle connections are closed, on the clock of the
+   *     transport; a process that does not listen yet does not wait for it
+   * @param whenDrained called on the event loop once every connection is closed, after its caller
+   *     has received all responses
    */
-  public void drain(Runnable onRefuseNew, Runnable whenDrained) {
+  public void drain(long closesIdleFromMicros, Runnable whenDrained) {
     loop.execute(
         () -> {
           context.drain();
-          // A process that has not listened yet has no balancer that could still choose it.
-          Duration drainPeriod = listener.isPresent() ? settings.drainPeriod() : Duration.ZERO;
+          long waitMicros =
+              listener.isPresent() ? Math.max(0, closesIdleFromMicros - context.nowMicros()) : 0;
           Channels.after(
               loop,
-              drainPeriod,
+              Duration.of(waitMicros, ChronoUnit.MICROS),
               () -> {
-                onRefuseNew.run();
                 context.onDrainPeriodEnded();
                 closeIdleConnections(true);
                 stopListeningOnceIdle(whenDrained);
--- a/transport/src/main/java/org/shallothook/transport/process/GracefulStop.java
+++ b/transport/src/main/java/org/shallothook/transport/process/GracefulStop.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.shallothook.transport.logging.LogComponent;
 
@@ -20,7 +21,7 @@
  * after {@link #onDrained} was called and {@code close} has run. Thread-safe.
  */
 public final class GracefulStop {
-  private final Runnable drain;
+  private final LongConsumer drain;
   private final Runnable close;
   private final Consumer<Thread> shutdownHooks;
   private final Runnable end;
@@ -33,10 +34,11 @@
   /**
    * Creates a graceful stop.
    *
-   * @param drain starts to drain and returns immediately
+   * @param drain starts to drain and returns immediately; receives the time at which the process
+   *     was told to stop, by {@link Clock#steadyMicros}
    * @param close closes sockets and threads after the drain
    */
-  public GracefulStop(Runnable drain, Runnable close) {
+  public GracefulStop(LongConsumer drain, Runnable close) {
     // Without the halt, the exit code of the JVM would be that of the signal instead of 0.
     this(drain, close, Runtime.getRuntime()::addShutdownHook, () -> Runtime.getRuntime().halt(0));
   }
@@ -47,7 +49,7 @@
    * @param shutdownHooks receives the thread to run when the process is told to stop
    * @param end ends the process at once
    */
-  GracefulStop(Runnable drain, Runnable close, Consumer<Thread> shutdownHooks, Runnable end) {
+  GracefulStop(LongConsumer drain, Runnable close, Consumer<Thread> shutdownHooks, Runnable end) {
     this.drain = drain;
     this.close = close;
     this.shutdownHooks = shutdownHooks;
@@ -86,6 +88,7 @@
   }
 
   private void stop() {
+    long requestedMicros = Clock.steadyMicros();
     isRequested = true;
     try {
       startEnded.await();
@@ -94,7 +97,7 @@
       }
       if (hasStarted) {
         LogComponent.PROCESS.info("Draining.");
-        drain.run();
+        drain.accept(requestedMicros);
         onDrained.await();
       }
     } catch (InterruptedException e) {
--- a/transport/src/test/java/org/shallothook/transport/forward/ClosedConnectionTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ClosedConnectionTest.java
@@ -133,7 +133,7 @@
     server =
         new RawServer(request -> "HTTP/1.1 200 OK\r\nid: request-0\r\nContent-Length: 0\r\n\r\n");
     try (Socket caller = connect()) {
-      transport.drain(() -> {}, () -> {});
+      transport.drain(Long.MAX_VALUE, () -> {});
       write(caller, "request-0");
       // Reads the response, until the connection is closed.
       assertThat(caller.getInputStream().readAllBytes()).isNotEmpty();
--- a/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
@@ -303,7 +303,8 @@
   }
 
   private void drain() {
-    transport.drain(() -> {}, drained::countDown);
+    long drainMicros = TimeUnit.NANOSECONDS.toMicros(DRAIN_PERIOD.toNanos());
+    transport.drain(Clock.steadyMicros() + drainMicros, drained::countDown);
   }
 
   private static List<String> repeat(String text, int times) {
--- a/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -27,6 +27,7 @@
 final class PlannedStopTest implements OpenEventSink {
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final Duration DRAIN_PERIOD = Duration.ofMillis(1_500);
+  private static final long DRAIN_MICROS = TimeUnit.NANOSECONDS.toMicros(DRAIN_PERIOD.toNanos());
   private static final String BUSY = "busy";
 
   private final EventLoops loops = EventLoops.create(1);
@@ -86,7 +87,7 @@
       assertThat(readStatus(kept)).isEqualTo("HTTP/1.1 503");
 
       long drainPeriodEndNanos = System.nanoTime() + DRAIN_PERIOD.toNanos();
-      transport.drain(() -> {}, () -> {});
+      transport.drain(Clock.steadyMicros() + DRAIN_MICROS, () -> {});
       loops.internal().submit(() -> {}).sync();
       write(busy, BUSY);
       assertThat(loopIsBlocked.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
--- a/transport/src/test/java/org/shallothook/transport/process/GracefulStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/process/GracefulStopTest.java
@@ -26,6 +26,7 @@
   private final CountDownLatch ended = new CountDownLatch(1);
   private final GracefulStop stop =
       new GracefulStop(this::drain, () -> happened.add("close"), this::install, this::end);
+  private long drainableFromMicros = Long.MAX_VALUE;
   private Thread hook;
 
   private void install(Thread newHook) {
@@ -33,7 +34,8 @@
     hook = newHook;
   }
 
-  private void drain() {
+  private void drain(long requestedMicros) {
+    assertThat(requestedMicros).isAtMost(drainableFromMicros);
     happened.add("drain");
     stop.onDrained();
   }
@@ -56,6 +58,7 @@
       happened.add("step " + number);
       if (isStopped) {
         requestStop();
+        drainableFromMicros = Clock.steadyMicros();
       }
       return Try.success(null);
     };
