Give up a silent server only if another can go on with its stream

Cause: the stall timeout ended the attempt before anything was known to take the stream. Without a further run, a free server or budget, its end was the end of the response. A server is silent when it has preempted the request, and goes on.

Change: the transport reports the silence, repeatedly, and the decision thread gives the attempt up only if a run is left and another server has a free slot, and with a retry taken from the budget for it. Output that arrives meanwhile keeps the attempt. A resumed stream whose next server does not respond is treated alike. A line and two counters say what was decided.

Conclusion: class of fault: a deadline of the process is applied to a response that nothing else can deliver.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCommand.java
@@ -22,11 +22,14 @@
   /**
    * Relay the response of an attempt to the caller as it arrives.
    *
-   * @param stallMicros silence of the server after which the attempt counts as broken, in
-   *     microseconds; empty unless the stream can be resumed at another server
+   * @param stallMicros silence of the server after which the attempt counts as stalled, in
+   *     microseconds; empty if the stream can never be resumed at another server
    */
   record Relay(long request, int attempt, Optional<Long> stallMicros) implements ForwardCommand {}
 
+  /** End a stalled attempt as broken, unless output has arrived since. */
+  record GiveUp(long request, int attempt) implements ForwardCommand {}
+
   /** Drop an attempt and close its connection, unless its response has been received completely. */
   record Drop(long request, int attempt) implements ForwardCommand {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -191,6 +191,9 @@
     } else if (event instanceof ForwardEvent.OutputStarted started) {
       find(started.request(), started.attempt())
           .ifPresent(request -> request.onOutputStarted(clock.at(nowMicros)));
+    } else if (event instanceof ForwardEvent.Stalled stalled) {
+      find(stalled.request(), stalled.attempt())
+          .ifPresent(request -> onStalled(request, nowMicros));
     } else if (event instanceof ForwardEvent.Completed completed) {
       find(completed.request(), completed.attempt())
           .ifPresent(request -> onCompleted(request, nowMicros));
@@ -465,14 +468,8 @@
       endStranded(request, nowMicros);
       return;
     }
-    List<Server> admitted =
-        request.admittedBySoftware(servers.usable(request.service(), nowMicros));
-    List<Server> usable = streams.preferred(request, admitted, nowMicros);
     Optional<PromptOutline> prompt = promptOf(request);
-    List<Server> eligible =
-        prompt
-            .map(outline -> eligibility.eligible(usable, outline.model(), nowMicros))
-            .orElse(usable);
+    List<Server> eligible = eligible(request, nowMicros);
     List<Server> untried = eligible.stream().filter(server -> !request.hasTried(server)).toList();
     List<Server> candidates = untried.isEmpty() && !request.mayHaveRun() ? eligible : untried;
     boolean isDecided =
@@ -498,6 +495,22 @@
     }
   }
 
+  /** Returns the servers that may run a request, whether or not they have a free slot. */
+  private List<Server> eligible(PendingRequest request, long nowMicros) {
+    List<Server> admitted =
+        request.admittedBySoftware(servers.usable(request.service(), nowMicros));
+    List<Server> usable = streams.preferred(request, admitted, nowMicros);
+    return promptOf(request)
+        .map(outline -> eligibility.eligible(usable, outline.model(), nowMicros))
+        .orElse(usable);
+  }
+
+  /** Returns whether a server that the request was not at could take it now. */
+  private boolean hasOtherServer(PendingRequest request, long nowMicros) {
+    return eligible(request, nowMicros).stream()
+        .anyMatch(server -> !request.hasTried(server) && server.hasFreeSlot(nowMicros));
+  }
+
   /** Returns whether no listed server can go on with the stream of a request. */
   private boolean isStranded(PendingRequest request, long nowMicros) {
     return request.origin().isPresent()
@@ -867,7 +880,7 @@
     boolean mayRepeat = request.route().isRepeatable() && mayResume && request.hasRunsRemaining();
     if (mayRepeat && isStranded(request, nowMicros)) {
       endStranded(request, nowMicros);
-    } else if (mayRepeat && tryAcquireRetry(request, nowMicros)) {
+    } else if (mayRepeat && (request.useReservedRetry() || tryAcquireRetry(request, nowMicros))) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
     } else if (request.hasStartedResponse()) {
       breakOff(request, detail, nowMicros);
@@ -876,6 +889,25 @@
     }
   }
 
+  /**
+   * Gives up an attempt at a silent server, if the stream can be resumed at another one right away.
+   * Otherwise the server keeps it: it may have preempted the request, and goes on later.
+   */
+  private void onStalled(PendingRequest request, long nowMicros) {
+    boolean isMoved =
+        request.hasReservedRetry()
+            || (request.hasRunsRemaining()
+                && hasOtherServer(request, nowMicros)
+                && tryAcquireRetry(request, nowMicros));
+    if (request.onStalled(isMoved)) {
+      options.counters().increment(isMoved ? "streams.stalled-moved" : "streams.stalled-kept");
+      journal.stalled(request, isMoved, nowMicros);
+    }
+    if (isMoved) {
+      commands.accept(new ForwardCommand.GiveUp(request.number(), request.attempt()));
+    }
+  }
+
   /** Finds out whether a server that broke a connection has crashed, and whether by the request. */
   private void onConnectionReset(
       PendingRequest request, Server server, long lastOutputMicros, long nowMicros) {
@@ -1069,7 +1101,8 @@
       boolean isStuck =
           nowMicros - request.sentMicros() > timeoutMicros
               && !server.hasRespondedSince(request.sentMicros());
-      if (isStuck && tryAcquireRetry(request, nowMicros)) {
+      boolean mayLeave = !request.hasStartedResponse() || hasOtherServer(request, nowMicros);
+      if (isStuck && mayLeave && tryAcquireRetry(request, nowMicros)) {
         server.onFailure(nowMicros);
         dropAttempt(request, true);
         journal.failed(request, server, "no response", nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -33,6 +33,12 @@
   /** The head of a response has arrived; the transport waits for a command before it goes on. */
   record ResponseReceived(long request, int attempt, ResponseHead answer) implements ForwardEvent {}
 
+  /**
+   * The server of a relayed response has been silent for longer than the stall timeout; repeated
+   * for as long as it is.
+   */
+  record Stalled(long request, int attempt) implements ForwardEvent {}
+
   /** A relayed response has ended completely. */
   record Completed(long request, int attempt) implements ForwardEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -247,6 +247,20 @@
         sharedParts(request));
   }
 
+  void stalled(PendingRequest request, boolean isMoved, long nowMicros) {
+    journal.write(
+        Decision.STALL,
+        request.head().id(),
+        "server",
+        request.server().map(Server::name).orElse(""),
+        "attempt",
+        request.attempt(),
+        "outcome",
+        isMoved ? "moved" : "kept",
+        "began_ms",
+        request.respondedMicros().map(at -> millisSince(at, nowMicros)).orElse(-1L));
+  }
+
   /** Returns the identifiers of the parts of a prompt that other prompts may have. */
   private static String sharedParts(PendingRequest request) {
     return request.head().prompt().map(PromptOutline::sharedParts).orElse(List.of()).stream()
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -59,6 +59,8 @@
   private Optional<Long> outputStartedMicros = Optional.empty();
   private boolean isSuccessful;
   private long waitUntilMicros;
+  private boolean hasReservedRetry;
+  private Optional<Boolean> wasMovedOnStall = Optional.empty();
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
   private boolean hasStartedResponse;
@@ -267,6 +269,7 @@
     sentMicros = nowMicros;
     respondedMicros = Optional.empty();
     outputStartedMicros = Optional.empty();
+    wasMovedOnStall = Optional.empty();
     target.onOpened(nowMicros);
   }
 
@@ -279,6 +282,31 @@
     phase = Phase.WAITING;
   }
 
+  /**
+   * Records that the server of the current attempt is silent.
+   *
+   * @param isMoved whether a retry was taken from the budget to resume the stream elsewhere
+   * @return whether that is the first time or has changed
+   */
+  boolean onStalled(boolean isMoved) {
+    hasReservedRetry = isMoved;
+    boolean hasChanged = wasMovedOnStall.filter(previous -> previous == isMoved).isEmpty();
+    wasMovedOnStall = Optional.of(isMoved);
+    return hasChanged;
+  }
+
+  /** Returns whether a retry was taken from the budget and not used yet. */
+  boolean hasReservedRetry() {
+    return hasReservedRetry;
+  }
+
+  /** Uses the retry that was taken from the budget before; returns false if there is none. */
+  boolean useReservedRetry() {
+    boolean wasReserved = hasReservedRetry;
+    hasReservedRetry = false;
+    return wasReserved;
+  }
+
   void onRelaying(boolean isSuccess, long nowMicros) {
     respondedMicros = Optional.of(nowMicros);
     isSuccessful = isSuccess;
--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -20,6 +20,8 @@
   RETRY(Weight.NOTABLE),
   /** An interrupted stream is resumed on another server. */
   RESUME(Weight.NOTABLE),
+  /** The server of a stream is silent, and the stream is resumed elsewhere or stays there. */
+  STALL(Weight.NOTABLE),
   /** An attempt has failed. */
   ATTEMPT_FAILED(Weight.NOTABLE),
   /** A server sent a response that is not taken as that of the current request. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -24,6 +24,7 @@
           Decision.PROCESS,
           Decision.UNEXPECTED_RESPONSE,
           Decision.CONNECTION_CLOSED,
+          Decision.STALL,
           Decision.CRASH,
           Decision.QUARANTINE);
 
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -170,6 +170,8 @@
       context
           .find(relay.request())
           .ifPresent(exchange -> exchange.relay(relay.attempt(), relay.stallMicros()));
+    } else if (command instanceof ForwardCommand.GiveUp giveUp) {
+      context.find(giveUp.request()).ifPresent(exchange -> exchange.giveUp(giveUp.attempt()));
     } else if (command instanceof ForwardCommand.Drop drop) {
       context.find(drop.request()).ifPresent(exchange -> exchange.drop(drop.attempt()));
     } else if (command instanceof ForwardCommand.Refuse refuse) {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -154,18 +154,28 @@
     }
   }
 
-  /** Fails the current attempt if its server has made no progress within the stall timeout. */
+  /** Reports that the server of the current attempt has made no progress for too long. */
   void checkStall() {
-    long inactiveMicros = context.nowMicros() - lastProgressMicros;
-    boolean isStalled =
-        connection.channel().isWritable()
-            && stallMicros.filter(limit -> inactiveMicros > limit).isPresent();
-    if (isStalled && attempt.isPresent()) {
+    if (isStalled()) {
+      attempt.ifPresent(
+          open -> context.events().deliver(new ForwardEvent.Stalled(number, open.number())));
+    }
+  }
+
+  /** Fails an attempt whose server has still made no progress. */
+  void giveUp(int attemptNumber) {
+    if (currentAttempt(attemptNumber) != null && isStalled()) {
       stallMicros = Optional.empty();
       failAttempt("the server sent nothing within the stall timeout of the stream");
     }
   }
 
+  private boolean isStalled() {
+    long inactiveMicros = context.nowMicros() - lastProgressMicros;
+    return connection.channel().isWritable()
+        && stallMicros.filter(limit -> inactiveMicros > limit).isPresent();
+  }
+
   /** Ends the exchange because the caller has disconnected. */
   void abandon() {
     finish();
--- a/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ForwardTransportTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -58,6 +59,8 @@
   private final InetSocketAddress address =
       transport.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).get();
   private volatile RawServer server;
+  private final Semaphore stalled = new Semaphore(0);
+  private volatile Optional<Long> stallMicros = Optional.empty();
   private volatile boolean resumesOnce;
   private volatile Runnable onRequested = () -> {};
 
@@ -81,7 +84,9 @@
           new ForwardCommand.Send(requested.request(), 1, dispatch(Optional.empty())));
     } else if (event instanceof ForwardEvent.ResponseReceived answered) {
       transport.carryOut(
-          new ForwardCommand.Relay(answered.request(), answered.attempt(), Optional.empty()));
+          new ForwardCommand.Relay(answered.request(), answered.attempt(), stallMicros));
+    } else if (event instanceof ForwardEvent.Stalled) {
+      stalled.release();
     } else if (event instanceof ForwardEvent.Broken broken && resumesOnce) {
       resumesOnce = false;
       transport.carryOut(
@@ -106,6 +111,34 @@
     }
   }
 
+  /** Guards against ending an attempt whose server has gone on since its silence was reported. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aSilentServerIsGivenUpOnlyWhileItIsSilent(boolean goesOn) throws Exception {
+    stallMicros = Optional.of(200_000L);
+    String last = chunk("id: 2\n\n") + "0\r\n\r\n";
+    server =
+        new RawServer(request -> streamHead("r1") + chunk("id: 1\n\n") + RawServer.PAUSE + last);
+    try (Socket socket = connect()) {
+      socket
+          .getOutputStream()
+          .write(post("r1", "keep-alive", "").getBytes(StandardCharsets.ISO_8859_1));
+      // The report is repeated for as long as the silence lasts.
+      assertThat(stalled.tryAcquire(2, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+      if (goesOn) {
+        server.proceed();
+        while (events.stream().noneMatch(event -> event instanceof ForwardEvent.Completed)) {
+          TimeUnit.MILLISECONDS.sleep(5);
+        }
+      }
+      transport.carryOut(new ForwardCommand.GiveUp(1, 1));
+      loops.internal().submit(() -> {}).sync();
+
+      assertThat(events.stream().anyMatch(event -> event instanceof ForwardEvent.Broken))
+          .isEqualTo(!goesOn);
+    }
+  }
+
   private Dispatch dispatch(Optional<Long> resumesAfter) {
     return PlainRequestForm.dispatch(server.address(), resumesAfter);
   }
