Answer what is queued on a connection of the product's own interface

What callers saw: at a router of the product's own form, a request behind an open stream was dropped if a drain began meanwhile, and a stream was cut if what its caller sent behind it could not be read or was too large.

Cause: the same as on the hosted connections: whether a response is the last one was asked as it began and again as it ended, and a refusal closed the connection over the open response.

Change: decided once, as the response begins, and only with nothing queued; the refusal follows the open response. Connections closed over requests have a line and a counter.

--- a/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerConnection.java
@@ -27,6 +27,7 @@
 import org.shallothook.state.request.RefusalReason;
 import org.shallothook.state.request.RequestId;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.logging.LogComponent;
 
 /**
  * A caller connection: receives requests and runs them one after the other.
@@ -48,6 +49,7 @@
   private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private long discardedBytes;
   private int reservedBytes;
+  private Optional<Refusal> refusalBehind = Optional.empty();
   private boolean isDiscarding;
   private boolean isClosing;
 
@@ -60,7 +62,7 @@
    * after its current response, because the context is closing.
    */
   void closeWhenIdle() {
-    if (current.isEmpty() && head.isEmpty() && queued.isEmpty()) {
+    if (!isClosing && current.isEmpty() && head.isEmpty() && queued.isEmpty()) {
       isClosing = true;
       Channels.closeAfterWrites(socket());
     }
@@ -110,7 +112,7 @@
           handlerContext.channel().unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
       if (idleState.state() == IdleState.WRITER_IDLE && hasUnwritten) {
         context.metrics().increment("caller.stalled");
-        Channels.close(handlerContext);
+        closeOver("stalled");
       } else if (idleState.state() == IdleState.ALL_IDLE && current.isEmpty()) {
         Channels.close(handlerContext);
       }
@@ -120,7 +122,21 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
     context.metrics().increment("caller.connection-failed");
-    Channels.close(handlerContext);
+    closeOver("failed");
+  }
+
+  /** Closes the connection; reports the requests that were read and get no complete response. */
+  private void closeOver(String reason) {
+    int unanswered = queued.size() + (current.isPresent() ? 1 : 0);
+    if (unanswered > 0) {
+      context.metrics().increment("caller.closed-over-request-" + reason);
+      LogComponent.CALLER.warn(
+          "Closed a connection over {} requests ({}), the first {}.",
+          unanswered,
+          reason,
+          current.map(exchange -> exchange.id().value()).orElse("not opened"));
+    }
+    Channels.close(channel);
   }
 
   private void startRequest(HttpRequest newHead) {
@@ -175,7 +191,11 @@
   private void runNext() {
     CallerRequest request = queued.poll();
     if (request == null) {
-      channel.channel().config().setAutoRead(true);
+      refusalBehind.ifPresentOrElse(
+          this::writeRefusalAndClose, () -> channel.channel().config().setAutoRead(true));
+      if (context.isDrained()) {
+        closeWhenIdle();
+      }
       return;
     }
     RequestId id = context.nextRequestId();
@@ -189,6 +209,7 @@
             id,
             request,
             event.toJavaOptional(),
+            () -> !queued.isEmpty() || refusalBehind.isPresent(),
             isLast -> onExchangeEnded(id, isLast));
     current = Optional.of(exchange);
     event.peekLeft(refusal -> refuse(exchange, refusal)).peek(open -> offer(exchange, open));
@@ -220,7 +241,8 @@
   }
 
   private void runNextIfIdle() {
-    if (current.isEmpty() && channel.channel().isActive() && !isDiscarding && !isClosing) {
+    boolean isReadable = !isDiscarding || refusalBehind.isPresent();
+    if (current.isEmpty() && channel.channel().isActive() && isReadable && !isClosing) {
       runNext();
     }
   }
@@ -259,26 +281,43 @@
     isDiscarding = true;
     release(body.size());
     body = new ByteArrayOutputStream(0);
-    if (current.isPresent()) {
-      // An earlier response is still being written, so the refusal cannot be written now.
-      Channels.close(channel);
+    Refusal refusal = Refusal.notRun(reason, detail);
+    if (current.isPresent() || !queued.isEmpty()) {
+      // The requests before this one are answered first.
+      refusalBehind = Optional.of(refusal);
+      channel.channel().config().setAutoRead(false);
       return;
     }
-    context.metrics().refused(reason);
+    writeRefusal(refusal);
+  }
+
+  private void writeRefusal(Refusal refusal) {
+    context.metrics().refused(refusal.reason());
     RequestId id = context.nextRequestId();
-    FullResponse response = FullResponse.of(id, Refusal.notRun(reason, detail));
+    FullResponse response = FullResponse.of(id, refusal);
     Channels.writeAndFlush(channel, response.toHttp(id, true, channel.alloc()));
   }
 
+  private void writeRefusalAndClose(Refusal refusal) {
+    isClosing = true;
+    writeRefusal(refusal);
+    Channels.closeAfterWrites(socket());
+  }
+
   /** Refuses the request and closes the connection, because the request's end cannot be found. */
   private void refuseAndClose(String detail) {
     refuseAndDiscard(RefusalReason.MALFORMED_REQUEST, detail);
     stopRequestTimeout();
-    isClosing = true;
-    Channels.closeAfterWrites(socket());
+    if (refusalBehind.isEmpty()) {
+      isClosing = true;
+      Channels.closeAfterWrites(socket());
+    }
   }
 
   private void discard(HttpContent content) {
+    if (refusalBehind.isPresent()) {
+      return;
+    }
     discardedBytes += content.content().readableBytes();
     long maximumBytes = (long) MAXIMUM_DISCARDED_BODIES * context.settings().maximumBodyBytes();
     if (content instanceof LastHttpContent || discardedBytes > maximumBytes) {
@@ -305,6 +344,6 @@
 
   private void onRequestTimeout() {
     context.metrics().increment("caller.request-too-slow");
-    Channels.close(channel);
+    closeOver("request-too-slow");
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerContext.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerContext.java
@@ -27,6 +27,7 @@
   private final AtomicLong bufferedBytes = new AtomicLong();
   private final AtomicInteger openConnections = new AtomicInteger();
   private volatile boolean isClosing;
+  private volatile boolean isDrained;
 
   CallerContext(
       CallerSettings settings,
@@ -83,6 +84,15 @@
     bufferedBytes.addAndGet(-bytes);
   }
 
+  /** Returns whether connections without a request are to be closed. */
+  boolean isDrained() {
+    return isDrained;
+  }
+
+  void onDrained() {
+    isDrained = true;
+  }
+
   /** Returns whether each connection is to be closed after its current response. */
   boolean isClosing() {
     return isClosing;
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerExchange.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.shallothook.coordination.router.RouterCommand;
 import org.shallothook.coordination.router.RouterEvent;
@@ -42,11 +43,13 @@
   private final CallerRequest request;
   private final Optional<RouterEvent.ChatRequested> chat;
   private final ChatResponseWriter form;
+  private final BooleanSupplier hasQueued;
   private final Consumer<Boolean> onEnd;
   private final StringBuilder completeText = new StringBuilder();
   private int position;
   private boolean hasHead;
   private boolean hasEnded;
+  private boolean isLast;
 
   /**
    * Creates an exchange that has not written anything yet.
@@ -56,6 +59,7 @@
    * @param id identifier of the request
    * @param request the request
    * @param event event for the decision thread; empty if the request is refused without one
+   * @param hasQueued whether further requests were read on the connection, or have to be refused
    * @param onEnd called after the last byte is passed to the channel; the argument is whether the
    *     connection is closed after this response
    */
@@ -65,11 +69,13 @@
       RequestId id,
       CallerRequest request,
       Optional<RouterEvent> event,
+      BooleanSupplier hasQueued,
       Consumer<Boolean> onEnd) {
     this.context = context;
     this.channel = channel;
     this.id = id;
     this.request = request;
+    this.hasQueued = hasQueued;
     this.onEnd = onEnd;
     this.chat =
         event
@@ -225,7 +231,7 @@
     if (request.supportsChunkedEncoding()) {
       HttpUtil.setTransferEncodingChunked(head, true);
     }
-    if (isLastResponse()) {
+    if (decideLastResponse()) {
       head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     Channels.write(channel, head);
@@ -238,15 +244,14 @@
 
   private void endStream() {
     Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
-    onResponseWritten(isLastResponse());
+    onResponseWritten(isLast);
   }
 
   private void writeFullResponse(FullResponse response, Optional<Long> retryAtMicros) {
     if (hasEnded) {
       return;
     }
-    boolean isLast = isLastResponse();
-    FullHttpResponse httpResponse = response.toHttp(id, isLast, channel.alloc());
+    FullHttpResponse httpResponse = response.toHttp(id, decideLastResponse(), channel.alloc());
     retryAtMicros.ifPresent(
         at -> httpResponse.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds(at)));
     Channels.writeAndFlush(channel, httpResponse);
@@ -257,16 +262,21 @@
     return ErrorResponseWriter.retryAfterSeconds(retryAtMicros, context.nowMicros());
   }
 
-  private void onResponseWritten(boolean isLast) {
+  private void onResponseWritten(boolean endsConnection) {
     hasEnded = true;
-    if (isLast) {
+    if (endsConnection) {
       Channels.closeAfterWrites(channel);
     }
-    onEnd.accept(isLast);
+    onEnd.accept(endsConnection);
   }
 
-  private boolean isLastResponse() {
-    return context.isClosing() || !request.isKeepAlive() || !request.supportsChunkedEncoding();
+  /** Decides, as the response begins, whether its caller is told that it is the last one. */
+  private boolean decideLastResponse() {
+    isLast =
+        !request.isKeepAlive()
+            || !request.supportsChunkedEncoding()
+            || (context.isClosing() && !hasQueued.getAsBoolean());
+    return isLast;
   }
 
   private ByteBuf bytesOf(String text) {
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerServer.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerServer.java
@@ -105,7 +105,10 @@
     return context.openExchanges().size();
   }
 
-  /** Closes each connection after its current response; new connections are still accepted. */
+  /**
+   * Closes each connection after its current response, unless that began before or further requests
+   * are queued behind it; new connections are still accepted.
+   */
   public void drain() {
     context.startClosing();
   }
@@ -117,6 +120,7 @@
    */
   public CompletableFuture<Void> close() {
     drain();
+    context.onDrained();
     listener.ifPresentOrElse(
         open -> open.close().addListener(future -> closeIdleConnections()),
         this::closeIdleConnections);
--- a/transport/src/test/java/org/shallothook/transport/caller/CallerServerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/caller/CallerServerTest.java
@@ -371,6 +371,44 @@
     }
   }
 
+  /** Guards against closing a connection over a request that is queued behind an open stream. */
+  @Test
+  void aRequestQueuedBehindAStreamIsAnsweredAlthoughTheServerCloses() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId first = openChat(caller, STREAMING_REQUEST);
+      tokens(first, 0, "a");
+      caller.readUntil("\"a\"}");
+      caller.post(CHAT, NON_STREAMING_REQUEST);
+      server.drain();
+      server.carryOut(new RouterCommand.CompleteAnswer(first, 1, "stop", 0));
+      RequestId second = ((RouterEvent.ChatRequested) router.nextRequest()).request();
+      CompletableFuture<Void> closed = server.close();
+      server.carryOut(
+          new RouterCommand.Refuse(second, Refusal.notRun(RefusalReason.ROUTER_LEAVING, "")));
+
+      assertThat(caller.readToEnd()).contains("HTTP/1.1 503");
+      closed.get(20, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Guards against closing a connection over an open response for what is behind its request. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"no request\r\n\r\n", "POST /v1/x HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n"})
+  void aStreamIsCompletedAlthoughWhatIsBehindItIsRefused(String behind) throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      RequestId first = openChat(caller, STREAMING_REQUEST);
+      tokens(first, 0, "a");
+      caller.readUntil("\"a\"}");
+      caller.send(behind);
+      TimeUnit.MILLISECONDS.sleep(100);
+      server.carryOut(new RouterCommand.CompleteAnswer(first, 1, "stop", 0));
+      String rest = caller.readToEnd();
+
+      assertThat(rest).contains("data: [DONE]\n\n" + LAST_CHUNK + "HTTP/1.1 4");
+    }
+  }
+
   private RequestId openChat(RawCaller caller, String body) throws Exception {
     caller.post(CHAT, body);
     return ((RouterEvent.ChatRequested) router.nextRequest()).request();
