Use the default settings in the tests of planned stops

The drain period is given to the transport with each drain since the times of a stop count from the signal; no behaviour, assertion or bound is changed.

--- a/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
@@ -61,7 +61,7 @@
       new ForwardTransport(
           loops.internal(),
           new PlainRequestForm(),
-          settings(),
+          ForwardSettings.DEFAULT,
           this,
           Counters.NONE,
           DecisionJournal.NONE,
@@ -81,19 +81,6 @@
     }
   }
 
-  private static ForwardSettings settings() {
-    ForwardSettings defaults = ForwardSettings.DEFAULT;
-    return new ForwardSettings(
-        defaults.connectTimeout(),
-        defaults.idleTimeout(),
-        defaults.maximumIdleTime(),
-        defaults.nonRepeatableIdleTime(),
-        defaults.maximumIdleConnections(),
-        defaults.maximumCallerConnections(),
-        DRAIN_PERIOD,
-        defaults.maximumHeldBytes());
-  }
-
   @Override
   public void deliver(CoreEvent event) {
     if (event instanceof ForwardEvent.Requested requested
--- a/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -37,7 +37,7 @@
       new ForwardTransport(
           loops.internal(),
           new PlainRequestForm(),
-          settings(),
+          ForwardSettings.DEFAULT,
           this,
           Counters.NONE,
           DecisionJournal.NONE,
@@ -50,19 +50,6 @@
     loops.close();
   }
 
-  private static ForwardSettings settings() {
-    ForwardSettings defaults = ForwardSettings.DEFAULT;
-    return new ForwardSettings(
-        defaults.connectTimeout(),
-        defaults.idleTimeout(),
-        defaults.maximumIdleTime(),
-        defaults.nonRepeatableIdleTime(),
-        defaults.maximumIdleConnections(),
-        defaults.maximumCallerConnections(),
-        DRAIN_PERIOD,
-        defaults.maximumHeldBytes());
-  }
-
   @Override
   public void deliver(CoreEvent event) {
     if (event instanceof ForwardEvent.Requested requested) {
