Share the caller of the tests of connections

Cause: three tests of the forwarding transport wrote their own requests and read heads, lengths and statuses in copies of the same loops; RawServer read heads in a fourth.

Change: PlainCaller sends and reads, HttpText reads a head and its length for both sides. The expected statuses are compared with their protocol everywhere.

--- a/transport/src/test/java/org/shallothook/transport/forward/ClosedConnectionTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/ClosedConnectionTest.java
@@ -5,8 +5,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,24 +36,24 @@
   private enum End {
     BROKEN_OFF {
       @Override
-      void happen(ClosedConnectionTest test, Socket caller) {
+      void happen(ClosedConnectionTest test, PlainCaller caller) {
         test.transport.carryOut(new ForwardCommand.BreakOff(1, "the server is silent"));
       }
     },
     PROCESS_STOPPED {
       @Override
-      void happen(ClosedConnectionTest test, Socket caller) {
+      void happen(ClosedConnectionTest test, PlainCaller caller) {
         test.transport.reportOpenAtEnd(() -> {});
       }
     },
     CALLER_LEFT {
       @Override
-      void happen(ClosedConnectionTest test, Socket caller) throws IOException {
+      void happen(ClosedConnectionTest test, PlainCaller caller) throws IOException {
         caller.close();
       }
     };
 
-    abstract void happen(ClosedConnectionTest test, Socket caller) throws IOException;
+    abstract void happen(ClosedConnectionTest test, PlainCaller caller) throws IOException;
 
     String code() {
       return CloseReason.valueOf(name()).code();
@@ -111,12 +109,12 @@
                 "HTTP/1.1 200 OK\r\nid: request-0\r\nContent-Length: 2\r\n\r\n1"
                     + RawServer.PAUSE
                     + "2");
-    try (Socket caller = connect()) {
-      write(caller, "request-0");
-      write(caller, "request-1");
+    try (PlainCaller caller = new PlainCaller(address)) {
+      caller.send("request-0");
+      caller.send("request-1");
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
       // A byte of the response shows that it is being relayed.
-      assertThat(caller.getInputStream().read()).isEqualTo('H');
+      assertThat(caller.input().read()).isEqualTo('H');
       end.happen(this, caller);
       Line line = lines.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 
@@ -132,12 +130,12 @@
   void aRequestThatArrivesOnAClosedConnectionHasALine() throws Exception {
     server =
         new RawServer(request -> "HTTP/1.1 200 OK\r\nid: request-0\r\nContent-Length: 0\r\n\r\n");
-    try (Socket caller = connect()) {
+    try (PlainCaller caller = new PlainCaller(address)) {
       transport.drain(Long.MAX_VALUE, () -> {});
-      write(caller, "request-0");
+      caller.send("request-0");
       // Reads the response, until the connection is closed.
-      assertThat(caller.getInputStream().readAllBytes()).isNotEmpty();
-      write(caller, "request-1");
+      assertThat(caller.input().readAllBytes()).isNotEmpty();
+      caller.send("request-1");
       Line line = lines.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 
       assertThat(line.decision()).isEqualTo(Decision.CONNECTION_CLOSED);
@@ -146,15 +144,4 @@
       assertThat(counted).containsEntry("callers.discarded-after-close", 1);
     }
   }
-
-  private Socket connect() throws IOException {
-    Socket socket = new Socket(address.getAddress(), address.getPort());
-    socket.setSoTimeout(TIMEOUT_MILLIS);
-    return socket;
-  }
-
-  private static void write(Socket socket, String id) throws IOException {
-    String request = "POST /a HTTP/1.1\r\nHost: h\r\nid: " + id + "\r\nContent-Length: 0\r\n\r\n";
-    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-  }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -41,8 +40,6 @@
 final class DrainedRequestsTest implements OpenEventSink {
   private static final int TIMEOUT_MILLIS = 10_000;
   private static final Duration DRAIN_PERIOD = Duration.ofMillis(300);
-  private static final int RECEIVE_BUFFER_BYTES = 4_096;
-
   private static final long MINIMUM_HELD_BYTES = 1_000;
 
   /** Time after which what is still held is not on its way to the caller. */
@@ -56,6 +53,10 @@
   /** Prefix of the identifiers of requests that are sent to the server; others are refused. */
   private static final String SERVED = "served";
 
+  private static final String OK = "HTTP/1.1 200";
+  private static final String LEAVING = "HTTP/1.1 503";
+  private static final String MALFORMED = "HTTP/1.1 400";
+
   private final EventLoops loops = EventLoops.create(1);
   private final ForwardTransport transport =
       new ForwardTransport(
@@ -106,15 +107,12 @@
   @CsvSource({"close", "keep-alive"})
   void aResponseThatItsCallerHasNotReadIsDelivered(String connection) throws Exception {
     try (ServerSocket slowServer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        Socket slow = new Socket()) {
+        PlainCaller slow = PlainCaller.withSmallBuffer(address)) {
       serverAddress = "127.0.0.1:" + slowServer.getLocalPort();
       Thread serving = new Thread(() -> respondUntilHeld(slowServer), "slow-server");
       serving.setDaemon(true);
       serving.start();
-      slow.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-      slow.setSoTimeout(TIMEOUT_MILLIS);
-      slow.connect(address);
-      write(slow, SERVED, connection);
+      slow.write(PlainCaller.request(SERVED, "Connection: " + connection));
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
       drain();
       serving.join(TIMEOUT_MILLIS);
@@ -122,8 +120,7 @@
       if (endsUnread) {
         loops.close();
       }
-      String received =
-          new String(slow.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      String received = new String(slow.input().readAllBytes(), StandardCharsets.ISO_8859_1);
 
       assertThat(received.substring(received.length() - LAST_CHUNK.length())).isEqualTo(LAST_CHUNK);
       assertThat(drained.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
@@ -135,7 +132,7 @@
     byte[] chunk = ("4000\r\n" + "x".repeat(0x4000) + "\r\n").getBytes(StandardCharsets.US_ASCII);
     String head = "HTTP/1.1 200 OK\r\nid: " + SERVED + "\r\nTransfer-Encoding: chunked\r\n\r\n";
     try (Socket socket = listening.accept()) {
-      readHead(socket);
+      assertThat(HttpText.readHead(socket.getInputStream())).isNotEmpty();
       socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
       while (!isHolding()) {
         socket.getOutputStream().write(chunk);
@@ -163,18 +160,18 @@
   @CsvSource({"1", "2"})
   void requestsQueuedBehindAnOpenResponseAreAnswered(int queued) throws Exception {
     startServer();
-    try (Socket kept = connect()) {
-      write(kept, SERVED, "keep-alive");
+    try (PlainCaller kept = new PlainCaller(address)) {
+      kept.send(SERVED);
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      write(kept, request("refused", "keep-alive").repeat(queued));
+      kept.write(PlainCaller.request("refused").repeat(queued));
       drain();
       server.proceed();
 
-      List<String> statuses = readStatuses(kept, 1 + queued);
+      List<String> statuses = kept.readStatuses(1 + queued);
 
-      assertThat(statuses.get(0)).isEqualTo("200");
+      assertThat(statuses.get(0)).isEqualTo(OK);
       assertThat(statuses.subList(1, statuses.size()))
-          .containsExactlyElementsIn(repeat("503", queued));
+          .containsExactlyElementsIn(Collections.nCopies(queued, LEAVING));
     }
   }
 
@@ -182,18 +179,18 @@
   @Test
   void aConnectionWhoseResponseBeganBeforeTheDrainTakesTheNextRequest() throws Exception {
     startServer();
-    try (Socket kept = connect()) {
-      write(kept, SERVED, "keep-alive");
+    try (PlainCaller kept = new PlainCaller(address)) {
+      kept.send(SERVED);
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      String firstHead = readHead(kept);
+      String firstHead = kept.readHead();
       drain();
       server.proceed();
-      kept.getInputStream().readNBytes("first!".length());
-      write(kept, "refused", "keep-alive");
-      String secondHead = readHead(kept);
+      kept.input().readNBytes("first!".length());
+      kept.send("refused");
+      String secondHead = kept.readHead();
 
       assertThat(firstHead.toLowerCase(Locale.ROOT)).doesNotContain("connection: close");
-      assertThat(secondHead).startsWith("HTTP/1.1 503");
+      assertThat(secondHead).startsWith(LEAVING);
       assertThat(secondHead.toLowerCase(Locale.ROOT)).contains("connection: close");
     }
   }
@@ -203,18 +200,18 @@
   @CsvSource({"false", "true"})
   void requestsBeforeOneThatCannotBeReadAreAnswered(boolean isDraining) throws Exception {
     startServer();
-    try (Socket kept = connect()) {
-      write(kept, SERVED, "keep-alive");
+    try (PlainCaller kept = new PlainCaller(address)) {
+      kept.send(SERVED);
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      write(kept, request("refused", "keep-alive") + "no request\r\n\r\n");
+      kept.write(PlainCaller.request("refused") + "no request\r\n\r\n");
       loops.internal().submit(() -> {}).sync();
       if (isDraining) {
         drain();
       }
       server.proceed();
 
-      assertThat(readStatuses(kept, 3)).containsExactly("200", "503", "400").inOrder();
-      assertThat(kept.getInputStream().read()).isEqualTo(-1);
+      assertThat(kept.readStatuses(3)).containsExactly(OK, LEAVING, MALFORMED).inOrder();
+      assertThat(kept.input().read()).isEqualTo(-1);
     }
   }
 
@@ -222,16 +219,14 @@
   @Test
   void aRequestBehindOneThatCannotBeReadIsAnswered() throws Exception {
     startServer();
-    try (Socket kept = connect()) {
-      write(kept, SERVED, "keep-alive");
+    try (PlainCaller kept = new PlainCaller(address)) {
+      kept.send(SERVED);
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      write(
-          kept,
-          request(PlainRequestForm.UNREADABLE, "keep-alive") + request("refused", "keep-alive"));
+      kept.write(PlainCaller.request(PlainRequestForm.UNREADABLE) + PlainCaller.request("refused"));
       loops.internal().submit(() -> {}).sync();
       server.proceed();
 
-      assertThat(readStatuses(kept, 3)).containsExactly("200", "400", "503").inOrder();
+      assertThat(kept.readStatuses(3)).containsExactly(OK, MALFORMED, LEAVING).inOrder();
     }
   }
 
@@ -242,44 +237,44 @@
   @ParameterizedTest
   @CsvSource({"1", "50"})
   void connectionsInTheListenQueueAreAnsweredBeforeTheProcessEnds(int queued) throws Exception {
-    List<Socket> callers = new ArrayList<>();
+    List<PlainCaller> callers = new ArrayList<>();
     CountDownLatch loopMayContinue = new CountDownLatch(1);
     drain();
     Future<?> blocked =
         loops.internal().submit(() -> loopMayContinue.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     TimeUnit.MILLISECONDS.sleep(2 * DRAIN_PERIOD.toMillis());
     for (int index = 0; index < queued; index++) {
-      callers.add(connect());
-      write(callers.get(index), "refused", "keep-alive");
+      callers.add(new PlainCaller(address));
+      callers.get(index).send("refused");
     }
     loopMayContinue.countDown();
     assertThat(blocked.get()).isEqualTo(true);
     List<String> statuses = new ArrayList<>();
-    for (Socket caller : callers) {
-      statuses.addAll(readStatuses(caller, 1));
+    for (PlainCaller caller : callers) {
+      statuses.addAll(caller.readStatuses(1));
       caller.close();
     }
 
-    assertThat(statuses).containsExactlyElementsIn(repeat("503", queued));
+    assertThat(statuses).containsExactlyElementsIn(Collections.nCopies(queued, LEAVING));
     assertThat(drained.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-    assertThrows(ConnectException.class, this::connect);
+    assertThrows(ConnectException.class, () -> new PlainCaller(address));
   }
 
   /** Guards against closing a new connection at the end of the drain period over its request. */
   @Test
   void aConnectionThatIsNewAtTheEndOfTheDrainPeriodGetsItsAnswer() throws Exception {
     startServer();
-    try (Socket open = connect();
-        Socket fresh = connect()) {
-      write(open, SERVED, "keep-alive");
+    try (PlainCaller open = new PlainCaller(address);
+        PlainCaller fresh = new PlainCaller(address)) {
+      open.send(SERVED);
       assertThat(responseHeadArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
       drain();
       TimeUnit.MILLISECONDS.sleep(2 * DRAIN_PERIOD.toMillis());
-      write(fresh, "refused", "keep-alive");
+      fresh.send("refused");
 
-      assertThat(readStatuses(fresh, 1)).containsExactly("503");
+      assertThat(fresh.readStatuses(1)).containsExactly(LEAVING);
       server.proceed();
-      assertThat(readStatuses(open, 1)).containsExactly("200");
+      assertThat(open.readStatuses(1)).containsExactly(OK);
     }
   }
 
@@ -294,71 +289,8 @@
     transport.drain(Clock.steadyMicros() + drainMicros, drained::countDown);
   }
 
-  private static List<String> repeat(String text, int times) {
-    return Collections.nCopies(times, text);
-  }
-
   private static String response(String id, String body) {
     int length = body.replace(RawServer.PAUSE, "").length();
     return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nContent-Length: " + length + "\r\n\r\n" + body;
   }
-
-  private Socket connect() throws IOException {
-    Socket socket = new Socket(address.getAddress(), address.getPort());
-    socket.setSoTimeout(TIMEOUT_MILLIS);
-    socket.setTcpNoDelay(true);
-    return socket;
-  }
-
-  private static void write(Socket socket, String id, String connection) throws IOException {
-    write(socket, request(id, connection));
-  }
-
-  private static void write(Socket socket, String bytes) throws IOException {
-    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  private static String request(String id, String connection) {
-    return "POST /a HTTP/1.1\r\nHost: h\r\nConnection: "
-        + connection
-        + "\r\nid: "
-        + id
-        + "\r\nContent-Length: 0\r\n\r\n";
-  }
-
-  /** Reads responses and returns their statuses; fewer if the connection is closed before. */
-  private static List<String> readStatuses(Socket socket, int count) throws IOException {
-    List<String> statuses = new ArrayList<>();
-    while (statuses.size() < count) {
-      String head = readHead(socket);
-      if (head.isEmpty()) {
-        return statuses;
-      }
-      statuses.add(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
-      socket.getInputStream().readNBytes(bodyLength(head));
-    }
-    return statuses;
-  }
-
-  /** Reads the head of a response; empty if the connection is closed. */
-  private static String readHead(Socket socket) throws IOException {
-    InputStream input = socket.getInputStream();
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = input.read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    return head.toString();
-  }
-
-  private static int bodyLength(String head) {
-    return head.lines()
-        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
-        .mapToInt(line -> Integer.parseInt(line.substring(line.indexOf(':') + 1).trim()))
-        .findFirst()
-        .orElse(0);
-  }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/PlannedStopTest.java
@@ -2,13 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -68,22 +64,22 @@
    */
   @Test
   void aRequestThatArrivesAsUnusedConnectionsAreClosedIsAnswered() throws Exception {
-    try (Socket kept = connect();
-        Socket busy = connect()) {
-      write(kept, "first");
-      assertThat(readStatus(kept)).isEqualTo("HTTP/1.1 503");
+    try (PlainCaller kept = new PlainCaller(address);
+        PlainCaller busy = new PlainCaller(address)) {
+      kept.send("first");
+      assertThat(kept.readStatus()).isEqualTo("HTTP/1.1 503");
 
       long drainPeriodEndNanos = System.nanoTime() + DRAIN_PERIOD.toNanos();
       transport.drain(Clock.steadyMicros() + DRAIN_MICROS, () -> {});
       loops.internal().submit(() -> {}).sync();
-      write(busy, BUSY);
+      busy.send(BUSY);
       assertThat(loopIsBlocked.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
-      write(kept, "second");
+      kept.send("second");
       TimeUnit.NANOSECONDS.sleep(
           drainPeriodEndNanos - System.nanoTime() + DRAIN_PERIOD.toNanos() / 10);
       loopMayContinue.countDown();
 
-      assertThat(readStatus(kept)).isEqualTo("HTTP/1.1 503");
+      assertThat(kept.readStatus()).isEqualTo("HTTP/1.1 503");
     }
   }
 
@@ -95,36 +91,4 @@
       Thread.currentThread().interrupt();
     }
   }
-
-  private Socket connect() throws IOException {
-    Socket socket = new Socket(address.getAddress(), address.getPort());
-    socket.setSoTimeout(TIMEOUT_MILLIS);
-    return socket;
-  }
-
-  private static void write(Socket socket, String id) throws IOException {
-    String request = "POST /a HTTP/1.1\r\nHost: h\r\nid: " + id + "\r\nContent-Length: 0\r\n\r\n";
-    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
-  /** Reads a response and returns its protocol and status; empty if the connection is closed. */
-  private static String readStatus(Socket socket) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = socket.getInputStream().read();
-      if (next < 0) {
-        return "";
-      }
-      head.append((char) next);
-    }
-    int length =
-        head.toString()
-            .lines()
-            .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
-            .mapToInt(line -> Integer.parseInt(line.substring(line.indexOf(':') + 1).trim()))
-            .findFirst()
-            .orElse(0);
-    socket.getInputStream().readNBytes(length);
-    return head.substring(0, "HTTP/1.1 503".length());
-  }
 }
--- a/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/RawServer.java
@@ -8,7 +8,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
@@ -149,21 +148,8 @@
 
   /** Returns the next request, or the empty string if the connection is closed. */
   private static String read(InputStream input) throws IOException {
-    StringBuilder text = new StringBuilder();
-    while (text.indexOf("\r\n\r\n") < 0) {
-      int next = input.read();
-      if (next < 0) {
-        return "";
-      }
-      text.append((char) next);
-    }
-    int length = 0;
-    for (String line : text.toString().lines().toList()) {
-      if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-        length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
-      }
-    }
-    text.append(new String(input.readNBytes(length), StandardCharsets.ISO_8859_1));
-    return text.toString();
+    String head = HttpText.readHead(input);
+    byte[] body = input.readNBytes(HttpText.bodyLength(head));
+    return head + new String(body, StandardCharsets.ISO_8859_1);
   }
 }
