Share the requests and the choice of routers between the callers of the soak

Cause: the caller that keeps its connection had its own copies of the headers of a request, of the choice of a router, and of the loop around its calls.

Change: RequestKind gives target, headers and body, SoakDeployment chooses the router, one loop takes either call. The random draws and their order are the same.

Conclusion: both callers send the same requests.

--- a/soak/src/main/java/org/shallothook/soak/Caller.java
+++ b/soak/src/main/java/org/shallothook/soak/Caller.java
@@ -16,8 +16,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.stream.IntStream;
-import org.shallothook.soak.standins.ServerStandin;
 import org.shallothook.soak.standins.StandinHeaders;
 
 /**
@@ -54,16 +52,7 @@
 
   /** Sends a request to a random serving router, or to any if none serves; returns its outcome. */
   CallerOutcome callServingRouter() throws InterruptedException {
-    List<ManagedProcess> routers = deployment.routers();
-    int[] serving =
-        IntStream.range(0, routers.size())
-            .filter(index -> routers.get(index).isServing())
-            .toArray();
-    int router =
-        serving.length == 0
-            ? random.nextInt(routers.size())
-            : serving[random.nextInt(serving.length)];
-    return call(router);
+    return call(deployment.chooseRouter(random));
   }
 
   /** Sends a request to the router with the given index and returns its outcome. */
@@ -101,18 +90,9 @@
   private HttpRequest request(RequestKind kind, String id, InetSocketAddress router) {
     String address = router.getAddress().getHostAddress() + ":" + router.getPort();
     HttpRequest.Builder request =
-        HttpRequest.newBuilder(URI.create("http://" + address + kind.path() + "page?id=" + id))
-            .header("Host", SoakDeployment.HOST)
-            .header("Authorization", "Token " + SoakDeployment.KEY)
-            .header(StandinHeaders.REQUEST_ID, id)
-            .header(StandinHeaders.REQUEST_DEADLINE, Long.toString(SoakDeployment.TIMEOUT_MILLIS))
-            .POST(HttpRequest.BodyPublishers.ofString("body of " + id));
-    if (kind.isStream()) {
-      request
-          .header(StandinHeaders.MODEL, ServerStandin.MODEL)
-          .header(StandinHeaders.TOKEN_COUNTS, "300,40")
-          .header(StandinHeaders.PROMPT_PREFIX, "a1:100,b" + random.nextInt(20) + ":100,c:100");
-    }
+        HttpRequest.newBuilder(URI.create("http://" + address + kind.target(id)))
+            .POST(HttpRequest.BodyPublishers.ofString(RequestKind.body(id)));
+    kind.headers(id, random).forEach(request::header);
     return request.build();
   }
 
--- a/soak/src/main/java/org/shallothook/soak/KeptCaller.java
+++ b/soak/src/main/java/org/shallothook/soak/KeptCaller.java
@@ -14,8 +14,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import org.shallothook.soak.standins.ServerStandin;
-import org.shallothook.soak.standins.StandinHeaders;
 import org.tinylog.Logger;
 
 /**
@@ -106,16 +104,8 @@
     connection = Optional.empty();
   }
 
-  private boolean connect() throws InterruptedException {
-    List<ManagedProcess> routers = deployment.routers();
-    List<Integer> serving = new ArrayList<>();
-    for (int index = 0; index < routers.size(); index++) {
-      if (routers.get(index).isServing()) {
-        serving.add(index);
-      }
-    }
-    router =
-        serving.isEmpty() ? random.nextInt(routers.size()) : RandomChoice.oneOf(serving, random);
+  private boolean connect() {
+    router = deployment.chooseRouter(random);
     InetSocketAddress address = deployment.callerAddress(router);
     Socket socket = new Socket();
     try {
@@ -267,24 +257,14 @@
   }
 
   private String text(SentRequest request) {
-    String body = "body of " + request.id();
-    StringBuilder text = new StringBuilder();
-    text.append("POST ").append(request.kind().path()).append("page?id=").append(request.id());
-    text.append(" HTTP/1.1\r\nHost: ").append(SoakDeployment.HOST);
-    text.append("\r\nAuthorization: Token ").append(SoakDeployment.KEY);
-    text.append("\r\n").append(StandinHeaders.REQUEST_ID).append(": ").append(request.id());
-    text.append("\r\n").append(StandinHeaders.REQUEST_DEADLINE).append(": ");
-    text.append(SoakDeployment.TIMEOUT_MILLIS);
-    if (request.kind().isStream()) {
-      text.append("\r\n").append(StandinHeaders.MODEL).append(": ").append(ServerStandin.MODEL);
-      text.append("\r\n").append(StandinHeaders.TOKEN_COUNTS).append(": 300,40");
-      text.append("\r\n").append(StandinHeaders.PROMPT_PREFIX).append(": a1:100,b");
-      text.append(random.nextInt(20)).append(":100,c:100");
-    }
-    return text.append("\r\nContent-Length: ")
-        .append(body.length())
-        .append("\r\n\r\n")
-        .append(body)
-        .toString();
+    String body = RequestKind.body(request.id());
+    StringBuilder text = new StringBuilder("POST ");
+    text.append(request.kind().target(request.id())).append(" HTTP/1.1\r\n");
+    request
+        .kind()
+        .headers(request.id(), random)
+        .forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+    text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
+    return text.toString();
   }
 }
--- a/soak/src/main/java/org/shallothook/soak/RequestKind.java
+++ b/soak/src/main/java/org/shallothook/soak/RequestKind.java
@@ -1,9 +1,13 @@
 package org.shallothook.soak;
 
 import com.google.gson.JsonObject;
+import java.util.LinkedHashMap;
 import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
 import org.shallothook.soak.standins.ExpectedResponse;
 import org.shallothook.soak.standins.ServerStandin;
+import org.shallothook.soak.standins.StandinHeaders;
 
 /**
  * Kinds of requests, each with its own route.
@@ -36,6 +40,31 @@
     return "/" + name().toLowerCase(Locale.ROOT).replace('_', '-') + "/";
   }
 
+  /** Returns the target of a request. */
+  String target(String request) {
+    return path() + "page?id=" + request;
+  }
+
+  /** Returns the body of a request. */
+  static String body(String request) {
+    return "body of " + request;
+  }
+
+  /** Returns the headers of a request; its prompt has a random part if it has one. */
+  Map<String, String> headers(String request, SplittableRandom random) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    headers.put("Host", SoakDeployment.HOST);
+    headers.put("Authorization", "Token " + SoakDeployment.KEY);
+    headers.put(StandinHeaders.REQUEST_ID, request);
+    headers.put(StandinHeaders.REQUEST_DEADLINE, Long.toString(SoakDeployment.TIMEOUT_MILLIS));
+    if (isStream()) {
+      headers.put(StandinHeaders.MODEL, ServerStandin.MODEL);
+      headers.put(StandinHeaders.TOKEN_COUNTS, "300,40");
+      headers.put(StandinHeaders.PROMPT_PREFIX, "a1:100,b" + random.nextInt(20) + ":100,c:100");
+    }
+    return headers;
+  }
+
   boolean isStream() {
     return service.equals(ServerStandin.MODEL_SERVICE);
   }
--- a/soak/src/main/java/org/shallothook/soak/SoakDeployment.java
+++ b/soak/src/main/java/org/shallothook/soak/SoakDeployment.java
@@ -11,9 +11,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.shallothook.router.RouterMain;
 import org.shallothook.sidecar.SidecarMain;
 import org.shallothook.soak.standins.ExecutionLog;
@@ -114,6 +116,17 @@
     return storeLinks;
   }
 
+  /** Returns the index of a random serving router, or of any if none serves. */
+  int chooseRouter(SplittableRandom random) {
+    int[] serving =
+        IntStream.range(0, routers.size())
+            .filter(index -> routers.get(index).isServing())
+            .toArray();
+    return serving.length == 0
+        ? random.nextInt(routers.size())
+        : serving[random.nextInt(serving.length)];
+  }
+
   InetSocketAddress callerAddress(int router) {
     return callerAddresses.get(router);
   }
--- a/soak/src/main/java/org/shallothook/soak/SoakRun.java
+++ b/soak/src/main/java/org/shallothook/soak/SoakRun.java
@@ -23,6 +23,12 @@
 
   private final SoakOptions options;
 
+  /** Sends a request, or several, and checks the responses. */
+  @FunctionalInterface
+  private interface Call {
+    void send() throws InterruptedException;
+  }
+
   /** Creates a run that has not started. */
   SoakRun(SoakOptions options) {
     this.options = options;
@@ -73,8 +79,11 @@
       SplittableRandom callerRandom = random.split();
       Runnable calls =
           options.disturbances() == DisturbanceSet.PLANNED
-              ? () -> callUntil(isFinished, new KeptCaller(deployment, outcomes, callerRandom))
-              : () -> callUntil(isFinished, new Caller(deployment, outcomes, callerRandom));
+              ? () -> keepCalling(isFinished, new KeptCaller(deployment, outcomes, callerRandom))
+              : () ->
+                  callUntil(
+                      isFinished,
+                      new Caller(deployment, outcomes, callerRandom)::callServingRouter);
       Thread thread = new Thread(calls, "caller-" + index);
       thread.setDaemon(true);
       thread.start();
@@ -83,22 +92,16 @@
     return threads;
   }
 
-  private static void callUntil(AtomicBoolean isFinished, Caller caller) {
-    try {
-      while (!isFinished.get()) {
-        caller.callServingRouter();
-        TimeUnit.MILLISECONDS.sleep(INTERVAL_MILLIS);
-      }
-    } catch (InterruptedException e) {
-      Logger.debug("soak: a caller was interrupted");
-      Thread.currentThread().interrupt();
+  private static void keepCalling(AtomicBoolean isFinished, KeptCaller caller) {
+    try (caller) {
+      callUntil(isFinished, caller::call);
     }
   }
 
-  private static void callUntil(AtomicBoolean isFinished, KeptCaller caller) {
-    try (caller) {
+  private static void callUntil(AtomicBoolean isFinished, Call call) {
+    try {
       while (!isFinished.get()) {
-        caller.call();
+        call.send();
         TimeUnit.MILLISECONDS.sleep(INTERVAL_MILLIS);
       }
     } catch (InterruptedException e) {
