Keep one state for each decision of a stop and of a stall

Cause: a reserved retry was kept beside the decision it follows from, the two times of a stop beside each other, one with a sentinel; whether the transport listens was passed along although it is known; the settings of a stop were derived twice and converted back and forth.

Change: the stall decision of an attempt is the reservation; the event of leaving is kept whole; the listener is empty once it is closed; the settings of connections are derived once.

Conclusion: behaviour is meant to be unchanged.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -122,8 +122,7 @@
   private final ResumableStreams streams;
   private final Map<Long, PendingRequest> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
-  private Optional<Long> shutdownAtMicros = Optional.empty();
-  private long refusesFromMicros = Long.MAX_VALUE;
+  private Optional<ForwardEvent.Leaving> announcedLeaving = Optional.empty();
   private boolean isRegistryReachable;
   private boolean knowsServers;
   private int routers = 1;
@@ -255,8 +254,7 @@
     } else if (event instanceof ForwardEvent.ServerChecked checked) {
       onServerChecked(checked.server(), checked.hasCrashed(), nowMicros);
     } else if (event instanceof ForwardEvent.Leaving leaving) {
-      refusesFromMicros = leaving.refusesFromMicros();
-      shutdownAtMicros = Optional.of(leaving.endsAtMicros() - FINAL_RESPONSE_MICROS);
+      announcedLeaving = Optional.of(leaving);
     } else if (event instanceof ForwardEvent.LimitAnnounced announced) {
       servers
           .find(announced.server())
@@ -325,7 +323,9 @@
               refused.get().untilMicros()));
       return;
     }
-    if (nowMicros >= refusesFromMicros && !endsBeforeShutdown(event, route.get(), nowMicros)) {
+    boolean isRefusing =
+        announcedLeaving.filter(leaving -> nowMicros >= leaving.refusesFromMicros()).isPresent();
+    if (isRefusing && !endsBeforeShutdown(event, route.get(), nowMicros)) {
       refuseOnArrival(
           event,
           Refusal.notRun(
@@ -348,7 +348,14 @@
             routeDeadlineMicros, event.head().callerDeadlineMicros().orElse(routeDeadlineMicros));
     boolean hasStreams =
         open.values().stream().anyMatch(pending -> pending.route().kind() == CallKind.STREAMING);
-    return hasStreams && latestEndMicros < shutdownAtMicros.get();
+    return hasStreams && !mustEndBy(latestEndMicros);
+  }
+
+  /** Returns whether the process is leaving and its open requests get their responses by a time. */
+  private boolean mustEndBy(long micros) {
+    return announcedLeaving
+        .filter(leaving -> micros >= leaving.endsAtMicros() - FINAL_RESPONSE_MICROS)
+        .isPresent();
   }
 
   /**
@@ -880,7 +887,7 @@
     boolean mayRepeat = request.route().isRepeatable() && mayResume && request.hasRunsRemaining();
     if (mayRepeat && isStranded(request, nowMicros)) {
       endStranded(request, nowMicros);
-    } else if (mayRepeat && (request.useReservedRetry() || tryAcquireRetry(request, nowMicros))) {
+    } else if (mayRepeat && (request.hasReservedRetry() || tryAcquireRetry(request, nowMicros))) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
     } else if (request.hasStartedResponse()) {
       breakOff(request, detail, nowMicros);
@@ -1005,7 +1012,7 @@
     for (PendingRequest request : List.copyOf(open.values())) {
       if (nowMicros >= request.deadlineMicros()) {
         onDeadline(request, nowMicros);
-      } else if (shutdownAtMicros.filter(end -> nowMicros >= end).isPresent()) {
+      } else if (mustEndBy(nowMicros)) {
         onShutdown(request, nowMicros);
       }
     }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -59,8 +59,7 @@
   private Optional<Long> outputStartedMicros = Optional.empty();
   private boolean isSuccessful;
   private long waitUntilMicros;
-  private boolean hasReservedRetry;
-  private Optional<Boolean> wasMovedOnStall = Optional.empty();
+  private Optional<Boolean> isMovedOnStall = Optional.empty();
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
   private boolean hasStartedResponse;
@@ -269,7 +268,7 @@
     sentMicros = nowMicros;
     respondedMicros = Optional.empty();
     outputStartedMicros = Optional.empty();
-    wasMovedOnStall = Optional.empty();
+    isMovedOnStall = Optional.empty();
     target.onOpened(nowMicros);
   }
 
@@ -289,22 +288,14 @@
    * @return whether that is the first time or has changed
    */
   boolean onStalled(boolean isMoved) {
-    hasReservedRetry = isMoved;
-    boolean hasChanged = wasMovedOnStall.filter(previous -> previous == isMoved).isEmpty();
-    wasMovedOnStall = Optional.of(isMoved);
+    boolean hasChanged = isMovedOnStall.filter(previous -> previous == isMoved).isEmpty();
+    isMovedOnStall = Optional.of(isMoved);
     return hasChanged;
   }
 
-  /** Returns whether a retry was taken from the budget and not used yet. */
+  /** Returns whether a retry was taken from the budget for the next attempt. */
   boolean hasReservedRetry() {
-    return hasReservedRetry;
-  }
-
-  /** Uses the retry that was taken from the budget before; returns false if there is none. */
-  boolean useReservedRetry() {
-    boolean wasReserved = hasReservedRetry;
-    hasReservedRetry = false;
-    return wasReserved;
+    return isMovedOnStall.orElse(false);
   }
 
   void onRelaying(boolean isSuccess, long nowMicros) {
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -106,6 +106,7 @@
   private final AtomicBoolean isLeaving = new AtomicBoolean();
   private final AtomicBoolean isReady = new AtomicBoolean();
   private final AtomicBoolean isListening = new AtomicBoolean();
+  private final ForwardSettings forwardSettings;
   private final HostedNode node;
   private final ForwardTransport transport;
   private final ForwardCore core;
@@ -124,6 +125,7 @@
 
   HostedRouter(Settings settings) {
     this.settings = settings;
+    forwardSettings = ForwardSettings.DEFAULT.withinGracePeriod(durationOf(longestStopMicros()));
     node =
         new HostedNode(
             settings,
@@ -134,7 +136,7 @@
         new ForwardTransport(
             node.loop(),
             new HostedRequestFormat(),
-            forwardSettings(),
+            forwardSettings,
             node.events(),
             node.metrics(),
             node.decisionLog(),
@@ -505,20 +507,17 @@
   private void drain(long requestedMicros) {
     isLeaving.set(true);
     node.logProcess("draining");
-    long refusesFromMicros = requestedMicros + microsOf(forwardSettings().drainPeriod());
-    long endsAtMicros = requestedMicros + microsOf(longestStop());
+    long drainMicros = TimeUnit.NANOSECONDS.toMicros(forwardSettings.drainPeriod().toNanos());
+    long refusesFromMicros = requestedMicros + drainMicros;
+    long endsAtMicros = requestedMicros + longestStopMicros();
     node.events().deliver(new ForwardEvent.Leaving(refusesFromMicros, endsAtMicros));
     transport.drain(refusesFromMicros, stop::onDrained);
     long remainingMicros = Math.max(0, endsAtMicros - Clock.steadyMicros());
-    Channels.after(node.loop(), Duration.of(remainingMicros, ChronoUnit.MICROS), stop::onDrained);
+    Channels.after(node.loop(), durationOf(remainingMicros), stop::onDrained);
   }
 
-  private ForwardSettings forwardSettings() {
-    return ForwardSettings.DEFAULT.withinGracePeriod(longestStop());
-  }
-
-  private static long microsOf(Duration duration) {
-    return TimeUnit.NANOSECONDS.toMicros(duration.toNanos());
+  private static Duration durationOf(long micros) {
+    return Duration.of(micros, ChronoUnit.MICROS);
   }
 
   private void close() {
@@ -534,9 +533,10 @@
     node.close();
   }
 
-  /** Returns the time from the signal to stop until the process closes its sockets. */
-  private Duration longestStop() {
-    long graceMicros = settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS);
-    return Duration.of(graceMicros - CLOSE_MARGIN_MICROS, ChronoUnit.MICROS);
+  /**
+   * Returns the time from the signal to stop until the process closes its sockets, in microseconds.
+   */
+  private long longestStopMicros() {
+    return settings.micros(HostedKeys.STOP_SECONDS, TimeUnit.SECONDS) - CLOSE_MARGIN_MICROS;
   }
 }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -61,6 +61,8 @@
   private final ServerConnectionPool serverConnections;
   private final ResponseBudget budget;
   private final Map<Channel, InboundConnection> connections = new HashMap<>();
+
+  /** Accepts connections; empty unless the process is listening. */
   private Optional<Channel> listener = Optional.empty();
 
   /**
@@ -136,7 +138,7 @@
               Duration.of(waitMicros, ChronoUnit.MICROS),
               () -> {
                 context.onDrainPeriodEnded();
-                closeIdleConnections(true);
+                closeIdleConnections();
                 stopListeningOnceIdle(whenDrained);
               });
         });
@@ -203,12 +205,12 @@
   }
 
   /**
-   * Closes idle connections; unless the process no longer listens, those without a request so far
-   * stay open, as their first one is on its way.
+   * Closes idle connections; while the process is listening, those without a request so far stay
+   * open, as their first one is on its way.
    */
-  private void closeIdleConnections(boolean isListening) {
+  private void closeIdleConnections() {
     List.copyOf(connections.values()).stream()
-        .filter(connection -> !isListening || connection.hasCarriedRequest())
+        .filter(connection -> listener.isEmpty() || connection.hasCarriedRequest())
         .forEach(InboundConnection::closeIfIdle);
   }
 
@@ -226,11 +228,12 @@
           acceptAll(open);
           Channels.close(open);
         });
+    listener = Optional.empty();
     Channels.after(
         loop,
         LAST_REQUEST_TIMEOUT,
         () -> {
-          closeIdleConnections(false);
+          closeIdleConnections();
           notifyOnceClosed(whenDrained);
         });
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -379,11 +379,8 @@
     isClosing = true;
     if (closeReason.isEmpty()) {
       closeReason = Optional.of(reason);
-      boolean isOver =
-          reason == CloseReason.CALLER_LEFT
-              ? !queued.isEmpty()
-              : current.isPresent() || !queued.isEmpty();
-      if (isOver) {
+      boolean isCurrentReported = reason == CloseReason.CALLER_LEFT;
+      if (!queued.isEmpty() || (current.isPresent() && !isCurrentReported)) {
         reportClosedOver(reason);
       }
     }
