Refuse a request that cannot be opened like any other

Cause: such a refusal closed its connection unless something was queued behind it; the request behind is decoded only after that, and was dropped. The queue was a special case in place of the decision that every other response takes.

Change: the refusal is written with that decision, and the connection goes on as after any response. Requests whose end is unknown still close it.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -204,6 +204,10 @@
 
   @Override
   public void onResponseCompleted(InboundExchange exchange) {
+    onResponseWritten();
+  }
+
+  private void onResponseWritten() {
     current = Optional.empty();
     lastActivityMicros = context.nowMicros();
     if (isLastResponse) {
@@ -303,7 +307,9 @@
         context.form().read(received.head(), contentHash, context.nowMicros());
     if (parsedHead.isLeft()) {
       received.body().release();
-      refuseUnopened(parsedHead.getLeft());
+      // The request is framed well, so the connection can go on with the next one.
+      writeRefusal(parsedHead.getLeft(), decideLastResponse());
+      onResponseWritten();
       return;
     }
     OutboundRequest request =
@@ -358,16 +364,7 @@
     }
     startClosing(CloseReason.UNREADABLE_REQUEST);
     writeRefusal(refusal, true);
-  }
-
-  /** Refuses a request that cannot be opened; the connection stays open for those behind it. */
-  private void refuseUnopened(Refusal refusal) {
-    if (queued.isEmpty() && refusalBehind.isEmpty()) {
-      refuseAndClose(refusal);
-    } else {
-      writeRefusal(refusal, false);
-      channel.eventLoop().execute(this::runNext);
-    }
+    Channels.closeAfterWrites((SocketChannel) channel);
   }
 
   /**
@@ -451,9 +448,6 @@
     FullHttpResponse response =
         RefusalResponse.of(new RequestId("unread"), refusal, isLast, channel.alloc());
     Channels.writeAndFlush(channel, response);
-    if (isLast) {
-      Channels.closeAfterWrites((SocketChannel) channel);
-    }
   }
 
   private void releaseBody() {
--- a/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/DrainedRequestsTest.java
@@ -230,6 +230,16 @@
     }
   }
 
+  /** Guards against dropping a request that is decoded after the one before it is refused. */
+  @Test
+  void aRequestReadTogetherWithOneThatCannotBeReadIsAnswered() throws Exception {
+    try (PlainCaller kept = new PlainCaller(address)) {
+      kept.write(PlainCaller.request(PlainRequestForm.UNREADABLE) + PlainCaller.request("refused"));
+
+      assertThat(kept.readStatuses(2)).containsExactly(MALFORMED, LEAVING).inOrder();
+    }
+  }
+
   /**
    * Guards against ending the process over connections that are established and not yet accepted:
    * it answers them, stops listening, and only then ends.
