Say in the line of a broken-off response which configurations it saw

Change: break-off names the versions at arrival and now, the age of the present one, the attempts, whether one was taken from a silent server, and the time left.

Figures: DecisionCoverageTest, 1 new case, passes; no change of behaviour.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -122,6 +122,7 @@
   private final ResumableStreams streams;
   private final Map<Long, PendingRequest> open = new HashMap<>();
   private Optional<RouteTable> table = Optional.empty();
+  private long tableAppliedMicros;
   private Optional<ForwardEvent.Leaving> announcedLeaving = Optional.empty();
   private boolean isRegistryReachable;
   private boolean knowsServers;
@@ -206,7 +207,7 @@
 
   private void updateState(ForwardEvent event, long nowMicros) {
     if (event instanceof ForwardEvent.RoutesRead read) {
-      onRoutes(read.table());
+      onRoutes(read.table(), nowMicros);
     } else if (event instanceof ForwardEvent.ServersRead read) {
       servers
           .onEntries(read.entries(), read.isWhole(), nowMicros)
@@ -271,11 +272,12 @@
     servers.find(name).ifPresent(server -> limits.onRestarted(server, nowMicros));
   }
 
-  private void onRoutes(RouteTable newTable) {
+  private void onRoutes(RouteTable newTable, long nowMicros) {
     if (table.filter(known -> known.version() >= newTable.version()).isPresent()) {
       return;
     }
     table = Optional.of(newTable);
+    tableAppliedMicros = nowMicros;
     streams.onRoutes(newTable);
     commands.accept(new ForwardCommand.Limit(newTable.limits()));
     journal.applied(newTable);
@@ -389,6 +391,7 @@
             team,
             route.serviceFor(random.nextInt()),
             signature,
+            table.orElseThrow().version(),
             nowMicros,
             deadlineMicros);
     open.put(event.request(), request);
@@ -1189,7 +1192,7 @@
   private void breakOff(PendingRequest request, String detail, long nowMicros) {
     open.remove(request.number());
     commands.accept(new ForwardCommand.BreakOff(request.number(), detail));
-    journal.brokenOff(request, detail, nowMicros);
+    journal.brokenOff(request, detail, table, tableAppliedMicros, nowMicros);
   }
 
   private void refuseOnArrival(ForwardEvent.Requested event, Refusal refusal) {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardJournal.java
@@ -205,12 +205,33 @@
         request.attempt() == 0 ? -1L : millisSince(request.sentMicros(), nowMicros));
   }
 
-  void brokenOff(PendingRequest request, String detail, long nowMicros) {
+  /**
+   * Logs a response that ends incomplete, with the versions of the configuration that the request
+   * was opened with and that is in force.
+   */
+  void brokenOff(
+      PendingRequest request,
+      String detail,
+      Optional<RouteTable> table,
+      long tableAppliedMicros,
+      long nowMicros) {
     journal.write(
         Decision.BREAK_OFF,
         request.head().id(),
         "detail",
         detail,
+        "attempts",
+        request.attempt(),
+        "moved",
+        request.hasMoved(),
+        "opened_with",
+        request.configurationVersion(),
+        "configuration",
+        table.map(RouteTable::version).orElse(0L),
+        "configuration_age_ms",
+        millisSince(tableAppliedMicros, nowMicros),
+        "left_ms",
+        -millisSince(request.deadlineMicros(), nowMicros),
         "after_ms",
         millisSince(request.arrivedMicros(), nowMicros));
   }
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -46,6 +46,7 @@
   private final Optional<CallerTeam> team;
   private final String service;
   private final RequestSignature signature;
+  private final long configurationVersion;
   private final long arrivedMicros;
   private final long deadlineMicros;
   private final Set<String> triedServers = new HashSet<>();
@@ -60,6 +61,7 @@
   private boolean isSuccessful;
   private long waitUntilMicros;
   private Optional<Boolean> isMovedOnStall = Optional.empty();
+  private boolean hasMoved;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
   private boolean hasStartedResponse;
@@ -75,6 +77,7 @@
       Optional<CallerTeam> team,
       String service,
       RequestSignature signature,
+      long configurationVersion,
       long arrivedMicros,
       long deadlineMicros) {
     this.number = number;
@@ -83,6 +86,7 @@
     this.team = team;
     this.service = service;
     this.signature = signature;
+    this.configurationVersion = configurationVersion;
     this.arrivedMicros = arrivedMicros;
     this.deadlineMicros = deadlineMicros;
     this.lastEvent = head.resumesAfter();
@@ -121,6 +125,11 @@
     return signature;
   }
 
+  /** Returns the version of the configuration that the request was opened with. */
+  long configurationVersion() {
+    return configurationVersion;
+  }
+
   Phase phase() {
     return phase;
   }
@@ -290,9 +299,15 @@
   boolean onStalled(boolean isMoved) {
     boolean hasChanged = isMovedOnStall.filter(previous -> previous == isMoved).isEmpty();
     isMovedOnStall = Optional.of(isMoved);
+    hasMoved |= isMoved;
     return hasChanged;
   }
 
+  /** Returns whether an attempt of the request was taken from a silent server. */
+  boolean hasMoved() {
+    return hasMoved;
+  }
+
   /** Returns whether a retry was taken from the budget for the next attempt. */
   boolean hasReservedRetry() {
     return isMovedOnStall.orElse(false);
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -125,6 +125,47 @@
         .containsExactly("phase", "waiting", "attempts", 0, "after_ms", 0L, "sent_ms", -1L);
   }
 
+  /** Guards against a cut of which the log does not tell whether a configuration came before it. */
+  @Test
+  void aResponseThatEndsIncompleteNamesTheConfigurations() {
+    Map<String, Object> breakOff = new HashMap<>();
+    ForwardHarness harness =
+        ForwardHarness.ready(
+            1,
+            0,
+            (decision, subject, fields) -> {
+              for (int index = 0;
+                  decision == Decision.BREAK_OFF && index < fields.length;
+                  index += 2) {
+                breakOff.put((String) fields[index], fields[index + 1]);
+              }
+            });
+    long stream = harness.submitShortPrompt("north");
+    harness.respond(stream, 200);
+    harness.advance(ForwardHarness.SECOND);
+    harness.publish(2);
+    harness.advance(200 * ForwardHarness.MILLI);
+
+    harness.breakConnection(stream, Optional.of(3L));
+
+    assertThat(breakOff)
+        .containsAtLeast(
+            "attempts",
+            1,
+            "moved",
+            false,
+            "opened_with",
+            1L,
+            "configuration",
+            2L,
+            "configuration_age_ms",
+            200L,
+            "left_ms",
+            3_800L,
+            "after_ms",
+            1_200L);
+  }
+
   @Test
   void refusalsAndFailuresAreNotable() {
     assertThat(
