Let a stream that was taken from a silent server outlast its next attempt

What callers saw: a response that ended incomplete long before its deadline, after its server had been silent for 1.5 s. The server was sound.

Change: a stream that the router moved waits for a server and for a retry until its deadline. Servers that rejected it may get it again, after a pause; the one that was silent may go on with it if the next one fails, or if that one is silent and it has responded since. It still ends at once if no listed server may run it, or if it is suspected of crashes. Streams that their server broke off are treated as before.

Evidence: MovedStreamTest in its present form on the code before: 22 of 32 cases failed (next server rejects, closes, fails, breaks, cannot be reached, is removed; 2, 3 and 8 servers; empty budget; others leave or fail meanwhile). Tests of coordination: 2141 run, 3 known red.

Conclusion: class of fault: a decision of the router (the server is dead) is taken back nowhere when it turns out wrong.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -67,6 +67,12 @@
   /** Attempts of a request that may end without a run before the caller is told to retry. */
   private static final int MAX_REJECTIONS = 3;
 
+  /**
+   * Time after which a moved stream that servers have rejected too often is sent again, in
+   * microseconds.
+   */
+  private static final long REJECTED_STREAM_DELAY_MICROS = 250_000;
+
   /** Pause of a server that rejected a request, in microseconds, so that slots become free. */
   private static final long REJECTED_PAUSE_MICROS = 60_000;
 
@@ -458,7 +464,11 @@
 
   private static void waitForServer(PendingRequest request, long nowMicros) {
     long maxWaitMicros = request.route().targetMicros() / NO_SERVER_WAIT_DIVISOR;
-    request.waitUntil(Math.min(request.deadlineMicros(), nowMicros + maxWaitMicros));
+    long deadlineMicros = request.deadlineMicros();
+    request.waitUntil(
+        request.mustContinue()
+            ? deadlineMicros
+            : Math.min(deadlineMicros, nowMicros + maxWaitMicros));
   }
 
   /** Sends a request if a server has a free slot for it; otherwise lets it wait or refuses it. */
@@ -480,8 +490,12 @@
     }
     Optional<PromptOutline> prompt = promptOf(request);
     List<Server> eligible = eligible(request, nowMicros);
-    List<Server> untried = eligible.stream().filter(server -> !request.hasTried(server)).toList();
-    List<Server> candidates = untried.isEmpty() && !request.mayHaveRun() ? eligible : untried;
+    List<Server> allowed = eligible.stream().filter(request::mayUse).toList();
+    List<Server> untried = allowed.stream().filter(server -> !request.hasTried(server)).toList();
+    List<Server> candidates = untried.isEmpty() ? allowed : untried;
+    if (request.mustContinue() && !mayResumeNow(request, candidates, nowMicros)) {
+      return;
+    }
     boolean isDecided =
         prompt.isPresent()
             ? placePrompt(request, prompt.get(), candidates, nowMicros)
@@ -515,10 +529,25 @@
         .orElse(usable);
   }
 
-  /** Returns whether a server that the request was not at could take it now. */
+  /** Returns whether another server could take the request from its silent one now. */
   private boolean hasOtherServer(PendingRequest request, long nowMicros) {
     return eligible(request, nowMicros).stream()
-        .anyMatch(server -> !request.hasTried(server) && server.hasFreeSlot(nowMicros));
+        .anyMatch(server -> request.mayMoveTo(server) && server.hasFreeSlot(nowMicros));
+  }
+
+  /**
+   * Returns whether a moved stream can be sent to one of some servers now, with a retry that is
+   * taken for it. Otherwise it waits, until its deadline if need be.
+   */
+  private boolean mayResumeNow(PendingRequest request, List<Server> candidates, long nowMicros) {
+    if (nowMicros < request.resumesFromMicros()
+        || candidates.stream().noneMatch(server -> server.hasFreeSlot(nowMicros))) {
+      return false;
+    }
+    if (!request.hasReservedRetry() && tryAcquireRetry(request, nowMicros)) {
+      request.reserveRetry();
+    }
+    return request.hasReservedRetry();
   }
 
   /** Returns whether no listed server can go on with the stream of a request. */
@@ -718,8 +747,12 @@
     Server server = request.server().orElseThrow();
     server.onFailure(nowMicros);
     onPrefillCanceled(request, server);
+    boolean isResumption = request.mustContinue();
     request.onAttemptEnded(false);
     journal.failed(request, server, "unsent: " + detail, nowMicros);
+    if (isResumption) {
+      request.reserveRetry();
+    }
     retryOrEnd(request, RefusalReason.NO_UPSTREAM, detail, nowMicros);
   }
 
@@ -738,12 +771,22 @@
         .placement()
         .ifPresent(placement -> onPrefilled(request, placement, durationMicros, nowMicros));
     boolean isRetryable = response.isServerError() && request.route().isRepeatable();
-    if (isRetryable && !request.hasStartedResponse() && tryAcquireRetry(request, nowMicros)) {
+    if (isRetryable
+        && !request.hasStartedResponse()
+        && request.hasRunsRemaining()
+        && tryAcquireRetry(request, nowMicros)) {
       dropAttempt(request, true);
       journal.failed(request, server, "status " + response.status(), nowMicros);
       retry(request, Decision.RETRY, nowMicros);
       return;
     }
+    if (isRetryable && request.mustContinue()) {
+      dropAttempt(request, true);
+      String detail = "status " + response.status();
+      journal.failed(request, server, detail, nowMicros);
+      repeatOrEnd(request, detail, nowMicros);
+      return;
+    }
     if (request.hasStartedResponse() && response.status() >= 300) {
       dropAttempt(request, true);
       breakOff(request, "the stream could not be resumed: status " + response.status(), nowMicros);
@@ -844,7 +887,7 @@
     onPrefillCanceled(request, server);
     dropAttempt(request, false);
     journal.failed(request, server, "not run: status " + response.status(), nowMicros);
-    if (retries.tryRetry(request.service(), nowMicros)) {
+    if (request.mustContinue() || retries.tryRetry(request.service(), nowMicros)) {
       retryOrEnd(
           request, RefusalReason.QUEUE_FULL, "The last server rejected the request.", nowMicros);
     } else {
@@ -871,6 +914,7 @@
     Server server = request.server().orElseThrow();
     server.onFailure(nowMicros);
     if (broken.isReset()) {
+      request.onServerFailed();
       onConnectionReset(request, server, broken.lastOutputMicros(), nowMicros);
     }
     request.onLastEvent(broken.lastEvent());
@@ -887,10 +931,14 @@
   /** Repeats or resumes a request whose connection broke, or ends it if that is not possible. */
   private void repeatOrEnd(PendingRequest request, String detail, long nowMicros) {
     boolean mayResume = !request.hasStartedResponse() || request.route().isResumable();
-    boolean mayRepeat = request.route().isRepeatable() && mayResume && request.hasRunsRemaining();
+    boolean mustContinue = request.mustContinue();
+    boolean mayRepeat =
+        request.route().isRepeatable() && mayResume && (mustContinue || request.hasRunsRemaining());
     if (mayRepeat && isStranded(request, nowMicros)) {
       endStranded(request, nowMicros);
-    } else if (mayRepeat && (request.hasReservedRetry() || tryAcquireRetry(request, nowMicros))) {
+    } else if (mustContinue
+        ? mayContinue(request, nowMicros)
+        : mayRepeat && (request.hasReservedRetry() || tryAcquireRetry(request, nowMicros))) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
     } else if (request.hasStartedResponse()) {
       breakOff(request, detail, nowMicros);
@@ -906,9 +954,7 @@
   private void onStalled(PendingRequest request, long nowMicros) {
     boolean isMoved =
         request.hasReservedRetry()
-            || (request.hasRunsRemaining()
-                && hasOtherServer(request, nowMicros)
-                && tryAcquireRetry(request, nowMicros));
+            || (hasOtherServer(request, nowMicros) && tryAcquireRetry(request, nowMicros));
     if (request.onStalled(isMoved)) {
       options.counters().increment(isMoved ? "streams.stalled-moved" : "streams.stalled-kept");
       journal.stalled(request, isMoved, nowMicros);
@@ -979,17 +1025,28 @@
     request.onAttemptEnded(mayHaveRun);
   }
 
-  /** Takes one run from the retry budget, if the request may run once more now. */
+  /** Returns whether a moved stream may go on at a listed server, now or before its deadline. */
+  private boolean mayContinue(PendingRequest request, long nowMicros) {
+    return nowMicros < request.deadlineMicros()
+        && !quarantine.isSuspected(request.signature(), nowMicros)
+        && !isStranded(request, nowMicros);
+  }
+
+  /** Takes a retry from the budget, if the request may still be sent once more. */
   private boolean tryAcquireRetry(PendingRequest request, long nowMicros) {
-    return request.hasRunsRemaining()
-        && nowMicros < request.deadlineMicros()
+    return nowMicros < request.deadlineMicros()
         && !quarantine.isSuspected(request.signature(), nowMicros)
         && retries.tryRetry(request.service(), nowMicros);
   }
 
   private void retryOrEnd(
       PendingRequest request, RefusalReason reason, String detail, long nowMicros) {
-    if (request.rejections() <= MAX_REJECTIONS && request.mayRetry()) {
+    if (request.mustContinue() && mayContinue(request, nowMicros)) {
+      if (request.rejections() > MAX_REJECTIONS) {
+        request.resumeFrom(nowMicros + REJECTED_STREAM_DELAY_MICROS);
+      }
+      retry(request, Decision.RESUME, nowMicros);
+    } else if (request.rejections() <= MAX_REJECTIONS && request.mayRetry()) {
       retry(request, Decision.RETRY, nowMicros);
     } else {
       end(request, reason, detail, nowMicros);
@@ -1111,8 +1168,12 @@
       boolean isStuck =
           nowMicros - request.sentMicros() > timeoutMicros
               && !server.hasRespondedSince(request.sentMicros());
-      boolean mayLeave = !request.hasStartedResponse() || hasOtherServer(request, nowMicros);
+      boolean mayLeave =
+          request.hasStartedResponse()
+              ? hasOtherServer(request, nowMicros)
+              : request.hasRunsRemaining();
       if (isStuck && mayLeave && tryAcquireRetry(request, nowMicros)) {
+        request.onStalled(true);
         server.onFailure(nowMicros);
         dropAttempt(request, true);
         journal.failed(request, server, "no response", nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -50,6 +50,13 @@
   private final long arrivedMicros;
   private final long deadlineMicros;
   private final Set<String> triedServers = new HashSet<>();
+
+  /** Servers that may have run the request. */
+  private final Set<String> ranAt = new HashSet<>();
+
+  /** Servers that were silent when their attempt was moved, and may have gone on since. */
+  private final Set<String> movedFrom = new HashSet<>();
+
   private Phase phase = Phase.WAITING;
   private Optional<Server> server = Optional.empty();
   private int attempt;
@@ -62,6 +69,8 @@
   private long waitUntilMicros;
   private Optional<Boolean> isMovedOnStall = Optional.empty();
   private boolean hasMoved;
+  private boolean hasRetry;
+  private long resumesFromMicros = Long.MIN_VALUE;
   private Optional<Long> lastEvent;
   private Optional<Long> expectedVersion = Optional.empty();
   private boolean hasStartedResponse;
@@ -217,9 +226,33 @@
     return triedServers.contains(candidate.name());
   }
 
-  /** Returns whether a server may get the request once more, now or when it is usable again. */
+  /**
+   * Returns whether a server may get the request, now or when it is usable again. A moved stream
+   * may go on at a server that rejected it, and at the one that was silent.
+   */
   boolean mayUse(Server candidate) {
-    return !mayHaveRun || !hasTried(candidate);
+    if (!mayHaveRun || movedFrom.contains(candidate.name())) {
+      return true;
+    }
+    Set<String> excluded = mustContinue() ? ranAt : triedServers;
+    return hasRunsRemaining() && !excluded.contains(candidate.name());
+  }
+
+  /** Returns whether the current attempt, at a silent server, may be moved to another one. */
+  boolean mayMoveTo(Server candidate) {
+    String name = candidate.name();
+    boolean isCurrent = server.filter(current -> current.name().equals(name)).isPresent();
+    return movedFrom.contains(name)
+        ? !isCurrent && candidate.hasRespondedSince(sentMicros)
+        : !isCurrent && !hasTried(candidate) && hasRunsRemaining();
+  }
+
+  /**
+   * Returns whether the router took a begun response from a silent server. Its server was sound, so
+   * only the deadline ends it while a server may go on with it.
+   */
+  boolean mustContinue() {
+    return hasStartedResponse && hasMoved && route.isResumable();
   }
 
   /**
@@ -229,11 +262,19 @@
     return !mayHaveRun || (route.isRepeatable() && hasRunsRemaining());
   }
 
-  /**
-   * Returns whether one more run stays within the route's limit; rejected attempts do not count.
-   */
+  /** Returns whether a run at one more server stays within the route's limit. */
   boolean hasRunsRemaining() {
-    return attempt - rejections < route.maximumAttempts();
+    boolean isCounted = server.filter(current -> !ranAt.contains(current.name())).isEmpty();
+    return ranAt.size() + (isCounted ? 0 : 1) < route.maximumAttempts();
+  }
+
+  /** Returns the earliest time at which a moved stream is sent again. */
+  long resumesFromMicros() {
+    return resumesFromMicros;
+  }
+
+  void resumeFrom(long micros) {
+    resumesFromMicros = micros;
   }
 
   long waitUntilMicros() {
@@ -278,12 +319,25 @@
     respondedMicros = Optional.empty();
     outputStartedMicros = Optional.empty();
     isMovedOnStall = Optional.empty();
+    hasRetry = false;
     target.onOpened(nowMicros);
   }
 
   /** Records that the attempt at the current server has ended. */
   void onAttemptEnded(boolean mayHaveRunThere) {
-    server.ifPresent(Server::onClosed);
+    boolean isMoved = isMovedOnStall.orElse(false);
+    server.ifPresent(
+        ended -> {
+          ended.onClosed();
+          if (mayHaveRunThere) {
+            ranAt.add(ended.name());
+            movedFrom.remove(ended.name());
+          }
+          if (isMoved) {
+            hasMoved = true;
+            movedFrom.add(ended.name());
+          }
+        });
     server = Optional.empty();
     mayHaveRun |= mayHaveRunThere;
     rejections += mayHaveRunThere ? 0 : 1;
@@ -293,16 +347,21 @@
   /**
    * Records that the server of the current attempt is silent.
    *
-   * @param isMoved whether a retry was taken from the budget to resume the stream elsewhere
+   * @param isMoved whether a retry was taken from the budget to send the request elsewhere
    * @return whether that is the first time or has changed
    */
   boolean onStalled(boolean isMoved) {
     boolean hasChanged = isMovedOnStall.filter(previous -> previous == isMoved).isEmpty();
     isMovedOnStall = Optional.of(isMoved);
-    hasMoved |= isMoved;
+    hasRetry |= isMoved;
     return hasChanged;
   }
 
+  /** Records that the server of the current attempt has failed, whether or not it was silent. */
+  void onServerFailed() {
+    isMovedOnStall = Optional.empty();
+  }
+
   /** Returns whether an attempt of the request was taken from a silent server. */
   boolean hasMoved() {
     return hasMoved;
@@ -310,7 +369,12 @@
 
   /** Returns whether a retry was taken from the budget for the next attempt. */
   boolean hasReservedRetry() {
-    return isMovedOnStall.orElse(false);
+    return hasRetry;
+  }
+
+  /** Keeps a retry that was taken from the budget for the next attempt. */
+  void reserveRetry() {
+    hasRetry = true;
   }
 
   void onRelaying(boolean isSuccess, long nowMicros) {
