Take a request from a silent server only if another one can take it

What callers saw: 502 for a request that may be sent again, 0.4 to 0.8 s after its server fell silent and before its deadline. The server was sound and responded later.

Cause: a request without a response that was stuck was dropped whenever a retry could be taken, also if no other server had a free slot or was listed. It then waited an eighth of its target for one, and was refused.

Change: as for streams since, another server must be able to take it now.

Evidence: SilentServerTest, 6 of 7 cases failed before (calls and streams; no other server, one that leaves, one that is full), 7 pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -1153,7 +1153,7 @@
   /**
    * Retries repeatable requests whose server has not responded to any request since it received
    * them, well beyond the expected time: it is cut off or hangs, and the connection does not show
-   * it.
+   * it. Without another server that can take it, a request stays: its server may only be silent.
    */
   private void retryStuckRequests(long nowMicros) {
     for (PendingRequest request : List.copyOf(open.values())) {
@@ -1168,11 +1168,7 @@
       boolean isStuck =
           nowMicros - request.sentMicros() > timeoutMicros
               && !server.hasRespondedSince(request.sentMicros());
-      boolean mayLeave =
-          request.hasStartedResponse()
-              ? hasOtherServer(request, nowMicros)
-              : request.hasRunsRemaining();
-      if (isStuck && mayLeave && tryAcquireRetry(request, nowMicros)) {
+      if (isStuck && hasOtherServer(request, nowMicros) && tryAcquireRetry(request, nowMicros)) {
         request.onStalled(true);
         server.onFailure(nowMicros);
         dropAttempt(request, true);
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/SilentServerTest.java
@@ -0,0 +1,111 @@
+package org.shallothook.coordination.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.shallothook.coordination.forward.ForwardHarness.MILLI;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** A request without a response is taken from a silent server only if another one can take it. */
+final class SilentServerTest {
+  /** Time after which a request at a silent server counts as stuck, whatever its route. */
+  private static final long STUCK_MICROS = 740 * MILLI;
+
+  /** Kinds of requests that may be sent again. */
+  private enum Kind {
+    CALL {
+      @Override
+      long submit(ForwardHarness harness) {
+        return harness.submitCall("/read/1");
+      }
+    },
+    STREAM {
+      @Override
+      long submit(ForwardHarness harness) {
+        return harness.submitLongPrompt("north");
+      }
+    };
+
+    abstract long submit(ForwardHarness harness);
+  }
+
+  /** Reasons for which no other server can take a request. */
+  private enum Obstacle {
+    NO_OTHER_SERVER(1) {
+      @Override
+      void arise(ForwardHarness harness, String other) {}
+    },
+    OTHER_SERVER_LEAVES(2) {
+      @Override
+      void arise(ForwardHarness harness, String other) {
+        harness.handle(new ForwardEvent.ServerRemoved(other));
+      }
+    },
+    OTHER_SERVER_IS_FULL(2) {
+      @Override
+      void arise(ForwardHarness harness, String other) {
+        for (int index = 0; index < 16; index++) {
+          harness.submitCall("/book/" + index);
+          harness.submitShortPrompt("letter-" + index);
+        }
+      }
+    };
+
+    private final int servers;
+
+    Obstacle(int servers) {
+      this.servers = servers;
+    }
+
+    abstract void arise(ForwardHarness harness, String other);
+  }
+
+  static List<Arguments> cases() {
+    List<Arguments> cases = new ArrayList<>();
+    for (Kind kind : Kind.values()) {
+      for (Obstacle obstacle : Obstacle.values()) {
+        cases.add(Arguments.of(kind, obstacle));
+      }
+    }
+    return cases;
+  }
+
+  private static String other(String server) {
+    return server.endsWith("1") ? server.replace("1", "2") : server.replace("2", "1");
+  }
+
+  /** Guards against a request that is refused because its sound server is silent for a moment. */
+  @ParameterizedTest
+  @MethodSource("cases")
+  void aRequestThatCannotMoveStaysAtItsSilentServer(Kind kind, Obstacle obstacle) {
+    ForwardHarness harness = ForwardHarness.ready(obstacle.servers, obstacle.servers);
+    long request = kind.submit(harness);
+    obstacle.arise(harness, other(harness.serverOf(request)));
+
+    harness.advance(STUCK_MICROS);
+
+    assertThat(harness.refusal(request)).isEqualTo(Optional.empty());
+    assertThat(harness.commands).doesNotContain(new ForwardCommand.Drop(request, 1));
+    harness.respond(request, 200);
+    harness.complete(request);
+    assertThat(harness.refusal(request)).isEqualTo(Optional.empty());
+  }
+
+  /** Guards against a request that waits for a dead server although another one is free. */
+  @Test
+  void aRequestMovesIfAnotherServerCanTakeIt() {
+    ForwardHarness harness = ForwardHarness.ready(0, 2);
+    long request = Kind.CALL.submit(harness);
+    String first = harness.serverOf(request);
+
+    harness.advance(STUCK_MICROS);
+
+    assertThat(harness.commands).contains(new ForwardCommand.Drop(request, 1));
+    assertThat(harness.serverOf(request)).isEqualTo(other(first));
+  }
+}
