Judge a server's silence by the requests that wait for it

What callers saw: refusals, or other servers, for requests to a server that was up and relayed streams, whenever no response had begun for 1.2 s.

Cause: a server counted as silent if it had open requests and no response had begun; streams whose events flow are open, but wait for no response.

Change: only requests without a response count.

Evidence: SilentServerTest, 2 new cases failed before, 9 pass.

Conclusion: silence was measured on something that is silent by nature.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -758,6 +758,7 @@
 
   private void onAnswered(PendingRequest request, ResponseHead response, long nowMicros) {
     Server server = request.server().orElseThrow();
+    request.onAnswered();
     recordVersion(request, server, response);
     recordAvailability(request, server, response, nowMicros);
     limits.onResponse(server, request, response, nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -63,6 +63,7 @@
   private int rejections;
   private boolean mayHaveRun;
   private long sentMicros;
+  private boolean isUnanswered;
   private Optional<Long> respondedMicros = Optional.empty();
   private Optional<Long> outputStartedMicros = Optional.empty();
   private boolean isSuccessful;
@@ -320,11 +321,21 @@
     outputStartedMicros = Optional.empty();
     isMovedOnStall = Optional.empty();
     hasRetry = false;
+    isUnanswered = true;
     target.onOpened(nowMicros);
   }
 
+  /** Records that the head of the current attempt's response has arrived. */
+  void onAnswered() {
+    if (isUnanswered) {
+      isUnanswered = false;
+      server.ifPresent(Server::onAnswered);
+    }
+  }
+
   /** Records that the attempt at the current server has ended. */
   void onAttemptEnded(boolean mayHaveRunThere) {
+    onAnswered();
     boolean isMoved = isMovedOnStall.orElse(false);
     server.ifPresent(
         ended -> {
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -14,7 +14,7 @@
  * sidecar, and the results of this router's own requests.
  *
  * <p>Invariant: {@link #outstanding} counts the requests that this router has sent and that have
- * not ended. Not thread-safe.
+ * not ended, {@code unanswered} those of them without a response. Not thread-safe.
  */
 final class Server implements PlacementCandidate {
   /** Pause after a failure, in microseconds; doubled with each further failure in a row. */
@@ -47,7 +47,8 @@
   private long statusExpiresAtMicros;
   private boolean isNotReady;
   private long lastResponseMicros;
-  private long busySinceMicros;
+  private int unanswered;
+  private long unansweredSinceMicros;
   private Optional<LimitShare> limit = Optional.empty();
   private double announcedLimit = ServerLimits.NO_LIMIT;
   private long limitAnnouncedMicros = Long.MIN_VALUE / 2;
@@ -148,10 +149,12 @@
     return removedAtMicros.filter(at -> nowMicros >= at).isPresent();
   }
 
-  /** Returns whether requests are open and no response has arrived for longer than a given time. */
+  /**
+   * Returns whether requests wait for a response and none has arrived for longer than a given time.
+   */
   boolean isSilent(long maxSilenceMicros, long nowMicros) {
-    return outstanding > 0
-        && nowMicros - Math.max(busySinceMicros, lastResponseMicros) > maxSilenceMicros;
+    return unanswered > 0
+        && nowMicros - Math.max(unansweredSinceMicros, lastResponseMicros) > maxSilenceMicros;
   }
 
   /** Applies a newer registry entry and returns whether the server has restarted. */
@@ -231,13 +234,19 @@
   }
 
   void onOpened(long nowMicros) {
-    if (outstanding == 0) {
-      busySinceMicros = nowMicros;
+    if (unanswered == 0) {
+      unansweredSinceMicros = nowMicros;
     }
+    unanswered++;
     outstanding++;
     limit.ifPresent(share -> share.onSent(nowMicros));
   }
 
+  /** Records that a request no longer waits for a response, whether or not it is open. */
+  void onAnswered() {
+    unanswered--;
+  }
+
   void onClosed() {
     outstanding--;
     if (outstanding == 0) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/SilentServerTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/SilentServerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.shallothook.coordination.forward.ForwardHarness.MILLI;
+import static org.shallothook.coordination.forward.ForwardHarness.SECOND;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -10,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A request without a response is taken from a silent server only if another one can take it. */
 final class SilentServerTest {
@@ -108,4 +110,19 @@
     assertThat(harness.commands).contains(new ForwardCommand.Drop(request, 1));
     assertThat(harness.serverOf(request)).isEqualTo(other(first));
   }
+
+  /** Guards against a server that gets no requests because its streams are all under way. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3})
+  void aServerThatOnlyRelaysStreamsIsNotSilent(int streams) {
+    ForwardHarness harness = ForwardHarness.ready(1, 0);
+    for (int index = 0; index < streams; index++) {
+      harness.respond(harness.submitShortPrompt("letter-" + index), 200);
+    }
+    harness.advance(2 * SECOND);
+
+    long request = harness.submitShortPrompt("late");
+
+    assertThat(harness.sends(request)).isEqualTo(1);
+  }
 }
