Do not take the router's own standstill for silence of its servers

What callers saw: after a standstill of its router of 0.7 s or more, requests were taken from sound servers at once, whose responses were waiting in the sockets, with retries from the budget; after 1.2 s all servers in use were paused as well.

Change: it is measured on the clock that leaves standstills out, which crash evidence uses already.

Evidence: SilentServerTest, 2 new cases failed before, 11 pass.

Conclusion: same class: the time since a request was sent is evidence only as far as the router could have seen a response.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -701,7 +701,7 @@
   private void send(PendingRequest request, Server server, Optional<String> salt, long nowMicros) {
     Optional<PromptOutline> prompt = promptOf(request);
     Optional<Long> version = prompt.flatMap(outline -> server.version(outline.model()));
-    request.onSent(server, version, nowMicros);
+    request.onSent(server, version, nowMicros, clock.at(nowMicros));
     streams.onSent(request, server, nowMicros);
     Dispatch dispatch =
         new Dispatch(
@@ -767,7 +767,7 @@
       return;
     }
     long durationMicros = nowMicros - request.sentMicros();
-    server.onResponse(durationMicros, response.isServerError(), nowMicros);
+    server.onResponse(durationMicros, response.isServerError(), clock.at(nowMicros));
     request
         .placement()
         .ifPresent(placement -> onPrefilled(request, placement, durationMicros, nowMicros));
@@ -1145,7 +1145,7 @@
 
   private void pauseSilentServers(long nowMicros) {
     for (Server server : servers.all()) {
-      if (server.isSilent(MAX_SILENCE_MICROS, nowMicros)) {
+      if (server.isSilent(MAX_SILENCE_MICROS, clock.at(nowMicros))) {
         server.pause(nowMicros + TICK_INTERVAL_MICROS * 2);
       }
     }
@@ -1167,8 +1167,8 @@
       double minMicros = Math.min(MAX_STUCK_FLOOR_MICROS, (double) request.route().targetMicros());
       double timeoutMicros = Math.max(minMicros, STUCK_FACTOR * expectedMicros);
       boolean isStuck =
-          nowMicros - request.sentMicros() > timeoutMicros
-              && !server.hasRespondedSince(request.sentMicros());
+          clock.at(nowMicros) - request.sentRunningMicros() > timeoutMicros
+              && !server.hasRespondedSince(request.sentRunningMicros());
       if (isStuck && hasOtherServer(request, nowMicros) && tryAcquireRetry(request, nowMicros)) {
         request.onStalled(true);
         server.onFailure(nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -63,6 +63,7 @@
   private int rejections;
   private boolean mayHaveRun;
   private long sentMicros;
+  private long sentRunningMicros;
   private boolean isUnanswered;
   private Optional<Long> respondedMicros = Optional.empty();
   private Optional<Long> outputStartedMicros = Optional.empty();
@@ -176,6 +177,11 @@
     return sentMicros;
   }
 
+  /** Returns when the current attempt was sent, on a {@link RunningClock}. */
+  long sentRunningMicros() {
+    return sentRunningMicros;
+  }
+
   /** Returns when the head of the latest attempt's response arrived; empty if it has none. */
   Optional<Long> respondedMicros() {
     return respondedMicros;
@@ -244,7 +250,7 @@
     String name = candidate.name();
     boolean isCurrent = server.filter(current -> current.name().equals(name)).isPresent();
     return movedFrom.contains(name)
-        ? !isCurrent && candidate.hasRespondedSince(sentMicros)
+        ? !isCurrent && candidate.hasRespondedSince(sentRunningMicros)
         : !isCurrent && !hasTried(candidate) && hasRunsRemaining();
   }
 
@@ -309,7 +315,7 @@
     prefixes = newPrefixes;
   }
 
-  void onSent(Server target, Optional<Long> version, long nowMicros) {
+  void onSent(Server target, Optional<Long> version, long nowMicros, long runningMicros) {
     server = Optional.of(target);
     triedServers.add(target.name());
     expectedVersion = version;
@@ -317,12 +323,13 @@
     attempt++;
     phase = Phase.SENT;
     sentMicros = nowMicros;
+    sentRunningMicros = runningMicros;
     respondedMicros = Optional.empty();
     outputStartedMicros = Optional.empty();
     isMovedOnStall = Optional.empty();
     hasRetry = false;
     isUnanswered = true;
-    target.onOpened(nowMicros);
+    target.onOpened(nowMicros, runningMicros);
   }
 
   /** Records that the head of the current attempt's response has arrived. */
--- a/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/Server.java
@@ -151,10 +151,12 @@
 
   /**
    * Returns whether requests wait for a response and none has arrived for longer than a given time.
+   *
+   * @param runningMicros current time on the {@link RunningClock}, as in the other methods
    */
-  boolean isSilent(long maxSilenceMicros, long nowMicros) {
+  boolean isSilent(long maxSilenceMicros, long runningMicros) {
     return unanswered > 0
-        && nowMicros - Math.max(unansweredSinceMicros, lastResponseMicros) > maxSilenceMicros;
+        && runningMicros - Math.max(unansweredSinceMicros, lastResponseMicros) > maxSilenceMicros;
   }
 
   /** Applies a newer registry entry and returns whether the server has restarted. */
@@ -176,8 +178,8 @@
   }
 
   /** Returns whether any response has arrived since a time. */
-  boolean hasRespondedSince(long micros) {
-    return lastResponseMicros > micros;
+  boolean hasRespondedSince(long runningMicros) {
+    return lastResponseMicros > runningMicros;
   }
 
   /** Records the removal of the server from the registry; the earliest time of several counts. */
@@ -233,9 +235,9 @@
     }
   }
 
-  void onOpened(long nowMicros) {
+  void onOpened(long nowMicros, long runningMicros) {
     if (unanswered == 0) {
-      unansweredSinceMicros = nowMicros;
+      unansweredSinceMicros = runningMicros;
     }
     unanswered++;
     outstanding++;
@@ -265,8 +267,8 @@
   }
 
   /** Records the head of a response to a request that ran, and the time that it took. */
-  void onResponse(long durationMicros, boolean isFailure, long nowMicros) {
-    lastResponseMicros = nowMicros;
+  void onResponse(long durationMicros, boolean isFailure, long runningMicros) {
+    lastResponseMicros = runningMicros;
     failuresInRow = 0;
     responseMicros =
         responseMicros == 0
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -218,6 +218,11 @@
     }
   }
 
+  /** Lets the process stand still: time passes, and no event is handled. */
+  void standStill(long micros) {
+    nowMicros += micros;
+  }
+
   void handle(ForwardEvent event) {
     core.handle(event, nowMicros);
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/SilentServerTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/SilentServerTest.java
@@ -125,4 +125,19 @@
 
     assertThat(harness.sends(request)).isEqualTo(1);
   }
+
+  /** Guards against a standstill of the router that is taken for silence of its servers. */
+  @ParameterizedTest
+  @ValueSource(longs = {1_300 * MILLI, 3 * SECOND})
+  void aStandstillOfTheRouterIsNoSilenceOfAServer(long standstillMicros) {
+    ForwardHarness harness = ForwardHarness.ready(2, 0);
+    long request = Kind.STREAM.submit(harness);
+    harness.standStill(standstillMicros);
+
+    harness.handle(new ForwardEvent.Tick());
+
+    assertThat(harness.commands).doesNotContain(new ForwardCommand.Drop(request, 1));
+    harness.respond(request, 200);
+    assertThat(harness.sends(request)).isEqualTo(1);
+  }
 }
