Name the salt of shared parts after the set of the isolated teams

Cause: the salt of all teams that are not isolated was the model alone. When a team became isolated, only its own later requests moved to another salt; what it had made stayed under the one that all others went on using, at servers, in copies and in the store, which drop nothing by themselves. A request that waited across the change also kept the team as it was at its arrival.

Change: the shared salt is named after the set of isolated teams (CacheScopes, by a digest of 128 bits), and taken when a request is sent, by the configuration of then. No team of that set makes or uses parts under it, so the order of isolating and freeing and the order in which routers learn of it make no difference. It is derived from the newest record alone: restarted routers use the same. With no isolated team it is what it was. Prefix hashes, announcements and homes follow, as they are made of the scope. Weighed and rejected: the version of the change (a router that starts later finds only the newest record), the version of every configuration (each change would cost all parts), a record of our own (store calls, waiting), a salt for each team (no sharing).

Not covered: a request that a server had queued before its router read the change, and a router that cannot read the newest configuration; both have the salt of before.

The product's own interface has no such fault: its block keys always hold the team (CacheIdentity), and no scope is shared by teams.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -704,14 +704,13 @@
     return request.route().hasPrompt() ? request.head().prompt() : Optional.empty();
   }
 
-  /** Returns the scope in which cached parts may be shared, without the version of the weights. */
-  private static String scopeOf(PendingRequest request) {
+  /**
+   * Returns the scope in which cached parts may be shared, without the version of the weights; by
+   * the configuration of now, as the request may have waited since an earlier one.
+   */
+  private String scopeOf(PendingRequest request) {
     String model = request.head().prompt().map(PromptOutline::model).orElse("");
-    return request
-        .team()
-        .filter(CallerTeam::isIsolated)
-        .map(team -> model + "/" + team.name())
-        .orElse(model);
+    return table.orElseThrow().cacheScope(model, request.team());
   }
 
   private void onUnsent(PendingRequest request, String detail, long nowMicros) {
--- /dev/null
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
@@ -0,0 +1,253 @@
+package org.shallothook.coordination.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.shallothook.state.route.CallerTeam;
+import org.shallothook.state.route.PromptOutline;
+import org.shallothook.state.route.PromptOutline.Part;
+import org.shallothook.state.route.RouteTable;
+import org.shallothook.state.route.ServerEntry;
+import org.shallothook.state.route.ServiceTraits.CacheStore;
+
+/**
+ * Routers with teams that become isolated, and servers that keep who made each part of a prompt.
+ *
+ * <p>Parts are found under the salt that came with the request, whoever made them, as long as all
+ * parts before them are found too. They stay for good. Not thread-safe.
+ */
+final class WalledFleet {
+  /** Tokens of each part that prompts share. */
+  static final int SHARED_PART_TOKENS = 3_000;
+
+  private static final int OWN_TOKENS = 200;
+  private static final CacheStore STORE = new CacheStore("10.0.9.1:80", "domain-a", 100_000);
+
+  private static final List<ServerEntry> ENGINES =
+      List.of(ForwardHarness.engine("engine-1", 1, 1), ForwardHarness.engine("engine-2", 2, 1));
+
+  /** Place from which servers take parts; they are found nowhere else. */
+  enum Place {
+    SERVER {
+      @Override
+      List<String> sources(Dispatch dispatch) {
+        return List.of(dispatch.address());
+      }
+
+      @Override
+      Optional<String> target(Dispatch dispatch) {
+        return Optional.of(dispatch.address());
+      }
+    },
+    /** Any server, as if the request named just the one that has the part. */
+    COPY_OF_ANOTHER_SERVER {
+      @Override
+      List<String> sources(Dispatch dispatch) {
+        return ENGINES.stream().map(ServerEntry::address).toList();
+      }
+
+      @Override
+      Optional<String> target(Dispatch dispatch) {
+        return Optional.of(dispatch.address());
+      }
+    },
+    /** The store; servers lose their parts after each request. */
+    STORE {
+      @Override
+      List<String> sources(Dispatch dispatch) {
+        return List.of(WalledFleet.STORE.address());
+      }
+
+      @Override
+      Optional<String> target(Dispatch dispatch) {
+        return dispatch.saveTo();
+      }
+    };
+
+    abstract List<String> sources(Dispatch dispatch);
+
+    abstract Optional<String> target(Dispatch dispatch);
+  }
+
+  /** A part behind the parts before it, as a server looks for it. */
+  private record Key(String salt, List<String> leading) {}
+
+  /** A router with the isolated teams of the configuration that it has read. */
+  private static final class Router {
+    private final ForwardHarness harness = new ForwardHarness();
+    private final Map<Long, PromptOutline> prompts = new HashMap<>();
+    private Set<String> isolated = Set.of();
+    private int handled;
+  }
+
+  private final Place place;
+  private final Set<String> teams;
+  private final List<Router> routers = new ArrayList<>();
+  private final Map<String, Map<Key, String>> makers = new HashMap<>();
+  private final Set<List<String>> read = new HashSet<>();
+  private final Map<String, Integer> readAgain = new HashMap<>();
+  private final List<String> crossings = new ArrayList<>();
+  private Set<String> isolated = Set.of();
+  private long version = 1;
+  private int asked;
+  private int used;
+
+  /** Creates routers that have read a configuration in which no team is isolated. */
+  WalledFleet(Place place, int routers, Set<String> teams) {
+    this.place = place;
+    this.teams = teams;
+    for (int index = 0; index < routers; index++) {
+      this.routers.add(new Router());
+      restart(index);
+    }
+  }
+
+  /** Publishes a configuration with these isolated teams, which no router reads by itself. */
+  void publish(Set<String> isolatedTeams) {
+    isolated = Set.copyOf(isolatedTeams);
+    version++;
+  }
+
+  /** Lets a router read the newest configuration. */
+  void read(int index) {
+    Router router = routers.get(index);
+    List<CallerTeam> known =
+        teams.stream()
+            .map(
+                team ->
+                    new CallerTeam(
+                        team, List.of(keyOf(team)), Optional.empty(), isolated.contains(team)))
+            .toList();
+    RouteTable table = ForwardHarness.routeTable(version, Optional.of(STORE), known);
+    router.isolated = isolated;
+    router.harness.handle(new ForwardEvent.RoutesRead(table));
+    handleCommands(router);
+  }
+
+  /** Starts a router anew, which knows nothing but the newest configuration. */
+  void restart(int index) {
+    Router router = new Router();
+    routers.set(index, router);
+    read(index);
+    router.harness.handle(new ForwardEvent.RegistryReachable(true));
+    router.harness.handle(new ForwardEvent.ServersRead(ENGINES, true));
+    router.harness.handle(new ForwardEvent.OriginsRead(router.harness.now()));
+  }
+
+  /** Sends a request of a team through a router and lets it complete. */
+  void ask(int index, String team, String register) {
+    long request = open(index, team, register);
+    begin(index, request);
+    complete(index, request);
+    routers.get(index).harness.advance(PrefixAnnouncements.INTERVAL_MICROS * 2);
+    handleCommands(routers.get(index));
+  }
+
+  /** Opens a request whose prompt shares all parts but the last with others of the register. */
+  long open(int index, String team, String register) {
+    Router router = routers.get(index);
+    PromptOutline prompt =
+        ForwardHarness.promptOf(register, "own-" + asked++, SHARED_PART_TOKENS * 2, OWN_TOKENS);
+    long request =
+        router.harness.request("/draft/1", Optional.of(keyOf(team)), Optional.of(prompt));
+    router.prompts.put(request, prompt);
+    handleCommands(router);
+    return request;
+  }
+
+  boolean isSent(int index, long request) {
+    return routers.get(index).harness.sent(request).isPresent();
+  }
+
+  void begin(int index, long request) {
+    routers.get(index).harness.respond(request, 200);
+    handleCommands(routers.get(index));
+  }
+
+  void complete(int index, long request) {
+    routers.get(index).harness.complete(request);
+    handleCommands(routers.get(index));
+  }
+
+  /** Returns the uses of parts across the wall, by the configuration that their router had read. */
+  List<String> crossings() {
+    return List.copyOf(crossings);
+  }
+
+  /** Returns how many parts were found rather than read. */
+  int used() {
+    return used;
+  }
+
+  /** Returns the tokens of shared parts that were read before, and that a team's requests read. */
+  int readAgainTokens(String team) {
+    return readAgain.getOrDefault(team, 0);
+  }
+
+  private void handleCommands(Router router) {
+    List<ForwardCommand> commands = router.harness.commands;
+    while (router.handled < commands.size()) {
+      ForwardCommand command = commands.get(router.handled++);
+      if (command instanceof ForwardCommand.Send send) {
+        prefill(router, send);
+      } else if (command instanceof ForwardCommand.AnnouncePrefixes announced) {
+        routers.stream()
+            .filter(other -> other != router)
+            .forEach(
+                other ->
+                    other.harness.handle(
+                        new ForwardEvent.PrefixesAnnounced(
+                            announced.server(), announced.prefixHashes())));
+      }
+    }
+  }
+
+  private void prefill(Router router, ForwardCommand.Send send) {
+    Dispatch dispatch = send.dispatch();
+    String team = dispatch.team().orElseThrow();
+    List<Part> parts = router.prompts.get(send.request()).parts();
+    List<String> leading = new ArrayList<>();
+    boolean isLeading = true;
+    for (Part part : parts) {
+      leading.add(part.id());
+      Key key = new Key(dispatch.cacheSalt().orElse(""), List.copyOf(leading));
+      Optional<String> maker = isLeading ? makerOf(key, dispatch) : Optional.empty();
+      isLeading = maker.isPresent();
+      if (maker.isPresent()) {
+        used++;
+        recordUse(router, team, maker.get(), key);
+      } else if (!read.add(key.leading())) {
+        readAgain.merge(team, part.tokens(), Integer::sum);
+      }
+      place
+          .target(dispatch)
+          .ifPresent(
+              target ->
+                  makers
+                      .computeIfAbsent(target, holder -> new HashMap<>())
+                      .putIfAbsent(key, maker.orElse(team)));
+    }
+  }
+
+  private void recordUse(Router router, String team, String maker, Key key) {
+    boolean isAcross = router.isolated.contains(team) || router.isolated.contains(maker);
+    if (!maker.equals(team) && isAcross) {
+      crossings.add(team + " uses " + key + " made by " + maker);
+    }
+  }
+
+  private Optional<String> makerOf(Key key, Dispatch dispatch) {
+    return place.sources(dispatch).stream()
+        .flatMap(
+            holder -> Optional.ofNullable(makers.getOrDefault(holder, Map.of()).get(key)).stream())
+        .findFirst();
+  }
+
+  private static String keyOf(String team) {
+    return "key-" + team;
+  }
+}
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -1,12 +1,8 @@
 package org.shallothook.state.route;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -30,6 +26,7 @@
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceTraits> services = new HashMap<>();
   private final Map<String, CallerTeam> teamsByDigest = new HashMap<>();
+  private final CacheScopes cacheScopes;
   private final boolean needsKeys;
   private final CallerLimits limits;
 
@@ -57,8 +54,9 @@
     Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
     routesByHost.values().forEach(list -> list.sort(longestFirst));
     services.forEach(service -> this.services.put(service.name(), service));
+    this.cacheScopes = new CacheScopes(teams.orElse(List.of()));
     for (CallerTeam team : teams.orElse(List.of())) {
-      team.keys().forEach(key -> teamsByDigest.put(digestOf(key), team));
+      team.keys().forEach(key -> teamsByDigest.put(Digests.hexOf(key), team));
     }
   }
 
@@ -96,7 +94,19 @@
 
   /** Returns the team to which an API key belongs, if there is one. */
   public Optional<CallerTeam> teamOf(String key) {
-    return Optional.ofNullable(teamsByDigest.get(digestOf(key)));
+    return Optional.ofNullable(teamsByDigest.get(Digests.hexOf(key)));
+  }
+
+  /**
+   * Returns the scope in which cached parts of a prompt may be shared, without the version of the
+   * weights. Parts that a team made before it became isolated lie in another scope than any that
+   * this configuration gives to other callers.
+   *
+   * @param model model that reads the prompt
+   * @param team team of the caller as it was when the request was opened, if it has one
+   */
+  public String cacheScope(String model, Optional<CallerTeam> team) {
+    return cacheScopes.scopeOf(model, team);
   }
 
   /**
@@ -138,13 +148,4 @@
     boolean hasPort = colon > 0 && host.indexOf(']', colon) < 0;
     return (hasPort ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
   }
-
-  private static String digestOf(String key) {
-    try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
-      return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("Every Java runtime provides SHA-256", e);
-    }
-  }
 }
--- a/state/src/test/java/org/shallothook/state/route/RouteTableTest.java
+++ b/state/src/test/java/org/shallothook/state/route/RouteTableTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -55,6 +56,49 @@
     assertThat(table.teamOf("key-2")).isEmpty();
   }
 
+  /** The shared scope tells two sets of isolated teams apart, and nothing else. */
+  @ParameterizedTest
+  @CsvSource({
+    "'', '', true",
+    "a b, b a, true",
+    "a, '', false",
+    "a, b, false",
+    "a, a b, false",
+    "ab, a b, false",
+    "1:a, a, false",
+    "a1:b, a b, false",
+  })
+  void theSharedScopeIsNamedAfterTheIsolatedTeams(String one, String other, boolean isSame) {
+    String scope = withIsolated(7, one).cacheScope("model", Optional.empty());
+    assertThat(withIsolated(8, other).cacheScope("model", Optional.empty()).equals(scope))
+        .isEqualTo(isSame);
+  }
+
+  @Test
+  void aTeamThatWasIsolatedWhenItsRequestCameHasItsOwnScope() {
+    Optional<CallerTeam> caller = Optional.of(team("a", true));
+    assertThat(withIsolated(8, "").cacheScope("model", caller)).isEqualTo("model/a");
+  }
+
+  @Test
+  void aTeamThatBecameIsolatedSinceItsRequestCameHasItsOwnScope() {
+    Optional<CallerTeam> caller = Optional.of(team("a", false));
+    assertThat(withIsolated(8, "a").cacheScope("model", caller)).isEqualTo("model/a");
+  }
+
+  private static RouteTable withIsolated(long version, String names) {
+    List<CallerTeam> teams =
+        Stream.of(names.split(" ", -1))
+            .filter(name -> !name.isEmpty())
+            .map(name -> team(name, true))
+            .toList();
+    return new RouteTable(version, List.of(), List.of(), Optional.of(teams), CallerLimits.DEFAULT);
+  }
+
+  private static CallerTeam team(String name, boolean isIsolated) {
+    return new CallerTeam(name, List.of("key-" + name), Optional.empty(), isIsolated);
+  }
+
   @Test
   void requestsAreDistributedByWeight() {
     Route route = route("short", "/a/");
