Bound request bodies and responses in sum, and refuse a body without room

About 16 bodies of 4 MB filled the direct memory, and the one event loop slept in Bits.reserveMemory. Received parts also kept whole receive buffers. ResponseBudget bounded responses only, and its check after each 64 KiB let them exceed the maximum in between (HeldResponsesTest case 1: 1,079,982 of 1,048,576 bytes).

Change: MemoryBudget (was ResponseBudget) bounds both in sum. RequestBody reserves a declared length before it is read, a chunked one block by block, copies parts into blocks, and releases when the buffer is deallocated. Bodies above 64 KiB may use 3/4 of the maximum, all bodies 7/8; the rest is for responses, which are paused and shed within what bodies leave. A body without room gets 503 with Retry-After at once; the rest of it is dropped for up to 5 s, so that the caller sees the refusal. Checks come earlier the less is free (50 bytes held for each one read). Received buffers used by half or less are copied. Maximum: setting [memory] held-kibibytes, half of the direct memory by default (was a quarter, for responses only). Refusals of unread requests have outcome and Retry-After too.

--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -125,7 +125,7 @@
 
   HostedRouter(Settings settings) {
     this.settings = settings;
-    forwardSettings = ForwardSettings.DEFAULT.withinGracePeriod(durationOf(longestStopMicros()));
+    forwardSettings = forwardSettings();
     node =
         new HostedNode(
             settings,
@@ -245,6 +245,13 @@
     }
   }
 
+  private ForwardSettings forwardSettings() {
+    ForwardSettings derived =
+        ForwardSettings.DEFAULT.withinGracePeriod(durationOf(longestStopMicros()));
+    long heldBytes = (long) (settings.amount(HostedRouterSettings.HELD_KIBIBYTES) * (1 << 10));
+    return heldBytes == 0 ? derived : derived.withMaximumHeldBytes(heldBytes);
+  }
+
   private void handle(CoreEvent event, long nowMicros) {
     latestMicros = nowMicros;
     if (event instanceof ForwardEvent forward) {
--- a/router/src/main/java/org/shallothook/router/HostedRouterSettings.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouterSettings.java
@@ -4,6 +4,7 @@
 import java.util.stream.Stream;
 import org.shallothook.transport.settings.HostedKeys;
 import org.shallothook.transport.settings.SettingKey;
+import org.shallothook.transport.settings.SettingType;
 
 /**
  * Settings of a router on a hosting platform.
@@ -11,6 +12,16 @@
  * <p>Stateless and thread-safe.
  */
 final class HostedRouterSettings {
+  /** Memory for request bodies and responses, in kibibytes; 0 for the default. */
+  static final SettingKey HELD_KIBIBYTES =
+      SettingKey.withDefault(
+          "memory",
+          "held-kibibytes",
+          SettingType.AMOUNT,
+          "0",
+          "Memory for request bodies and for responses that wait for their callers, in KiB; 0 for"
+              + " half of the direct memory.");
+
   /** All settings of the settings file. */
   static final List<SettingKey> KEYS =
       Stream.concat(
@@ -24,7 +35,8 @@
                   HostedKeys.STOP_SECONDS,
                   HostedKeys.RETRY_SHARE,
                   HostedKeys.RETRY_SLACK,
-                  HostedKeys.RETRY_WINDOW_SECONDS))
+                  HostedKeys.RETRY_WINDOW_SECONDS,
+                  HELD_KIBIBYTES))
           .toList();
 
   private HostedRouterSettings() {}
--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -25,7 +25,9 @@
  * <p>Stateless and thread-safe.
  */
 public final class Channels {
-  private static final Duration GRACEFUL_CLOSE_TIMEOUT = Duration.ofSeconds(2);
+  /** Time for which the other side may go on sending after a graceful close. */
+  public static final Duration GRACEFUL_CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
   private static final ChannelFutureListener REPORT_FAILURE = Channels::reportFailure;
 
   private Channels() {}
@@ -74,14 +76,20 @@
    * resets the connection, and the other side would lose what it has not read yet.
    */
   public static void closeAfterWrites(SocketChannel connection) {
+    closeAfterWrites(connection, GRACEFUL_CLOSE_TIMEOUT);
+  }
+
+  /** Closes a connection like {@link #closeAfterWrites(SocketChannel)}, with the given timeout. */
+  public static void closeAfterWrites(SocketChannel connection, Duration timeout) {
     connection
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
-        .addListener(done -> connection.shutdownOutput().addListener(ended -> linger(connection)));
+        .addListener(
+            done -> connection.shutdownOutput().addListener(ended -> linger(connection, timeout)));
   }
 
-  private static void linger(SocketChannel connection) {
+  private static void linger(SocketChannel connection, Duration timeout) {
     connection.config().setAutoRead(true);
-    after(connection.eventLoop(), GRACEFUL_CLOSE_TIMEOUT, () -> close(connection));
+    after(connection.eventLoop(), timeout, () -> close(connection));
   }
 
   /**
--- a/transport/src/main/java/org/shallothook/transport/forward/CloseReason.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/CloseReason.java
@@ -14,7 +14,7 @@
   IDLE,
   /** The response that was sent is the last one on the connection. */
   LAST_RESPONSE,
-  /** A request could not be read and was refused; what follows it is not read. */
+  /** A request could not be read, or kept, and was refused; what follows it is not read. */
   UNREADABLE_REQUEST,
   /** The response cannot be completed. */
   BROKEN_OFF,
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardContext.java
@@ -21,6 +21,7 @@
 final class ForwardContext {
   private final HeaderTranslation form;
   private final ServerConnectionPool servers;
+  private final MemoryBudget budget;
   private final EventSink<CoreEvent> events;
   private final Counters counters;
   private final DecisionJournal journal;
@@ -34,12 +35,14 @@
   ForwardContext(
       HeaderTranslation form,
       ServerConnectionPool servers,
+      MemoryBudget budget,
       EventSink<CoreEvent> events,
       Counters counters,
       DecisionJournal journal,
       LongSupplier clockMicros) {
     this.form = form;
     this.servers = servers;
+    this.budget = budget;
     this.events = events;
     this.counters = counters;
     this.journal = journal;
@@ -54,6 +57,10 @@
     return servers;
   }
 
+  MemoryBudget budget() {
+    return budget;
+  }
+
   EventSink<CoreEvent> events() {
     return events;
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardSettings.java
@@ -20,8 +20,9 @@
  * @param maximumCallerConnections maximum number of caller connections
  * @param drainPeriod time between the start of draining and the refusal of new requests; longer
  *     than the two health checks after which a load balancer stops choosing the process
- * @param maximumHeldBytes maximum size of all responses that wait in the process for their rest or
- *     for their callers
+ * @param maximumHeldBytes maximum size of all request bodies, from their first byte to the end of
+ *     their request, and of all responses that wait in the process for their rest or for their
+ *     callers
  */
 public record ForwardSettings(
     Duration connectTimeout,
@@ -33,10 +34,10 @@
     Duration drainPeriod,
     long maximumHeldBytes) {
   /**
-   * Share of the direct memory that responses may use; the rest is for requests, peers, and the
-   * unused parts of buffers.
+   * Share of the direct memory that request bodies and responses may use; the rest is for peers,
+   * the platform, and the unused parts of buffers.
    */
-  private static final long DIRECT_MEMORY_DIVISOR = 4;
+  private static final long DIRECT_MEMORY_DIVISOR = 2;
 
   /** Settings used if the settings file has none. */
   public static final ForwardSettings DEFAULT =
@@ -69,4 +70,17 @@
         drainPeriod.compareTo(longest) <= 0 ? drainPeriod : longest,
         maximumHeldBytes);
   }
+
+  /** Returns these settings with another maximum size of request bodies and responses. */
+  public ForwardSettings withMaximumHeldBytes(long newMaximumHeldBytes) {
+    return new ForwardSettings(
+        connectTimeout,
+        idleTimeout,
+        maximumIdleTime,
+        nonRepeatableIdleTime,
+        maximumIdleConnections,
+        maximumCallerConnections,
+        drainPeriod,
+        newMaximumHeldBytes);
+  }
 }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -59,7 +59,7 @@
   private final ForwardSettings settings;
   private final ForwardContext context;
   private final ServerConnectionPool serverConnections;
-  private final ResponseBudget budget;
+  private final MemoryBudget budget;
   private final Map<Channel, InboundConnection> connections = new HashMap<>();
 
   /** Accepts connections; empty unless the process is listening. */
@@ -88,14 +88,14 @@
     this.loop = loop;
     this.settings = settings;
     this.budget =
-        new ResponseBudget(
+        new MemoryBudget(
             settings.maximumHeldBytes(),
             connections::values,
             (delay, task) -> Channels.after(loop, delay, task));
     this.serverConnections =
         new ServerConnectionPool(loop, form, settings, clockMicros, counters, journal, budget);
     this.context =
-        new ForwardContext(form, serverConnections, events, counters, journal, clockMicros);
+        new ForwardContext(form, serverConnections, budget, events, counters, journal, clockMicros);
   }
 
   /** Starts listening and returns the bound address. Blocks until the address is bound. */
@@ -106,7 +106,7 @@
           loop.execute(() -> listener = Optional.of(serverChannel));
           loop.execute(serverConnections::start);
           loop.execute(() -> measureLoopDelay(context.nowMicros()));
-          Channels.after(loop, STALL_CHECK_INTERVAL, this::checkStalls);
+          loop.execute(this::checkStalls);
           return (InetSocketAddress) serverChannel.localAddress();
         });
   }
@@ -158,9 +158,13 @@
         });
   }
 
-  /** Returns the memory that responses need, in bytes. Must be called on the event loop. */
+  /**
+   * Returns the memory that request bodies and responses need, in bytes. Must be called on the
+   * event loop.
+   */
   long heldBytes() {
-    return connections.values().stream().mapToLong(InboundConnection::heldBytes).sum();
+    return budget.reservedBytes()
+        + connections.values().stream().mapToLong(InboundConnection::heldBytes).sum();
   }
 
   private void executeOnLoop(ForwardCommand command) {
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -26,6 +25,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -48,10 +48,13 @@
  * smuggling). Confined to the event loop.
  */
 final class InboundConnection extends ChannelInboundHandlerAdapter
-    implements InboundExchange.Connection, ResponseBudget.Holder {
+    implements InboundExchange.Connection, MemoryBudget.Holder {
   /** Pipelined requests that may wait behind the open one before reading is paused. */
   private static final int MAXIMUM_QUEUED_REQUESTS = 2;
 
+  /** Time for which the rest of a body that has no room is read after its refusal. */
+  private static final Duration DROPPED_BODY_TIMEOUT = Duration.ofSeconds(5);
+
   private static final LongHashFunction HASH = LongHashFunction.xx3();
   private static final long OVERLOAD_RETRY_MICROS = 500_000;
 
@@ -59,11 +62,12 @@
   private final Queue<CompleteRequest> queued = new ArrayDeque<>();
   private Channel channel;
   private Optional<HttpRequest> head = Optional.empty();
-  private CompositeByteBuf body;
+  private RequestBody body;
   private Optional<InboundExchange> current = Optional.empty();
   private Optional<ScheduledFuture<?>> timer = Optional.empty();
   private Optional<Refusal> refusalBehind = Optional.empty();
   private boolean isDiscarding;
+  private boolean isBodyDropped;
   private boolean isLastRequest;
   private boolean isLastResponse;
   private boolean isClosing;
@@ -247,8 +251,13 @@
       refuseAndClose(RefusalReason.BODY_TOO_LARGE, "The body is too large.");
       return;
     }
+    Optional<RequestBody> opened = RequestBody.open(channel.alloc(), context.budget(), length);
+    if (opened.isEmpty()) {
+      refuseForMemory();
+      return;
+    }
     head = Optional.of(request);
-    body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+    body = opened.get();
     if (HttpUtil.is100ContinueExpected(request)) {
       FullHttpResponse continueResponse =
           new DefaultFullHttpResponse(
@@ -271,8 +280,15 @@
       refuseAndClose(RefusalReason.BODY_TOO_LARGE, "The body is too large.");
       return;
     }
-    body.addComponent(true, content.content());
-    if (content instanceof LastHttpContent) {
+    boolean hasRoom;
+    try {
+      hasRoom = body.receive(content.content());
+    } finally {
+      ReferenceCountUtil.release(content);
+    }
+    if (!hasRoom) {
+      refuseForMemory();
+    } else if (content instanceof LastHttpContent) {
       queued.add(new CompleteRequest(head.orElseThrow(), body));
       head = Optional.empty();
       body = null;
@@ -364,7 +380,24 @@
     }
     startClosing(CloseReason.UNREADABLE_REQUEST);
     writeRefusal(refusal, true);
-    Channels.closeAfterWrites((SocketChannel) channel);
+    Channels.closeAfterWrites(
+        (SocketChannel) channel,
+        isBodyDropped ? DROPPED_BODY_TIMEOUT : Channels.GRACEFUL_CLOSE_TIMEOUT);
+  }
+
+  /**
+   * Refuses a request whose body has no room in the memory of the process. What still arrives of
+   * the body is read and dropped for a while, because many callers read no response before they
+   * have sent all of it.
+   */
+  private void refuseForMemory() {
+    context.counters().increment("callers.refused-for-memory");
+    isBodyDropped = true;
+    refuseAndClose(
+        Refusal.notRun(
+            RefusalReason.ROUTER_OVERLOADED,
+            "The bodies of requests use up the memory for them.",
+            context.nowMicros() + OVERLOAD_RETRY_MICROS));
   }
 
   /**
@@ -446,7 +479,8 @@
   private void writeRefusal(Refusal refusal, boolean isLast) {
     context.counters().refused(refusal.reason());
     FullHttpResponse response =
-        RefusalResponse.of(new RequestId("unread"), refusal, isLast, channel.alloc());
+        RefusalResponse.of(
+            new RequestId("unread"), refusal, isLast, channel.alloc(), context.nowMicros());
     Channels.writeAndFlush(channel, response);
   }
 
--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -19,7 +19,6 @@
 import java.util.Optional;
 import org.shallothook.coordination.forward.Dispatch;
 import org.shallothook.coordination.forward.ForwardEvent;
-import org.shallothook.protocol.caller.CallerHeaders;
 import org.shallothook.state.request.Outcome;
 import org.shallothook.state.request.Refusal;
 import org.shallothook.state.request.RefusalReason;
@@ -38,8 +37,6 @@
   /** Memory that a header field of a received response needs, however short it is. */
   private static final long HEADER_FIELD_BYTES = 200;
 
-  private static final double MICROS_PER_SECOND = 1_000_000;
-
   /** The caller connection of an exchange. */
   interface Connection {
     Channel channel();
@@ -368,22 +365,14 @@
             new RequestId(request.parsedHead().id()),
             refusal,
             isLast,
-            connection.channel().alloc());
+            connection.channel().alloc(),
+            context.nowMicros());
     if (!hasBody(response.status())) {
       response.content().clear();
     }
-    response.headers().set(CallerHeaders.OUTCOME, refusal.outcome().headerValue());
-    refusal
-        .retryAtMicros()
-        .ifPresent(at -> response.headers().set(HttpHeaderNames.RETRY_AFTER, secondsUntil(at)));
     return response;
   }
 
-  private String secondsUntil(long atMicros) {
-    double seconds = Math.max(0, atMicros - context.nowMicros()) / MICROS_PER_SECOND;
-    return String.format(Locale.ROOT, "%.3f", seconds);
-  }
-
   private ServerAttempt currentAttempt(int attemptNumber) {
     return attempt.filter(open -> open.number() == attemptNumber).orElse(null);
   }
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -44,7 +44,7 @@
   private final LongSupplier clockMicros;
   private final Counters counters;
   private final DecisionJournal journal;
-  private final ResponseBudget budget;
+  private final MemoryBudget budget;
   private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
 
   ServerConnectionPool(
@@ -54,7 +54,7 @@
       LongSupplier clockMicros,
       Counters counters,
       DecisionJournal journal,
-      ResponseBudget budget) {
+      MemoryBudget budget) {
     this.loop = loop;
     this.form = form;
     this.settings = settings;
--- a/transport/src/test/java/org/shallothook/transport/forward/ResponseBudgetTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/MemoryBudgetTest.java
@@ -2,22 +2,27 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-final class ResponseBudgetTest {
+final class MemoryBudgetTest {
   private static final long MAXIMUM_BYTES = 1_000;
+  private static final long LARGE_MAXIMUM_BYTES = 1_000_000;
 
   private final List<FakeHolder> holders = new ArrayList<>();
   private final List<Runnable> scheduled = new ArrayList<>();
-  private final ResponseBudget budget =
-      new ResponseBudget(MAXIMUM_BYTES, () -> holders, (delay, task) -> scheduled.add(task));
+  private final MemoryBudget budget =
+      new MemoryBudget(MAXIMUM_BYTES, () -> holders, (delay, task) -> scheduled.add(task));
+
+  private final MemoryBudget largeBudget =
+      new MemoryBudget(LARGE_MAXIMUM_BYTES, () -> holders, (delay, task) -> scheduled.add(task));
 
   /** A caller that holds a given number of bytes until it is shed. */
-  private static final class FakeHolder implements ResponseBudget.Holder {
+  private static final class FakeHolder implements MemoryBudget.Holder {
     private long heldBytes;
     private boolean isPaused;
     private boolean isShed;
@@ -122,11 +127,71 @@
     FakeHolder largest = holder(MAXIMUM_BYTES + 1);
     EmbeddedChannel server = new EmbeddedChannel(budget);
 
-    server.writeInbound(Unpooled.wrappedBuffer(new byte[ResponseBudget.CHECK_INTERVAL_BYTES - 1]));
+    server.writeInbound(Unpooled.wrappedBuffer(new byte[MemoryBudget.CHECK_INTERVAL_BYTES - 1]));
     assertThat(largest.isShed).isFalse();
     server.writeInbound(Unpooled.wrappedBuffer(new byte[1]));
 
     assertThat(largest.isShed).isTrue();
     assertThat(server.finishAndReleaseAll()).isTrue();
   }
+
+  /** Guards against large buffers that are kept whole for a few bytes of a response. */
+  @Test
+  void theUnusedPartOfAReceivedBufferIsNotKept() {
+    EmbeddedChannel server = new EmbeddedChannel(budget);
+
+    server.writeInbound(Unpooled.buffer(MemoryBudget.CHECK_INTERVAL_BYTES).writeLong(1));
+
+    ByteBuf kept = server.readInbound();
+    assertThat(kept.readLong()).isEqualTo(1);
+    assertThat(kept.capacity()).isLessThan(MemoryBudget.CHECK_INTERVAL_BYTES / 64);
+    kept.release();
+    assertThat(server.finishAndReleaseAll()).isFalse();
+  }
+
+  /** Guards against responses that exceed the maximum in the time until the next check. */
+  @Test
+  void theLessIsFreeTheEarlierResponsesAreChecked() {
+    FakeHolder only = holder(MAXIMUM_BYTES - 100);
+    EmbeddedChannel server = new EmbeddedChannel(budget);
+    budget.check();
+    only.heldBytes = MAXIMUM_BYTES + 1;
+
+    server.writeInbound(Unpooled.wrappedBuffer(new byte[2]));
+
+    assertThat(only.isShed).isTrue();
+    assertThat(server.finishAndReleaseAll()).isTrue();
+  }
+
+  /** Guards against small requests that are refused because large bodies use up the memory. */
+  @Test
+  void largeBodiesLeaveRoomForSmallOnesAndBothForResponses() {
+    assertThat(largeBudget.reserve(750_000, 750_000)).isTrue();
+    assertThat(largeBudget.reserve(1, 750_001)).isFalse();
+    assertThat(largeBudget.reserve(60_000, 60_000)).isTrue();
+    assertThat(largeBudget.reserve(60_000, 60_000)).isTrue();
+    assertThat(largeBudget.reserve(60_000, 60_000)).isFalse();
+    assertThat(largeBudget.reserve(0, 0)).isTrue();
+
+    largeBudget.release(60_000);
+
+    assertThat(largeBudget.reserve(60_000, 60_000)).isTrue();
+    assertThat(largeBudget.reservedBytes()).isEqualTo(870_000);
+  }
+
+  /** Guards against bodies and responses that are each within the maximum, but not their sum. */
+  @Test
+  void memoryReservedForBodiesIsNotForResponses() {
+    FakeHolder only = holder(300_000);
+    largeBudget.check();
+
+    assertThat(largeBudget.reserve(450_001, 450_001)).isFalse();
+    assertThat(largeBudget.reserve(450_000, 450_000)).isTrue();
+    largeBudget.check();
+    assertThat(only.isPaused).isTrue();
+    only.heldBytes = 550_001;
+    largeBudget.check();
+
+    assertThat(only.isShed).isTrue();
+  }
 }
