Leave a server to its sidecar until the membership records show that it has none

Cause: a router took a server for one without a sidecar 12 s after it had listed its host, while the records that name sidecars are read every 20 s; and it forgot a status of a server that it did not know yet, which an idle server's sidecar does not repeat.

A server counts as one without a sidecar only if the records are known up to 12 s after the first listing of its host; the router that is about to order has them read. The interval of 20 s is no part of that wait any more. Weighed against a wait of 12 + 20 s and the read: that needs no read, but delays each order to a server on a new host by 20 s more, and VERSION counts. The read is one store call of the router that would order, for all its new hosts at once, and none where a read every 20 s has already shown it. Without the store there is no order, nor was there before, as the fencing token comes from it.

In SidecarlessServersTest the simulated store now answers the new command; no expectation has changed.

Conclusion: whether a server has a sidecar no longer depends on which of status, membership record and entry a router sees first, provided that a sidecar writes its record within 12 s of its server's entry.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.coordination.placement.RendezvousHash;
@@ -24,16 +22,15 @@
  * <p>Among the routers that reach each other, rendezvous hashing assigns one owner to each such
  * server. A router that becomes the owner waits for longer than the least time between orders of
  * two owners, so that the previous owner has noticed the change by then; servers reject its late
- * orders by their fencing token. A server whose sidecar was ever seen is left to that sidecar.
+ * orders by their fencing token. A server is left to its sidecar unless {@link SidecarDiscovery}
+ * shows that it has none.
  *
  * <p>Invariant: a {@link WeightUpdater} exists only for a server that lacks a desired version, and
  * only in the router that owns it. Not thread-safe: one decision thread owns it.
  */
 public final class SidecarlessServers {
-  /**
-   * Time after the first listing of a host by which its sidecar must have been seen if it has one.
-   */
-  private static final long SIDECAR_START_TIMEOUT_MICROS = 12_000_000;
+  /** Time between two requests to read the membership records, in microseconds. */
+  private static final long MEMBERS_READ_INTERVAL_MICROS = 500_000;
 
   /** Multiple of the handover time that a new owner waits before it orders loads. */
   private static final int HANDOVER_INTERVALS = 2;
@@ -46,20 +43,13 @@
   private final DecisionJournal journal;
   private final Map<String, TrackedServer> tracked = new HashMap<>();
   private final Map<String, WeightEvent.DesiredVersionChanged> desired = new HashMap<>();
-  private final Set<String> sidecarHosts = new HashSet<>();
-
-  /**
-   * When a server of each host was first listed; a sidecar belongs to a host and outlives its
-   * servers.
-   */
-  private final Map<String, Long> hostFirstListedMicros = new HashMap<>();
-
+  private final SidecarDiscovery sidecars = new SidecarDiscovery();
   private List<Long> routerHashes = List.of();
+  private long nextMembersReadMicros;
 
   /** A listed server, and since when this router has owned it. */
   private static final class TrackedServer {
     private ServerEntry entry;
-    private boolean hasSentSidecarStatus;
     private Optional<Long> ownerSinceMicros = Optional.empty();
     private Optional<WeightUpdater> updater = Optional.empty();
 
@@ -114,7 +104,7 @@
     }
     TrackedServer server = tracked.computeIfAbsent(entry.id(), id -> new TrackedServer(entry));
     server.entry = entry;
-    hostFirstListedMicros.putIfAbsent(hostOf(entry.address()), nowMicros);
+    sidecars.onListed(entry, nowMicros);
     updaters().forEach(updater -> updater.handle(new WeightEvent.ServerListed(entry), nowMicros));
   }
 
@@ -126,7 +116,12 @@
 
   /** Records the address of a sidecar, which runs on the same host as its server. */
   public void onSidecar(String address) {
-    sidecarHosts.add(hostOf(address));
+    sidecars.onSidecar(address);
+  }
+
+  /** Records that all membership records written before a time are known. */
+  public void onMembersComplete(long untilMicros) {
+    sidecars.onMembersComplete(untilMicros);
   }
 
   /**
@@ -135,9 +130,8 @@
    * @param isFromSidecar whether the sidecar of the server announced it, rather than a router
    */
   public void onStatus(SidecarStatus status, boolean isFromSidecar, long nowMicros) {
-    TrackedServer server = tracked.get(status.upstream());
-    if (server != null) {
-      server.hasSentSidecarStatus |= isFromSidecar;
+    if (isFromSidecar) {
+      sidecars.onStatus(status, nowMicros);
     }
     updaters()
         .forEach(updater -> updater.handle(new WeightEvent.StatusReceived(status), nowMicros));
@@ -161,7 +155,11 @@
     routerHashes = reachableRouters.stream().map(RendezvousHash::hashOf).toList();
     for (TrackedServer server : List.copyOf(tracked.values())) {
       updateOwnership(server, nowMicros);
-      boolean shouldUpdate = hasWaitedLongEnough(server, nowMicros) && lacksVersion(server.entry);
+      boolean isWanted = hasOwnedLongEnough(server, nowMicros) && lacksVersion(server.entry);
+      if (isWanted) {
+        readMembersIfDue(server.entry, nowMicros);
+      }
+      boolean shouldUpdate = isWanted && sidecars.hasNoSidecar(server.entry);
       if (shouldUpdate && server.updater.isEmpty()) {
         startUpdating(server, nowMicros);
       } else if (!shouldUpdate && server.updater.isPresent()) {
@@ -173,9 +171,7 @@
   }
 
   private void updateOwnership(TrackedServer server, long nowMicros) {
-    boolean hasSidecar =
-        server.hasSentSidecarStatus || sidecarHosts.contains(hostOf(server.entry.address()));
-    if (hasSidecar || !isOwner(server.entry)) {
+    if (sidecars.hasSidecar(server.entry) || !isOwner(server.entry)) {
       server.ownerSinceMicros = Optional.empty();
     } else if (server.ownerSinceMicros.isEmpty()) {
       server.ownerSinceMicros = Optional.of(nowMicros);
@@ -190,13 +186,19 @@
         .allMatch(other -> Long.compareUnsigned(own, other) >= 0);
   }
 
-  private boolean hasWaitedLongEnough(TrackedServer server, long nowMicros) {
-    long hostListedMicros = hostFirstListedMicros.get(hostOf(server.entry.address()));
-    return nowMicros - hostListedMicros >= SIDECAR_START_TIMEOUT_MICROS
-        && server
-            .ownerSinceMicros
-            .filter(since -> nowMicros - since >= HANDOVER_INTERVALS * handoverMicros)
-            .isPresent();
+  private boolean hasOwnedLongEnough(TrackedServer server, long nowMicros) {
+    return server
+        .ownerSinceMicros
+        .filter(since -> nowMicros - since >= HANDOVER_INTERVALS * handoverMicros)
+        .isPresent();
+  }
+
+  /** Has the membership records read if that may show now whether a server has a sidecar. */
+  private void readMembersIfDue(ServerEntry entry, long nowMicros) {
+    if (nowMicros >= nextMembersReadMicros && sidecars.isReadDue(entry, nowMicros)) {
+      nextMembersReadMicros = nowMicros + MEMBERS_READ_INTERVAL_MICROS;
+      commands.accept(entry.address(), new WeightCommand.ReadMembers());
+    }
   }
 
   private boolean lacksVersion(ServerEntry entry) {
@@ -240,9 +242,4 @@
         "routers",
         routerHashes.size());
   }
-
-  private static String hostOf(String address) {
-    int colon = address.lastIndexOf(':');
-    return colon < 0 ? address : address.substring(0, colon);
-  }
 }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightCommand.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightCommand.java
@@ -21,6 +21,9 @@
   /** Read the server entries of the registry again. */
   record ReadServers() implements WeightCommand {}
 
+  /** Read the membership records again, which show whether a server has a sidecar. */
+  record ReadMembers() implements WeightCommand {}
+
   /**
    * Announce the status of the server to routers.
    *
--- a/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
@@ -141,6 +141,8 @@
       versions.put(address, order.order().desired().version());
       router.handle(
           address, new WeightEvent.Ordered(order.order(), VersionOrderResult.ACCEPTED), nowMicros);
+    } else if (command instanceof WeightCommand.ReadMembers) {
+      router.onMembersComplete(nowMicros);
     } else if (command instanceof WeightCommand.Announce announce) {
       routers.forEach((other, one) -> one.onStatus(announce.status(), false, nowMicros));
     }
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -265,6 +265,9 @@
   private void tickSidecarlessServers(long nowMicros) {
     if (nowMicros >= nextSidecarlessTickMicros) {
       nextSidecarlessTickMicros = nowMicros + WeightUpdater.TICK_INTERVAL_MICROS;
+      registry
+          .completeUntilMicros(RegistryStream.MEMBERS)
+          .ifPresent(sidecarless::onMembersComplete);
       sidecarless.onTick(registry.reachableRouters(nowMicros), nowMicros);
     }
   }
@@ -275,6 +278,8 @@
       registry.sendToRouters(announce.status(), latestMicros);
     } else if (command instanceof WeightCommand.ReadServers) {
       registry.readSoon(RegistryStream.SERVERS, latestMicros);
+    } else if (command instanceof WeightCommand.ReadMembers) {
+      registry.readSoon(RegistryStream.MEMBERS, latestMicros);
     } else {
       ModelServerClient engine = new ModelServerClient(node.client(), Addresses.parse(address));
       node.carryOut(
