Let a rollout not wait for servers that have left

Cause: a sidecar reads the list of servers every 30 s and knows a server that has left for as long.

Change: if a slot of a rollout stays unused for 1 s while this server waits for others, it has the list read again, once for a version. A server that takes a slot announces that at once and then every second, so longer silence means that none does. Weighed against routers that announce removals: such a message is sent once and may be lost, which is the fault itself. Costs one store call per waiting server and version, and only if a rollout stalls.

--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
@@ -88,6 +88,20 @@
     }
   }
 
+  /**
+   * Where a server stands in a rollout.
+   *
+   * @param serverCount servers of the service
+   * @param rank servers before this one by rank
+   * @param loadingCount servers that load now
+   * @param waitingBefore servers before this one that lack the version and do not load
+   */
+  private record Queue(int serverCount, int rank, int loadingCount, int waitingBefore) {
+    private int slots() {
+      return Math.max(1, serverCount / SERVERS_PER_CONCURRENT_LOAD);
+    }
+  }
+
   /**
    * Creates a schedule without any status of other servers.
    *
@@ -122,6 +136,22 @@
    * slot.
    */
   boolean mayStart(Rollout rollout, long nowMicros) {
+    Queue queue = queueOf(rollout, nowMicros);
+    boolean hasFreeSlot = queue.loadingCount() + queue.waitingBefore() < queue.slots();
+    return hasFreeSlot
+        || nowMicros >= rollout.time().latestStartMicros(queue.rank(), queue.serverCount());
+  }
+
+  /**
+   * Returns whether a slot is free that a server may not take, as it is kept for servers before it.
+   * If that lasts, these servers do not start, as they may have left.
+   */
+  boolean isSlotUnused(Rollout rollout, long nowMicros) {
+    Queue queue = queueOf(rollout, nowMicros);
+    return queue.loadingCount() < queue.slots() && !mayStart(rollout, nowMicros);
+  }
+
+  private Queue queueOf(Rollout rollout, long nowMicros) {
     List<ServerEntry> ranked = rollout.rankedServers();
     int serverCount = Math.max(1, ranked.size());
     int rank = 0;
@@ -141,10 +171,7 @@
       waitingBefore +=
           isBefore && !isUnavailable && lacksVersion(other, status, rollout.desired()) ? 1 : 0;
     }
-    boolean hasFreeSlot =
-        loadingCount + waitingBefore < Math.max(1, serverCount / SERVERS_PER_CONCURRENT_LOAD);
-    boolean isLatestStartReached = nowMicros >= rollout.time().latestStartMicros(rank, serverCount);
-    return hasFreeSlot || isLatestStartReached;
+    return new Queue(serverCount, rank, loadingCount, waitingBefore);
   }
 
   private static boolean lacksVersion(
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
@@ -44,6 +44,12 @@
   /** Time between two announcements that the server is unavailable. */
   private static final long UNAVAILABLE_ANNOUNCEMENT_INTERVAL_MICROS = 1_000_000;
 
+  /**
+   * Time for which a slot may be unused before the entries are read again, in microseconds. A
+   * server that takes it announces that at once, and again after each announcement interval.
+   */
+  private static final long UNUSED_SLOT_MICROS = UNAVAILABLE_ANNOUNCEMENT_INTERVAL_MICROS;
+
   /** Longest wait for prompts already sent, which the server would refuse once it loads. */
   private static final long QUEUE_DRAIN_TIMEOUT_MICROS = 350_000;
 
@@ -86,6 +92,11 @@
   private long announcedAtMicros;
   private boolean isOutOfRotation;
   private long outOfRotationSinceMicros;
+  private Optional<Long> slotUnusedSinceMicros = Optional.empty();
+
+  /** The version for which the entries were read again, as a slot was unused. */
+  private Optional<WeightVersion> serversReadFor = Optional.empty();
+
   private final RolloutSchedule schedule;
 
   /**
@@ -220,7 +231,9 @@
 
   private void issueCommands(long nowMicros) {
     Optional<WeightVersion> next = missingVersion();
-    updateRotation(next.flatMap(this::rollout), nowMicros);
+    Optional<RolloutSchedule.Rollout> rollout = next.flatMap(this::rollout);
+    updateRotation(rollout, nowMicros);
+    readServersIfSlotIsUnused(rollout, nowMicros);
     readReport(nowMicros);
     if (serverId().isEmpty() && nowMicros >= nextServersMicros) {
       nextServersMicros = nowMicros + RETRY_INTERVAL_MICROS;
@@ -250,6 +263,26 @@
     }
   }
 
+  /**
+   * Reads the entries again, once for a version, if this server waits for others that do not start:
+   * they may have left since the last read.
+   */
+  private void readServersIfSlotIsUnused(Optional<RolloutSchedule.Rollout> next, long nowMicros) {
+    Optional<RolloutSchedule.Rollout> waiting =
+        next.filter(rollout -> !isOutOfRotation && schedule.isSlotUnused(rollout, nowMicros));
+    if (waiting.isEmpty()) {
+      slotUnusedSinceMicros = Optional.empty();
+      return;
+    }
+    Optional<WeightVersion> version = waiting.map(RolloutSchedule.Rollout::desired);
+    long sinceMicros = slotUnusedSinceMicros.orElse(nowMicros);
+    slotUnusedSinceMicros = Optional.of(sinceMicros);
+    if (nowMicros - sinceMicros >= UNUSED_SLOT_MICROS && !serversReadFor.equals(version)) {
+      serversReadFor = version;
+      commands.accept(new WeightCommand.ReadServers());
+    }
+  }
+
   private void readReport(long nowMicros) {
     if (!isReadingReport && nowMicros >= nextReportMicros) {
       isReadingReport = true;
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -45,7 +45,10 @@
    */
   private static final double OPERATOR_LONG_POLL_FACTOR = 1.25;
 
-  /** Time between two periodic reads of the server registry, in microseconds. */
+  /**
+   * Time between two periodic reads of the server registry, in microseconds. The updater has it
+   * read in between if a rollout waits for servers that may have left.
+   */
   private static final long SERVERS_POLL_INTERVAL_MICROS = 30_000_000;
 
   private final AtomicBoolean isLeaving = new AtomicBoolean();
