Let a moved stream go on when its next server answers 3xx or 4xx

Callers saw a stream broken off that had been taken from a sound, silent server, because the next one answered 301, 400, 404, 409, 413 or 429 (SilentServerReviewTest, 6 cases failed before, now pass).

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -780,7 +780,7 @@
       retry(request, Decision.RETRY, nowMicros);
       return;
     }
-    if (isRetryable && request.mustContinue()) {
+    if (request.mustContinue() && response.status() >= 300) {
       dropAttempt(request, true);
       String detail = "status " + response.status();
       journal.failed(request, server, detail, nowMicros);
