Do not let a retry reserved for a silent server pass the crash suspicion

A stream whose server was silent, went on and then crashed was sent again although it was suspected of the crash, and after its deadline too: a reserved retry was checked before both.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -544,10 +544,11 @@
         || candidates.stream().noneMatch(server -> server.hasFreeSlot(nowMicros))) {
       return false;
     }
-    if (!request.hasReservedRetry() && tryAcquireRetry(request, nowMicros)) {
-      request.reserveRetry();
+    if (!tryAcquireRetry(request, nowMicros)) {
+      return false;
     }
-    return request.hasReservedRetry();
+    request.reserveRetry();
+    return true;
   }
 
   /** Returns whether no listed server can go on with the stream of a request. */
@@ -938,7 +939,7 @@
       endStranded(request, nowMicros);
     } else if (mustContinue
         ? mayContinue(request, nowMicros)
-        : mayRepeat && (request.hasReservedRetry() || tryAcquireRetry(request, nowMicros))) {
+        : mayRepeat && tryAcquireRetry(request, nowMicros)) {
       retry(request, request.hasStartedResponse() ? Decision.RESUME : Decision.RETRY, nowMicros);
     } else if (request.hasStartedResponse()) {
       breakOff(request, detail, nowMicros);
@@ -1032,11 +1033,14 @@
         && !isStranded(request, nowMicros);
   }
 
-  /** Takes a retry from the budget, if the request may still be sent once more. */
+  /**
+   * Returns whether the request may still be sent once more, with a retry that was taken for it or
+   * is taken from the budget now.
+   */
   private boolean tryAcquireRetry(PendingRequest request, long nowMicros) {
     return nowMicros < request.deadlineMicros()
         && !quarantine.isSuspected(request.signature(), nowMicros)
-        && retries.tryRetry(request.service(), nowMicros);
+        && (request.hasReservedRetry() || retries.tryRetry(request.service(), nowMicros));
   }
 
   private void retryOrEnd(
