Measure a stall only while a response is relayed

After a break, the next attempt of a stream was reported as stalled from its start, with the time since the last event of the one before, though it was still in prefill; a route with three attempts would lose one.

ResumedStallReviewTest: 1 of 2 cases failed before, 2 pass. ForwardTransportTest and the tests of memory pass.

--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -96,6 +96,7 @@
     ServerAttempt next = new ServerAttempt(attemptNumber, dispatch, request, this);
     attempt = Optional.of(next);
     hasOutputStarted = false;
+    stallMicros = Optional.empty();
     context.servers().send(next);
   }
 
