Withdraw only requests without a response for overdue weights

A response that waits for its stream to be recorded has begun at its server; it was dropped like a request that waits there, as soon as the weights were overdue.

SilentServerReviewTest.aHeldResponseIsNotWithdrawnForOverdueWeights failed before, passes; OverdueVersionTest and OutOfStepRouterTest pass.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -1189,7 +1189,7 @@
   private void withdrawFromOutdatedServers(long nowMicros) {
     for (PendingRequest request : List.copyOf(open.values())) {
       boolean isOverdue =
-          request.phase() == Phase.SENT
+          request.isUnanswered()
               && promptOf(request)
                   .flatMap(
                       prompt ->
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -332,6 +332,11 @@
     target.onOpened(nowMicros, runningMicros);
   }
 
+  /** Returns whether the request is at a server from which no response has arrived. */
+  boolean isUnanswered() {
+    return isUnanswered;
+  }
+
   /** Records that the head of the current attempt's response has arrived. */
   void onAnswered() {
     if (isUnanswered) {
