Wait for states in the test of held bodies

The uploads were paced by sleeps. They now overlap because their server answers only when the test proceeds, and small requests go on until every body has been written.

--- a/transport/src/test/java/org/shallothook/transport/forward/HeldBodiesTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/HeldBodiesTest.java
@@ -10,9 +10,12 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongPredicate;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,7 +48,7 @@
   private static final int LARGE_BODIES = 20;
   private static final int LARGE_BODY_BYTES = 1_000_000;
   private static final int PARTS = 20;
-  private static final int PART_MILLIS = 30;
+  private static final long POLL_NANOS = 10_000_000;
   private static final int SMALL_REQUESTS = 300;
   private static final int SMALL_BODY_BYTES = 600;
   private static final int UNREAD_RESPONSES = 10;
@@ -175,13 +178,14 @@
   }
 
   /** Sends a large body in parts, and reads the head of the response only afterwards. */
-  private String upload(PlainCaller caller, String id, Framing framing) throws Exception {
+  private static String upload(
+      PlainCaller caller, String id, Framing framing, CountDownLatch written) throws IOException {
     caller.write(head(id, framing.header(LARGE_BODY_BYTES)));
     for (int part = 0; part < PARTS; part++) {
       caller.write(framing.part("u".repeat(LARGE_BODY_BYTES / PARTS)));
-      Thread.sleep(PART_MILLIS);
     }
     caller.write(framing.end());
+    written.countDown();
     return caller.readHead();
   }
 
@@ -193,12 +197,16 @@
     return ((PooledByteBufAllocator) EventLoops.ALLOCATOR).metric().usedDirectMemory();
   }
 
-  private void awaitNothingHeld() throws Exception {
-    while (heldBytes() > 0) {
-      Thread.sleep(10);
+  private void awaitHeld(LongPredicate condition) throws Exception {
+    while (!condition.test(heldBytes())) {
+      LockSupport.parkNanos(POLL_NANOS);
     }
   }
 
+  private void awaitNothingHeld() throws Exception {
+    awaitHeld(bytes -> bytes == 0);
+  }
+
   /**
    * Guards against a process that hangs in an allocation because many large bodies, each within the
    * limit of the configuration, are received at once.
@@ -213,21 +221,21 @@
       unread.write(smallRequest(ENDLESS + number));
     }
     List<Future<String>> uploads = new ArrayList<>();
+    CountDownLatch written = new CountDownLatch(LARGE_BODIES);
     for (int number = 0; number < LARGE_BODIES; number++) {
       PlainCaller caller = caller();
       String id = LARGE + number;
-      uploads.add(callers.submit(() -> upload(caller, id, framing)));
+      uploads.add(callers.submit(() -> upload(caller, id, framing, written)));
     }
 
     PlainCaller small = caller();
     long mostHeldBytes = 0;
     long mostDirectBytes = 0;
-    for (int number = 0; number < SMALL_REQUESTS; number++) {
+    for (int number = 0; number < SMALL_REQUESTS || written.getCount() > 0; number++) {
       small.write(smallRequest("small" + number));
       assertThat(small.readStatus()).isEqualTo("HTTP/1.1 200");
       mostHeldBytes = Math.max(mostHeldBytes, heldBytes());
       mostDirectBytes = Math.max(mostDirectBytes, directBytes() - directBytesBefore);
-      Thread.sleep(PARTS * PART_MILLIS / SMALL_REQUESTS);
     }
     uploads.forEach(upload -> server.proceed());
     List<String> refused = new ArrayList<>();
@@ -272,9 +280,7 @@
       caller.write(head(LARGE + number, Framing.LENGTH.header(LARGE_BODY_BYTES)));
       stalled.add(caller);
     }
-    while (heldBytes() < stalled.size() * (long) LARGE_BODY_BYTES) {
-      Thread.sleep(10);
-    }
+    awaitHeld(bytes -> bytes >= stalled.size() * (long) LARGE_BODY_BYTES);
 
     PlainCaller next = caller();
     next.write(request);
@@ -285,7 +291,8 @@
     }
     awaitNothingHeld();
     server.proceed();
-    assertThat(upload(caller(), LARGE, Framing.LENGTH)).startsWith("HTTP/1.1 200");
+    assertThat(upload(caller(), LARGE, Framing.LENGTH, new CountDownLatch(1)))
+        .startsWith("HTTP/1.1 200");
     awaitNothingHeld();
   }
 
@@ -298,9 +305,7 @@
     for (int part = 0; part < parts; part++) {
       caller.write(Framing.CHUNKS.part("u"));
     }
-    while (heldBytes() < parts) {
-      Thread.sleep(10);
-    }
+    awaitHeld(bytes -> bytes >= parts);
 
     assertThat(heldBytes()).isAtMost(2L * parts);
     caller.write(Framing.CHUNKS.end());
