Evaluate a rollout's queue once, and say a request's limits straight

Found on reading the change once more; behaviour is meant to stay as it is.

- RolloutSchedule.isSlotUnused computed the queue of a rollout, which sorts all servers of the service, and mayStart computed it again, at each tick of a waiting server.
- PendingRequest.hasRunsRemaining and mayMoveTo said one condition twice or negated, ForwardCore.mayResumeNow had two exits for the same result.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -541,10 +541,8 @@
    */
   private boolean mayResumeNow(PendingRequest request, List<Server> candidates, long nowMicros) {
     if (nowMicros < request.resumesFromMicros()
-        || candidates.stream().noneMatch(server -> server.hasFreeSlot(nowMicros))) {
-      return false;
-    }
-    if (!tryAcquireRetry(request, nowMicros)) {
+        || candidates.stream().noneMatch(server -> server.hasFreeSlot(nowMicros))
+        || !tryAcquireRetry(request, nowMicros)) {
       return false;
     }
     request.reserveRetry();
--- a/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/PendingRequest.java
@@ -247,11 +247,12 @@
 
   /** Returns whether the current attempt, at a silent server, may be moved to another one. */
   boolean mayMoveTo(Server candidate) {
-    String name = candidate.name();
-    boolean isCurrent = server.filter(current -> current.name().equals(name)).isPresent();
-    return movedFrom.contains(name)
-        ? !isCurrent && candidate.hasRespondedSince(sentRunningMicros)
-        : !isCurrent && !hasTried(candidate) && hasRunsRemaining();
+    if (server.filter(current -> current.name().equals(candidate.name())).isPresent()) {
+      return false;
+    }
+    return movedFrom.contains(candidate.name())
+        ? candidate.hasRespondedSince(sentRunningMicros)
+        : !hasTried(candidate) && hasRunsRemaining();
   }
 
   /**
@@ -271,8 +272,8 @@
 
   /** Returns whether a run at one more server stays within the route's limit. */
   boolean hasRunsRemaining() {
-    boolean isCounted = server.filter(current -> !ranAt.contains(current.name())).isEmpty();
-    return ranAt.size() + (isCounted ? 0 : 1) < route.maximumAttempts();
+    boolean isFirstRunThere = server.filter(current -> !ranAt.contains(current.name())).isPresent();
+    return ranAt.size() + (isFirstRunThere ? 1 : 0) < route.maximumAttempts();
   }
 
   /** Returns the earliest time at which a moved stream is sent again. */
--- a/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/RolloutSchedule.java
@@ -136,10 +136,12 @@
    * slot.
    */
   boolean mayStart(Rollout rollout, long nowMicros) {
-    Queue queue = queueOf(rollout, nowMicros);
+    return mayStart(queueOf(rollout, nowMicros), rollout.time(), nowMicros);
+  }
+
+  private static boolean mayStart(Queue queue, RolloutTime time, long nowMicros) {
     boolean hasFreeSlot = queue.loadingCount() + queue.waitingBefore() < queue.slots();
-    return hasFreeSlot
-        || nowMicros >= rollout.time().latestStartMicros(queue.rank(), queue.serverCount());
+    return hasFreeSlot || nowMicros >= time.latestStartMicros(queue.rank(), queue.serverCount());
   }
 
   /**
@@ -148,7 +150,7 @@
    */
   boolean isSlotUnused(Rollout rollout, long nowMicros) {
     Queue queue = queueOf(rollout, nowMicros);
-    return queue.loadingCount() < queue.slots() && !mayStart(rollout, nowMicros);
+    return queue.loadingCount() < queue.slots() && !mayStart(queue, rollout.time(), nowMicros);
   }
 
   private Queue queueOf(Rollout rollout, long nowMicros) {
