Take the team of a request when it is sent

A request that waits keeps the team that held its key when it arrived.

Change: SendingTeam finds the team by its key when the request is sent, and name and scope follow from it. A key that nobody holds any more leaves the request the team it had.

WalledFleet tells teams by their keys rather than by the name that was sent, which is stricter for renamed teams and the same for all others.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -636,7 +636,7 @@
   /** Sends or refuses a prompt; returns false if no server has a free slot for it. */
   private boolean placePrompt(
       PendingRequest request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
-    ScopedPrefixes prefixes = new ScopedPrefixes(prompt, scopeOf(request));
+    ScopedPrefixes prefixes = new ScopedPrefixes(prompt, sendingTeam(request).promptScope());
     EngineProfile profile = profileOf(request.service());
     Optional<Placement> chosen =
         promptPlacement.choose(
@@ -718,7 +718,7 @@
             server.name(),
             server.entry().address(),
             request.deadlineMicros(),
-            request.team().map(CallerTeam::name),
+            sendingTeam(request).name(),
             version,
             salt,
             prompt.map(outline -> request.priority()),
@@ -739,13 +739,8 @@
     options.counters().recordLatency(step, nowMicros - request.arrivedMicros());
   }
 
-  /**
-   * Returns the scope in which cached parts may be shared, without the version of the weights; by
-   * the configuration of now, as the request may have waited since an earlier one.
-   */
-  private String scopeOf(PendingRequest request) {
-    String model = request.head().prompt().map(PromptOutline::model).orElse("");
-    return table.orElseThrow().cacheScope(model, request.team());
+  private SendingTeam sendingTeam(PendingRequest request) {
+    return SendingTeam.of(request, table.orElseThrow());
   }
 
   private void onUnsent(PendingRequest request, String detail, long nowMicros) {
--- a/coordination/src/test/java/org/shallothook/coordination/forward/IsolationWallTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/IsolationWallTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -116,6 +117,39 @@
   void aRequestThatWaitsSinceBeforeTheChangeUsesNoPartAcrossTheWall(String team) {
     WalledFleet fleet = new WalledFleet(Place.COPY_OF_ANOTHER_SERVER, 1, Set.of(TEAM, OTHER));
     fleet.ask(0, team.equals(TEAM) ? OTHER : TEAM, REGISTER);
+    sendAfter(fleet, team, () -> fleet.publish(Set.of(TEAM)));
+    assertThat(fleet.crossings()).isEmpty();
+  }
+
+  /**
+   * A waiting request made parts in the scope of all others, in a name that its team had before it
+   * was renamed and isolated.
+   */
+  @Test
+  void aRequestThatWaitsWhileItsTeamIsRenamedIsSentInTheNewName() {
+    WalledFleet fleet = new WalledFleet(Place.COPY_OF_ANOTHER_SERVER, 1, Set.of(TEAM, OTHER));
+    long waiting = sendAfter(fleet, TEAM, () -> fleet.publishRenamed(TEAM, "abbey", Set.of(TEAM)));
+    String name = fleet.dispatch(0, waiting).team().orElseThrow();
+    fleet.begin(0, waiting);
+    fleet.complete(0, waiting);
+    fleet.ask(0, OTHER, REGISTER);
+    assertThat(fleet.crossings()).isEmpty();
+    assertThat(name).isEqualTo("abbey");
+  }
+
+  /** A key that was removed while its request waited leaves the request its team. */
+  @Test
+  void aRequestThatWaitsWhileItsTeamIsRemovedKeepsItsTeam() {
+    WalledFleet fleet = new WalledFleet(Place.COPY_OF_ANOTHER_SERVER, 1, Set.of(TEAM, OTHER));
+    long waiting = sendAfter(fleet, TEAM, () -> fleet.publishWithout(TEAM));
+    assertThat(fleet.dispatch(0, waiting).team()).hasValue(TEAM);
+  }
+
+  /**
+   * Opens a request while all slots are occupied, and frees one after a change of the configuration
+   * has been read.
+   */
+  private static long sendAfter(WalledFleet fleet, String team, Runnable change) {
     List<Long> running = new ArrayList<>();
     long waiting = fleet.open(0, team, REGISTER);
     while (fleet.isSent(0, waiting) && running.size() < MAXIMUM_OPEN) {
@@ -124,11 +158,11 @@
       waiting = fleet.open(0, team, REGISTER);
     }
     assertThat(fleet.isSent(0, waiting)).isFalse();
-    fleet.publish(Set.of(TEAM));
+    change.run();
     fleet.read(0);
     fleet.complete(0, running.get(0));
     assertThat(fleet.isSent(0, waiting)).isTrue();
-    assertThat(fleet.crossings()).isEmpty();
+    return waiting;
   }
 
   /**
--- a/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.shallothook.state.route.CallerTeam;
 import org.shallothook.state.route.PromptOutline;
 import org.shallothook.state.route.PromptOutline.Part;
@@ -76,30 +77,40 @@
   /** A part behind the parts before it, as a server looks for it. */
   private record Key(String salt, List<String> leading) {}
 
-  /** A router with the isolated teams of the configuration that it has read. */
+  /**
+   * A published configuration.
+   *
+   * @param version its version
+   * @param isolated the isolated teams
+   * @param names names of the teams that it has, by the name that each had first
+   */
+  private record Configuration(long version, Set<String> isolated, Map<String, String> names) {}
+
+  /** A router with the newest configuration that it has read. */
   private static final class Router {
     private final ForwardHarness harness = new ForwardHarness();
     private final Map<Long, PromptOutline> prompts = new HashMap<>();
-    private Set<String> isolated = Set.of();
+    private final Map<Long, String> teams = new HashMap<>();
+    private Configuration read = new Configuration(0, Set.of(), Map.of());
     private int handled;
   }
 
   private final Place place;
-  private final Set<String> teams;
+  private final List<Configuration> published = new ArrayList<>();
   private final List<Router> routers = new ArrayList<>();
   private final Map<String, Map<Key, String>> makers = new HashMap<>();
   private final Set<List<String>> read = new HashSet<>();
   private final Map<String, Integer> readAgain = new HashMap<>();
   private final List<String> crossings = new ArrayList<>();
-  private Set<String> isolated = Set.of();
-  private long version = 1;
   private int asked;
   private int used;
 
   /** Creates routers that have read a configuration in which no team is isolated. */
   WalledFleet(Place place, int routers, Set<String> teams) {
     this.place = place;
-    this.teams = teams;
+    Map<String, String> names = new TreeMap<>();
+    teams.forEach(team -> names.put(team, team));
+    published.add(new Configuration(1, Set.of(), names));
     for (int index = 0; index < routers; index++) {
       this.routers.add(new Router());
       restart(index);
@@ -108,26 +119,60 @@
 
   /** Publishes a configuration with these isolated teams, which no router reads by itself. */
   void publish(Set<String> isolatedTeams) {
-    isolated = Set.copyOf(isolatedTeams);
-    version++;
+    publish(isolatedTeams, newest().names());
+  }
+
+  /** Publishes a configuration in which the key of a team belongs to a team of another name. */
+  void publishRenamed(String team, String name, Set<String> isolatedTeams) {
+    Map<String, String> names = new TreeMap<>(newest().names());
+    names.put(team, name);
+    publish(isolatedTeams, names);
+  }
+
+  /** Publishes a configuration without a team. */
+  void publishWithout(String team) {
+    Map<String, String> names = new TreeMap<>(newest().names());
+    names.remove(team);
+    publish(newest().isolated(), names);
+  }
+
+  private void publish(Set<String> isolatedTeams, Map<String, String> names) {
+    published.add(new Configuration(published.size() + 1, Set.copyOf(isolatedTeams), names));
+  }
+
+  private Configuration newest() {
+    return published.get(published.size() - 1);
   }
 
   /** Lets a router read the newest configuration. */
   void read(int index) {
+    read(index, newest());
+  }
+
+  /** Lets a router read the configuration before the newest one. */
+  void readEarlier(int index) {
+    read(index, published.get(published.size() - 2));
+  }
+
+  private void read(int index, Configuration configuration) {
     Router router = routers.get(index);
-    List<CallerTeam> known =
-        teams.stream()
-            .map(
-                team ->
+    List<CallerTeam> teams = new ArrayList<>();
+    configuration
+        .names()
+        .forEach(
+            (team, name) ->
+                teams.add(
                     new CallerTeam(
-                        team,
+                        name,
                         List.of(keyOf(team)),
                         Optional.empty(),
-                        isolated.contains(team),
-                        Optional.empty()))
-            .toList();
-    RouteTable table = ForwardHarness.routeTable(version, Optional.of(STORE), known);
-    router.isolated = isolated;
+                        configuration.isolated().contains(team),
+                        Optional.empty())));
+    RouteTable table =
+        ForwardHarness.routeTable(configuration.version(), Optional.of(STORE), teams);
+    if (configuration.version() > router.read.version()) {
+      router.read = configuration;
+    }
     router.harness.handle(new ForwardEvent.RoutesRead(table));
     handleCommands(router);
   }
@@ -159,6 +204,7 @@
     long request =
         router.harness.request("/draft/1", Optional.of(keyOf(team)), Optional.of(prompt));
     router.prompts.put(request, prompt);
+    router.teams.put(request, team);
     handleCommands(router);
     return request;
   }
@@ -167,6 +213,11 @@
     return routers.get(index).harness.sent(request).isPresent();
   }
 
+  /** Returns what was sent to the server of a request. */
+  Dispatch dispatch(int index, long request) {
+    return routers.get(index).harness.sent(request).orElseThrow().dispatch();
+  }
+
   void begin(int index, long request) {
     routers.get(index).harness.respond(request, 200);
     handleCommands(routers.get(index));
@@ -177,7 +228,10 @@
     handleCommands(routers.get(index));
   }
 
-  /** Returns the uses of parts across the wall, by the configuration that their router had read. */
+  /**
+   * Returns the uses of parts across the wall, by the configuration that their router had read. A
+   * team is whoever presents its key, whatever its name.
+   */
   List<String> crossings() {
     return List.copyOf(crossings);
   }
@@ -212,7 +266,7 @@
 
   private void prefill(Router router, ForwardCommand.Send send) {
     Dispatch dispatch = send.dispatch();
-    String team = dispatch.team().orElseThrow();
+    String team = router.teams.get(send.request());
     List<Part> parts = router.prompts.get(send.request()).parts();
     List<String> leading = new ArrayList<>();
     boolean isLeading = true;
@@ -238,7 +292,8 @@
   }
 
   private void recordUse(Router router, String team, String maker, Key key) {
-    boolean isAcross = router.isolated.contains(team) || router.isolated.contains(maker);
+    Set<String> isolated = router.read.isolated();
+    boolean isAcross = isolated.contains(team) || isolated.contains(maker);
     if (!maker.equals(team) && isAcross) {
       crossings.add(team + " uses " + key + " made by " + maker);
     }
