Give prompts without a readable description a scope of their own

A request for a model server is sent without a salt if its route has no prompts, or if its model, token counts or parts cannot be read by this router. The headers are forwarded unchanged, and "an absent value counts as one text shared by all" (PROTOCOL, KV cache): if the server reads them, an isolated team uses parts of others under no salt, and others use its parts, at any version of the weights.

Change: such a request is sent with a salt that no other request has: the scope of its team and a digest of its identifier, as neither the model nor its version is known. Identifiers are chosen by callers, so the team stays in it. A service that is configured without model servers gets no salt, as before; one that the newest configuration does not have gets one. Weighed and rejected: refusing these requests (they may be served), and a salt of the team alone (parts made before a change of the weights would be used after it).

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -687,7 +687,8 @@
 
   private boolean placeCall(PendingRequest request, List<Server> candidates, long nowMicros) {
     Optional<Server> chosen = callPlacement.choose(candidates, nowMicros);
-    chosen.ifPresent(server -> send(request, server, Optional.empty(), nowMicros));
+    chosen.ifPresent(
+        server -> send(request, server, sendingTeam(request).undescribedPromptScope(), nowMicros));
     return chosen.isPresent();
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
@@ -13,13 +13,13 @@
  */
 final class SendingTeam {
   private final RouteTable table;
-  private final RequestHead head;
+  private final PendingRequest request;
   private final Optional<CallerTeam> team;
 
-  private SendingTeam(RouteTable table, RequestHead head, Optional<CallerTeam> team) {
+  private SendingTeam(RouteTable table, PendingRequest request) {
     this.table = table;
-    this.head = head;
-    this.team = team;
+    this.request = request;
+    this.team = request.head().key().flatMap(table::teamOf).or(request::team);
   }
 
   /**
@@ -30,8 +30,7 @@
    * @param table configuration in force
    */
   static SendingTeam of(PendingRequest request, RouteTable table) {
-    RequestHead head = request.head();
-    return new SendingTeam(table, head, head.key().flatMap(table::teamOf).or(request::team));
+    return new SendingTeam(table, request);
   }
 
   /** Returns the name of the team; empty if the caller belongs to none. */
@@ -41,6 +40,15 @@
 
   /** Returns the scope of the prompt's cached parts, without the version of the weights. */
   String promptScope() {
-    return table.cacheScope(head.prompt().map(PromptOutline::model).orElse(""), team);
+    return table.cacheScope(request.head().prompt().map(PromptOutline::model).orElse(""), team);
+  }
+
+  /**
+   * Returns the scope of a request without a readable description of its prompt; empty if it has no
+   * prompt. Servers read the description themselves and share the parts of all requests without a
+   * scope, and neither the model nor the version of its weights is known here.
+   */
+  Optional<String> undescribedPromptScope() {
+    return table.unsharedCacheScope(request.service(), request.head().id(), team);
   }
 }
--- a/state/src/main/java/org/shallothook/state/route/CacheScopes.java
+++ b/state/src/main/java/org/shallothook/state/route/CacheScopes.java
@@ -18,7 +18,7 @@
  * isolates it, however often it is freed and isolated again. Immutable and thread-safe.
  */
 final class CacheScopes {
-  /** Hexadecimal digits of the digest of the isolated teams; 128 bits, so that none is guessed. */
+  /** Hexadecimal digits of a digest; 128 bits, so that none is guessed. */
   private static final int DIGEST_DIGITS = 32;
 
   /** Precedes a team's name. A shared scope never has it directly behind the model. */
@@ -27,6 +27,9 @@
   /** Precedes the digest of the isolated teams. */
   private static final String SET_MARK = "~";
 
+  /** Precedes the digest of a request's identifier. */
+  private static final String REQUEST_MARK = "#";
+
   private final Set<String> isolated;
   private final String sharedSuffix;
 
@@ -36,7 +39,7 @@
             .filter(CallerTeam::isIsolated)
             .map(CallerTeam::name)
             .collect(Collectors.toUnmodifiableSet());
-    this.sharedSuffix = isolated.isEmpty() ? "" : SET_MARK + digestOf(isolated);
+    this.sharedSuffix = isolated.isEmpty() ? "" : SET_MARK + digestOf(textOf(isolated));
   }
 
   /**
@@ -52,13 +55,26 @@
         .orElse(model + sharedSuffix);
   }
 
-  private static String digestOf(Set<String> names) {
+  /**
+   * Returns a scope that a request shares with no other. It holds the team as well, as callers
+   * choose the identifiers of their requests.
+   *
+   * @param request identifier that the caller gave to the request
+   * @param team team of the caller
+   */
+  String scopeOfRequest(String request, Optional<CallerTeam> team) {
+    return scopeOf("", team) + REQUEST_MARK + digestOf(request);
+  }
+
+  private static String textOf(Set<String> names) {
     // With their lengths, so that no two sets of names make the same text.
-    String text =
-        names.stream()
-            .sorted()
-            .map(name -> name.length() + ":" + name)
-            .collect(Collectors.joining());
+    return names.stream()
+        .sorted()
+        .map(name -> name.length() + ":" + name)
+        .collect(Collectors.joining());
+  }
+
+  private static String digestOf(String text) {
     return Digests.hexOf(text).substring(0, DIGEST_DIGITS);
   }
 }
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -117,6 +117,20 @@
     return cacheScopes.scopeOf(model, team);
   }
 
+  /**
+   * Returns the scope of the cached parts of a request that must share them with no other, or empty
+   * if the servers of its service are known to have none.
+   *
+   * @param service service that the request is for
+   * @param request identifier that the caller gave to the request
+   * @param team team of the caller, if it has one
+   */
+  public Optional<String> unsharedCacheScope(
+      String service, String request, Optional<CallerTeam> team) {
+    boolean isPlain = service(service).filter(traits -> traits.engine().isEmpty()).isPresent();
+    return isPlain ? Optional.empty() : Optional.of(cacheScopes.scopeOfRequest(request, team));
+  }
+
   /**
    * Returns the longest time for which a stream may be resumed, in microseconds; 0 if there is no
    * route whose streams may be.
--- a/state/src/test/java/org/shallothook/state/route/RouteTableTest.java
+++ b/state/src/test/java/org/shallothook/state/route/RouteTableTest.java
@@ -89,6 +89,17 @@
     assertThat(withIsolated(8, "a").cacheScope("model", caller)).isEqualTo("model/a");
   }
 
+  /** Requests of two teams share a scope although both are isolated. */
+  @ParameterizedTest
+  @CsvSource({"a, x, a, y", "a, x, b, x", "a, x#y, a#x, y", "a, x/1, a/x, 1"})
+  void requestsThatShareNoPartsHaveScopesOfTheirOwn(
+      String one, String request, String other, String otherRequest) {
+    RouteTable table = withIsolated(7, one + " " + other);
+    assertThat(table.unsharedCacheScope("engines", request, Optional.of(team(one, true))))
+        .isNotEqualTo(
+            table.unsharedCacheScope("engines", otherRequest, Optional.of(team(other, true))));
+  }
+
   private static RouteTable withIsolated(long version, String names) {
     List<CallerTeam> teams =
         Stream.of(names.split(" ", -1))
