Cover requests, routers and teams on both sides of an isolation

IsolationWallTest gains seven histories: a team renamed and isolated, or renamed while it is isolated; one removed and back; one that only one router knows; two teams isolated in turn, by two versions that routers learn in either order (an older one that comes late changes nothing), and one of two freed.

--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -305,6 +305,15 @@
   }
 
   long request(String target, Optional<String> key, Optional<PromptOutline> prompt) {
+    return request(target, key, prompt, Optional.empty());
+  }
+
+  /** Sends a request that resumes a stream behind an event, if one is given. */
+  long request(
+      String target,
+      Optional<String> key,
+      Optional<PromptOutline> prompt,
+      Optional<Long> resumesAfter) {
     long number = nextRequestNumber++;
     RequestHead head =
         new RequestHead(
@@ -314,7 +323,7 @@
             key,
             Optional.empty(),
             prompt,
-            Optional.empty(),
+            resumesAfter,
             Optional.empty(),
             TokenStatement.NONE,
             target.hashCode() + prompt.map(one -> one.parts().hashCode()).orElse(0));
--- a/coordination/src/test/java/org/shallothook/coordination/forward/IsolationWallTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/IsolationWallTest.java
@@ -38,9 +38,11 @@
 
   /**
    * What happens to two routers, step by step: {@code guild1} and {@code parish2} are requests of
-   * these teams through the first and the second router; {@code isolate} and {@code free} publish a
-   * configuration, which {@code read1} and {@code restart2} let a router know, a restarted one
-   * without any other knowledge.
+   * these teams through the first and the second router. {@code isolate}, {@code free}, {@code
+   * both} (teams are isolated), {@code turn} (the other team alone is), {@code rename} (the team is
+   * isolated by another name), {@code remove} and {@code back} publish a configuration. {@code
+   * read1} and {@code restart2} let a router know the newest, a restarted one without any other
+   * knowledge, and {@code earlier1} the one before.
    */
   private enum History {
     OTHERS_USE_WHAT_THE_TEAM_MADE("guild1 isolate read1 read2 parish1 parish2"),
@@ -67,7 +69,25 @@
             + " parish1 guild2 read2 parish2 guild1"),
     A_ROUTER_RESTARTS_BETWEEN(
         "guild1 isolate read1 read2 guild2 free restart1 read2 guild1 parish1 isolate read2 restart1"
-            + " parish1 parish2 guild1 guild2");
+            + " parish1 parish2 guild1 guild2"),
+    RENAMED_AND_ISOLATED("guild1 parish1 rename read1 guild1 read2 parish2 guild2 parish1"),
+    ISOLATED_THEN_RENAMED(
+        "guild1 isolate read1 read2 guild1 parish1 rename read1 guild1 parish2 read2 guild2 parish1"),
+    REMOVED_AND_BACK(
+        "guild1 isolate read1 read2 guild1 parish2 remove read1 parish1 read2 parish2"
+            + " back read1 guild1 parish1 read2 guild2 parish2"),
+    KNOWN_TO_ONE_ROUTER(
+        "guild1 remove read1 read2 parish1 parish2 back read1 guild1 parish1 parish2"
+            + " guild1 read2 guild2 parish2"),
+    ISOLATED_IN_TURN(
+        "guild1 parish1 isolate read1 read2 guild1 parish2 mill1 turn read1 parish1 guild1 mill1"
+            + " guild2 parish2 mill2 read2 parish2 guild1 mill2"),
+    TWO_TEAMS_BY_TWO_VERSIONS_IN_ANY_ORDER(
+        "guild1 parish1 mill1 isolate both earlier1 read2 guild1 parish1 mill1 parish2 mill2 guild2"
+            + " read1 earlier2 parish1 guild1 mill1 mill2 parish2"),
+    TWO_TEAMS_ONE_FREED(
+        "guild1 both read1 read2 guild1 parish1 mill2 turn read1 guild1 mill1 parish2 restart2"
+            + " guild2 mill2 parish1");
 
     private final String steps;
 
@@ -76,14 +96,20 @@
     }
 
     WalledFleet play(Place place) {
-      WalledFleet fleet = new WalledFleet(place, 2, Set.of(TEAM, OTHER));
+      WalledFleet fleet = new WalledFleet(place, 2, Set.of(TEAM, OTHER, "mill"));
       for (String step : steps.split(" ", -1)) {
         int router = Character.digit(step.charAt(step.length() - 1), 10) - 1;
         String action = router < 0 ? step : step.substring(0, step.length() - 1);
         switch (action) {
           case "isolate" -> fleet.publish(Set.of(TEAM));
           case "free" -> fleet.publish(Set.of());
+          case "both" -> fleet.publish(Set.of(TEAM, OTHER));
+          case "turn" -> fleet.publish(Set.of(OTHER));
+          case "rename" -> fleet.publishRenamed(TEAM, "abbey", Set.of(TEAM));
+          case "remove" -> fleet.publishWithout(TEAM);
+          case "back" -> fleet.publishRenamed(TEAM, TEAM, Set.of(TEAM));
           case "read" -> fleet.read(router);
+          case "earlier" -> fleet.readEarlier(router);
           case "restart" -> fleet.restart(router);
           default -> fleet.ask(router, action, REGISTER);
         }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
@@ -8,6 +8,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.shallothook.coordination.origin.SoftwareVersion;
 import org.shallothook.state.route.CallerTeam;
 import org.shallothook.state.route.PromptOutline;
 import org.shallothook.state.route.PromptOutline.Part;
@@ -129,11 +132,13 @@
     publish(isolatedTeams, names);
   }
 
-  /** Publishes a configuration without a team. */
+  /** Publishes a configuration without a team, which is not isolated by it either. */
   void publishWithout(String team) {
     Map<String, String> names = new TreeMap<>(newest().names());
     names.remove(team);
-    publish(newest().isolated(), names);
+    Set<String> isolated = new TreeSet<>(newest().isolated());
+    isolated.remove(team);
+    publish(isolated, names);
   }
 
   private void publish(Set<String> isolatedTeams, Map<String, String> names) {
@@ -184,6 +189,8 @@
     read(index);
     router.harness.handle(new ForwardEvent.RegistryReachable(true));
     router.harness.handle(new ForwardEvent.ServersRead(ENGINES, true));
+    SoftwareVersion software = new SoftwareVersion("engines", ForwardHarness.SOFTWARE);
+    router.harness.handle(new ForwardEvent.SoftwareDeclared(Map.of(software, Optional.of(1L))));
     router.harness.handle(new ForwardEvent.OriginsRead(router.harness.now()));
   }
 
@@ -198,17 +205,38 @@
 
   /** Opens a request whose prompt shares all parts but the last with others of the register. */
   long open(int index, String team, String register) {
+    return open(index, team, register, "/draft/1", Optional.empty());
+  }
+
+  /** Opens a request for a stream that can be resumed, as {@link #open} does. */
+  long openResumable(int index, String team, String register) {
+    return open(index, team, register, "/ask/1", Optional.empty());
+  }
+
+  /** Lets a caller take up a stream of a request behind an event, through any router. */
+  long resume(int index, String team, String register, long lastEvent) {
+    return open(index, team, register, "/ask/1", Optional.of(lastEvent));
+  }
+
+  private long open(
+      int index, String team, String register, String target, Optional<Long> lastEvent) {
     Router router = routers.get(index);
     PromptOutline prompt =
         ForwardHarness.promptOf(register, "own-" + asked++, SHARED_PART_TOKENS * 2, OWN_TOKENS);
     long request =
-        router.harness.request("/draft/1", Optional.of(keyOf(team)), Optional.of(prompt));
+        router.harness.request(target, Optional.of(keyOf(team)), Optional.of(prompt), lastEvent);
     router.prompts.put(request, prompt);
     router.teams.put(request, team);
     handleCommands(router);
     return request;
   }
 
+  /** Lets something happen at a router. */
+  void happen(int index, Consumer<ForwardHarness> event) {
+    event.accept(routers.get(index).harness);
+    handleCommands(routers.get(index));
+  }
+
   boolean isSent(int index, long request) {
     return routers.get(index).harness.sent(request).isPresent();
   }
