Look up a request's team again only after a change of the configuration

A waiting request is evaluated with each tick, and each lookup digests its key. The team is the one found at its arrival as long as the configuration is the same one. The descriptions of the scopes follow.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
@@ -19,7 +19,10 @@
   private SendingTeam(RouteTable table, PendingRequest request) {
     this.table = table;
     this.request = request;
-    this.team = request.head().key().flatMap(table::teamOf).or(request::team);
+    this.team =
+        table.version() == request.configurationVersion()
+            ? request.team()
+            : request.head().key().flatMap(table::teamOf).or(request::team);
   }
 
   /**
--- a/state/src/main/java/org/shallothook/state/route/CacheScopes.java
+++ b/state/src/main/java/org/shallothook/state/route/CacheScopes.java
@@ -46,8 +46,8 @@
    * Returns the scope of a prompt, without the version of the weights.
    *
    * @param model model that reads the prompt
-   * @param team team of the caller as it was when the request was opened, which may have been with
-   *     an earlier configuration: a request of a team that was isolated then stays isolated
+   * @param team team of the caller, of an earlier configuration if this one does not have it: a
+   *     request of a team that was isolated then stays isolated
    */
   String scopeOf(String model, Optional<CallerTeam> team) {
     return team.filter(caller -> caller.isIsolated() || isolated.contains(caller.name()))
--- a/state/src/main/java/org/shallothook/state/route/RouteTable.java
+++ b/state/src/main/java/org/shallothook/state/route/RouteTable.java
@@ -111,7 +111,7 @@
    * this configuration gives to other callers.
    *
    * @param model model that reads the prompt
-   * @param team team of the caller as it was when the request was opened, if it has one
+   * @param team team of the caller, of an earlier configuration if this one does not have it
    */
   public String cacheScope(String model, Optional<CallerTeam> team) {
     return cacheScopes.scopeOf(model, team);
