Keep a begun stream at its silent sidecar if no other can take it

Cause: the attempt was abandoned after 2 s without a message, whatever could take the stream; it was offered to the same sidecar again, and later tokens belonged to no attempt. Change: ChatStreams asks OfferRounds whether another upstream can take the request; if none can, only the stall timeout (10 s) ends the attempt.

The hosted path is not concerned.

--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatFlow.java
@@ -48,7 +48,8 @@
     this.retries = retries;
     this.poison = poison;
     this.streams =
-        new ChatStreams(options, outbox, table, retries, poison, slowness, this::abandonAttempt);
+        new ChatStreams(
+            options, outbox, table, rounds, retries, poison, slowness, this::abandonAttempt);
   }
 
   void onRequested(RouterEvent.ChatRequested request, long nowMicros) {
--- a/coordination/src/main/java/org/shallothook/coordination/router/ChatStreams.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/ChatStreams.java
@@ -28,6 +28,7 @@
   private final RouterOptions options;
   private final RouterOutbox outbox;
   private final RequestTable table;
+  private final OfferRounds rounds;
   private final RetryPlanner retries;
   private final RequestQuarantine poison;
   private final SlownessMonitor slowness;
@@ -37,6 +38,7 @@
       RouterOptions options,
       RouterOutbox outbox,
       RequestTable table,
+      OfferRounds rounds,
       RetryPlanner retries,
       RequestQuarantine poison,
       SlownessMonitor slowness,
@@ -44,6 +46,7 @@
     this.options = options;
     this.outbox = outbox;
     this.table = table;
+    this.rounds = rounds;
     this.retries = retries;
     this.poison = poison;
     this.slowness = slowness;
@@ -122,12 +125,15 @@
   /**
    * Returns whether to abandon the attempt. An upstream that sends no messages at all is abandoned
    * sooner than one that still serves other requests, because the latter may have a long queue or
-   * may have preempted the stream.
+   * may have preempted the stream. A stream that no other upstream can take stays there as long,
+   * because its upstream may only be silent.
    */
   private boolean isStalled(ChatExchange exchange, Attempt attempt, long silence, long nowMicros) {
     long upstreamSilence = nowMicros - attempt.upstream().lastMessageMicros();
     boolean isLate = slowness.isLate(exchange, attempt, nowMicros);
-    if (isLate && upstreamSilence >= options.silenceWaitMicros()) {
+    if (isLate
+        && upstreamSilence >= options.silenceWaitMicros()
+        && (!exchange.hasStarted() || rounds.hasOther(exchange, attempt, nowMicros))) {
       return true;
     }
     return exchange.hasStarted() && silence >= options.stallWaitMicros();
--- a/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
+++ b/coordination/src/main/java/org/shallothook/coordination/router/OfferRounds.java
@@ -188,6 +188,12 @@
     return directory.hasEngine(nowMicros);
   }
 
+  /** Returns whether an upstream other than that of an attempt could take the request now. */
+  boolean hasOther(ChatExchange exchange, Attempt attempt, long nowMicros) {
+    return candidatesOf(exchange, nowMicros).stream()
+        .anyMatch(upstream -> !upstream.name().equals(attempt.upstream().name()));
+  }
+
   /** Cancels an open attempt. */
   void cancel(Attempt attempt, String why, long nowMicros) {
     if (attempt.isOpen()) {
