--- a/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
@@ -9,7 +9,7 @@
  * The team in whose name a request is sent, and with whom it shares cached parts of its prompt.
  *
  * <p>Invariant: both follow from the configuration at the time of sending, as the request may have
- * waited, or been sent before, under an earlier one. Immutable and thread-safe.
+ * waited, or been sent before, under an earlier one. Immutable, for the thread of its request.
  */
 final class SendingTeam {
   private final RouteTable table;
--- a/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/WalledFleet.java
@@ -156,7 +156,7 @@
 
   /** Lets a router read the configuration before the newest one. */
   void readEarlier(int index) {
-    read(index, published.get(published.size() - 2));
+    read(index, published.get(Math.max(0, published.size() - 2)));
   }
 
   private void read(int index, Configuration configuration) {
