Find the sending team of a request once for each send

Scope and name of a send were found by two objects, which digested the key twice after a change of the configuration; they now come from one, which is handed to send(), so they cannot differ. Its factory only called the constructor, which takes its place. ForwardHarness builds the head of a request in one method instead of two, UndescribedPromptTest reads a salt in one.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -636,7 +636,8 @@
   /** Sends or refuses a prompt; returns false if no server has a free slot for it. */
   private boolean placePrompt(
       PendingRequest request, PromptOutline prompt, List<Server> candidates, long nowMicros) {
-    ScopedPrefixes prefixes = new ScopedPrefixes(prompt, sendingTeam(request).promptScope());
+    SendingTeam team = new SendingTeam(request, table.orElseThrow());
+    ScopedPrefixes prefixes = new ScopedPrefixes(prompt, team.promptScope());
     EngineProfile profile = profileOf(request.service());
     Optional<Placement> chosen =
         promptPlacement.choose(
@@ -672,7 +673,7 @@
           Server server = placement.server();
           request.onPlaced(placement, prefixes.at(server));
           promptRecords.onSent(request, placement, profile, nowMicros);
-          send(request, server, Optional.of(prefixes.scopeAt(server)), nowMicros);
+          send(request, server, team, Optional.of(prefixes.scopeAt(server)), nowMicros);
         });
     return chosen.isPresent();
   }
@@ -687,8 +688,9 @@
 
   private boolean placeCall(PendingRequest request, List<Server> candidates, long nowMicros) {
     Optional<Server> chosen = callPlacement.choose(candidates, nowMicros);
+    SendingTeam team = new SendingTeam(request, table.orElseThrow());
     chosen.ifPresent(
-        server -> send(request, server, sendingTeam(request).undescribedPromptScope(), nowMicros));
+        server -> send(request, server, team, team.undescribedPromptScope(), nowMicros));
     return chosen.isPresent();
   }
 
@@ -709,7 +711,12 @@
     end(request, reason, "No server had a free slot in time.", nowMicros);
   }
 
-  private void send(PendingRequest request, Server server, Optional<String> salt, long nowMicros) {
+  private void send(
+      PendingRequest request,
+      Server server,
+      SendingTeam team,
+      Optional<String> salt,
+      long nowMicros) {
     Optional<PromptOutline> prompt = request.prompt();
     Optional<Long> version = prompt.flatMap(outline -> server.version(outline.model()));
     request.onSent(server, version, nowMicros, clock.at(nowMicros));
@@ -719,7 +726,7 @@
             server.name(),
             server.entry().address(),
             request.deadlineMicros(),
-            sendingTeam(request).name(),
+            team.name(),
             version,
             salt,
             prompt.map(outline -> request.priority()),
@@ -740,10 +747,6 @@
     options.counters().recordLatency(step, nowMicros - request.arrivedMicros());
   }
 
-  private SendingTeam sendingTeam(PendingRequest request) {
-    return SendingTeam.of(request, table.orElseThrow());
-  }
-
   private void onUnsent(PendingRequest request, String detail, long nowMicros) {
     Server server = request.server().orElseThrow();
     paces.onFailure(server, request, nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/SendingTeam.java
@@ -12,28 +12,24 @@
  * waited, or been sent before, under an earlier one. Immutable, for the thread of its request.
  */
 final class SendingTeam {
-  private final RouteTable table;
   private final PendingRequest request;
+  private final RouteTable table;
   private final Optional<CallerTeam> team;
 
-  private SendingTeam(RouteTable table, PendingRequest request) {
-    this.table = table;
-    this.request = request;
-    this.team =
-        table.version() == request.configurationVersion()
-            ? request.team()
-            : request.head().key().flatMap(table::teamOf).or(request::team);
-  }
-
   /**
-   * Returns the team that holds the key of a request, or held it when the request arrived if none
+   * Finds the team that holds the key of a request, or held it when the request arrived if none
    * does any more.
    *
    * @param request request that is sent now
    * @param table configuration in force
    */
-  static SendingTeam of(PendingRequest request, RouteTable table) {
-    return new SendingTeam(table, request);
+  SendingTeam(PendingRequest request, RouteTable table) {
+    this.request = request;
+    this.table = table;
+    this.team =
+        table.version() == request.configurationVersion()
+            ? request.team()
+            : request.head().key().flatMap(table::teamOf).or(request::team);
   }
 
   /** Returns the name of the team; empty if the caller belongs to none. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -314,38 +314,36 @@
       Optional<String> key,
       Optional<PromptOutline> prompt,
       Optional<Long> resumesAfter) {
-    long number = nextRequestNumber++;
-    RequestHead head =
-        new RequestHead(
-            "request-" + number,
-            "linen.example",
-            target,
-            key,
-            Optional.empty(),
-            prompt,
-            resumesAfter,
-            Optional.empty(),
-            TokenStatement.NONE,
-            target.hashCode() + prompt.map(one -> one.parts().hashCode()).orElse(0));
-    handle(new ForwardEvent.Requested(number, head));
-    return number;
+    int contentHash = target.hashCode() + prompt.map(one -> one.parts().hashCode()).orElse(0);
+    return request(target, key, prompt, resumesAfter, TokenStatement.NONE, contentHash);
   }
 
   /** Sends a call with what it states about its tokens, or the event that it resumes after. */
   long submit(String target, TokenStatement tokens, Optional<Long> resumesAfter) {
+    Optional<PromptOutline> prompt = Optional.of(prompt("north", 200, 600));
+    return request(target, Optional.of(KEY), prompt, resumesAfter, tokens, nextRequestNumber);
+  }
+
+  private long request(
+      String target,
+      Optional<String> key,
+      Optional<PromptOutline> prompt,
+      Optional<Long> resumesAfter,
+      TokenStatement tokens,
+      long contentHash) {
     long number = nextRequestNumber++;
     RequestHead head =
         new RequestHead(
             "request-" + number,
             "linen.example",
             target,
-            Optional.of(KEY),
+            key,
             Optional.empty(),
-            Optional.of(prompt("north", 200, 600)),
+            prompt,
             resumesAfter,
             Optional.empty(),
             tokens,
-            number);
+            contentHash);
     handle(new ForwardEvent.Requested(number, head));
     return number;
   }
--- a/coordination/src/test/java/org/shallothook/coordination/forward/UndescribedPromptTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/UndescribedPromptTest.java
@@ -31,10 +31,9 @@
   @Test
   void undescribedPromptsOfTwoTeamsShareNoPartsWhateverTheyAreNamed() {
     String salt = saltOf("/draft/1", ForwardHarness.ISOLATED_KEY).orElseThrow();
-    ForwardHarness other = ForwardHarness.ready(3, 3);
-    long request = other.request("/draft/1", Optional.of(ForwardHarness.KEY), Optional.empty());
-    assertThat(other.sent(request).get().dispatch().cacheSalt()).isPresent();
-    assertThat(other.sent(request).get().dispatch().cacheSalt().get()).isNotEqualTo(salt);
+    Optional<String> other = saltOf(ForwardHarness.ready(3, 3), "/draft/1", ForwardHarness.KEY);
+    assertThat(other).isPresent();
+    assertThat(other.get()).isNotEqualTo(salt);
   }
 
   @ParameterizedTest
@@ -44,6 +43,10 @@
   }
 
   private Optional<String> saltOf(String target, String key) {
+    return saltOf(harness, target, key);
+  }
+
+  private static Optional<String> saltOf(ForwardHarness harness, String target, String key) {
     long request = harness.request(target, Optional.of(key), Optional.empty());
     return harness.sent(request).orElseThrow().dispatch().cacheSalt();
   }
