--- /dev/null
+++ b/review/standins-2/Servers.java
@@ -0,0 +1,131 @@
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Sound stand-ins for the servers of a deployment; each keeps its entry in the store current. */
+final class Servers {
+  static final String MODEL = "linen-model";
+  static final String MODEL_SERVICE = "models";
+  private static final long HEARTBEAT_MILLIS = 1_200;
+
+  private Servers() {}
+
+  /** A plain server, which remembers for whom it has run each request, and when. */
+  static final class Plain {
+    final String id;
+    final Map<String, String> tenantOf = new ConcurrentHashMap<>();
+
+    private final MiniHttp http;
+
+    Plain(LogStore store, String service, String id) throws IOException {
+      this.id = id;
+      this.http = new MiniHttp(this::handle);
+      long born = System.currentTimeMillis();
+      beat(store, id, () -> entry(service, http.address(), 32, "", born));
+    }
+
+    private void handle(MiniHttp.Call call) throws IOException {
+      String expected = call.header("X-Shallothook-Expected-Instance");
+      if (expected != null && !expected.equals(id)) {
+        call.respond(
+            421,
+            Map.of("X-Shallothook-Not-Executed", "1", "X-Shallothook-Instance-Id", id),
+            new byte[0]);
+        return;
+      }
+      String request = call.header("X-Shallothook-Request-Id");
+      tenantOf.put(request, String.valueOf(call.header("X-Shallothook-Tenant-Name")));
+      Map<String, String> headers = new LinkedHashMap<>();
+      headers.put("X-Shallothook-Request-Id", request);
+      headers.put("X-Shallothook-Response-Signature", id + "." + request);
+      headers.put("Keep-Alive", "timeout=20");
+      call.respond(200, headers, ("done " + request).getBytes(StandardCharsets.UTF_8));
+    }
+  }
+
+  /** A model server without requests; it installs the weights that it is ordered to. */
+  static final class Model {
+    final String id;
+    private final MiniHttp http;
+    private final long born = System.currentTimeMillis();
+    private long version = 1;
+    private long orders;
+    private long fence;
+
+    Model(LogStore store, String id) throws IOException {
+      this.id = id;
+      this.http = new MiniHttp(this::handle);
+      beat(store, id, () -> entry(MODEL_SERVICE, http.address(), 32, models(), born));
+    }
+
+    String address() {
+      return http.address();
+    }
+
+    private synchronized String models() {
+      return ",\"models\":[{\"name\":\"" + MODEL + "\",\"version\":" + version
+          + ",\"adapters\":[]}]";
+    }
+
+    private synchronized void handle(MiniHttp.Call call) throws IOException {
+      if (call.is("GET", "/v1/report")) {
+        call.json(
+            200,
+            "{\"stage\":\"colocated\"" + models() + ",\"busy\":false,\"sequence\":" + orders
+                + ",\"queued_requests\":0,\"active_requests\":0,\"kv_cache_used\":0,"
+                + "\"kv_cache_total\":90000,\"handles\":0,\"runs\":[],\"born\":" + born + "}");
+      } else if (call.is("POST", "/v1/order")) {
+        order(call);
+      } else {
+        call.json(404, "{}");
+      }
+    }
+
+    private void order(MiniHttp.Call call) throws IOException {
+      String body = new String(call.body, StandardCharsets.UTF_8);
+      long ordered = number(body, "version");
+      if (!id.equals(call.header("X-Shallothook-Expected-Instance"))) {
+        call.json(421, "{}");
+      } else if (number(body, "fencing_token") < fence) {
+        call.json(412, "{}");
+      } else if (ordered == version) {
+        call.json(200, "{}");
+      } else if (number(body, "expect") != orders) {
+        call.json(409, "{}");
+      } else {
+        fence = number(body, "fencing_token");
+        orders++;
+        version = ordered;
+        call.json(202, "{}");
+      }
+    }
+
+    private static long number(String body, String name) {
+      int start = body.indexOf("\"" + name + "\":") + name.length() + 3;
+      int end = start;
+      while (Character.isDigit(body.charAt(end))) {
+        end++;
+      }
+      return Long.parseLong(body.substring(start, end));
+    }
+  }
+
+  private static String entry(String service, String address, int slots, String more, long born) {
+    return "{\"service\":\"" + service + "\",\"address\":\"" + address
+        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" + slots
+        + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":" + born + more;
+  }
+
+  private static void beat(
+      LogStore store, String id, java.util.function.Supplier<String> entry) {
+    MiniHttp.daemon(
+        () -> {
+          for (long sequence = 1; ; sequence++) {
+            store.put("keyed.servers", id, entry.get() + ",\"sequence\":" + sequence + "}");
+            Rig.sleep(HEARTBEAT_MILLIS);
+          }
+        });
+  }
+}
