Add review cases 7 to 9: a success without a receipt, a late check-in, a raw path

7 MIXED: a server spoils one byte of the name of its receipt's header in 2 of 100 answers; the router passes such an answer on as a success. 8 DRAIN: the store executes the last check-in of a leaving server after its entry was removed; routers forget that the server has said that it leaves. 9 UNASKED: bytes beyond ASCII in a request's target reach the server encoded once more.

--- a/review/standins-2/LogStore.java
+++ b/review/standins-2/LogStore.java
@@ -75,6 +75,11 @@
     notifyAll();
   }
 
+  /** Removes a key. */
+  synchronized void remove(String topic, String key) {
+    put(topic, key, "");
+  }
+
   private static void hang(MiniHttp.Call call) throws Exception {
     // Ends with the connection: the caller gets no response on it.
     while (call.socket.getInputStream().read() >= 0) {
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -158,8 +158,8 @@
         .isPresent();
   }
 
-  /** The status and the body of a response with a length. */
-  record Answer(int status, String body) {}
+  /** A response with a length, and what its head says. */
+  record Answer(int status, String body, boolean isLeaving, boolean hasReceipt) {}
 
   /** Sends a request on a connection of its own; empty if no complete response comes. */
   static Optional<Answer> send(int port, String request, int timeoutMillis) {
@@ -169,15 +169,21 @@
       InputStream in = new BufferedInputStream(socket.getInputStream());
       int status = Integer.parseInt(MiniHttp.line(in).split(" ")[1]);
       int length = 0;
+      boolean isLeaving = false;
+      boolean hasReceipt = false;
       for (String next = MiniHttp.line(in); !next.isEmpty(); next = MiniHttp.line(in)) {
         if (next.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
           length = Integer.parseInt(next.substring(15).trim());
         }
+        hasReceipt |=
+            next.toLowerCase(Locale.ROOT).startsWith("x-shallothook-response-signature:");
+        isLeaving |= next.equalsIgnoreCase("Server-Leaving: 1");
       }
       byte[] body = in.readNBytes(length);
       return body.length < length
           ? Optional.empty()
-          : Optional.of(new Answer(status, new String(body, StandardCharsets.UTF_8)));
+          : Optional.of(new Answer(
+                  status, new String(body, StandardCharsets.UTF_8), isLeaving, hasReceipt));
     } catch (IOException | RuntimeException e) {
       return Optional.empty();
     }
--- a/review/standins-2/Servers.java
+++ b/review/standins-2/Servers.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /** Sound stand-ins for the servers of a deployment; each keeps its entry in the store current. */
 final class Servers {
@@ -17,13 +19,49 @@
     final String id;
     final Map<String, String> tenantOf = new ConcurrentHashMap<>();
 
+    /** The target of each request, a character for each byte. */
+    final Map<String, String> targetOf = new ConcurrentHashMap<>();
+
+
+    /** Whether the server says in its answers that it leaves. */
+    volatile boolean isLeaving;
+
+    /** One in so many answers has a wrong byte in the name of its receipt; 0 if none has. */
+    volatile int spoiledInterval;
+
+    final AtomicInteger spoiled = new AtomicInteger();
+    private final AtomicInteger answers = new AtomicInteger();
+
+    /** Time that the server works on a request. */
+    volatile long workMillis;
+
     private final MiniHttp http;
+    private final long born = System.currentTimeMillis();
+    private final CheckIns checkIns;
 
     Plain(LogStore store, String service, String id) throws IOException {
       this.id = id;
       this.http = new MiniHttp(this::handle);
-      long born = System.currentTimeMillis();
-      beat(store, id, () -> entry(service, http.address(), 32, "", born));
+      this.checkIns =
+          new CheckIns(store, id, () -> entry(service, http.address(), 32, "", born));
+    }
+
+    private String receiptName() {
+      boolean isSpoiled =
+          spoiledInterval > 0 && answers.incrementAndGet() % spoiledInterval == 0;
+      if (isSpoiled) {
+        spoiled.incrementAndGet();
+      }
+      return isSpoiled ? "X-Shallothook-Response-Sig~ature" : "X-Shallothook-Response-Signature";
+    }
+
+    void endCheckIns() {
+      checkIns.end();
+    }
+
+    /** Returns the next check-in. */
+    String checkIn() {
+      return checkIns.next();
     }
 
     private void handle(MiniHttp.Call call) throws IOException {
@@ -36,11 +74,16 @@
         return;
       }
       String request = call.header("X-Shallothook-Request-Id");
+      targetOf.put(request, call.target);
       tenantOf.put(request, String.valueOf(call.header("X-Shallothook-Tenant-Name")));
+      Rig.sleep(workMillis);
       Map<String, String> headers = new LinkedHashMap<>();
       headers.put("X-Shallothook-Request-Id", request);
-      headers.put("X-Shallothook-Response-Signature", id + "." + request);
+      headers.put(receiptName(), id + "." + request);
       headers.put("Keep-Alive", "timeout=20");
+      if (isLeaving) {
+        headers.put("Server-Leaving", "1");
+      }
       call.respond(200, headers, ("done " + request).getBytes(StandardCharsets.UTF_8));
     }
   }
@@ -57,7 +100,8 @@
     Model(LogStore store, String id) throws IOException {
       this.id = id;
       this.http = new MiniHttp(this::handle);
-      beat(store, id, () -> entry(MODEL_SERVICE, http.address(), 32, models(), born));
+      CheckIns unused =
+          new CheckIns(store, id, () -> entry(MODEL_SERVICE, http.address(), 32, models(), born));
     }
 
     String address() {
@@ -118,14 +162,40 @@
         + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":" + born + more;
   }
 
-  private static void beat(
-      LogStore store, String id, java.util.function.Supplier<String> entry) {
-    MiniHttp.daemon(
-        () -> {
-          for (long sequence = 1; ; sequence++) {
-            store.put("keyed.servers", id, entry.get() + ",\"sequence\":" + sequence + "}");
-            Rig.sleep(HEARTBEAT_MILLIS);
-          }
-        });
+  /** The check-ins of a server, each with a higher sequence number than the one before. */
+  private static final class CheckIns {
+    private final LogStore store;
+    private final String id;
+    private final Supplier<String> entry;
+    private long sequence;
+    private boolean hasEnded;
+
+    CheckIns(LogStore store, String id, Supplier<String> entry) {
+      this.store = store;
+      this.id = id;
+      this.entry = entry;
+      MiniHttp.daemon(this::send);
+    }
+
+    synchronized String next() {
+      return entry.get() + ",\"sequence\":" + ++sequence + "}";
+    }
+
+    synchronized void end() {
+      hasEnded = true;
+    }
+
+    private synchronized boolean sendOne() {
+      if (!hasEnded) {
+        store.put("keyed.servers", id, next());
+      }
+      return !hasEnded;
+    }
+
+    private void send() {
+      while (sendOne()) {
+        Rig.sleep(HEARTBEAT_MILLIS);
+      }
+    }
   }
 }
