--- a/review/standins-2/Servers.java
+++ b/review/standins-2/Servers.java
@@ -10,7 +10,7 @@
 final class Servers {
   static final String MODEL = "linen-model";
   static final String MODEL_SERVICE = "models";
-  private static final long HEARTBEAT_MILLIS = 1_200;
+  static final long HEARTBEAT_MILLIS = 1_200;
 
   private Servers() {}
 
@@ -59,6 +59,10 @@
       checkIns.end();
     }
 
+    long sinceCheckInMillis() {
+      return (System.nanoTime() - checkIns.sentNanos) / 1_000_000;
+    }
+
     /** Returns the next check-in. */
     String checkIn() {
       return checkIns.next();
@@ -169,6 +173,7 @@
     private final Supplier<String> entry;
     private long sequence;
     private boolean hasEnded;
+    private volatile long sentNanos = System.nanoTime();
 
     CheckIns(LogStore store, String id, Supplier<String> entry) {
       this.store = store;
@@ -188,6 +193,7 @@
     private synchronized boolean sendOne() {
       if (!hasEnded) {
         store.put("keyed.servers", id, next());
+        sentNanos = System.nanoTime();
       }
       return !hasEnded;
     }
