--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins that the scripts of review/6 and later start. Needs only the JDK.
+# Builds the stand-ins that the scripts of review/6 to review/10 start. Needs only the JDK.
 set -eu
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
--- a/review/standins-2/LogStore.java
+++ b/review/standins-2/LogStore.java
@@ -2,6 +2,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +15,9 @@
  * machines away. Never slow, and loses no answer of a machine that it serves.
  */
 final class LogStore {
+  /** Largest number of keys in a page of newest records. */
+  private static final int PAGE_ITEMS = 500;
+
   private static final class Topic {
     final List<byte[]> records = new ArrayList<>();
     final TreeMap<String, Integer> newest = new TreeMap<>();
@@ -160,30 +164,28 @@
 
   private void newest(MiniHttp.Call call) throws IOException {
     StringBuilder items = new StringBuilder();
+    boolean hasMore;
     int end;
     synchronized (this) {
       Topic topic = topic(call.query.get("topic"));
       end = topic.records.size();
-      String after = call.query.getOrDefault("after", "");
-      topic
-          .newest
-          .tailMap(after, false)
-          .forEach(
-              (key, offset) -> {
-                byte[] record = topic.records.get(offset);
-                int start = 1 + Byte.toUnsignedInt(record[0]);
-                byte[] value = java.util.Arrays.copyOfRange(record, start, record.length);
-                items
-                    .append(items.length() == 0 ? "" : ",")
-                    .append("{\"key\":\"")
-                    .append(key)
-                    .append("\",\"value\":\"")
-                    .append(Base64.getEncoder().encodeToString(value))
-                    .append("\",\"offset\":")
-                    .append(offset)
-                    .append("}");
-              });
+      Map<String, Integer> rest =
+          topic.newest.tailMap(call.query.getOrDefault("after", ""), false);
+      hasMore = rest.size() > PAGE_ITEMS;
+      rest.entrySet().stream()
+          .limit(PAGE_ITEMS)
+          .forEach(one -> items.append(item(one.getKey(), one.getValue(), topic)));
     }
-    call.json(200, "{\"items\":[" + items + "],\"has_more\":false,\"end_offset\":" + end + "}");
+    items.setLength(Math.max(0, items.length() - 1));
+    call.json(
+        200,
+        "{\"items\":[" + items + "],\"has_more\":" + hasMore + ",\"end_offset\":" + end + "}");
+  }
+
+  private static String item(String key, int offset, Topic topic) {
+    byte[] record = topic.records.get(offset);
+    byte[] value = Arrays.copyOfRange(record, 1 + Byte.toUnsignedInt(record[0]), record.length);
+    return "{\"key\":\"" + key + "\",\"value\":\"" + Base64.getEncoder().encodeToString(value)
+        + "\",\"offset\":" + offset + "},";
   }
 }
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -38,7 +39,8 @@
   private final Set<Integer> givenPorts = new HashSet<>();
   private final Path folder;
   private final PrintWriter record;
-  private final List<Process> processes = new ArrayList<>();
+  private final List<ProcessBuilder> builders = new ArrayList<>();
+  private final List<Process> processes = new CopyOnWriteArrayList<>();
   private final long startNanos = System.nanoTime();
 
   Rig(Path recordFile) throws IOException {
@@ -104,14 +106,22 @@
     for (String word : runOf(role).split(" ")) {
       command.add(word.equals("/etc/shallothook/local.toml") ? file.toString() : word);
     }
-    processes.add(
+    ProcessBuilder builder =
         new ProcessBuilder(command)
             .redirectErrorStream(true)
-            .redirectOutput(folder.resolve(name + ".log").toFile())
-            .start());
+            .redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+    builders.add(builder);
+    processes.add(builder.start());
     note("started " + name);
   }
 
+  /** Starts a process that has ended again, with the same settings. */
+  void startAgain(int index) throws IOException {
+    processes.set(index, builders.get(index).start());
+    note("started process " + (index + 1) + " again");
+  }
+
   /** Returns the command of a role in the deploy file. */
   private static String runOf(String role) throws IOException {
     boolean isRole = false;
--- a/review/standins-2/Servers.java
+++ b/review/standins-2/Servers.java
@@ -12,6 +12,9 @@
   static final String MODEL_SERVICE = "models";
   static final long HEARTBEAT_MILLIS = 1_200;
 
+  /** Time for which a server is slow after its start. */
+  private static final long COLD_MILLIS = 120_000;
+
   private Servers() {}
 
   /** A plain server, which remembers for whom it has run each request, and when. */
@@ -40,6 +43,15 @@
     private final CheckIns checkIns;
 
     Plain(LogStore store, String service, String id) throws IOException {
+      this(store, service, id, true);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param isCold whether it is slow after its start for a while, so that its check-ins change
+     */
+    Plain(LogStore store, String service, String id, boolean isCold) throws IOException {
       this.id = id;
       this.http = new MiniHttp(this::handle);
       this.checkIns =
@@ -105,7 +117,7 @@
       this.id = id;
       this.http = new MiniHttp(this::handle);
       CheckIns unused =
-          new CheckIns(store, id, () -> entry(MODEL_SERVICE, http.address(), 32, models(), born));
+          new CheckIns(store, id, () -> entry(MODEL_SERVICE, http.address(), 0, models(), born));
     }
 
     String address() {
@@ -160,25 +172,32 @@
     }
   }
 
-  private static String entry(String service, String address, int slots, String more, long born) {
+  private static String entry(
+      String service, String address, long coldMillis, String more, long born) {
+    long coldRemaining = Math.max(0, born + coldMillis - System.currentTimeMillis());
     return "{\"service\":\"" + service + "\",\"address\":\"" + address
-        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" + slots
-        + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":" + born + more;
+        + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":32,\"state\":\"ready\""
+        + ",\"cold_remaining_ms\":" + coldRemaining + ",\"born\":" + born + more;
   }
 
-  /** The check-ins of a server, each with a higher sequence number than the one before. */
+  /**
+   * The check-ins of a server, each with a higher sequence number than the one before. The entry
+   * changes with those that change more than the sequence number.
+   */
   private static final class CheckIns {
     private final LogStore store;
     private final String id;
     private final Supplier<String> entry;
     private long sequence;
     private boolean hasEnded;
+    private String sent = "";
     private volatile long sentNanos = System.nanoTime();
 
     CheckIns(LogStore store, String id, Supplier<String> entry) {
       this.store = store;
       this.id = id;
       this.entry = entry;
+      boolean unused = sendOne();
       MiniHttp.daemon(this::send);
     }
 
@@ -191,14 +210,17 @@
     }
 
     private synchronized boolean sendOne() {
-      if (!hasEnded) {
+      String present = entry.get();
+      if (!hasEnded && !present.equals(sent)) {
         store.put("keyed.servers", id, next());
+        sent = present;
         sentNanos = System.nanoTime();
       }
       return !hasEnded;
     }
 
     private void send() {
+      Rig.sleep(HEARTBEAT_MILLIS);
       while (sendOne()) {
         Rig.sleep(HEARTBEAT_MILLIS);
       }
