--- a/review/standins-2/MiniHttp.java
+++ b/review/standins-2/MiniHttp.java
@@ -17,7 +17,6 @@
   /** A request that has been read completely, and the connection that it came on. */
   static final class Call {
     final String method;
-    final String target;
     final String path;
     final Map<String, String> query = new LinkedHashMap<>();
     final Map<String, String> headers = new LinkedHashMap<>();
@@ -28,7 +27,6 @@
     Call(String method, String target, Map<String, String> headers, byte[] body, Socket socket)
         throws IOException {
       this.method = method;
-      this.target = target;
       this.headers.putAll(headers);
       this.body = body;
       this.socket = socket;
--- a/review/standins-2/Servers.java
+++ b/review/standins-2/Servers.java
@@ -22,10 +22,6 @@
     final String id;
     final Map<String, String> tenantOf = new ConcurrentHashMap<>();
 
-    /** The target of each request, a character for each byte. */
-    final Map<String, String> targetOf = new ConcurrentHashMap<>();
-
-
     /** Whether the server says in its answers that it leaves. */
     volatile boolean isLeaving;
 
@@ -55,7 +51,8 @@
       this.id = id;
       this.http = new MiniHttp(this::handle);
       this.checkIns =
-          new CheckIns(store, id, () -> entry(service, http.address(), 32, "", born));
+          new CheckIns(
+              store, id, () -> entry(service, http.address(), isCold ? COLD_MILLIS : 0, "", born));
     }
 
     private String receiptName() {
@@ -90,7 +87,6 @@
         return;
       }
       String request = call.header("X-Shallothook-Request-Id");
-      targetOf.put(request, call.target);
       tenantOf.put(request, String.valueOf(call.header("X-Shallothook-Tenant-Name")));
       Rig.sleep(workMillis);
       Map<String, String> headers = new LinkedHashMap<>();
