Add review case 7: a few answers without end hang a router

One of three servers sends, in one of 20 answers for 5 s, a body of line ends without end; the router's event loop then serves nothing else until the consumer leaves, and bookings to sound servers get no answer.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec bash "$(dirname "$0")/../standins-2/run-case.sh" StaleRoute 7
+exec bash "$(dirname "$0")/../standins-2/run-case.sh" EndlessBody 7
