--- a/review/standins-2/EndlessBody.java
+++ b/review/standins-2/EndlessBody.java
@@ -4,8 +4,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -29,8 +27,7 @@
   private static final int CONSUMER_PATIENCE_MILLIS = 4_000;
 
   private static final int DRAFTS_PER_SECOND = 56;
-  private static final int BOOKING_CLIENTS = 4;
-  private static final long BETWEEN_BOOKINGS_MILLIS = 150;
+  private static final int BOOKINGS_PER_SECOND = 20;
   private static final long BOOKING_WORK_MILLIS = 80;
 
   /** Timeout of the bookings' route, the rule's half a second, and the consumers' time budget. */
@@ -49,7 +46,7 @@
   private final AtomicInteger bookings = new AtomicInteger();
   private final AtomicInteger unansweredAtTimeout = new AtomicInteger();
   private final AtomicInteger unansweredLater = new AtomicInteger();
-  private volatile boolean isFaulty;
+  private volatile long faultyUntilMillis;
 
   private EndlessBody(Rig rig, boolean hasTrouble) {
     this.rig = rig;
@@ -97,12 +94,11 @@
     rig.note("before the fault: " + before);
     int lateBefore = unansweredAtTimeout.get();
     if (hasTrouble) {
-      isFaulty = true;
+      faultyUntilMillis = rig.millis() + FAULTY_MILLIS;
       rig.note("one in " + ENDLESS_INTERVAL + " answers of d-1 has no end from now on");
     }
     load(router, FAULTY_MILLIS);
-    isFaulty = false;
-    rig.note("d-1 is sound; " + endless.get() + " of its " + answersOfFaulty.get()
+    rig.note("d-1 is sound again; " + endless.get() + " of its " + answersOfFaulty.get()
         + " answers had no end");
     load(router, 5_000);
     if (!rig.allRun() || lateBefore > 0) {
@@ -137,7 +133,9 @@
   private void answerDraft(MiniHttp.Call call, String id, boolean mayBeFaulty)
       throws IOException {
     boolean isEndless =
-        mayBeFaulty && isFaulty && answersOfFaulty.incrementAndGet() % ENDLESS_INTERVAL == ENDLESS_INTERVAL / 2;
+        mayBeFaulty
+            && rig.millis() < faultyUntilMillis
+            && answersOfFaulty.incrementAndGet() % ENDLESS_INTERVAL == ENDLESS_INTERVAL / 2;
     String request = call.header("X-Shallothook-Request-Id");
     String head = "HTTP/1.1 200 OK\r\nX-Shallothook-Request-Id: " + request
         + "\r\nX-Shallothook-Response-Signature: " + id + "." + request
@@ -163,29 +161,19 @@
   }
 
   private void load(Rig.Router router, long millis) throws InterruptedException {
+    Thread booking = new Thread(() -> repeat(() -> book(router), BOOKINGS_PER_SECOND, millis));
+    booking.start();
+    repeat(() -> draft(router), DRAFTS_PER_SECOND, millis);
+    booking.join();
+    Rig.sleep(BUDGET_MILLIS);
+  }
+
+  /** Starts a task so many times a second, whether or not the earlier ones have ended. */
+  private void repeat(Runnable task, int perSecond, long millis) {
     long until = rig.millis() + millis;
-    List<Thread> clients = new ArrayList<>();
-    for (int client = 0; client < BOOKING_CLIENTS; client++) {
-      clients.add(
-          new Thread(
-              () -> {
-                while (rig.millis() < until) {
-                  book(router);
-                  Rig.sleep(BETWEEN_BOOKINGS_MILLIS);
-                }
-              }));
-    }
-    clients.add(
-        new Thread(
-            () -> {
-              while (rig.millis() < until) {
-                MiniHttp.daemon(() -> draft(router));
-                Rig.sleep(1_000 / DRAFTS_PER_SECOND);
-              }
-            }));
-    clients.forEach(Thread::start);
-    for (Thread client : clients) {
-      client.join();
+    while (rig.millis() < until) {
+      MiniHttp.daemon(task);
+      Rig.sleep(1_000 / perSecond);
     }
   }
 
