--- a/review/standins-2/EndlessBody.java
+++ b/review/standins-2/EndlessBody.java
@@ -4,8 +4,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Collections;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -46,6 +49,8 @@
   private final AtomicInteger bookings = new AtomicInteger();
   private final AtomicInteger unansweredAtTimeout = new AtomicInteger();
   private final AtomicInteger unansweredLater = new AtomicInteger();
+  private final Map<String, Integer> answersBefore = new ConcurrentHashMap<>();
+  private volatile String faultyServer = "";
   private volatile long faultyUntilMillis;
 
   private EndlessBody(Rig rig, boolean hasTrouble) {
@@ -79,7 +84,7 @@
             + "\"services\":[{\"name\":\"drafts\"},{\"name\":\"bookings\"}],"
             + "\"tenants\":[{\"name\":\"guild\",\"api_keys\":[\"key-1\"]}]}");
     for (int index = 1; index <= DRAFT_SERVERS; index++) {
-      startDraftServer("d-" + index, index == 1);
+      startDraftServer("d-" + index);
     }
     new Servers.Plain(store, "bookings", "b-1").workMillis = BOOKING_WORK_MILLIS;
     new Servers.Plain(store, "bookings", "b-2").workMillis = BOOKING_WORK_MILLIS;
@@ -94,11 +99,14 @@
     rig.note("before the fault: " + before);
     int lateBefore = unansweredAtTimeout.get();
     if (hasTrouble) {
+      // The server that answers the most drafts, so that the fault meets some.
+      faultyServer =
+          Collections.max(answersBefore.entrySet(), Map.Entry.comparingByValue()).getKey();
       faultyUntilMillis = rig.millis() + FAULTY_MILLIS;
-      rig.note("one in " + ENDLESS_INTERVAL + " answers of d-1 has no end from now on");
+      rig.note("one in " + ENDLESS_INTERVAL + " answers of " + faultyServer + " has no end from now on");
     }
     load(router, FAULTY_MILLIS);
-    rig.note("d-1 is sound again; " + endless.get() + " of its " + answersOfFaulty.get()
+    rig.note("all servers are sound again; " + endless.get() + " of " + answersOfFaulty.get()
         + " answers had no end");
     load(router, 5_000);
     if (!rig.allRun() || lateBefore > 0) {
@@ -119,8 +127,8 @@
         + " without an answer at the timeout, " + unansweredLater.get() + " half a second later";
   }
 
-  private void startDraftServer(String id, boolean mayBeFaulty) throws IOException {
-    MiniHttp http = new MiniHttp(call -> answerDraft(call, id, mayBeFaulty));
+  private void startDraftServer(String id) throws IOException {
+    MiniHttp http = new MiniHttp(call -> answerDraft(call, id));
     store.put(
         "keyed.servers",
         id,
@@ -130,10 +138,10 @@
             + ",\"sequence\":1}");
   }
 
-  private void answerDraft(MiniHttp.Call call, String id, boolean mayBeFaulty)
-      throws IOException {
+  private void answerDraft(MiniHttp.Call call, String id) throws IOException {
+    answersBefore.merge(id, 1, Integer::sum);
     boolean isEndless =
-        mayBeFaulty
+        id.equals(faultyServer)
             && rig.millis() < faultyUntilMillis
             && answersOfFaulty.incrementAndGet() % ENDLESS_INTERVAL == ENDLESS_INTERVAL / 2;
     String request = call.header("X-Shallothook-Request-Id");
