--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -42,11 +42,12 @@
   private final List<ProcessBuilder> builders = new ArrayList<>();
   private final List<Process> processes = new CopyOnWriteArrayList<>();
   private final long startNanos = System.nanoTime();
+  private boolean isClosed;
 
   Rig(Path recordFile) throws IOException {
     folder = Files.createTempDirectory("review");
     record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
-    Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::end));
   }
 
   static void sleep(long millis) {
@@ -111,13 +112,21 @@
             .redirectErrorStream(true)
             .redirectOutput(
                 ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
-    builders.add(builder);
-    processes.add(builder.start());
+    synchronized (this) {
+      if (isClosed) {
+        throw new IOException("the case is at its end");
+      }
+      builders.add(builder);
+      processes.add(builder.start());
+    }
     note("started " + name);
   }
 
   /** Starts a process that has ended again, with the same settings. */
-  void startAgain(int index) throws IOException {
+  synchronized void startAgain(int index) throws IOException {
+    if (isClosed) {
+      throw new IOException("the case is at its end");
+    }
     processes.set(index, builders.get(index).start());
     note("started process " + (index + 1) + " again");
   }
@@ -221,13 +230,22 @@
     return ports;
   }
 
-  private void killAll() {
-    processes.forEach(Process::destroyForcibly);
+  private void end() {
+    try {
+      close();
+    } catch (IOException e) {
+      System.err.println("not removed: " + folder);
+    }
   }
 
+  /** Ends all processes and removes their files; the second call does nothing. */
   @Override
-  public void close() throws IOException {
-    killAll();
+  public synchronized void close() throws IOException {
+    if (isClosed) {
+      return;
+    }
+    isClosed = true;
+    processes.forEach(Process::destroyForcibly);
     for (Process process : processes) {
       try {
         process.waitFor(5, TimeUnit.SECONDS);
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -9,7 +9,11 @@
     exit 2
   fi
 done
-timeout -s TERM 118 java -Xmx256m -cp target/review-2 "$1" "review/$2/record.txt"
+# The program ends what it started when it gets SIGTERM, so a signal to this script is passed on.
+timeout -s TERM 118 java -Xmx256m -cp target/review-2 "$1" "review/$2/record.txt" &
+program=$!
+trap 'kill -TERM "$program" 2>/dev/null; wait "$program"; exit 2' TERM INT HUP
+wait "$program"
 case $? in
   40) exit 0 ;;
   41) exit 1 ;;
