--- a/review/standins-2/MiniHttp.java
+++ b/review/standins-2/MiniHttp.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A small HTTP/1.1 server on loopback with one thread per connection. */
 final class MiniHttp implements AutoCloseable {
@@ -85,6 +87,7 @@
 
   private final ServerSocket listener;
   private final Handler handler;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
   MiniHttp(Handler handler) throws IOException {
     this.handler = handler;
@@ -100,9 +103,13 @@
     return "127.0.0.1:" + port();
   }
 
+  /** Ends the server with all its connections. */
   @Override
   public void close() throws IOException {
     listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
   }
 
   static void daemon(Runnable task) {
@@ -116,6 +123,7 @@
       try {
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
+        sockets.add(socket);
         daemon(() -> serve(socket));
       } catch (IOException e) {
         return;
@@ -131,6 +139,8 @@
       }
     } catch (Exception e) {
       // The connection has ended.
+    } finally {
+      sockets.remove(socket);
     }
   }
 
--- a/review/standins-2/RemovedServer.java
+++ b/review/standins-2/RemovedServer.java
@@ -1,3 +1,4 @@
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,9 @@
   /** drain_ms of the deployment. */
   private static final long DRAIN_MILLIS = 2_000;
 
+  /** Time for which a server serves on after the removal of its entry. */
+  private static final long SERVES_ON_MILLIS = 7_000;
+
   /** Time by which a request is sent later than the bound, beyond doubt. */
   private static final long MARGIN_MILLIS = 200;
 
@@ -41,7 +45,7 @@
   private int started;
   private long requests;
 
-  /** A server that serves on although its entry was removed. */
+  /** A server whose entry was removed, and that serves on for a while. */
   private record Removed(Servers.Plain server, long atMillis) {}
 
   /** A booking that was sent, and when. */
@@ -118,6 +122,7 @@
       leaving.endCheckIns();
       store.remove("keyed.servers", leaving.id);
       removed.add(new Removed(leaving, rig.millis()));
+      MiniHttp.daemon(() -> endLater(leaving));
       rig.note(
           "round " + round + ": the entry of " + leaving.id + " is removed, "
               + leaving.sinceCheckInMillis() + " ms after its last check-in");
@@ -126,6 +131,16 @@
     return late + countLate(wave());
   }
 
+  private void endLater(Servers.Plain leaving) {
+    Rig.sleep(SERVES_ON_MILLIS);
+    try {
+      leaving.end();
+      rig.note(leaving.id + " has ended");
+    } catch (IOException e) {
+      rig.note(leaving.id + " did not end: " + e);
+    }
+  }
+
   private int countLate(List<Booking> bookings) {
     int late = 0;
     for (Booking booking : bookings) {
--- a/review/standins-2/Servers.java
+++ b/review/standins-2/Servers.java
@@ -68,6 +68,11 @@
       checkIns.end();
     }
 
+    /** Ends the server: it accepts nothing from now on, and its connections are closed. */
+    void end() throws IOException {
+      http.close();
+    }
+
     long sinceCheckInMillis() {
       return (System.nanoTime() - checkIns.sentNanos) / 1_000_000;
     }
