Keep the servers of all pages after the first scan of the registry

Cause: the last page of the first scan was taken for the whole list, so that ServerDirectory removed the servers of all pages before it. No record brings a server back until its entry changes.

The removal was not needed: KeyedFollower reports keys that a scan did not find as removed, from the union of its pages and only at the end of a scan. The last page now only says that the list is known in full, which is what readiness waits for.

--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardCore.java
@@ -227,10 +227,8 @@
     if (event instanceof ForwardEvent.RoutesRead read) {
       onRoutes(read.table(), nowMicros);
     } else if (event instanceof ForwardEvent.ServersRead read) {
-      servers
-          .onEntries(read.entries(), read.isWhole(), nowMicros)
-          .forEach(restarted -> onRestarted(restarted, nowMicros));
-      knowsServers |= read.isWhole();
+      servers.onEntries(read.entries()).forEach(restarted -> onRestarted(restarted, nowMicros));
+      knowsServers |= read.completesList();
       read.entries().forEach(journal::listed);
       streams.onServers(servers.all(), nowMicros);
       sendWaiting(nowMicros);
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ForwardEvent.java
@@ -68,9 +68,10 @@
   /**
    * Entries of the registry were read.
    *
-   * @param isWhole whether the entries are all that exist, rather than those that changed
+   * @param entries entries that are new or have changed
+   * @param completesList whether all existing entries are known with these
    */
-  record ServersRead(List<ServerEntry> entries, boolean isWhole) implements ForwardEvent {}
+  record ServersRead(List<ServerEntry> entries, boolean completesList) implements ForwardEvent {}
 
   /** An entry of the registry was removed. */
   record ServerRemoved(String id) implements ForwardEvent {}
--- a/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
+++ b/coordination/src/main/java/org/shallothook/coordination/forward/ServerDirectory.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.shallothook.coordination.message.PeerMessage.SidecarStatus;
 import org.shallothook.state.route.ServerEntry;
@@ -85,12 +83,8 @@
         : Optional.empty();
   }
 
-  /**
-   * Applies registry entries and returns the identities of servers that have restarted.
-   *
-   * @param isWhole whether the entries are all that exist; servers without one are then removed
-   */
-  List<String> onEntries(List<ServerEntry> entries, boolean isWhole, long nowMicros) {
+  /** Applies registry entries and returns the identities of servers that have restarted. */
+  List<String> onEntries(List<ServerEntry> entries) {
     List<String> restarted = new ArrayList<>();
     for (ServerEntry entry : entries) {
       Server server = servers.get(entry.id());
@@ -100,13 +94,6 @@
         restarted.add(entry.id());
       }
     }
-    if (isWhole) {
-      Set<String> present = new HashSet<>();
-      entries.forEach(entry -> present.add(entry.id()));
-      servers.values().stream()
-          .filter(server -> !present.contains(server.name()))
-          .forEach(server -> onRemoved(server.name(), nowMicros));
-    }
     return restarted;
   }
 
--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryChanges.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryChanges.java
@@ -11,7 +11,8 @@
  *
  * @param stream stream of the records
  * @param records the changed records; a removed key has a record without a value
- * @param completesFirstScan whether these changes complete the first scan of all keys of the stream
+ * @param completesFirstScan whether all keys of the stream are known with these changes, which are
+ *     those of the last page alone; keys that a scan did not find have a record without a value
  * @param written what is known of the time at which the records were written
  */
 public record RegistryChanges(
--- a/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/ForwardHarness.java
@@ -272,6 +272,11 @@
     return nowMicros;
   }
 
+  /** Returns whether the router knows a configuration and all servers. */
+  boolean isReady() {
+    return core.isReady();
+  }
+
   void advance(long micros) {
     long until = nowMicros + micros;
     while (nowMicros < until) {
