Start no load of new weights before the list of servers is known in full

A sidecar ranks its server among those of its service and counts the ones that load. With a part of the list, the first page of a scan or the entries that a page had named so far, the rank and both counts are those of a smaller service, and a restarted sidecar took a slot that was not its own. The same holds for servers without a sidecar.

The updater now waits for the end of the first scan, as it waits for the entry of its own server.

WeightUpdaterTest.nothingIsOrderedBeforeTheWholeListIsKnown failed before (trial on a scratch copy).

--- a/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/SidecarlessServers.java
@@ -45,6 +45,7 @@
   private final Map<String, WeightEvent.DesiredVersionChanged> desired = new HashMap<>();
   private final SidecarDiscovery sidecars = new SidecarDiscovery();
   private List<Long> routerHashes = List.of();
+  private boolean knowsAllServers;
   private long nextMembersReadMicros;
 
   /** A listed server, and since when this router has owned it. */
@@ -108,6 +109,12 @@
     updaters().forEach(updater -> updater.handle(new WeightEvent.ServerListed(entry), nowMicros));
   }
 
+  /** Records that all existing entries of the registry are known. */
+  public void onAllListed(long nowMicros) {
+    knowsAllServers = true;
+    updaters().forEach(updater -> updater.handle(new WeightEvent.ServersComplete(), nowMicros));
+  }
+
   /** Records that an entry of the registry was removed. */
   public void onRemoved(String id, long nowMicros) {
     tracked.remove(id);
@@ -220,6 +227,9 @@
     for (TrackedServer other : tracked.values()) {
       updater.handle(new WeightEvent.ServerListed(other.entry), nowMicros);
     }
+    if (knowsAllServers) {
+      updater.handle(new WeightEvent.ServersComplete(), nowMicros);
+    }
     for (WeightEvent.DesiredVersionChanged version : desired.values()) {
       updater.handle(version, nowMicros);
     }
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightEvent.java
@@ -35,6 +35,9 @@
   /** An entry of the registry was read. */
   record ServerListed(ServerEntry entry) implements WeightEvent {}
 
+  /** All existing entries of the registry are known. */
+  record ServersComplete() implements WeightEvent {}
+
   /** An entry of the registry was removed. */
   record ServerRemoved(String id) implements WeightEvent {}
 
--- a/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
+++ b/coordination/src/main/java/org/shallothook/coordination/weights/WeightUpdater.java
@@ -82,6 +82,7 @@
   private Optional<Long> fencingToken = Optional.empty();
   private Optional<VersionOrder> outstandingOrder = Optional.empty();
   private Optional<SidecarStatus> announced = Optional.empty();
+  private boolean knowsAllServers;
   private boolean isReadingReport;
   private boolean isAcquiringToken;
   private int failedReports;
@@ -135,6 +136,8 @@
       fencingToken = acquired.fencingToken();
     } else if (event instanceof WeightEvent.ServerListed listed) {
       servers.put(listed.entry().id(), listed.entry());
+    } else if (event instanceof WeightEvent.ServersComplete) {
+      knowsAllServers = true;
     } else if (event instanceof WeightEvent.StatusReceived received) {
       schedule.onStatus(received.status(), nowMicros);
     } else if (event instanceof WeightEvent.ServerRemoved removed) {
@@ -332,8 +335,10 @@
         .findFirst();
   }
 
+  /** Returns the rollout of a version; empty until its servers are known, as they are ranked. */
   private Optional<RolloutSchedule.Rollout> rollout(WeightVersion version) {
     return serverId()
+        .filter(id -> knowsAllServers)
         .map(
             id -> {
               String service = servers.get(id).service();
--- a/coordination/src/test/java/org/shallothook/coordination/weights/AddedServerFleet.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/AddedServerFleet.java
@@ -289,6 +289,7 @@
               core.onListed(entry, time.now());
             }
           });
+      core.onAllListed(time.now());
     }
 
     private void readMembers() {
@@ -351,6 +352,7 @@
                   entry == null
                       ? new WeightEvent.ServerRemoved(id)
                       : new WeightEvent.ServerListed(entry)));
+      handle(new WeightEvent.ServersComplete());
     }
 
     private void readVersion() {
--- a/coordination/src/test/java/org/shallothook/coordination/weights/OverdueRolloutTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/OverdueRolloutTest.java
@@ -28,6 +28,7 @@
             "sidecar", server.address(), BOUND_MICROS, commands::add, DecisionJournal.NONE);
     EngineReport report = new EngineReport(server.versions(), false, 0, 0, 0, 0, 5);
     SERVERS.forEach(entry -> updater.handle(new WeightEvent.ServerListed(entry), START));
+    updater.handle(new WeightEvent.ServersComplete(), START);
     updater.handle(new WeightEvent.FencingTokenAcquired(Optional.of(1L)), START);
     updater.handle(new WeightEvent.DesiredVersionChanged(DESIRED, written), START);
     long now = START;
--- a/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/SidecarlessServersTest.java
@@ -79,6 +79,7 @@
   private void listAll() {
     IntStream.rangeClosed(1, SERVERS)
         .forEach(index -> routers.values().forEach(one -> one.onListed(entry(index), nowMicros)));
+    routers.values().forEach(one -> one.onAllListed(nowMicros));
   }
 
   private void setDesiredVersion(long version) {
--- a/coordination/src/test/java/org/shallothook/coordination/weights/WeightUpdaterTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/weights/WeightUpdaterTest.java
@@ -59,6 +59,7 @@
                   isStoreReachable ? Optional.of(nextToken++) : Optional.empty()));
         } else if (command instanceof WeightCommand.ReadServers) {
           handle(new WeightEvent.ServerListed(entry("engine-1", ADDRESS, startedAt)));
+          handle(new WeightEvent.ServersComplete());
         }
       }
     }
@@ -200,12 +201,25 @@
     assertThat(orders().get(1).fencingToken()).isGreaterThan(first);
   }
 
+  // Guards against a server that loads out of turn, as a part of the list gives it the first rank.
+  @Test
+  void nothingIsOrderedBeforeTheWholeListIsKnown() {
+    handle(new WeightEvent.ServerListed(entry("engine-1", ADDRESS, startedAt)));
+    setDesiredVersion(2);
+    run(2_000_000);
+    assertThat(orders()).isEmpty();
+    handle(new WeightEvent.ServersComplete());
+    run(500_000);
+    assertThat(orders()).hasSize(1);
+  }
+
   @Test
   void withoutATokenNothingIsOrdered() {
     WeightUpdater updaterWithoutStore =
         new WeightUpdater("sidecar-1", ADDRESS, 8_000_000, commands::add, DecisionJournal.NONE);
     updaterWithoutStore.handle(
         new WeightEvent.ServerListed(entry("engine-1", ADDRESS, 5)), nowMicros);
+    updaterWithoutStore.handle(new WeightEvent.ServersComplete(), nowMicros);
     updaterWithoutStore.handle(new WeightEvent.Reported(report()), nowMicros);
     updaterWithoutStore.handle(
         new WeightEvent.DesiredVersionChanged(
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -317,7 +317,7 @@
             });
   }
 
-  private void readServers(List<KeyedRecord> changes, boolean isFirstWhole, long nowMicros) {
+  private void readServers(List<KeyedRecord> changes, boolean completesList, long nowMicros) {
     List<ServerEntry> entries = new ArrayList<>();
     for (KeyedRecord record : changes) {
       Optional<ServerEntry> entry = node.readServer(record);
@@ -329,7 +329,10 @@
         core.handle(new ForwardEvent.ServerRemoved(record.key()), nowMicros);
       }
     }
-    core.handle(new ForwardEvent.ServersRead(entries, isFirstWhole), nowMicros);
+    core.handle(new ForwardEvent.ServersRead(entries, completesList), nowMicros);
+    if (completesList) {
+      sidecarless.onAllListed(nowMicros);
+    }
   }
 
   private void readMembers(List<KeyedRecord> changes, long nowMicros) {
--- a/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/HostedSidecar.java
@@ -105,6 +105,9 @@
             throw new IllegalArgumentException("Sidecars do not follow " + changes.stream());
       }
     }
+    if (changes.stream() == RegistryStream.SERVERS && changes.completesFirstScan()) {
+      updater.handle(new WeightEvent.ServersComplete(), nowMicros);
+    }
   }
 
   @Override
