Know the fleet of routers only after the last page of members

A router that had read a page of several took the routers on it for the whole fleet: its shares of limits, allowances and retries were those of a smaller one until the next page. RegistryCore now names the routers once the first scan is complete. Pages of that scan before the last one are no longer sent on to peers as news either, like the last one.

RegistryCoreTest.theFleetIsUnknownUntilTheLastPageOfMembersIsRead; found by reading, no run of processes shows it.

--- a/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
+++ b/coordination/src/main/java/org/shallothook/coordination/registry/RegistryCore.java
@@ -117,8 +117,14 @@
     return operatorFollower().state().nextOffset();
   }
 
-  /** Returns the names of all known routers, including this process if it is one. */
-  public List<String> routers() {
+  /**
+   * Returns the names of all known routers, including this process if it is one; empty until all
+   * membership records are known, as a part of the fleet would be taken for a smaller one.
+   */
+  public Optional<List<String>> routers() {
+    if (!followers.get(RegistryStream.MEMBERS).isComplete()) {
+      return Optional.empty();
+    }
     List<String> names = new ArrayList<>();
     if (options.self().role() == InstanceRole.ROUTER) {
       names.add(options.self().name());
@@ -127,7 +133,7 @@
         .filter(peer -> peer.getValue().role == InstanceRole.ROUTER)
         .map(Map.Entry::getKey)
         .forEach(names::add);
-    return names;
+    return Optional.of(names);
   }
 
   /** Returns whether a peer is a router; an unknown peer is assumed to be one. */
@@ -311,7 +317,7 @@
     if (!follower.isExpectedPage(read.afterKey())) {
       return;
     }
-    boolean wasComplete = follower.isComplete();
+    boolean isFirstScan = !follower.isComplete();
     WrittenTime written = writtenTime(follower, nowMicros);
     List<KeyedRecord> changes = follower.onPage(ofPresentEra(read.era(), read.result()), nowMicros);
     if (!restored.contains(read.stream())) {
@@ -322,9 +328,11 @@
           .missingIn(read.stream(), follower)
           .forEach(missing -> put(read.stream(), missing.key(), missing.value(), nowMicros));
     }
-    boolean completesFirstScan = !wasComplete && follower.isComplete();
+    boolean completesFirstScan = isFirstScan && follower.isComplete();
     distributeChanges(
-        new RegistryChanges(read.stream(), changes, completesFirstScan, written), nowMicros);
+        new RegistryChanges(read.stream(), changes, completesFirstScan, written),
+        !isFirstScan,
+        nowMicros);
   }
 
   private void onRead(RegistryEvent.StreamRead read, long nowMicros) {
@@ -335,7 +343,7 @@
     WrittenTime written = writtenTime(follower, nowMicros);
     List<KeyedRecord> changes = follower.onRead(ofPresentEra(read.era(), read.result()), nowMicros);
     writtenRecords.onChanges(read.stream(), changes);
-    distributeChanges(new RegistryChanges(read.stream(), changes, false, written), nowMicros);
+    distributeChanges(new RegistryChanges(read.stream(), changes, false, written), true, nowMicros);
   }
 
   /** Returns when the records were written that the outstanding read of a follower returns. */
@@ -349,12 +357,17 @@
     return Math.max(interruptions.endedMicros(), follower.latestFailureMicros());
   }
 
-  private void distributeChanges(RegistryChanges changes, long nowMicros) {
+  /**
+   * Hands changes to the listener.
+   *
+   * @param areNews whether peers may lack them, unlike what the first scan of this process finds
+   */
+  private void distributeChanges(RegistryChanges changes, boolean areNews, long nowMicros) {
     if (changes.records().isEmpty() && !changes.completesFirstScan()) {
       return;
     }
     listener.onChanges(changes, nowMicros);
-    if (changes.stream() == RegistryStream.OPERATOR && !changes.completesFirstScan()) {
+    if (changes.stream() == RegistryStream.OPERATOR && areNews) {
       PeerMessage message = recordsOf(era, changes.records());
       randomPeers(nowMicros).forEach(name -> send(name, message));
     }
--- a/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/registry/RegistryCoreTest.java
@@ -180,6 +180,28 @@
     nodes.values().forEach(node -> assertThat(node.appliedValues).contains("2"));
   }
 
+  // Guards against shares of limits and allowances as in a fleet of the routers on the first page.
+  @ParameterizedTest
+  @ValueSource(ints = {2, 3, 28})
+  void theFleetIsUnknownUntilTheLastPageOfMembersIsRead(int count) {
+    start(count);
+    run(3 * SECOND);
+    Node restarted = new Node("router-0");
+    List<KeyedRecord> records = memberRecords();
+    restarted.core.onTick(nowMicros);
+    for (int index = 0; index < count; index++) {
+      assertThat(restarted.core.routers().isPresent()).isFalse();
+      String afterKey = index == 0 ? "" : records.get(index - 1).key();
+      NewestPage page =
+          new NewestPage(List.of(records.get(index)), index < count - 1, records.size());
+      restarted.core.handle(
+          new RegistryEvent.PageRead(
+              RegistryStream.MEMBERS, afterKey, Either.right(page), Optional.empty()),
+          nowMicros);
+    }
+    assertThat(restarted.core.routers().orElseThrow()).hasSize(count);
+  }
+
   @Test
   void aValueIsNeverReplacedByAnOlderOne() {
     publish("1");
--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -117,8 +117,7 @@
   private final GracefulStop stop;
   private long latestMicros;
   private long nextSidecarlessTickMicros;
-  private List<String> routers = List.of();
-  private boolean areRoutersRead;
+  private Optional<List<String>> routers = Optional.empty();
   private List<Optional<Long>> originsComplete = List.of();
 
   /** A weight event of a server that has no sidecar and whose weights this router updates. */
@@ -339,16 +338,16 @@
     for (KeyedRecord record : changes) {
       node.readMember(record).ifPresent(member -> onMember(member, nowMicros));
     }
-    areRoutersRead = true;
     updateRouters(nowMicros);
   }
 
   /** Tells the core when other routers have become known, from the store or by their messages. */
   private void updateRouters(long nowMicros) {
-    List<String> names = registry.routers();
-    if (areRoutersRead && !names.equals(routers)) {
+    Optional<List<String>> names = registry.routers();
+    if (names.isPresent() && !names.equals(routers)) {
       routers = names;
-      core.handle(new ForwardEvent.RoutersKnown(new RouterFleet(node.name(), names)), nowMicros);
+      RouterFleet fleet = new RouterFleet(node.name(), names.get());
+      core.handle(new ForwardEvent.RoutersKnown(fleet), nowMicros);
     }
   }
 
