--- a/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/Decision.java
@@ -58,6 +58,8 @@
   QUARANTINE(Weight.NOTABLE),
   /** A dependency became unavailable or available again. */
   DEPENDENCY(Weight.NOTABLE),
+  /** One connection has occupied an event loop for long. */
+  LONG_TURN(Weight.NOTABLE),
   /** The process starts, stops or applies new settings. */
   PROCESS(Weight.NOTABLE);
 
--- a/coordination/src/main/java/org/shallothook/coordination/port/LatencyStep.java
+++ b/coordination/src/main/java/org/shallothook/coordination/port/LatencyStep.java
@@ -18,6 +18,8 @@
   SERVER_CONNECTION,
   /** Delay with which the event loop of caller and server connections runs a scheduled task. */
   LOOP_DELAY,
+  /** One turn in which the event loop reads from a single connection and handles what it read. */
+  CONNECTION_TURN,
   /** One read from the platform's store, excluding long polls for new records. */
   STORE_READ,
   /** One append to the platform's store. */
--- a/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
+++ b/coordination/src/test/java/org/shallothook/coordination/forward/DecisionCoverageTest.java
@@ -25,6 +25,7 @@
           Decision.PROCESS,
           Decision.UNEXPECTED_RESPONSE,
           Decision.CONNECTION_CLOSED,
+          Decision.LONG_TURN,
           Decision.STALL,
           Decision.ALLOWANCE,
           Decision.CRASH,
--- a/router/src/main/java/org/shallothook/router/RouterProcess.java
+++ b/router/src/main/java/org/shallothook/router/RouterProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.router.RouterCommand;
 import org.shallothook.coordination.router.RouterCore;
 import org.shallothook.coordination.router.RouterEvent;
@@ -13,6 +14,7 @@
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.state.request.RequestId;
 import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.TurnMeter;
 import org.shallothook.transport.admin.AdminServer;
 import org.shallothook.transport.caller.CallerServer;
 import org.shallothook.transport.caller.CallerSettings;
@@ -42,7 +44,8 @@
   private final Settings settings;
   private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
   private final TransportMetrics metrics = new TransportMetrics();
-  private final EventLoops loops = EventLoops.create(CALLER_THREADS);
+  private final EventLoops loops =
+      EventLoops.create(CALLER_THREADS, new TurnMeter(metrics, DecisionJournal.NONE));
   private final AtomicBoolean isLeaving = new AtomicBoolean();
   private final AtomicLong requestCount = new AtomicLong();
   private final DecisionThread<RouterEvent> thread;
--- a/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
+++ b/sidecar/src/main/java/org/shallothook/sidecar/SidecarProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.shallothook.coordination.booking.ClaimOptions;
+import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.sidecar.LogCoordinationOptions;
 import org.shallothook.coordination.sidecar.SidecarCommand;
 import org.shallothook.coordination.sidecar.SidecarCore;
@@ -13,6 +14,7 @@
 import org.shallothook.coordination.sidecar.SidecarOptions;
 import org.shallothook.state.membership.InstanceRole;
 import org.shallothook.transport.EventLoops;
+import org.shallothook.transport.TurnMeter;
 import org.shallothook.transport.admin.AdminServer;
 import org.shallothook.transport.decision.DecisionSettings;
 import org.shallothook.transport.decision.DecisionThread;
@@ -40,7 +42,8 @@
   private final Settings settings;
   private final long incarnation = TimeUnit.MICROSECONDS.toMillis(Clock.nowMicros());
   private final TransportMetrics metrics = new TransportMetrics();
-  private final EventLoops loops = EventLoops.create(1);
+  private final EventLoops loops =
+      EventLoops.create(1, new TurnMeter(metrics, DecisionJournal.NONE));
   private final AtomicBoolean isLeaving = new AtomicBoolean();
   private final DecisionThread<SidecarEvent> thread;
   private final PeerNetwork peers;
--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -36,11 +36,15 @@
    * Returns a bootstrap that opens connections to other processes.
    *
    * @param loop event loop of the connections
+   * @param kind whom the connections are to
    * @param connectTimeout timeout of connecting
    * @param pipeline adds the handlers of a new connection
    */
   public static Bootstrap client(
-      EventLoop loop, Duration connectTimeout, Consumer<SocketChannel> pipeline) {
+      EventLoop loop,
+      ConnectionKind kind,
+      Duration connectTimeout,
+      Consumer<SocketChannel> pipeline) {
     return new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
@@ -51,11 +55,18 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                shareLoop(channel, kind);
                 pipeline.accept(channel);
               }
             });
   }
 
+  /** Lets a new connection share its event loop with others; must precede its first read. */
+  public static void shareLoop(Channel connection, ConnectionKind kind) {
+    TurnMeter meter = EventLoops.meterOf(connection.eventLoop());
+    connection.config().setRecvByteBufAllocator(new ReadShare(connection, kind, meter));
+  }
+
   /** Closes a connection. */
   public static void close(ChannelOutboundInvoker connection) {
     connection
--- a/transport/src/main/java/org/shallothook/transport/EventLoops.java
+++ b/transport/src/main/java/org/shallothook/transport/EventLoops.java
@@ -24,6 +24,16 @@
   private static final long QUIET_MILLIS = 0;
   private static final long SHUTDOWN_MILLIS = 2_000;
 
+  /** Event loops whose connections share a meter. */
+  private static final class MeteredGroup extends NioEventLoopGroup {
+    private final TurnMeter meter;
+
+    private MeteredGroup(int threads, String name, TurnMeter meter) {
+      super(threads, new DefaultThreadFactory(name, true));
+      this.meter = meter;
+    }
+  }
+
   private final NioEventLoopGroup internal;
   private final NioEventLoopGroup callers;
 
@@ -38,9 +48,23 @@
    * @param callerThreads number of threads for connections of callers
    */
   public static EventLoops create(int callerThreads) {
+    return create(callerThreads, TurnMeter.NONE);
+  }
+
+  /**
+   * Creates the event loops; each thread starts with its first task.
+   *
+   * @param callerThreads number of threads for connections of callers
+   * @param meter measures the turns of all connections
+   */
+  public static EventLoops create(int callerThreads, TurnMeter meter) {
     return new EventLoops(
-        new NioEventLoopGroup(1, new DefaultThreadFactory("internal", true)),
-        new NioEventLoopGroup(callerThreads, new DefaultThreadFactory("callers", true)));
+        new MeteredGroup(1, "internal", meter), new MeteredGroup(callerThreads, "callers", meter));
+  }
+
+  /** Returns the meter of the connections of an event loop. */
+  static TurnMeter meterOf(EventLoop loop) {
+    return loop.parent() instanceof MeteredGroup group ? group.meter : TurnMeter.NONE;
   }
 
   /** Returns the event loop of peers, platform and admin. */
--- a/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
+++ b/transport/src/main/java/org/shallothook/transport/admin/AdminServer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.ConnectionKind;
 import org.shallothook.transport.EventLoops;
 
 /**
@@ -105,6 +106,7 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                Channels.shareLoop(channel, ConnectionKind.ADMIN);
                 channel
                     .pipeline()
                     .addLast(
--- a/transport/src/main/java/org/shallothook/transport/caller/CallerServer.java
+++ b/transport/src/main/java/org/shallothook/transport/caller/CallerServer.java
@@ -25,6 +25,8 @@
 import org.shallothook.coordination.router.RouterCommand;
 import org.shallothook.coordination.router.RouterEvent;
 import org.shallothook.state.request.RequestId;
+import org.shallothook.transport.Channels;
+import org.shallothook.transport.ConnectionKind;
 import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.decision.EventSink;
 import org.shallothook.transport.metrics.TransportMetrics;
@@ -159,6 +161,7 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                Channels.shareLoop(channel, ConnectionKind.CALLER);
                 channels.add(channel);
                 configure(channel.pipeline());
               }
--- a/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ForwardTransport.java
@@ -24,6 +24,7 @@
 import org.shallothook.coordination.port.DecisionJournal;
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.ConnectionKind;
 import org.shallothook.transport.EventLoops;
 import org.shallothook.transport.decision.EventSink;
 
@@ -270,6 +271,7 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                Channels.shareLoop(channel, ConnectionKind.CALLER);
                 accept(channel);
               }
             });
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnectionPool.java
@@ -22,6 +22,7 @@
 import org.shallothook.coordination.port.LatencyStep;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.ConnectionKind;
 import org.shallothook.transport.logging.LogComponent;
 
 /**
@@ -223,6 +224,7 @@
   private ChannelFuture connect(ServerConnection connection) {
     return Channels.client(
             loop,
+            ConnectionKind.SERVER,
             settings.connectTimeout(),
             channel -> connection.addTo(channel.pipeline().addLast(budget)))
         .connect(Addresses.parse(connection.address()));
--- a/transport/src/main/java/org/shallothook/transport/peer/PeerContext.java
+++ b/transport/src/main/java/org/shallothook/transport/peer/PeerContext.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.shallothook.coordination.port.Counters;
+import org.shallothook.transport.Channels;
+import org.shallothook.transport.ConnectionKind;
 
 /**
  * State that all connections to peers share.
@@ -86,6 +88,7 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        Channels.shareLoop(channel, ConnectionKind.PEER);
         sockets.add(channel);
         addHandlers(channel.pipeline(), connections.get());
       }
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import org.shallothook.coordination.port.Counters;
 import org.shallothook.transport.Channels;
+import org.shallothook.transport.ConnectionKind;
 
 /**
  * Small HTTP/1.1 client, which reports whether a failed request was sent.
@@ -89,7 +90,8 @@
       }
     }
     ChannelFuture connecting =
-        Channels.client(loop, settings.connectTimeout(), channel -> {}).connect(call.address());
+        Channels.client(loop, ConnectionKind.PLATFORM, settings.connectTimeout(), channel -> {})
+            .connect(call.address());
     connecting.addListener(
         done -> {
           if (!done.isSuccess()) {
