--- a/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/InboundExchange.java
@@ -241,6 +241,13 @@
     }
   }
 
+  @Override
+  public void onReadCompleted(ServerAttempt open) {
+    if (isCurrent(open) && hasStartedResponse) {
+      connection.channel().flush();
+    }
+  }
+
   @Override
   public void onResponseCompleted(ServerAttempt ended) {
     if (!isCurrent(ended)) {
@@ -263,6 +270,9 @@
 
   @Override
   public void onBroken(ServerAttempt ended, boolean isReset, String detail) {
+    if (isCurrent(ended) && hasStartedResponse) {
+      connection.channel().flush();
+    }
     Optional<Long> lastEventId = eventSplitter.flatMap(EventSplitter::lastEventId);
     deliver(
         ended,
@@ -307,7 +317,7 @@
   private void relayContent(ByteBuf bytes) {
     if (eventSplitter.isEmpty()) {
       lastProgressMicros = context.nowMicros();
-      Channels.writeAndFlush(connection.channel(), new DefaultHttpContent(bytes.retain()));
+      Channels.write(connection.channel(), new DefaultHttpContent(bytes.retain()));
       return;
     }
     ByteBuf completeEvents;
@@ -317,12 +327,14 @@
       failAttempt(String.valueOf(e.getMessage()));
       return;
     }
-    if (completeEvents.isReadable()) {
-      // Only complete events count as progress, so that a server cannot avoid the stall timeout by
-      // sending an event that never ends.
+    if (eventSplitter.get().hasCompletedData()) {
+      // Nothing else counts as progress, so that a server cannot avoid the stall timeout by sending
+      // blank lines, comments, or an event that never ends.
       lastProgressMicros = context.nowMicros();
       notifyOutputStarted();
-      Channels.writeAndFlush(connection.channel(), new DefaultHttpContent(completeEvents));
+    }
+    if (completeEvents.isReadable()) {
+      Channels.write(connection.channel(), new DefaultHttpContent(completeEvents));
     } else {
       completeEvents.release();
     }
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerAttempt.java
@@ -32,6 +32,9 @@
     /** Called with each part of a relayed response; the owner releases it. */
     void onResponseContent(ServerAttempt attempt, HttpContent content);
 
+    /** Called after the parts of a relayed response that one read has brought. */
+    void onReadCompleted(ServerAttempt attempt);
+
     /** Called when the relayed response is complete. */
     void onResponseCompleted(ServerAttempt attempt);
 
@@ -156,6 +159,12 @@
     }
   }
 
+  void onReadCompleted() {
+    if (isRelayed && !hasEnded) {
+      owner.onReadCompleted(this);
+    }
+  }
+
   void onResponseComplete() {
     isResponseComplete = true;
     connection = Optional.empty();
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -237,6 +237,11 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    currentAttempt.ifPresent(ServerAttempt::onReadCompleted);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     failCurrentAttempt(true, "the server closed the connection");
--- a/transport/src/test/java/org/shallothook/transport/forward/SecondAnswerTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/SecondAnswerTest.java
@@ -157,6 +157,9 @@
       content.release();
     }
 
+    @Override
+    public void onReadCompleted(ServerAttempt attempt) {}
+
     @Override
     public void onResponseCompleted(ServerAttempt attempt) {
       ends++;
