Take no response for complete that ends before its request is written

A server answered a long upload at once, without a length, sent a part of the body and ended the connection while the upload was still being written. Callers and clients of the store and of servers got that part as a complete response.

Cause: a response without a length ends with its connection, and the end of a connection that is reset looks like a plain one once a write has noticed the reset. The system's buffer took up to 2.5 MB of a request that the server never read, so that it passed for written.

Both clients now fail a response that ends with its connection before its request was written, and the buffer of connections to other processes is bounded to 128 KiB. A request that fits that buffer and the server's can still not be told from one that was read.

HttpExchange also rejects a status outside 200 to 599; the forward path did so already.

HttpClientTest.anAnswerWithoutAValidStatusIsLost failed for all 6 statuses.

--- a/transport/src/main/java/org/shallothook/transport/Channels.java
+++ b/transport/src/main/java/org/shallothook/transport/Channels.java
@@ -28,6 +28,13 @@
   /** Time for which the other side may go on sending after a graceful close. */
   public static final Duration GRACEFUL_CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
+  /**
+   * Bytes that the operating system takes of a request before the other side has received them.
+   * Bounded, so that a request whose other side reads nothing does not pass for one that was
+   * written.
+   */
+  private static final int SEND_BUFFER_BYTES = 128 << 10;
+
   private static final ChannelFutureListener REPORT_FAILURE = Channels::reportFailure;
 
   private Channels() {}
@@ -50,6 +57,7 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.ALLOCATOR, EventLoops.ALLOCATOR)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
         .handler(
             new ChannelInitializer<SocketChannel>() {
--- a/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/shallothook/transport/forward/ServerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -32,7 +33,9 @@
  * in a response also tells which attempt it answers. It carries either HEAD requests or none, so
  * that the end of a response is known whichever request it answers. It is not reused after it
  * received data that belongs to no request, or after a response that ended before its request was
- * completely written. Confined to the event loop.
+ * completely written. A response that ends with the connection is complete only if its request was
+ * completely written before, as the end may be that of a reset which a write has noticed first.
+ * Confined to the event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter
     implements StrictResponseDecoder.Requests {
@@ -83,6 +86,7 @@
   private boolean mustClose;
   private boolean isRequestWritten;
   private boolean isPersistent;
+  private boolean endsWithConnection;
   private boolean hasResponseHead;
   private long lastSentNanos = System.nanoTime();
   private int skippedHeads;
@@ -324,9 +328,10 @@
 
   private void onHead(ServerAttempt attempt, HttpResponse head) {
     hasResponseHead = true;
-    isPersistent =
-        HttpUtil.isKeepAlive(head)
-            && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+    boolean isFramed =
+        HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    isPersistent = HttpUtil.isKeepAlive(head) && isFramed;
+    endsWithConnection = !isFramed && !carriesHeads && hasBody(head.status());
     keepAliveMillis = form.keepAliveMillis(head);
     attempt.onHead(head);
   }
@@ -342,6 +347,11 @@
       ReferenceCountUtil.release(content);
       return;
     }
+    if (isLast && endsWithConnection && !isRequestWritten) {
+      ReferenceCountUtil.release(content);
+      failCurrentAttempt(true, "the connection ended before the request was written");
+      return;
+    }
     attempt.onContent(content);
     if (isLast && currentAttempt.isPresent()) {
       currentAttempt = Optional.empty();
@@ -350,6 +360,11 @@
     }
   }
 
+  private static boolean hasBody(HttpResponseStatus status) {
+    return !HttpResponseStatus.NO_CONTENT.equals(status)
+        && !HttpResponseStatus.NOT_MODIFIED.equals(status);
+  }
+
   private void endExchange() {
     if (isPersistent && isRequestWritten && !mustClose && channel.isActive()) {
       idleSinceNanos = System.nanoTime();
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpClient.java
@@ -119,7 +119,9 @@
         .writeAndFlush(request)
         .addListener(
             done -> {
-              if (!done.isSuccess()) {
+              if (done.isSuccess()) {
+                exchange.onRequestWritten();
+              } else {
                 exchange.failAfterSending(String.valueOf(done.cause().getMessage()));
               }
             });
--- a/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
+++ b/transport/src/main/java/org/shallothook/transport/platform/HttpExchange.java
@@ -4,8 +4,10 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -19,9 +21,14 @@
  * One request on one connection, from connecting to the end of the response.
  *
  * <p>Invariant: the handler is notified of the end exactly once, or not at all after {@link
- * #cancel}. Used only on the client's event loop.
+ * #cancel}. A response that ends with the connection is complete only if its request was completely
+ * written before, as the end may be that of a reset which a write has noticed first. Used only on
+ * the client's event loop.
  */
 final class HttpExchange extends SimpleChannelInboundHandler<HttpObject> {
+  private static final int MINIMUM_FINAL_STATUS = 200;
+  private static final int MAXIMUM_FINAL_STATUS = 599;
+
   private final HttpCall call;
   private final HttpStreamHandler handler;
   private final boolean isStream;
@@ -32,6 +39,8 @@
   private boolean isPaused;
   private boolean isKeepAlive;
   private boolean isInformational;
+  private boolean isRequestWritten;
+  private boolean endsWithConnection;
 
   /**
    * Creates an exchange without a connection.
@@ -85,6 +94,11 @@
         });
   }
 
+  /** Records that the request was completely written. */
+  void onRequestWritten() {
+    isRequestWritten = true;
+  }
+
   void failBeforeSending(String detail) {
     fail(false, detail);
   }
@@ -110,7 +124,13 @@
       return;
     }
     if (message instanceof HttpResponse head) {
+      int status = head.status().code();
+      if (status < MINIMUM_FINAL_STATUS || status > MAXIMUM_FINAL_STATUS) {
+        fail(true, "the status of the response is not valid");
+        return;
+      }
       isKeepAlive = HttpUtil.isKeepAlive(head);
+      endsWithConnection = endsWithConnection(head);
       handler.started(head.status().code(), head.headers());
     }
     if (message instanceof HttpContent content && !hasEnded) {
@@ -133,14 +153,30 @@
     if (isStream) {
       startTimeout(context.channel());
     }
+    boolean isLast = content instanceof LastHttpContent;
+    if (isLast && endsWithConnection && !isRequestWritten) {
+      fail(true, "the connection ended before the request was written");
+      return;
+    }
     if (content.content().isReadable()) {
       handler.received(content.content().nioBuffer());
     }
-    if (content instanceof LastHttpContent && !hasEnded) {
+    if (isLast && !hasEnded) {
       end(context.channel());
     }
   }
 
+  /** Returns whether the body of a response ends where its connection is closed. */
+  private boolean endsWithConnection(HttpResponse head) {
+    boolean isFramed =
+        HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    boolean hasBody =
+        !HttpMethod.HEAD.equals(call.method())
+            && !HttpResponseStatus.NO_CONTENT.equals(head.status())
+            && !HttpResponseStatus.NOT_MODIFIED.equals(head.status());
+    return hasBody && !isFramed;
+  }
+
   private void end(Channel open) {
     hasEnded = true;
     stopTimeout();
--- a/transport/src/test/java/org/shallothook/transport/forward/EndlessPeersTest.java
+++ b/transport/src/test/java/org/shallothook/transport/forward/EndlessPeersTest.java
@@ -40,6 +40,7 @@
   /** Time after the timeout of a route by which a request must have its answer. */
   private static final long MAXIMUM_MILLIS = 500;
 
+  private static final int ANSWER_TIMEOUT_MILLIS = 10_000;
   private static final String SOUND = "sound";
 
   private final EventLoops loops = EventLoops.create(1);
@@ -176,6 +177,7 @@
   private Socket send(String bytes) throws IOException {
     Socket caller = new Socket(address.getAddress(), address.getPort());
     callers.add(caller);
+    caller.setSoTimeout(ANSWER_TIMEOUT_MILLIS);
     caller.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
     return caller;
   }
--- a/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
+++ b/transport/src/test/java/org/shallothook/transport/platform/HttpClientTest.java
@@ -83,6 +83,15 @@
     assertThat(get()).isInstanceOf(HttpResult.Lost.class);
   }
 
+  // Guards against an answer whose status is none, which a server in trouble sent.
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "099", "600", "999", "2000"})
+  void anAnswerWithoutAValidStatusIsLost(String status) throws Exception {
+    server.then("HTTP/1.1 " + status + " OK\r\ncontent-length: 3\r\n\r\nabc");
+
+    assertThat(get()).isInstanceOf(HttpResult.Lost.class);
+  }
+
   // Guards against a connection being used again that ended its response without a length.
   @Test
   void anAnswerThatEndsWithItsConnectionIsWholeAndTheConnectionNotUsedAgain() throws Exception {
