Apply the records of servers in the order of the log

The events now follow the order of the records, and an entry is left out if a later record of its server follows in the same read, so that no request is sent in between. The sidecar already handled one record after the other.

--- a/router/src/main/java/org/shallothook/router/HostedRouter.java
+++ b/router/src/main/java/org/shallothook/router/HostedRouter.java
@@ -48,7 +48,6 @@
 import org.shallothook.state.log.WrittenTime;
 import org.shallothook.state.membership.Instance;
 import org.shallothook.state.membership.InstanceRole;
-import org.shallothook.state.route.ServerEntry;
 import org.shallothook.transport.Addresses;
 import org.shallothook.transport.Channels;
 import org.shallothook.transport.admin.AdminServer;
@@ -317,18 +316,14 @@
   }
 
   private void readServers(List<KeyedRecord> changes, boolean completesList, long nowMicros) {
-    List<ServerEntry> entries = new ArrayList<>();
-    for (KeyedRecord record : changes) {
-      Optional<ServerEntry> entry = node.readServer(record);
-      if (entry.isPresent()) {
-        entries.add(entry.get());
-        sidecarless.onListed(entry.get(), nowMicros);
-      } else {
-        sidecarless.onRemoved(record.key(), nowMicros);
-        core.handle(new ForwardEvent.ServerRemoved(record.key()), nowMicros);
+    for (ForwardEvent event : ServerRecords.events(changes, node::readServer, completesList)) {
+      if (event instanceof ForwardEvent.ServersRead listed) {
+        listed.entries().forEach(entry -> sidecarless.onListed(entry, nowMicros));
+      } else if (event instanceof ForwardEvent.ServerRemoved removed) {
+        sidecarless.onRemoved(removed.id(), nowMicros);
       }
+      core.handle(event, nowMicros);
     }
-    core.handle(new ForwardEvent.ServersRead(entries, completesList), nowMicros);
     if (completesList) {
       sidecarless.onAllListed(nowMicros);
     }
