--- a/router/src/main/java/org/shallothook/router/ServerRecords.java
+++ b/router/src/main/java/org/shallothook/router/ServerRecords.java
@@ -36,7 +36,7 @@
     List<ServerEntry> listed = new ArrayList<>();
     for (KeyedRecord record : records) {
       Optional<ServerEntry> entry = parser.apply(record);
-      boolean isLatest = latest.get(record.key()) == record;
+      boolean isLatest = record.equals(latest.get(record.key()));
       if (entry.isPresent() && isLatest) {
         listed.add(entry.get());
       } else if (entry.isEmpty()) {
