--- a/router/src/test/java/org/shallothook/router/ServerRecordsTest.java
+++ b/router/src/test/java/org/shallothook/router/ServerRecordsTest.java
@@ -35,8 +35,8 @@
   /** Returns records of which each names its server and, unless it is a removal, its address. */
   private static List<KeyedRecord> records(String text) {
     List<KeyedRecord> records = new ArrayList<>();
-    for (String part : text.split(" ")) {
-      String[] fields = part.split("=");
+    for (String part : text.split(" ", -1)) {
+      String[] fields = part.split("=", -1);
       Optional<String> address = fields.length == 2 ? Optional.of(fields[1]) : Optional.empty();
       records.add(new KeyedRecord(records.size(), fields[0], address));
     }
@@ -54,7 +54,7 @@
     "a=1 b a=2 c=1 b=3, a=2 b=3 c=1"
   })
   void theLastRecordOfAServerHolds(String read, String expected) {
-    List<String> expectedStates = List.of(expected.split(" "));
+    List<String> expectedStates = List.of(expected.split(" ", -1));
     Map<String, String> known = new TreeMap<>();
     List<ForwardEvent> events = ServerRecords.events(records(read), ServerRecordsTest::parse, true);
     for (ForwardEvent event : events) {
